--- /dev/null
+++ b/crates/gateway/src/core.rs
@@ -0,0 +1,377 @@
+//! The instance: one thread that owns all connections and all decisions.
+
+mod attempt;
+mod backend;
+mod caller;
+mod duties;
+mod errand;
+mod exchange;
+mod pages;
+mod peers;
+mod stats;
+mod storage;
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use shallotlead_base::{hash::Map, time::Time};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use slab::Slab;
+
+use crate::{
+    budget::Budget,
+    catalog::Catalog,
+    clock,
+    dialect::Dialect,
+    gossip::{Member, Members},
+    journal::Journal,
+    lease::Lease,
+    net::{Door, Event, Key, Net},
+    placement::Memory,
+    pool::Pool,
+    rollout::Rollout,
+    settings::Settings,
+};
+
+use exchange::Exchange;
+use stats::Stats;
+
+/// Longest sleep between two looks at what is due.
+const IDLE: Duration = Duration::from_millis(250);
+/// How often idle connections and silent members are looked through.
+const SWEEP: Duration = Duration::from_millis(250);
+/// Time after SIGTERM in which new connections are still taken: callers keep an answer of the
+/// directory for some seconds.
+const ACCEPTING: Duration = Duration::from_millis(3_500);
+/// Time after SIGTERM from which on idle connections of callers are closed.
+const KEEPING_IDLE: Duration = Duration::from_millis(1_500);
+/// Time before the forced end at which the process leaves by itself.
+const BEFORE_FORCE: Duration = Duration::from_millis(400);
+/// The lease under which weights are loaded.
+const LEASE: &str = "weights";
+
+/// What a connection is for.
+pub(crate) enum Role {
+    /// A caller's connection.
+    Caller(caller::Caller),
+    /// A connection to a backend server.
+    Backend(backend::Backend),
+    /// A connection for one small request: to the store, a server or another instance.
+    Errand(errand::Conn),
+    /// A connection to one of the pages.
+    Page(Door),
+}
+
+/// Something that is due at a time.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Timer {
+    /// An exchange's bound; the number tells the exchange apart from later ones at its place.
+    Exchange(usize, u64),
+    /// A small request's bound.
+    Errand(usize, u64),
+}
+
+/// The signals that the process was sent.
+struct Signals {
+    term: Arc<AtomicBool>,
+    hup: Arc<AtomicBool>,
+}
+
+/// One instance.
+pub(crate) struct Core {
+    settings: Settings,
+    dialect: Box<dyn Dialect>,
+    net: Net,
+    roles: Map<Key, Role>,
+    listeners: Vec<Key>,
+    now: Time,
+    rng: SmallRng,
+    timers: BinaryHeap<Reverse<(Time, Timer)>>,
+    exchanges: Slab<Exchange>,
+    next_serial: u64,
+    errands: Slab<errand::Task>,
+    catalog: Option<Arc<Catalog>>,
+    pool: Pool,
+    memory: Memory,
+    budget: Budget,
+    storage: storage::Storage,
+    members: Members,
+    peers: peers::Peers,
+    lease: Lease,
+    rollout: Rollout,
+    journal: Journal,
+    stats: Stats,
+    signals: Signals,
+    /// When SIGTERM came.
+    leaving_since: Option<Time>,
+    swept: Time,
+}
+
+/// Binds all addresses and starts to serve; returns when the process is to end.
+pub(crate) fn run(settings: Settings, dialect: Box<dyn Dialect>) -> io::Result<()> {
+    let signals = Signals::open()?;
+    let mut core = Core::bind(settings, dialect, signals)?;
+    core.announce();
+    let mut events = Vec::new();
+    while !core.is_over() {
+        let pause = core.pause();
+        core.net.poll(pause, &mut events)?;
+        core.now = clock::now();
+        for event in events.drain(..) {
+            core.take(event);
+        }
+        core.tick();
+    }
+    core.journal.line(core.now, "stop").number("open_requests", core.exchanges.len());
+    core.journal.flush(core.now, true);
+    // The writing thread gets the last lines out.
+    std::thread::sleep(Duration::from_millis(20));
+    Ok(())
+}
+
+impl Signals {
+    fn open() -> io::Result<Self> {
+        let term = Arc::new(AtomicBool::new(false));
+        let hup = Arc::new(AtomicBool::new(false));
+        for signal in [SIGTERM, SIGINT] {
+            signal_hook::flag::register(signal, Arc::clone(&term))?;
+        }
+        signal_hook::flag::register(SIGHUP, Arc::clone(&hup))?;
+        Ok(Self { term, hup })
+    }
+}
+
+impl Core {
+    fn bind(settings: Settings, dialect: Box<dyn Dialect>, signals: Signals) -> io::Result<Self> {
+        let now = clock::now();
+        let seed = getrandom::u64().map_err(io::Error::other)?;
+        let listen = settings.listen;
+        let mut net = Net::open()?;
+        let doors = [
+            (listen.callers, Door::Callers),
+            (listen.ready, Door::Ready),
+            (listen.directory, Door::Directory),
+            (listen.peers, Door::Peers),
+            (listen.metrics, Door::Metrics),
+        ];
+        let mut listeners = Vec::new();
+        for (address, door) in doors {
+            let named = |err: io::Error| io::Error::new(err.kind(), format!("{address}: {err}"));
+            listeners.push(net.listen(address, door).map_err(named)?);
+        }
+        net.take_datagrams(listen.peers)?;
+        // Lives of one instance are told apart by the time of their start.
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let incarnation = started.as_micros() as u64;
+        let me = Member {
+            name: settings.name.clone(),
+            incarnation,
+            beat: 0,
+            centre: settings.centre.clone(),
+            callers: listen.callers,
+            peers: listen.peers,
+            is_ready: false,
+            is_leaving: false,
+        };
+        let life = Arc::from(format!("{}#{incarnation}", settings.name));
+        Ok(Self {
+            budget: Budget::open(settings.retries),
+            storage: storage::Storage::open(&settings, &*dialect, seed, now),
+            journal: Journal::open(&settings.name, settings.log_rate)?,
+            lease: Lease::open(LEASE, life, settings.order_gap),
+            members: Members::open(me),
+            peers: peers::Peers::default(),
+            stats: Stats::open().map_err(io::Error::other)?,
+            dialect,
+            net,
+            roles: Map::default(),
+            listeners,
+            now,
+            rng: SmallRng::seed_from_u64(seed),
+            timers: BinaryHeap::new(),
+            exchanges: Slab::new(),
+            next_serial: 0,
+            errands: Slab::new(),
+            catalog: None,
+            pool: Pool::default(),
+            memory: Memory::default(),
+            rollout: Rollout::default(),
+            signals,
+            leaving_since: None,
+            swept: now,
+            settings,
+        })
+    }
+
+    fn announce(&mut self) {
+        let Settings { name, centre, listen, store, .. } = &self.settings;
+        self.journal
+            .line(self.now, "start")
+            .text("version", env!("CARGO_PKG_VERSION"))
+            .text("name", name)
+            .text("data_centre", centre)
+            .text("callers", &listen.callers.to_string())
+            .text("store", &store.to_string());
+    }
+
+    /// Takes one thing that happened to a socket.
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Accepted(key, door) => self.accepted(key, door),
+            Event::Connected(key) => self.connected(key),
+            Event::Readable(key) => self.readable(key),
+            Event::Flushed(key) => self.flushed(key),
+            Event::Ended(key) => self.ended(key, None),
+            Event::Broken(key, kind) => self.ended(key, Some(kind)),
+            Event::Datagram(bytes) => self.datagram(&bytes),
+        }
+    }
+
+    fn accepted(&mut self, key: Key, door: Door) {
+        let role = match door {
+            Door::Callers => Role::Caller(caller::Caller::open(self.now)),
+            door => Role::Page(door),
+        };
+        self.roles.insert(key, role);
+    }
+
+    fn connected(&mut self, key: Key) {
+        match self.roles.get(&key) {
+            Some(Role::Backend(_)) => self.backend_connected(key),
+            Some(Role::Errand(_) | Role::Caller(_) | Role::Page(_)) | None => {}
+        }
+    }
+
+    fn readable(&mut self, key: Key) {
+        match self.roles.get(&key) {
+            Some(Role::Caller(_)) => self.caller_readable(key),
+            Some(Role::Backend(_)) => self.backend_readable(key),
+            Some(Role::Errand(_)) => self.errand_readable(key),
+            Some(Role::Page(_)) => self.page_readable(key),
+            None => self.net.close(key),
+        }
+    }
+
+    fn flushed(&mut self, key: Key) {
+        match self.roles.get(&key) {
+            Some(Role::Caller(_)) => self.caller_flushed(key),
+            Some(Role::Backend(_) | Role::Errand(_) | Role::Page(_)) | None => {}
+        }
+    }
+
+    /// A connection ended; `kind`: why, unless the other side closed it properly.
+    fn ended(&mut self, key: Key, kind: Option<io::ErrorKind>) {
+        match self.roles.get(&key) {
+            Some(Role::Caller(_)) => self.caller_ended(key),
+            Some(Role::Backend(_)) => self.backend_ended(key, kind),
+            Some(Role::Errand(_)) => self.errand_ended(key, kind.is_none()),
+            Some(Role::Page(_)) | None => self.drop_connection(key),
+        }
+    }
+
+    /// Closes a connection and forgets what it was for.
+    fn drop_connection(&mut self, key: Key) {
+        self.net.close(key);
+        self.roles.remove(&key);
+    }
+
+    /// Runs what is due.
+    fn tick(&mut self) {
+        self.take_signals();
+        while let Some(Reverse((at, timer))) = self.timers.peek().copied()
+            && at <= self.now
+        {
+            self.timers.pop();
+            match timer {
+                Timer::Exchange(place, serial) => self.exchange_due(place, serial),
+                Timer::Errand(place, serial) => self.errand_due(place, serial),
+            }
+        }
+        self.tick_storage();
+        self.tick_duties();
+        self.tick_peers();
+        if SWEEP <= self.now.since(self.swept) {
+            self.swept = self.now;
+            self.sweep();
+        }
+        self.journal.flush(self.now, false);
+    }
+
+    fn sweep(&mut self) {
+        self.sweep_callers();
+        self.sweep_backends();
+        self.sweep_errands();
+        for id in self.pool.expire(self.now, self.storage.is_away()) {
+            self.server_gone(id, "missing after the store's return");
+        }
+        let is_ready = self.is_ready();
+        if self.members.me().is_ready != is_ready {
+            self.members.me_mut().is_ready = is_ready;
+            self.journal.line(self.now, "ready").number("is_ready", is_ready);
+            self.tell_all();
+        }
+        self.refresh_gauges();
+    }
+
+    /// How long nothing is due.
+    fn pause(&mut self) -> Duration {
+        let timer = self.timers.peek().map(|it| it.0.0);
+        let storage = self.storage.next(self.now);
+        let next = [timer, storage, self.rollout.next()].into_iter().flatten().min();
+        next.map_or(IDLE, |it| it.since(self.now).min(IDLE))
+    }
+
+    fn take_signals(&mut self) {
+        if self.signals.hup.swap(false, Ordering::Relaxed) {
+            self.journal.line(self.now, "reload").text("result", "settings need a restart");
+        }
+        if self.leaving_since.is_none() && self.signals.term.load(Ordering::Relaxed) {
+            self.leaving_since = Some(self.now);
+            self.members.me_mut().is_leaving = true;
+            self.members.me_mut().is_ready = false;
+            self.lease.release();
+            self.rollout.clear();
+            self.journal.line(self.now, "leaving").number("open_requests", self.exchanges.len());
+            self.tell_all();
+        }
+    }
+
+    /// Whether this instance takes requests.
+    fn is_ready(&self) -> bool {
+        self.leaving_since.is_none() && self.catalog.is_some()
+    }
+
+    fn is_over(&mut self) -> bool {
+        let Some(since) = self.leaving_since else { return false };
+        let passed = self.now.since(since);
+        let force = self.settings.grace.saturating_sub(BEFORE_FORCE);
+        force <= passed || (ACCEPTING <= passed && self.exchanges.is_empty() && self.has_sent_all())
+    }
+
+    fn has_sent_all(&mut self) -> bool {
+        let keys: Vec<Key> = self.roles.keys().copied().collect();
+        keys.into_iter().all(|it| self.net.get_mut(it).is_none_or(|it| it.unsent() == 0))
+    }
+
+    fn serial(&mut self) -> u64 {
+        self.next_serial += 1;
+        self.next_serial
+    }
+
+    fn at(&mut self, time: Time, timer: Timer) {
+        self.timers.push(Reverse((time, timer)));
+    }
+
+    fn random(&mut self) -> u64 {
+        self.rng.random()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core/caller.rs
@@ -0,0 +1,245 @@
+//! Connections of callers.
+
+use std::time::Duration;
+
+use shallotlead_base::time::Time;
+
+use crate::{
+    catalog::Limits,
+    core::{Core, KEEPING_IDLE, Role},
+    http::{Error, body::Framing, head::Request, write},
+    net::Key,
+};
+
+/// How long a connection that is to be closed may take to send what nobody reads any more. Closing
+/// it at once would reset it, and the caller would lose the answer.
+const LINGER: Duration = Duration::from_secs(1);
+/// Part of the idle limit that is added before an idle connection is closed, so that a request
+/// doesn't cross the close.
+const IDLE_GRACE: Duration = Duration::from_millis(500);
+
+/// One caller's connection.
+pub(crate) struct Caller {
+    state: State,
+    /// When the state began, or the last request ended.
+    since: Time,
+    /// When the first byte of an incomplete head came.
+    head_since: Option<Time>,
+}
+
+enum State {
+    /// Between requests.
+    Idle,
+    /// A request's body is arriving.
+    Body(Box<Pending>),
+    /// The request at this place is being answered.
+    Busy(usize),
+    /// The last answer was sent.
+    Closing,
+}
+
+struct Pending {
+    head: Request,
+    framing: Framing,
+    body: Vec<u8>,
+    arrived: Time,
+}
+
+impl Caller {
+    pub(crate) fn open(now: Time) -> Self {
+        Self { state: State::Idle, since: now, head_since: None }
+    }
+}
+
+/// What the bytes of a caller came to.
+enum Step {
+    Wait,
+    Continue,
+    Begin(Box<Pending>),
+    Bad(Error),
+    TooLarge,
+}
+
+impl Core {
+    pub(crate) fn caller_readable(&mut self, key: Key) {
+        let limits = self.catalog.as_ref().map(|it| it.limits).unwrap_or_default();
+        loop {
+            let step = self.caller_step(key, &limits);
+            match step {
+                Step::Wait => return,
+                Step::Continue => self.net.send(key, b"HTTP/1.1 100 Continue\r\n\r\n"),
+                Step::Begin(it) => {
+                    self.begin(key, it.head, it.body, it.arrived);
+                    return;
+                }
+                Step::Bad(error) => {
+                    self.reject(key, status(error), &error.to_string());
+                    return;
+                }
+                Step::TooLarge => {
+                    self.reject(key, 413, "body too large");
+                    return;
+                }
+            }
+        }
+    }
+
+    fn caller_step(&mut self, key: Key, limits: &Limits) -> Step {
+        let Self { net, roles, now, .. } = self;
+        let Some(Role::Caller(caller)) = roles.get_mut(&key) else { return Step::Wait };
+        let Some(socket) = net.get_mut(key) else { return Step::Wait };
+        match &mut caller.state {
+            State::Busy(_) => Step::Wait,
+            State::Closing => {
+                socket.input.clear();
+                Step::Wait
+            }
+            State::Idle => {
+                let arrived = *caller.head_since.get_or_insert(*now);
+                let head = match Request::take(&mut socket.input, limits.head) {
+                    Ok(Some(head)) => head,
+                    Ok(None) => {
+                        if socket.input.is_empty() {
+                            caller.head_since = None;
+                        }
+                        return Step::Wait;
+                    }
+                    Err(error) => return Step::Bad(error),
+                };
+                caller.head_since = None;
+                if matches!(head.framing, Framing::Length(len) if (limits.body as u64) < len) {
+                    return Step::TooLarge;
+                }
+                let expects = head.fields.lists("expect", "100-continue");
+                let framing = head.framing;
+                let pending = Pending { head, framing, body: Vec::new(), arrived };
+                caller.state = State::Body(Box::new(pending));
+                caller.since = *now;
+                if expects && socket.input.is_empty() {
+                    Step::Continue
+                } else {
+                    self.caller_step(key, limits)
+                }
+            }
+            State::Body(pending) => {
+                let done = pending.framing.take(&mut socket.input, &mut pending.body);
+                match done {
+                    Err(error) => Step::Bad(error),
+                    Ok(_) if limits.body < pending.body.len() => Step::TooLarge,
+                    Ok(false) => {
+                        net.resume(key);
+                        Step::Wait
+                    }
+                    Ok(true) => match std::mem::replace(&mut caller.state, State::Idle) {
+                        State::Body(pending) => Step::Begin(pending),
+                        _ => Step::Wait,
+                    },
+                }
+            }
+        }
+    }
+
+    /// The connection is busy with the exchange at `place`.
+    pub(crate) fn occupy_caller(&mut self, key: Key, place: usize) {
+        if let Some(Role::Caller(caller)) = self.roles.get_mut(&key) {
+            caller.state = State::Busy(place);
+        }
+    }
+
+    /// The whole answer was handed to the connection.
+    pub(crate) fn caller_answered(&mut self, key: Key, keeps_alive: bool) {
+        let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return };
+        caller.since = self.now;
+        if keeps_alive {
+            caller.state = State::Idle;
+            // The next request may be there already.
+            self.net.resume(key);
+            if self.net.get_mut(key).is_some_and(|it| !it.input.is_empty()) {
+                self.caller_readable(key);
+            }
+            return;
+        }
+        caller.state = State::Closing;
+        self.caller_flushed(key);
+    }
+
+    pub(crate) fn caller_flushed(&mut self, key: Key) {
+        let Some(Role::Caller(caller)) = self.roles.get(&key) else { return };
+        match caller.state {
+            State::Closing => {
+                let is_clean =
+                    self.net.get_mut(key).is_some_and(|it| it.unsent() == 0 && it.input.is_empty());
+                if is_clean {
+                    self.drop_connection(key);
+                }
+            }
+            State::Busy(place) => self.relay_on(place),
+            State::Idle | State::Body(_) => {}
+        }
+    }
+
+    /// The caller closed the connection or it broke.
+    pub(crate) fn caller_ended(&mut self, key: Key) {
+        let Some(Role::Caller(caller)) = self.roles.get(&key) else { return };
+        if let State::Busy(place) = caller.state {
+            self.abandon(place);
+        }
+        self.drop_connection(key);
+    }
+
+    fn reject(&mut self, key: Key, status: u16, reason: &str) {
+        self.journal.line(self.now, "rejected").number("status", status).text("reason", reason);
+        self.stats.refused("bad-input");
+        let body = format!("{{\"error\":\"{reason}\"}}");
+        let extra = [("Connection", "close".to_owned())];
+        let bytes = write::response(status, "application/json", body.as_bytes(), &extra);
+        self.net.send(key, &bytes);
+        let Self { net, roles, now, .. } = self;
+        if let Some(Role::Caller(caller)) = roles.get_mut(&key) {
+            caller.state = State::Closing;
+            caller.since = *now;
+        }
+        if let Some(socket) = net.get_mut(key) {
+            socket.input.clear();
+        }
+    }
+
+    /// Ends connections that have been idle, slow or closing for too long.
+    pub(crate) fn sweep_callers(&mut self) {
+        let limits = self.catalog.as_ref().map(|it| it.limits).unwrap_or_default();
+        let now = self.now;
+        let is_leaving = self.leaving_since.is_some_and(|it| KEEPING_IDLE <= now.since(it));
+        let mut slow = Vec::new();
+        let mut over = Vec::new();
+        for (key, role) in &self.roles {
+            let Role::Caller(caller) = role else { continue };
+            let age = now.since(caller.since);
+            match &caller.state {
+                State::Idle
+                    if caller.head_since.is_some_and(|it| limits.head_time < now.since(it)) =>
+                {
+                    slow.push(*key);
+                }
+                State::Idle if caller.head_since.is_some() => {}
+                State::Idle if is_leaving || limits.idle_time + IDLE_GRACE < age => over.push(*key),
+                State::Body(_) if limits.idle_time < age => slow.push(*key),
+                State::Closing if LINGER < age => over.push(*key),
+                State::Idle | State::Body(_) | State::Busy(_) | State::Closing => {}
+            }
+        }
+        for key in slow {
+            self.reject(key, 408, "request too slow");
+        }
+        for key in over {
+            self.drop_connection(key);
+        }
+    }
+}
+
+fn status(error: Error) -> u16 {
+    match error {
+        Error::Head | Error::Framing | Error::Body => 400,
+        Error::TooLong => 431,
+        Error::Version => 505,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core/duties.rs
@@ -0,0 +1,112 @@
+//! Duties of the lease's holder: bringing named weights to the servers.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    core::{
+        Core,
+        errand::{Purpose, Result},
+    },
+    dialect::Order,
+    pool::{self, Switch},
+    rollout::Step,
+};
+
+/// How long a server's state or its answer to an order may take.
+const TIMEOUT: Duration = Duration::from_millis(600);
+/// How long a server counts as loading without further word.
+const LOADING: Duration = Duration::from_secs(4);
+
+impl Core {
+    pub(crate) fn tick_duties(&mut self) {
+        if self.lease.grant(self.now).is_none() {
+            if 0 < self.rollout.open() {
+                self.rollout.clear();
+            }
+            return;
+        }
+        for step in self.rollout.tick(self.now, &self.pool) {
+            self.carry_out(step);
+        }
+    }
+
+    fn carry_out(&mut self, step: Step) {
+        match step {
+            Step::Ask(id) => {
+                let errand = self.dialect.report_call();
+                let address = self.pool.get(id).address;
+                self.run_errand(address, &errand, TIMEOUT, Purpose::Report(id));
+            }
+            Step::Order(id, model, version, orders) => self.order(id, &model, version, orders),
+        }
+    }
+
+    fn order(&mut self, id: pool::Id, model: &Arc<str>, version: u64, orders: u64) {
+        // The right to give orders is looked at right before each of them.
+        let Some(grant) = self.lease.grant(self.now) else { return };
+        let server = self.pool.get_mut(id);
+        server.switch = Some(Switch { version, until: self.now + LOADING });
+        let order = Order {
+            server: &server.name,
+            model,
+            version,
+            holder: &self.settings.name,
+            fence: grant.fence,
+            expected: orders,
+        };
+        let errand = self.dialect.order_call(&order);
+        let address = server.address;
+        self.journal
+            .line(self.now, "order")
+            .text("server", &server.name)
+            .text("model", model)
+            .number("version", version)
+            .number("fence", grant.fence)
+            .number("expected", orders)
+            .number("running", server.load.map_or(0, |it| it.0.running));
+        self.tell_loading(id, model, version, false);
+        self.run_errand(address, &errand, TIMEOUT, Purpose::Order(id));
+    }
+
+    pub(crate) fn server_reported(&mut self, id: pool::Id, result: &Result) {
+        let report = match result {
+            Result::Answered { status: 200, body, .. } => self.dialect.report(body),
+            Result::Answered { .. } | Result::NotSent | Result::Lost => None,
+        };
+        if let Some(report) = &report {
+            let server = self.pool.get_mut(id);
+            server.load = Some((report.load, self.now));
+            let mut news = Vec::new();
+            for (model, version) in &report.models {
+                if server.loaded(self.now, model, *version) {
+                    news.push((model.clone(), *version));
+                }
+            }
+            for (model, version) in news {
+                self.journal
+                    .line(self.now, "loaded")
+                    .text("server", &self.pool.get(id).name)
+                    .number("version", version);
+                self.tell_loading(id, &model, version, true);
+            }
+        }
+        if self.lease.grant(self.now).is_none() {
+            return;
+        }
+        if let Some(step) = self.rollout.reported(self.now, &self.pool, id, report.as_ref()) {
+            self.carry_out(step);
+        }
+    }
+
+    pub(crate) fn server_ordered(&mut self, id: pool::Id, result: &Result) {
+        let reply = match result {
+            Result::Answered { status, .. } => Some(self.dialect.order_reply(*status)),
+            Result::NotSent | Result::Lost => None,
+        };
+        self.journal
+            .line(self.now, "order_answered")
+            .text("server", &self.pool.get(id).name)
+            .text("reply", &format!("{reply:?}"));
+        self.rollout.ordered(self.now, id, reply);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core/errand.rs
@@ -0,0 +1,210 @@
+//! Small requests of the instance itself: to the store, to backend servers and to other instances.
+
+use std::{net::SocketAddr, time::Duration};
+
+use shallotlead_base::{store::Call, store::Object, time::Time};
+use shallotlead_platform::scheduler::Sent;
+
+use crate::{
+    core::{Core, Role, Timer},
+    dialect::Errand,
+    http::{
+        body::Framing,
+        head::{Fields, Response},
+        write,
+    },
+    net::Key,
+    pool,
+};
+
+/// Longest head of an answer.
+const MAX_HEAD: usize = 64 * 1024;
+/// Longest answer: a page of a list is a megabyte at most.
+const MAX_BODY: usize = 4 << 20;
+/// How long an idle connection is kept for the next request.
+const IDLE: Duration = Duration::from_millis(1_500);
+
+/// What a request is for.
+pub(crate) enum Purpose {
+    /// A call to the store, with the pages of a list that were read so far.
+    Store { sent: Sent, call: Call, pages: Vec<Object>, timeout: Duration },
+    /// A backend server's state.
+    Report(pool::Id),
+    /// An order to a backend server.
+    Order(pool::Id),
+    /// Another instance's knowledge.
+    State,
+}
+
+/// One request under way.
+pub(crate) struct Task {
+    serial: u64,
+    purpose: Purpose,
+    connection: Key,
+}
+
+/// One connection for such requests.
+pub(crate) struct Conn {
+    address: SocketAddr,
+    task: Option<usize>,
+    reading: Option<(Response, Framing, Vec<u8>)>,
+    idle_until: Time,
+}
+
+/// What became of a request.
+pub(crate) enum Result {
+    /// It was answered.
+    Answered { status: u16, fields: Fields, body: Vec<u8> },
+    /// No connection came about: it had no effect.
+    NotSent,
+    /// The answer was lost.
+    Lost,
+}
+
+impl Core {
+    /// Sends a small request; its end comes back to [`Core::errand_done`].
+    pub(crate) fn run_errand(
+        &mut self,
+        address: SocketAddr,
+        errand: &Errand,
+        timeout: Duration,
+        purpose: Purpose,
+    ) {
+        let Some(connection) = self.errand_connection(address) else {
+            self.errand_done(purpose, Result::NotSent);
+            return;
+        };
+        let mut bytes = Vec::with_capacity(256 + errand.body.len());
+        write::request_line(&mut bytes, errand.method, &errand.target);
+        write::field(&mut bytes, "Host", address.to_string().as_bytes());
+        for (name, value) in &errand.fields {
+            write::field(&mut bytes, name, value.as_bytes());
+        }
+        if !errand.body.is_empty() {
+            write::field(&mut bytes, "Content-Type", b"application/json");
+            write::number(&mut bytes, "Content-Length", errand.body.len() as u64);
+        }
+        write::end(&mut bytes);
+        bytes.extend_from_slice(&errand.body);
+        let serial = self.serial();
+        let place = self.errands.insert(Task { serial, purpose, connection });
+        if let Some(Role::Errand(conn)) = self.roles.get_mut(&connection) {
+            conn.task = Some(place);
+        }
+        self.net.send(connection, &bytes);
+        self.at(self.now + timeout, Timer::Errand(place, serial));
+    }
+
+    fn errand_connection(&mut self, address: SocketAddr) -> Option<Key> {
+        let is_free = |it: &Role, now: Time| {
+            matches!(it, Role::Errand(it)
+                if it.address == address && it.task.is_none() && now < it.idle_until)
+        };
+        if let Some((key, _)) = self.roles.iter().find(|it| is_free(it.1, self.now)) {
+            return Some(*key);
+        }
+        match self.net.connect(address, self.now) {
+            Ok(key) => {
+                let conn = Conn { address, task: None, reading: None, idle_until: self.now + IDLE };
+                self.roles.insert(key, Role::Errand(conn));
+                Some(key)
+            }
+            Err(err) => {
+                self.journal
+                    .line(self.now, "connect_failed")
+                    .text("address", &address.to_string())
+                    .text("error", &err.to_string());
+                None
+            }
+        }
+    }
+
+    pub(crate) fn errand_readable(&mut self, key: Key) {
+        let Some(Role::Errand(conn)) = self.roles.get_mut(&key) else { return };
+        if conn.task.is_none() {
+            self.drop_connection(key);
+            return;
+        }
+        let Some(socket) = self.net.get_mut(key) else { return };
+        if conn.reading.is_none() {
+            match Response::take(&mut socket.input, MAX_HEAD, false) {
+                Ok(Some(head)) => conn.reading = Some((head.clone(), head.framing, Vec::new())),
+                Ok(None) => return,
+                Err(_) => {
+                    self.errand_ended(key, false);
+                    return;
+                }
+            }
+        }
+        let Some((_, framing, body)) = &mut conn.reading else { return };
+        match framing.take(&mut socket.input, body) {
+            Ok(true) => self.errand_complete(key),
+            Ok(false) if body.len() <= MAX_BODY => self.net.resume(key),
+            Ok(false) | Err(_) => self.errand_ended(key, false),
+        }
+    }
+
+    fn errand_complete(&mut self, key: Key) {
+        let now = self.now;
+        let is_clean = self.net.get_mut(key).is_some_and(|it| it.input.is_empty());
+        let Some(Role::Errand(conn)) = self.roles.get_mut(&key) else { return };
+        let Some((head, _, body)) = conn.reading.take() else { return };
+        let Some(place) = conn.task.take() else { return };
+        conn.idle_until = now + IDLE;
+        if head.closes || !is_clean {
+            self.drop_connection(key);
+        }
+        let task = self.errands.remove(place);
+        let result = Result::Answered { status: head.status, fields: head.fields, body };
+        self.errand_done(task.purpose, result);
+    }
+
+    /// The connection ended; `is_clean`: the other side closed it properly.
+    pub(crate) fn errand_ended(&mut self, key: Key, is_clean: bool) {
+        let until_close = matches!(self.roles.get(&key),
+            Some(Role::Errand(Conn { reading: Some((head, ..)), .. }))
+                if head.framing == Framing::UntilClose);
+        if is_clean && until_close {
+            self.errand_complete(key);
+            return;
+        }
+        let never_sent = self.net.get_mut(key).is_some_and(|it| it.is_connecting());
+        let task = match self.roles.get(&key) {
+            Some(Role::Errand(conn)) => conn.task,
+            _ => None,
+        };
+        self.drop_connection(key);
+        if let Some(place) = task {
+            let task = self.errands.remove(place);
+            let result = if never_sent { Result::NotSent } else { Result::Lost };
+            self.errand_done(task.purpose, result);
+        }
+    }
+
+    pub(crate) fn errand_due(&mut self, place: usize, serial: u64) {
+        let Some(task) = self.errands.get(place).filter(|it| it.serial == serial) else { return };
+        self.errand_ended(task.connection, false);
+    }
+
+    fn errand_done(&mut self, purpose: Purpose, result: Result) {
+        match purpose {
+            Purpose::Store { sent, call, pages, timeout } => {
+                self.store_answered(sent, call, pages, timeout, result);
+            }
+            Purpose::Report(id) => self.server_reported(id, &result),
+            Purpose::Order(id) => self.server_ordered(id, &result),
+            Purpose::State => self.state_came(&result),
+        }
+    }
+
+    /// Closes connections that were idle for too long.
+    pub(crate) fn sweep_errands(&mut self) {
+        let now = self.now;
+        let is_over =
+            |it: &Role| matches!(it, Role::Errand(it) if it.task.is_none() && it.idle_until <= now);
+        let over: Vec<Key> = self.roles.iter().filter(|it| is_over(it.1)).map(|it| *it.0).collect();
+        for key in over {
+            self.drop_connection(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core/exchange.rs
@@ -0,0 +1,399 @@
+//! One caller's request, from its head to its final answer.
+
+use std::{sync::Arc, time::Duration};
+
+use shallotlead_base::time::Time;
+
+use crate::{
+    catalog::{Denial, Organisation, Repeat, Route},
+    core::{Core, Timer, attempt::Attempt},
+    dialect::Ask,
+    http::{head::Request, write},
+    net::Key,
+    placement::{self, Shortage, Wish},
+    pool,
+};
+
+/// When a caller that was refused for want of a server should come back.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+/// When a caller that came before any configuration was known should come back.
+const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Part of the aim for which a request may wait for a server before it is refused; a refusal that
+/// comes later than that helps its caller less.
+const WAIT_PART: u32 = 8;
+/// Pause between two looks for a server.
+const LOOK_AGAIN: Duration = Duration::from_millis(15);
+/// What an answer needs to reach its caller before the deadline.
+const ON_THE_WAY: Duration = Duration::from_millis(10);
+/// Silence of a server after which a request that may run again is sent elsewhere.
+const SILENCE: Duration = Duration::from_millis(900);
+/// The same as a multiple of the aim, if that is longer.
+const SILENCE_AIMS: u32 = 3;
+
+/// One caller's request.
+pub(crate) struct Exchange {
+    pub(crate) serial: u64,
+    pub(crate) caller: Key,
+    pub(crate) head: Request,
+    pub(crate) body: Vec<u8>,
+    pub(crate) ask: Ask,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<str>,
+    pub(crate) organisation: Option<Arc<Organisation>>,
+    pub(crate) arrived: Time,
+    /// No answer is of use after it: the caller's bound or the route's.
+    pub(crate) deadline: Time,
+    /// Servers that it may have run on.
+    pub(crate) runs: u8,
+    /// Servers that it was sent to, whatever became of it.
+    pub(crate) sends: u8,
+    /// Servers that turned it away or failed it.
+    pub(crate) excluded: Vec<pool::Id>,
+    pub(crate) attempt: Option<Attempt>,
+    pub(crate) delivery: Delivery,
+}
+
+/// What the caller has of the answer.
+#[derive(Debug, Default)]
+pub(crate) struct Delivery {
+    /// The head was sent.
+    pub(crate) has_begun: bool,
+    /// Number of the last event that was sent.
+    pub(crate) last_event: Option<u64>,
+    /// Bytes of an event that isn't complete yet, or of a whole answer.
+    pub(crate) pending: Vec<u8>,
+    /// When the first piece was sent.
+    pub(crate) first_piece: Option<Time>,
+}
+
+/// Why a request ends without a backend server's answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Refusal {
+    /// No configuration is known yet.
+    Starting,
+    /// No route matches.
+    NoRoute,
+    /// It carries no known key.
+    NoKey,
+    /// It carries no id.
+    NoId,
+    /// No server can take it.
+    Shortage(Shortage),
+    /// Servers turned it away, and no try is left.
+    TurnedAway,
+    /// Its time ran out before it was sent.
+    TimeOut,
+}
+
+impl Refusal {
+    fn status(self) -> u16 {
+        match self {
+            Self::NoRoute => 404,
+            Self::NoKey => 401,
+            Self::NoId => 400,
+            Self::Starting | Self::Shortage(_) | Self::TurnedAway | Self::TimeOut => 503,
+        }
+    }
+
+    fn reason(self) -> &'static str {
+        match self {
+            Self::Starting => "starting",
+            Self::NoRoute => "no-route",
+            Self::NoKey => "no-key",
+            Self::NoId => "no-id",
+            Self::Shortage(Shortage::NoServer) => "no-server",
+            Self::Shortage(Shortage::NoneReady) => "none-ready",
+            Self::Shortage(Shortage::OldWeights) => "old-weights",
+            Self::TurnedAway => "turned-away",
+            Self::TimeOut => "time-out",
+        }
+    }
+
+    fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::NoRoute | Self::NoKey | Self::NoId => None,
+            Self::Starting => Some(STARTING_RETRY_AFTER),
+            Self::Shortage(_) | Self::TurnedAway | Self::TimeOut => Some(RETRY_AFTER),
+        }
+    }
+}
+
+impl From<Denial> for Refusal {
+    fn from(it: Denial) -> Self {
+        match it {
+            Denial::NoRoute => Self::NoRoute,
+            Denial::NoKey => Self::NoKey,
+        }
+    }
+}
+
+impl Exchange {
+    /// Whether it may run more than once.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        self.route.repeat == Repeat::Idempotent
+    }
+
+    /// Rank: the organisation's goes before the route's.
+    pub(crate) fn urgency(&self) -> u8 {
+        let own = self.organisation.as_ref().and_then(|it| it.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
+    /// The organisation, if it shares no cached prompts.
+    pub(crate) fn wall(&self) -> Option<&str> {
+        self.organisation.as_ref().filter(|it| it.is_isolated).map(|it| &*it.name)
+    }
+
+    pub(crate) fn id(&self) -> &str {
+        self.ask.id.as_deref().unwrap_or_default()
+    }
+
+    fn silence(&self) -> Duration {
+        SILENCE.max(self.route.aim * SILENCE_AIMS)
+    }
+}
+
+impl Core {
+    /// A caller's request is complete.
+    pub(crate) fn begin(&mut self, caller: Key, head: Request, body: Vec<u8>, arrived: Time) {
+        let ask = self.dialect.ask(&head);
+        let found = self.admit(&head, &ask);
+        let (route, organisation, service) = match found {
+            Ok(it) => it,
+            Err(refusal) => {
+                self.refuse(caller, head.keeps_alive(), &ask, refusal, arrived);
+                return;
+            }
+        };
+        self.budget.request(self.now, &service);
+        let bound = ask.deadline.map_or(route.timeout, |it| it.min(route.timeout));
+        let deadline = arrived + bound.saturating_sub(ON_THE_WAY);
+        let serial = self.serial();
+        let last_event = ask.last_event;
+        let exchange = Exchange {
+            serial,
+            caller,
+            head,
+            body,
+            ask,
+            route,
+            service,
+            organisation,
+            arrived,
+            deadline,
+            runs: 0,
+            sends: 0,
+            excluded: Vec::new(),
+            attempt: None,
+            delivery: Delivery { last_event, ..Delivery::default() },
+        };
+        let place = self.exchanges.insert(exchange);
+        self.occupy_caller(caller, place);
+        self.at(deadline, Timer::Exchange(place, serial));
+        self.dispatch(place);
+    }
+
+    fn admit(
+        &self,
+        head: &Request,
+        ask: &Ask,
+    ) -> Result<(Arc<Route>, Option<Arc<Organisation>>, Arc<str>), Refusal> {
+        let Some(catalog) = &self.catalog else { return Err(Refusal::Starting) };
+        let (route, organisation) = catalog.route(&ask.host, head.path(), ask.key.as_deref())?;
+        let Some(id) = &ask.id else { return Err(Refusal::NoId) };
+        let service = route.service(id).ok_or(Refusal::Shortage(Shortage::NoServer))?;
+        let service = service.clone();
+        Ok((route, organisation, service))
+    }
+
+    /// Sends the request to the best server, or finds out that none can take it now.
+    pub(crate) fn dispatch(&mut self, place: usize) {
+        let random = self.random();
+        let Self { exchanges, pool, memory, now, settings, .. } = self;
+        let Some(exchange) = exchanges.get(place) else { return };
+        let wish = Wish {
+            service: &exchange.service,
+            model: exchange.ask.model.as_deref(),
+            parts: &exchange.ask.parts,
+            wall: exchange.wall(),
+            centre: &settings.centre,
+            excluded: &exchange.excluded,
+        };
+        match placement::choose(pool, memory, *now, &wish, random) {
+            Ok(choice) => self.send(place, &choice),
+            Err(shortage) => self.wait_or_refuse(place, shortage),
+        }
+    }
+
+    fn wait_or_refuse(&mut self, place: usize, shortage: Shortage) {
+        let Some(exchange) = self.exchanges.get_mut(place) else { return };
+        let patience = exchange.arrived + exchange.route.aim / WAIT_PART;
+        // A server that is left out for its failures may be all that there is.
+        exchange.excluded.clear();
+        if patience <= self.now || shortage == Shortage::OldWeights {
+            self.give_up(place, Refusal::Shortage(shortage));
+            return;
+        }
+        let serial = exchange.serial;
+        let again = self.now + LOOK_AGAIN;
+        self.at(again, Timer::Exchange(place, serial));
+    }
+
+    /// A bound of the exchange may have passed.
+    pub(crate) fn exchange_due(&mut self, place: usize, serial: u64) {
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get(place).filter(|it| it.serial == serial) else {
+            return;
+        };
+        if exchange.deadline <= now {
+            self.time_out(place);
+            return;
+        }
+        let Some(attempt) = &exchange.attempt else {
+            self.dispatch(place);
+            return;
+        };
+        let repeatable = exchange.is_repeatable() && exchange.runs < exchange.route.attempts;
+        let silent = !attempt.has_head && attempt.sent + exchange.silence() <= now;
+        let connects_late = attempt.connect_until <= now;
+        let awaits_head = !attempt.has_head && repeatable;
+        let silent_at = attempt.sent + exchange.silence();
+        let connection = attempt.connection;
+        if connects_late && self.is_connecting(connection) {
+            self.attempt_not_run(place, "connect-timeout", true);
+        } else if silent && repeatable {
+            self.attempt_broken(place, "silent");
+        } else if awaits_head {
+            self.at(silent_at, Timer::Exchange(place, serial));
+        }
+    }
+
+    fn is_connecting(&mut self, key: Key) -> bool {
+        self.net.get_mut(key).is_some_and(|it| it.is_connecting())
+    }
+
+    /// The request's time is over.
+    fn time_out(&mut self, place: usize) {
+        let Some(exchange) = self.exchanges.get(place) else { return };
+        let attempt = exchange.attempt.as_ref().map(|it| it.connection);
+        let never_left = attempt.is_none_or(|it| self.is_connecting(it));
+        let Some(exchange) = self.exchanges.get(place) else { return };
+        if never_left && exchange.runs == 0 {
+            self.give_up(place, Refusal::TimeOut);
+        } else {
+            self.fail(place, 504, "time-out");
+        }
+    }
+
+    /// Ends a request that certainly hasn't run, and says so.
+    pub(crate) fn give_up(&mut self, place: usize, refusal: Refusal) {
+        self.release_attempt(place, true);
+        let Some(exchange) = self.exchanges.get(place) else { return };
+        if exchange.delivery.has_begun {
+            self.break_off(place, refusal.reason());
+            return;
+        }
+        if 0 < exchange.runs && !exchange.is_repeatable() {
+            self.fail(place, 502, refusal.reason());
+            return;
+        }
+        let exchange = self.exchanges.remove(place);
+        let keeps = exchange.head.keeps_alive();
+        self.refuse(exchange.caller, keeps, &exchange.ask, refusal, exchange.arrived);
+    }
+
+    /// Ends a request that may have run without an answer.
+    pub(crate) fn fail(&mut self, place: usize, status: u16, reason: &'static str) {
+        self.release_attempt(place, true);
+        let Some(exchange) = self.exchanges.get(place) else { return };
+        if exchange.delivery.has_begun {
+            self.break_off(place, reason);
+            return;
+        }
+        let exchange = self.exchanges.remove(place);
+        let body = error_body(reason);
+        let extra = self.dialect.refusal(exchange.ask.id.as_deref(), None);
+        self.journal
+            .line(self.now, "failed")
+            .text("request", exchange.id())
+            .text("reason", reason)
+            .number("status", status)
+            .number("runs", exchange.runs)
+            .number("sends", exchange.sends)
+            .ms("after_ms", self.now.since(exchange.arrived));
+        self.stats.ended(&exchange.route, status, self.now.since(exchange.arrived));
+        let keeps = exchange.head.keeps_alive();
+        self.answer_caller(exchange.caller, status, &body, &extra, keeps);
+    }
+
+    /// Breaks the caller's connection: what it has must not look complete.
+    pub(crate) fn break_off(&mut self, place: usize, reason: &'static str) {
+        self.release_attempt(place, true);
+        let exchange = self.exchanges.remove(place);
+        self.journal
+            .line(self.now, "broken_off")
+            .text("request", exchange.id())
+            .text("reason", reason)
+            .number("last_event", exchange.delivery.last_event.unwrap_or(0))
+            .ms("after_ms", self.now.since(exchange.arrived));
+        self.stats.ended(&exchange.route, 0, self.now.since(exchange.arrived));
+        self.drop_connection(exchange.caller);
+    }
+
+    /// The caller went away: nobody waits for the answer.
+    pub(crate) fn abandon(&mut self, place: usize) {
+        self.release_attempt(place, true);
+        let exchange = self.exchanges.remove(place);
+        self.journal
+            .line(self.now, "abandoned")
+            .text("request", exchange.id())
+            .number("runs", exchange.runs)
+            .ms("after_ms", self.now.since(exchange.arrived));
+        self.stats.abandoned();
+    }
+
+    /// Answers a request that hasn't run.
+    pub(crate) fn refuse(
+        &mut self,
+        caller: Key,
+        keeps_alive: bool,
+        ask: &Ask,
+        refusal: Refusal,
+        arrived: Time,
+    ) {
+        let version = self.catalog.as_ref().map_or(0, |it| it.version);
+        self.journal
+            .line(self.now, "refused")
+            .text("request", ask.id.as_deref().unwrap_or_default())
+            .text("reason", refusal.reason())
+            .number("status", refusal.status())
+            .number("configuration", version)
+            .ms("after_ms", self.now.since(arrived));
+        self.stats.refused(refusal.reason());
+        let extra = self.dialect.refusal(ask.id.as_deref(), refusal.retry_after());
+        let body = error_body(refusal.reason());
+        self.answer_caller(caller, refusal.status(), &body, &extra, keeps_alive);
+    }
+
+    fn answer_caller(
+        &mut self,
+        caller: Key,
+        status: u16,
+        body: &[u8],
+        extra: &[(&'static str, String)],
+        keeps_alive: bool,
+    ) {
+        let keeps = keeps_alive && self.leaving_since.is_none();
+        let mut extra = extra.to_vec();
+        if !keeps {
+            extra.push(("Connection", "close".into()));
+        }
+        let bytes = write::response(status, "application/json", body, &extra);
+        self.net.send(caller, &bytes);
+        self.caller_answered(caller, keeps);
+    }
+}
+
+fn error_body(reason: &str) -> Vec<u8> {
+    format!("{{\"error\":\"{reason}\"}}").into_bytes()
+}
--- /dev/null
+++ b/crates/gateway/src/core/pages.rs
@@ -0,0 +1,93 @@
+//! The small pages: readiness, addresses for callers, metrics, and knowledge for other instances.
+
+use std::net::SocketAddr;
+
+use crate::{
+    core::{Core, peers::STATE_PATH},
+    http::{head::Request, write},
+    net::{Door, Key},
+};
+
+/// Longest head of a request to a page.
+const MAX_HEAD: usize = 16 * 1024;
+/// Addresses that a caller is given at least, if there are as many: a caller whose only instance
+/// has died has nowhere to go until its answer is too old.
+const LEAST_ADDRESSES: usize = 2;
+/// Addresses that a caller is given at most.
+const MOST_ADDRESSES: usize = 64;
+
+impl Core {
+    pub(crate) fn page_readable(&mut self, key: Key) {
+        loop {
+            let Some(crate::core::Role::Page(door)) = self.roles.get(&key) else { return };
+            let door = *door;
+            let Some(socket) = self.net.get_mut(key) else { return };
+            let head = match Request::take(&mut socket.input, MAX_HEAD) {
+                Ok(Some(head)) => head,
+                Ok(None) => return,
+                Err(_) => {
+                    self.drop_connection(key);
+                    return;
+                }
+            };
+            let (status, kind, body) = self.page(door, &head);
+            let keeps = head.keeps_alive();
+            let close = [("Connection", "close".to_owned())];
+            let extra = if keeps { &[][..] } else { &close[..] };
+            self.net.send(key, &write::response(status, kind, &body, extra));
+            if !keeps {
+                self.drop_connection(key);
+                return;
+            }
+        }
+    }
+
+    fn page(&mut self, door: Door, head: &Request) -> (u16, &'static str, Vec<u8>) {
+        const JSON: &str = "application/json";
+        const BYTES: &str = "application/octet-stream";
+        const TEXT: &str = "text/plain; version=0.0.4";
+        match door {
+            Door::Ready if self.dialect.asks_ready(head) => {
+                let status = if self.is_ready() { 200 } else { 503 };
+                (status, JSON, b"{}".to_vec())
+            }
+            Door::Directory => match self.dialect.lookup(head) {
+                Some(lookup) => {
+                    let addresses = self.addresses(&lookup.centre);
+                    let status = if addresses.is_empty() { 503 } else { 200 };
+                    (status, JSON, self.dialect.addresses(&addresses, self.settings.ttl))
+                }
+                None => (404, JSON, b"{}".to_vec()),
+            },
+            Door::Metrics => {
+                self.refresh_gauges();
+                (200, TEXT, self.stats.render().into_bytes())
+            }
+            Door::Peers if head.path() == STATE_PATH => {
+                let number = |name: &str| query(head.query(), name).unwrap_or(0);
+                (200, BYTES, self.state(number("configuration"), number("entries")))
+            }
+            Door::Peers | Door::Ready | Door::Callers => (404, JSON, b"{}".to_vec()),
+        }
+    }
+
+    /// The addresses that callers in `centre` should use: those nearby, if there are enough.
+    fn addresses(&mut self, centre: &str) -> Vec<SocketAddr> {
+        let is_ready = self.is_ready();
+        let me = self.members.me().clone();
+        let others = self.members.alive(self.now).filter(|it| it.is_ready && !it.is_leaving);
+        let own = is_ready.then_some(&me);
+        let (mut near, mut far): (Vec<_>, Vec<_>) =
+            others.chain(own).partition(|it| *it.centre == *centre);
+        near.sort_by_key(|it| it.callers);
+        far.sort_by_key(|it| it.callers);
+        let more = LEAST_ADDRESSES.saturating_sub(near.len());
+        near.extend(far.into_iter().take(more));
+        near.iter().map(|it| it.callers).take(MOST_ADDRESSES).collect()
+    }
+}
+
+fn query(query: &str, name: &str) -> Option<u64> {
+    let pairs = query.split('&').filter_map(|it| it.split_once('='));
+    pairs.filter(|it| it.0 == name).find_map(|it| it.1.parse().ok())
+}
--- /dev/null
+++ b/crates/gateway/src/core/peers.rs
@@ -0,0 +1,231 @@
+//! Other instances: datagrams with news, and the knowledge of one that can reach the store.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use rand::seq::{IndexedRandom, SliceRandom};
+use serde::{Deserialize, Serialize};
+use shallotlead_base::time::Time;
+
+use crate::{
+    core::{
+        Core,
+        errand::{Purpose, Result},
+    },
+    dialect::Errand,
+    gossip::{FANOUT, Loading, Message, PERIOD},
+    pool::{self, Switch},
+};
+
+/// Path of the page with an instance's knowledge.
+pub(crate) const STATE_PATH: &str = "/state";
+/// How long news of servers that leave or load is repeated, for datagrams that get lost.
+const REPEAT: Duration = Duration::from_secs(5);
+/// Most instances that are told of news at once; the rest hears of it from those.
+const MOST_TOLD: usize = 16;
+/// How long this instance may be behind another one's configuration, or without the store, before it
+/// asks another instance. Its own watch is usually some milliseconds behind.
+const BEHIND: Duration = Duration::from_millis(200);
+/// Time between two such questions, and how long one may take.
+const ASK_AGAIN: Duration = Duration::from_millis(400);
+/// How long a server counts as loading without further word.
+const LOADING: Duration = Duration::from_secs(4);
+
+/// What is told to other instances, and what is asked of them.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    told: Time,
+    leaving: Vec<(Arc<str>, Time)>,
+    loading: Vec<(Loading, Time)>,
+    /// Since when another instance, at this address, has a newer configuration.
+    behind: Option<(Time, SocketAddr)>,
+    asked: Time,
+}
+
+/// What one instance knows from the store.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct State {
+    /// The configuration as it lies there.
+    configuration: Option<Vec<u8>>,
+    /// Servers' entries as they lie there; without a value: removed.
+    entries: Vec<(Arc<str>, u64, Option<Vec<u8>>)>,
+    /// The named weights.
+    weights: Vec<(Arc<str>, u64)>,
+}
+
+impl Core {
+    pub(crate) fn tick_peers(&mut self) {
+        let now = self.now;
+        if PERIOD <= now.since(self.peers.told) {
+            self.peers.told = now;
+            self.peers.leaving.retain(|it| now.since(it.1) < REPEAT);
+            self.peers.loading.retain(|it| now.since(it.1) < REPEAT);
+            self.members.expire(now);
+            self.storage.set_sharers(self.members.sharers(), now);
+            let mut targets = self.members.addresses();
+            targets
+                .extend(self.settings.seeds.iter().filter(|it| **it != self.settings.listen.peers));
+            targets.sort_unstable();
+            targets.dedup();
+            targets.shuffle(&mut self.rng);
+            targets.truncate(FANOUT);
+            self.tell(&targets);
+        }
+        self.ask_peer();
+    }
+
+    /// Tells all live instances at once.
+    pub(crate) fn tell_all(&mut self) {
+        let mut targets: Vec<SocketAddr> =
+            self.members.alive(self.now).map(|it| it.peers).collect();
+        targets.shuffle(&mut self.rng);
+        targets.truncate(MOST_TOLD);
+        self.tell(&targets);
+    }
+
+    fn tell(&mut self, targets: &[SocketAddr]) {
+        if targets.is_empty() {
+            return;
+        }
+        self.members.me_mut().beat += 1;
+        let message = Message {
+            from: self.members.me().clone(),
+            members: self.members.rumours(self.now),
+            configuration: self.catalog.as_ref().map_or(0, |it| it.version),
+            weights: self.pool.all_named().map(|it| (it.0.clone(), it.1)).collect(),
+            leaving: self.peers.leaving.iter().map(|it| it.0.clone()).collect(),
+            loading: self.peers.loading.iter().map(|it| it.0.clone()).collect(),
+        };
+        match postcard::to_stdvec(&message) {
+            Ok(bytes) => targets.iter().for_each(|it| self.net.send_datagram(*it, &bytes)),
+            Err(err) => log::error!("a message to other instances could not be written: {err}"),
+        }
+    }
+
+    /// A server has begun to leave: what this instance knows binds all.
+    pub(crate) fn tell_leaving(&mut self, id: pool::Id) {
+        let name = self.pool.get(id).name.clone();
+        self.peers.leaving.push((name, self.now));
+        self.tell_all();
+    }
+
+    /// A server loads other weights, or is done with it.
+    pub(crate) fn tell_loading(
+        &mut self,
+        id: pool::Id,
+        model: &Arc<str>,
+        version: u64,
+        is_done: bool,
+    ) {
+        let server = self.pool.get(id).name.clone();
+        self.peers.loading.retain(|it| it.0.server != server);
+        let loading = Loading { server, model: model.clone(), version, is_done };
+        self.peers.loading.push((loading, self.now));
+        self.tell_all();
+    }
+
+    pub(crate) fn datagram(&mut self, bytes: &[u8]) {
+        let now = self.now;
+        let Ok(message) = postcard::from_bytes::<Message>(bytes) else {
+            log::warn!("a datagram of {} bytes could not be read", bytes.len());
+            return;
+        };
+        let Message { from, members, configuration, weights, leaving, loading } = message;
+        let address = from.peers;
+        self.members.take(now, from);
+        for member in members {
+            self.members.take(now, member);
+        }
+        let own = self.catalog.as_ref().map_or(0, |it| it.version);
+        if own < configuration {
+            let since = self.peers.behind.map_or(now, |it| it.0);
+            self.peers.behind = Some((since, address));
+        }
+        for (model, version) in weights {
+            self.weights_named(&model, version, "instance");
+        }
+        for name in leaving {
+            let change = self.pool.told_leaving(&name);
+            if let pool::Change::Leaving(id) = change {
+                self.drop_idle(id);
+                self.journal
+                    .line(now, "server")
+                    .text("server", &name)
+                    .text("change", "leaving")
+                    .text("reason", "told by an instance");
+            }
+        }
+        for it in loading {
+            self.told_loading(&it);
+        }
+    }
+
+    fn told_loading(&mut self, loading: &Loading) {
+        let now = self.now;
+        let Some(id) = self.pool.find(&loading.server) else { return };
+        let server = self.pool.get_mut(id);
+        if loading.is_done {
+            server.loaded(now, &loading.model, loading.version);
+        } else if server.version(&loading.model).unwrap_or(0) < loading.version
+            && server.switch.is_none_or(|it| it.version < loading.version)
+        {
+            server.switch = Some(Switch { version: loading.version, until: now + LOADING });
+        }
+    }
+
+    /// Asks another instance for what this one can't read from the store.
+    ///
+    /// Guards against an instance that the store turns away, or whose watch fell silent: it would go
+    /// on with an old configuration and an old list of servers. It shows as requests handled by
+    /// routes or keys that were removed. It holds as long as one reachable instance knows more.
+    fn ask_peer(&mut self) {
+        let now = self.now;
+        let own = self.catalog.as_ref().map_or(0, |it| it.version);
+        let behind = self.peers.behind.filter(|it| BEHIND <= now.since(it.0)).map(|it| it.1);
+        let is_away = self.storage.away_since().is_some_and(|it| BEHIND <= now.since(it));
+        if now.since(self.peers.asked) < ASK_AGAIN || (behind.is_none() && !is_away) {
+            return;
+        }
+        let alive: Vec<SocketAddr> = self.members.alive(now).map(|it| it.peers).collect();
+        let Some(target) = behind.or_else(|| alive.choose(&mut self.rng).copied()) else { return };
+        self.peers.asked = now;
+        let revision = self.storage.entries.values().map(|it| it.0).max().unwrap_or(0);
+        let entries = if is_away { revision } else { u64::MAX };
+        let target_path = format!("{STATE_PATH}?configuration={own}&entries={entries}");
+        let errand =
+            Errand { method: "GET", target: target_path, fields: Vec::new(), body: Vec::new() };
+        self.run_errand(target, &errand, ASK_AGAIN, Purpose::State);
+    }
+
+    /// What this instance knows beyond `configuration` and the revision `entries`.
+    pub(crate) fn state(&self, configuration: u64, entries: u64) -> Vec<u8> {
+        let newer = self.storage.configuration.as_ref().filter(|it| configuration < it.0);
+        let entries = self.storage.entries.iter().filter(|it| entries < it.1.0);
+        let state = State {
+            configuration: newer.map(|it| it.1.to_vec()),
+            entries: entries
+                .map(|it| (it.0.clone(), it.1.0, it.1.1.as_ref().map(|it| it.to_vec())))
+                .collect(),
+            weights: self.pool.all_named().map(|it| (it.0.clone(), it.1)).collect(),
+        };
+        postcard::to_stdvec(&state).unwrap_or_default()
+    }
+
+    pub(crate) fn state_came(&mut self, result: &Result) {
+        self.peers.behind = None;
+        let Result::Answered { status: 200, body, .. } = result else { return };
+        let Ok(state) = postcard::from_bytes::<State>(body) else {
+            log::warn!("another instance's knowledge could not be read");
+            return;
+        };
+        if let Some(value) = state.configuration {
+            self.take_configuration(&Arc::from(value), "instance");
+        }
+        for (name, revision, value) in state.entries {
+            let value = value.map(Arc::from);
+            self.take_entry(&name, revision, value.as_ref());
+        }
+        for (model, version) in state.weights {
+            self.weights_named(&model, version, "instance");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core/stats.rs
@@ -0,0 +1,135 @@
+//! Counters and histograms on the metrics address.
+
+use std::time::Duration;
+
+use metrics::{Counter, Gauge, Histogram};
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use shallotlead_base::hash::Map;
+
+use std::sync::Arc;
+
+use crate::{catalog::Route, core::Core};
+
+/// Bounds of the latency histograms, in seconds.
+const BOUNDS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0];
+/// Routes that get histograms of their own; a configuration may have hundreds.
+const MAX_ROUTES: usize = 32;
+
+/// What is counted.
+pub(crate) struct Stats {
+    handle: PrometheusHandle,
+    routes: Map<Arc<str>, RouteStats>,
+    others: RouteStats,
+    abandoned: Counter,
+    connections: Counter,
+    dropped_lines: Gauge,
+    configuration: Gauge,
+    servers: Gauge,
+    instances: Gauge,
+    open: Gauge,
+    is_store_away: Gauge,
+    store_calls: Counter,
+}
+
+#[derive(Clone)]
+struct RouteStats {
+    first: Histogram,
+    whole: Histogram,
+    answered: Counter,
+    failed: Counter,
+}
+
+impl RouteStats {
+    fn open(route: &str) -> Self {
+        let route = route.to_owned();
+        Self {
+            first: metrics::histogram!("shallotlead_first_piece_seconds", "route" => route.clone()),
+            whole: metrics::histogram!("shallotlead_answer_seconds", "route" => route.clone()),
+            answered: metrics::counter!("shallotlead_answers_total", "route" => route.clone(), "result" => "answered"),
+            failed: metrics::counter!("shallotlead_answers_total", "route" => route, "result" => "failed"),
+        }
+    }
+}
+
+impl Stats {
+    pub(crate) fn open() -> Result<Self, BuildError> {
+        let recorder = PrometheusBuilder::new().set_buckets(&BOUNDS)?.build_recorder();
+        let handle = recorder.handle();
+        // A second instance in one process, as in tests, goes on with the first one's recorder.
+        let _ = metrics::set_global_recorder(recorder);
+        Ok(Self {
+            handle,
+            routes: Map::default(),
+            others: RouteStats::open("other"),
+            abandoned: metrics::counter!("shallotlead_abandoned_total"),
+            connections: metrics::counter!("shallotlead_server_connections_total"),
+            dropped_lines: metrics::gauge!("shallotlead_log_lines_dropped"),
+            configuration: metrics::gauge!("shallotlead_configuration_version"),
+            servers: metrics::gauge!("shallotlead_servers_ready"),
+            instances: metrics::gauge!("shallotlead_instances_alive"),
+            open: metrics::gauge!("shallotlead_requests_open"),
+            is_store_away: metrics::gauge!("shallotlead_store_away"),
+            store_calls: metrics::counter!("shallotlead_store_calls_total"),
+        })
+    }
+
+    fn route(&mut self, route: &Route) -> &RouteStats {
+        if self.routes.contains_key(&route.name) || self.routes.len() < MAX_ROUTES {
+            let name = &route.name;
+            return self.routes.entry(name.clone()).or_insert_with(|| RouteStats::open(name));
+        }
+        &self.others
+    }
+
+    pub(crate) fn answered(&mut self, route: &Route, first: Duration, whole: Duration) {
+        let route = self.route(route);
+        route.first.record(first.as_secs_f64());
+        route.whole.record(whole.as_secs_f64());
+        route.answered.increment(1);
+    }
+
+    pub(crate) fn ended(&mut self, route: &Route, _status: u16, _after: Duration) {
+        self.route(route).failed.increment(1);
+    }
+
+    pub(crate) fn refused(&mut self, reason: &'static str) {
+        metrics::counter!("shallotlead_refused_total", "reason" => reason).increment(1);
+    }
+
+    pub(crate) fn broken(&mut self, reason: &'static str) {
+        metrics::counter!("shallotlead_attempts_broken_total", "reason" => reason).increment(1);
+    }
+
+    pub(crate) fn abandoned(&mut self) {
+        self.abandoned.increment(1);
+    }
+
+    pub(crate) fn connected(&mut self) {
+        self.connections.increment(1);
+    }
+
+    pub(crate) fn store_call(&mut self) {
+        self.store_calls.increment(1);
+    }
+
+    /// The page as text.
+    pub(crate) fn render(&self) -> String {
+        self.handle.run_upkeep();
+        self.handle.render()
+    }
+}
+
+impl Core {
+    pub(crate) fn refresh_gauges(&mut self) {
+        let version = self.catalog.as_ref().map_or(0, |it| it.version);
+        let servers = self.pool.listed().count();
+        let alive = self.members.alive(self.now).count() + 1;
+        let stats = &self.stats;
+        stats.dropped_lines.set(self.journal.dropped() as f64);
+        stats.configuration.set(version as f64);
+        stats.servers.set(servers as f64);
+        stats.instances.set(alive as f64);
+        stats.open.set(self.exchanges.len() as f64);
+        stats.is_store_away.set(f64::from(u8::from(self.storage.is_away())));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core/storage.rs
@@ -0,0 +1,495 @@
+//! What is followed in the platform's store: configuration, backend servers, named weights, and the
+//! instances' own records.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use shallotlead_base::{
+    hash::Map,
+    id::Version,
+    store::{Call, Change, Failure, Key, Object, Reply},
+    time::Time,
+};
+use shallotlead_platform::{
+    budget::{Rates, Sharers},
+    outcome::Outcome,
+    scheduler::{Action, Scheduler, Sent, Ticket},
+};
+
+use crate::{
+    catalog::Catalog,
+    core::{
+        Core,
+        errand::{Purpose, Result},
+    },
+    dialect::{Dialect, Stored, Subject},
+    gossip::Member,
+    pool::{self, Presence},
+    settings::Settings,
+};
+
+/// Kind of the instances' own records.
+const INSTANCE: &str = "instance";
+/// How long a watch may wait for a change. The platform takes 30 s at most; a connection that went
+/// silent is found earlier, by probes.
+const WATCH: Duration = Duration::from_secs(20);
+/// How long a call may take. The store answers in 4 ms, and in 250 ms when it is slow.
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Pause before a kind is followed again after a failure.
+const AGAIN: Duration = Duration::from_millis(150);
+/// Instances that share the store's rates until more is known: a herd that starts together must
+/// not call at once.
+const SHARERS: u32 = 8;
+/// Watches that all instances together may hold: four for each of 420.
+const WATCHES: u32 = 2_000;
+
+/// What is known of the store's content, and the calls under way.
+pub(crate) struct Storage {
+    address: SocketAddr,
+    scheduler: Scheduler,
+    wants: Map<u64, Want>,
+    next_ticket: u64,
+    followed: Vec<Follower>,
+    /// Since when the store hasn't answered this instance.
+    away_since: Option<Time>,
+    /// The configuration as it lies in the store, for instances that can't reach it.
+    pub(crate) configuration: Option<(u64, Arc<[u8]>)>,
+    /// Servers' entries as they lie in the store, for the same.
+    pub(crate) entries: Map<Arc<str>, (u64, Option<Arc<[u8]>>)>,
+    register: Register,
+}
+
+/// What an answer is for.
+#[derive(Clone, Copy, Debug)]
+enum Want {
+    Follow(usize),
+    Lease,
+    Register,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum What {
+    Subject(Subject),
+    Instances,
+}
+
+/// One kind that is followed by a watch.
+struct Follower {
+    kind: Arc<str>,
+    what: What,
+    revision: Option<Version>,
+    is_open: bool,
+    next: Time,
+}
+
+/// This instance's own record.
+enum Register {
+    /// To be written over this version.
+    Due(Version, Time),
+    Open,
+    Done,
+}
+
+impl Storage {
+    pub(crate) fn open(settings: &Settings, dialect: &dyn Dialect, seed: u64, now: Time) -> Self {
+        let (reads, writes) = settings.store_rates;
+        let rates = Rates { reads, writes, watches: WATCHES };
+        let sharers = Sharers { instances: SHARERS, watchers: SHARERS };
+        let subjects = [Subject::Configuration, Subject::Weights, Subject::Servers];
+        let followed = subjects.map(|it| Follower::open(dialect.kind(it), What::Subject(it), now));
+        let mut followed = Vec::from(followed);
+        followed.push(Follower::open(INSTANCE, What::Instances, now));
+        Self {
+            address: settings.store,
+            scheduler: Scheduler::new(rates, sharers, seed, now),
+            wants: Map::default(),
+            next_ticket: 0,
+            followed,
+            away_since: None,
+            configuration: None,
+            entries: Map::default(),
+            register: Register::Due(Version(0), now),
+        }
+    }
+
+    /// Whether the store doesn't answer this instance.
+    pub(crate) fn is_away(&self) -> bool {
+        self.away_since.is_some()
+    }
+
+    /// Since when it doesn't.
+    pub(crate) fn away_since(&self) -> Option<Time> {
+        self.away_since
+    }
+
+    /// When something is due.
+    pub(crate) fn next(&mut self, now: Time) -> Option<Time> {
+        let followed = self.followed.iter().filter(|it| !it.is_open).map(|it| it.next).min();
+        [self.scheduler.next(now), followed].into_iter().flatten().min()
+    }
+
+    /// How many instances share the store's rates.
+    pub(crate) fn set_sharers(&mut self, instances: u32, now: Time) {
+        let instances = instances.max(SHARERS);
+        self.scheduler.set_sharers(Sharers { instances, watchers: instances }, now);
+    }
+
+    fn submit(&mut self, now: Time, want: Want, call: Call) {
+        self.next_ticket += 1;
+        self.wants.insert(self.next_ticket, want);
+        self.scheduler.submit(Ticket(self.next_ticket), call, now);
+    }
+}
+
+impl Follower {
+    fn open(kind: &str, what: What, now: Time) -> Self {
+        Self { kind: Arc::from(kind), what, revision: None, is_open: false, next: now }
+    }
+
+    fn call(&self) -> Call {
+        let kind = self.kind.clone();
+        match self.revision {
+            None => Call::List { kind },
+            Some(after) => Call::Watch { kind, after, wait: WATCH },
+        }
+    }
+}
+
+impl Core {
+    pub(crate) fn tick_storage(&mut self) {
+        let now = self.now;
+        for index in 0..self.storage.followed.len() {
+            let it = &mut self.storage.followed[index];
+            if it.is_open || now < it.next {
+                continue;
+            }
+            it.is_open = true;
+            let call = it.call();
+            self.storage.submit(now, Want::Follow(index), call);
+        }
+        self.register();
+        let rank = self.members.rank(now);
+        if let Some(call) = self.lease.tick(now, rank) {
+            self.storage.submit(now, Want::Lease, call);
+        }
+        for action in self.storage.scheduler.tick(now) {
+            match action {
+                Action::Send(sent, call) => self.send_call(sent, call),
+                Action::Reply(ticket, reply) => self.store_reply(ticket, &reply),
+            }
+        }
+    }
+
+    fn register(&mut self) {
+        let Register::Due(version, at) = self.storage.register else { return };
+        if self.now < at {
+            return;
+        }
+        let value = serde_json::to_vec(self.members.me()).unwrap_or_default();
+        let key = Key::new(INSTANCE, &self.settings.name);
+        let call = Call::Put { key, expected: version, value: value.into() };
+        self.storage.register = Register::Open;
+        self.storage.submit(self.now, Want::Register, call);
+    }
+
+    fn send_call(&mut self, sent: Sent, call: Call) {
+        let timeout = match &call {
+            Call::Watch { wait, .. } => *wait + TIMEOUT,
+            _ => TIMEOUT,
+        };
+        self.send_page(sent, call, Vec::new(), timeout, None);
+    }
+
+    fn send_page(
+        &mut self,
+        sent: Sent,
+        call: Call,
+        pages: Vec<Object>,
+        timeout: Duration,
+        after: Option<&str>,
+    ) {
+        self.stats.store_call();
+        let errand = self.dialect.store_call(&call, after);
+        let purpose = Purpose::Store { sent, call, pages, timeout };
+        self.run_errand(self.storage.address, &errand, timeout, purpose);
+    }
+
+    pub(crate) fn store_answered(
+        &mut self,
+        sent: Sent,
+        call: Call,
+        mut pages: Vec<Object>,
+        timeout: Duration,
+        result: Result,
+    ) {
+        let outcome = match result {
+            Result::NotSent => Outcome::Unavailable { retry_after: None },
+            Result::Lost => Outcome::Lost,
+            Result::Answered { status, fields, body } => {
+                match self.dialect.store_reply(&call, status, &fields, &body) {
+                    Stored::Page(objects, last) => {
+                        pages.extend(objects);
+                        self.send_page(sent, call, pages, timeout, Some(&last));
+                        return;
+                    }
+                    Stored::Done(outcome) => outcome,
+                }
+            }
+        };
+        let outcome = match outcome {
+            Outcome::Answered(Reply::Listed { objects, version }) => {
+                pages.extend(objects);
+                Outcome::Answered(Reply::Listed { objects: pages, version })
+            }
+            it => it,
+        };
+        self.note_store(&call, &outcome);
+        self.storage.scheduler.answered(sent, outcome, self.now);
+    }
+
+    /// Notes whether the store answers this instance.
+    fn note_store(&mut self, call: &Call, outcome: &Outcome) {
+        let now = self.now;
+        let is_answer = matches!(outcome, Outcome::Answered(_));
+        // The store may cut a waiting watch at any time; the next call tells whether it is well.
+        if !is_answer && matches!((call, outcome), (Call::Watch { .. }, Outcome::Lost)) {
+            return;
+        }
+        match (is_answer, self.storage.away_since) {
+            (true, Some(since)) => {
+                self.storage.away_since = None;
+                self.pool.store_returned(now);
+                self.journal.line(now, "store_regained").ms("away_ms", now.since(since));
+            }
+            (false, None) => {
+                self.storage.away_since = Some(now);
+                self.journal
+                    .line(now, "store_lost")
+                    .text("outcome", name(outcome))
+                    .text("call", kind(call));
+            }
+            (true, None) | (false, Some(_)) => {}
+        }
+    }
+
+    fn store_reply(&mut self, ticket: Ticket, reply: &Reply) {
+        let now = self.now;
+        match self.storage.wants.remove(&ticket.0) {
+            Some(Want::Follow(index)) => self.followed(index, reply),
+            Some(Want::Lease) => {
+                let was_held = self.lease.is_held(now);
+                let rank = self.members.rank(now);
+                self.lease.reply(now, rank, reply);
+                if self.lease.is_held(now) != was_held {
+                    self.journal
+                        .line(now, "lease")
+                        .number("is_held", !was_held)
+                        .number("rank", rank);
+                }
+            }
+            Some(Want::Register) => self.registered(reply),
+            None => {}
+        }
+    }
+
+    fn registered(&mut self, reply: &Reply) {
+        self.storage.register = match reply {
+            Reply::Done(_) => Register::Done,
+            Reply::Conflict(object) => {
+                Register::Due(object.as_ref().map_or(Version(0), |it| it.version), self.now)
+            }
+            Reply::Failed(_) | Reply::Got(_) | Reply::Listed { .. } | Reply::Changed { .. } => {
+                Register::Due(Version(0), self.now + AGAIN)
+            }
+        };
+    }
+
+    fn followed(&mut self, index: usize, reply: &Reply) {
+        let now = self.now;
+        let follower = &mut self.storage.followed[index];
+        follower.is_open = false;
+        follower.next = now;
+        let what = follower.what;
+        match reply {
+            Reply::Listed { objects, version } => {
+                follower.revision = Some(*version);
+                self.take_list(what, objects, *version);
+            }
+            Reply::Changed { changes, version } => {
+                follower.revision = Some(*version);
+                for change in changes {
+                    match change {
+                        Change::Put(object) => self.take_object(what, object),
+                        Change::Delete(key, version) => self.take_removal(what, key, *version),
+                    }
+                }
+            }
+            Reply::Failed(Failure::Compacted) => {
+                self.journal.line(now, "history_lost").text("kind", &follower.kind);
+                follower.revision = None;
+            }
+            Reply::Failed(Failure::NotApplied { retry_after }) => {
+                follower.next = now + (*retry_after).min(AGAIN * 4);
+            }
+            Reply::Failed(Failure::Unknown)
+            | Reply::Got(_)
+            | Reply::Done(_)
+            | Reply::Conflict(_) => follower.next = now + AGAIN,
+        }
+    }
+
+    fn take_list(&mut self, what: What, objects: &[Object], version: Version) {
+        for object in objects {
+            self.take_object(what, object);
+        }
+        if what == What::Subject(Subject::Servers) {
+            let names: Vec<Arc<str>> = objects.iter().map(|it| it.key.name.clone()).collect();
+            for change in self.pool.retain(self.now, &names, version.0) {
+                self.server_changed(change, "not listed");
+            }
+        }
+    }
+
+    fn take_object(&mut self, what: What, object: &Object) {
+        match what {
+            What::Subject(Subject::Configuration) => {
+                if *object.key.name == *self.dialect.configuration_name() {
+                    self.take_configuration(&object.value, "store");
+                }
+            }
+            What::Subject(Subject::Weights) => self.take_weights(&object.value),
+            What::Subject(Subject::Servers) => {
+                self.take_entry(&object.key.name, object.version.0, Some(&object.value));
+            }
+            What::Instances => {
+                if let Ok(member) = serde_json::from_slice::<Member>(&object.value) {
+                    self.members.take(self.now, member);
+                }
+            }
+        }
+    }
+
+    fn take_removal(&mut self, what: What, key: &Key, version: Version) {
+        if what == What::Subject(Subject::Servers) {
+            self.take_entry(&key.name, version.0, None);
+        }
+    }
+
+    /// Takes a configuration, if it is newer. `source`: who told of it.
+    pub(crate) fn take_configuration(&mut self, value: &Arc<[u8]>, source: &str) {
+        let now = self.now;
+        let catalog: Catalog = match self.dialect.catalog(value) {
+            Ok(it) => it,
+            Err(err) => {
+                self.journal.line(now, "configuration_unreadable").text("error", &err.to_string());
+                return;
+            }
+        };
+        let known = self.catalog.as_ref().map_or(0, |it| it.version);
+        if catalog.version <= known {
+            return;
+        }
+        self.journal
+            .line(now, "configuration")
+            .number("version", catalog.version)
+            .number("before", known)
+            .number("routes", catalog.routes())
+            .text("source", source);
+        self.storage.configuration = Some((catalog.version, value.clone()));
+        self.catalog = Some(Arc::new(catalog));
+        self.tell_all();
+    }
+
+    fn take_weights(&mut self, value: &[u8]) {
+        match self.dialect.weights(value) {
+            Ok(it) => self.weights_named(&it.model, it.version, "store"),
+            Err(err) => {
+                self.journal.line(self.now, "weights_unreadable").text("error", &err.to_string());
+            }
+        }
+    }
+
+    pub(crate) fn weights_named(&mut self, model: &Arc<str>, version: u64, source: &str) {
+        if self.pool.name_weights(self.now, model, version) {
+            self.journal
+                .line(self.now, "weights_named")
+                .text("model", model)
+                .number("version", version)
+                .text("source", source);
+        }
+    }
+
+    /// Takes a server's entry, or that it was removed.
+    pub(crate) fn take_entry(&mut self, name: &Arc<str>, revision: u64, value: Option<&Arc<[u8]>>) {
+        let known = self.storage.entries.get(name).map_or(0, |it| it.0);
+        if revision <= known {
+            return;
+        }
+        self.storage.entries.insert(name.clone(), (revision, value.cloned()));
+        let change = match value {
+            None => self.pool.remove(self.now, name, revision),
+            Some(value) => match self.dialect.server(value) {
+                Ok(entry) => self.pool.put(self.now, name, revision, entry),
+                Err(err) => {
+                    self.journal
+                        .line(self.now, "entry_unreadable")
+                        .text("server", name)
+                        .text("error", &err.to_string());
+                    return;
+                }
+            },
+        };
+        self.server_changed(change, "entry");
+    }
+
+    pub(crate) fn server_changed(&mut self, change: pool::Change, reason: &str) {
+        let now = self.now;
+        let (id, what) = match change {
+            pool::Change::None => return,
+            pool::Change::Joined(id) => (id, "joined"),
+            pool::Change::Leaving(id) => (id, "leaving"),
+            pool::Change::Gone(id) => {
+                self.server_gone(id, reason);
+                return;
+            }
+            pool::Change::Loaded(id) => (id, "loaded"),
+        };
+        let server = self.pool.get(id);
+        let mut line = self.journal.line(now, "server");
+        line = line.text("server", &server.name).text("change", what).text("reason", reason);
+        line.number("revision", server.revision)
+            .number("weights", server.models.first().map_or(0, |it| it.1));
+        if server.presence == Presence::Draining {
+            self.drop_idle(id);
+            self.tell_leaving(id);
+        }
+    }
+
+    /// A server has left.
+    pub(crate) fn server_gone(&mut self, id: pool::Id, reason: &str) {
+        let server = self.pool.get(id);
+        self.journal
+            .line(self.now, "server")
+            .text("server", &server.name)
+            .text("change", "gone")
+            .text("reason", reason)
+            .number("revision", server.revision);
+        self.drop_idle(id);
+        self.tell_leaving(id);
+    }
+}
+
+fn name(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered(_) => "answered",
+        Outcome::Refused { .. } => "refused",
+        Outcome::Unavailable { .. } => "unavailable",
+        Outcome::Lost => "lost",
+    }
+}
+
+fn kind(call: &Call) -> &str {
+    match call {
+        Call::Get(key) | Call::Put { key, .. } | Call::Delete { key, .. } => &key.kind,
+        Call::List { kind } | Call::Watch { kind, .. } => kind,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,64 @@
+//! Events of a stream as bytes.
+
+/// The part of a stream that can be passed on.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Cut {
+    /// Whole events, as they came.
+    pub bytes: Vec<u8>,
+    /// The number of the last event that was passed on.
+    pub last_event: Option<u64>,
+    /// The version of the weights that an event names.
+    pub weights: Option<u64>,
+}
+
+/// An event whose number doesn't follow the one before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Gap;
+
+/// Takes the whole events off the front of `pending`. Events up to `last` are left out: the caller
+/// has them. `done`: nothing follows, so that the rest is passed on too.
+pub fn cut(pending: &mut Vec<u8>, last: Option<u64>, done: bool) -> Result<Cut, Gap> {
+    let mut cut = Cut { last_event: last, ..Cut::default() };
+    let mut at = 0;
+    while let Some(len) = event_length(&pending[at..]) {
+        let event = &pending[at..at + len];
+        at += len;
+        let number = number(event, b"id:");
+        if let Some(it) = number {
+            if cut.last_event.is_some_and(|last| it <= last) {
+                if last.is_some_and(|last| it <= last) {
+                    continue;
+                }
+                return Err(Gap);
+            }
+            cut.last_event = Some(it);
+        }
+        cut.weights = self::number(event, b"weight-versions:").or(cut.weights);
+        cut.bytes.extend_from_slice(event);
+    }
+    pending.drain(..at);
+    if done {
+        cut.bytes.append(pending);
+    }
+    Ok(cut)
+}
+
+/// Length of the first event with the blank line that ends it, if it is whole.
+fn event_length(bytes: &[u8]) -> Option<usize> {
+    let mut at = 0;
+    while let Some(end) = bytes[at..].iter().position(|it| *it == b'\n') {
+        let line = &bytes[at..at + end];
+        at += end + 1;
+        if line.is_empty() || line == b"\r" {
+            return Some(at);
+        }
+    }
+    None
+}
+
+/// The number in the line of `event` that begins with `name`.
+fn number(event: &[u8], name: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|it| *it == b'\n');
+    let value = lines.find_map(|it| it.strip_prefix(name))?;
+    std::str::from_utf8(value.trim_ascii()).ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/http/body.rs
@@ -0,0 +1,135 @@
+//! Bodies by their framing.
+
+use crate::http::Error;
+
+/// Longest line with the size of a chunk.
+const MAX_SIZE_LINE: usize = 256;
+/// Longest trailer after the last chunk.
+const MAX_TRAILER: usize = 8 * 1024;
+
+/// What is left of a body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Framing {
+    /// Nothing.
+    Empty,
+    /// So many bytes.
+    Length(u64),
+    /// Chunks.
+    Chunked(Chunk),
+    /// Whatever comes until the connection ends.
+    UntilClose,
+}
+
+/// Where in a chunked body the next byte belongs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Chunk {
+    /// In a line with a size.
+    Size,
+    /// In a chunk's data, of which so many bytes are left.
+    Data(u64),
+    /// In the line break after the data.
+    Break,
+    /// In the trailer.
+    Trailer,
+}
+
+impl Framing {
+    /// A chunked body from its start.
+    pub const fn chunked() -> Self {
+        Self::Chunked(Chunk::Size)
+    }
+
+    /// Moves what belongs to the body from the front of `input` to `body`. Says whether the body is
+    /// complete; one that lasts until the connection's end never is.
+    pub fn take(&mut self, input: &mut Vec<u8>, body: &mut Vec<u8>) -> Result<bool, Error> {
+        match self {
+            Self::Empty => Ok(true),
+            Self::UntilClose => {
+                body.append(input);
+                Ok(false)
+            }
+            Self::Length(left) => {
+                move_bytes(input, body, left);
+                Ok(*left == 0)
+            }
+            Self::Chunked(state) => {
+                let mut at = 0;
+                let done = take_chunks(state, input, &mut at, body);
+                input.drain(..at);
+                done
+            }
+        }
+    }
+}
+
+fn move_bytes(input: &mut Vec<u8>, body: &mut Vec<u8>, left: &mut u64) {
+    let len = usize::try_from(*left).unwrap_or(usize::MAX).min(input.len());
+    body.extend(input.drain(..len));
+    *left -= len as u64;
+}
+
+fn take_chunks(
+    state: &mut Chunk,
+    input: &[u8],
+    at: &mut usize,
+    body: &mut Vec<u8>,
+) -> Result<bool, Error> {
+    loop {
+        let rest = &input[*at..];
+        match state {
+            Chunk::Size => {
+                let Some(line) = line(rest, MAX_SIZE_LINE)? else { return Ok(false) };
+                *at += line.len() + 2;
+                *state = match size(line)? {
+                    0 => Chunk::Trailer,
+                    len => Chunk::Data(len),
+                };
+            }
+            Chunk::Data(left) => {
+                let len = usize::try_from(*left).unwrap_or(usize::MAX).min(rest.len());
+                body.extend_from_slice(&rest[..len]);
+                *at += len;
+                *left -= len as u64;
+                if 0 < *left {
+                    return Ok(false);
+                }
+                *state = Chunk::Break;
+            }
+            Chunk::Break => {
+                if rest.len() < 2 {
+                    return Ok(false);
+                }
+                if !rest.starts_with(b"\r\n") {
+                    return Err(Error::Body);
+                }
+                *at += 2;
+                *state = Chunk::Size;
+            }
+            Chunk::Trailer => {
+                let Some(line) = line(rest, MAX_TRAILER)? else { return Ok(false) };
+                *at += line.len() + 2;
+                if line.is_empty() {
+                    return Ok(true);
+                }
+            }
+        }
+    }
+}
+
+/// The first line of `bytes` without its end, or `None` while it is incomplete.
+fn line(bytes: &[u8], max: usize) -> Result<Option<&[u8]>, Error> {
+    match bytes.windows(2).take(max).position(|it| it == b"\r\n") {
+        Some(end) => Ok(Some(&bytes[..end])),
+        None if bytes.len() <= max => Ok(None),
+        None => Err(Error::Body),
+    }
+}
+
+fn size(line: &[u8]) -> Result<u64, Error> {
+    let digits = line.split(|it| *it == b';').next().unwrap_or_default().trim_ascii();
+    if digits.is_empty() || 15 < digits.len() || !digits.iter().all(u8::is_ascii_hexdigit) {
+        return Err(Error::Body);
+    }
+    let text = std::str::from_utf8(digits).map_err(|_| Error::Body)?;
+    u64::from_str_radix(text, 16).map_err(|_| Error::Body)
+}
--- /dev/null
+++ b/crates/gateway/src/http/write.rs
@@ -0,0 +1,87 @@
+//! Heads and bodies as bytes.
+
+use std::io::Write;
+
+/// Appends a request line.
+pub fn request_line(out: &mut Vec<u8>, method: &str, target: &str) {
+    out.extend_from_slice(method.as_bytes());
+    out.push(b' ');
+    out.extend_from_slice(target.as_bytes());
+    out.extend_from_slice(b" HTTP/1.1\r\n");
+}
+
+/// Appends a status line.
+pub fn status_line(out: &mut Vec<u8>, status: u16) {
+    // Writing to a vector can't fail.
+    let _ = write!(out, "HTTP/1.1 {status} {}\r\n", reason(status));
+}
+
+/// Appends one field.
+pub fn field(out: &mut Vec<u8>, name: &str, value: &[u8]) {
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Appends one field whose value is a number.
+pub fn number(out: &mut Vec<u8>, name: &str, value: u64) {
+    let _ = write!(out, "{name}: {value}\r\n");
+}
+
+/// Ends the head.
+pub fn end(out: &mut Vec<u8>) {
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Appends one chunk; nothing for no bytes, which would end the body.
+pub fn chunk(out: &mut Vec<u8>, bytes: &[u8]) {
+    if bytes.is_empty() {
+        return;
+    }
+    let _ = write!(out, "{:x}\r\n", bytes.len());
+    out.extend_from_slice(bytes);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// What ends a chunked body.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// A whole response with a body of the given type.
+pub fn response(status: u16, kind: &str, body: &[u8], extra: &[(&str, String)]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(192 + body.len());
+    status_line(&mut out, status);
+    field(&mut out, "Content-Type", kind.as_bytes());
+    number(&mut out, "Content-Length", body.len() as u64);
+    for (name, value) in extra {
+        field(&mut out, name, value.as_bytes());
+    }
+    end(&mut out);
+    out.extend_from_slice(body);
+    out
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        202 => "Accepted",
+        204 => "No Content",
+        304 => "Not Modified",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        505 => "HTTP Version Not Supported",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lease.rs
@@ -0,0 +1,229 @@
+//! The lease under which one instance gives orders to backend servers.
+//!
+//! The record lies in the platform's store and is written by conditional update only. The fencing
+//! token is the revision of the write that granted it. The holder counts its term from before it
+//! sent a write; a candidate counts from after it read one. Both use clocks that go on while the
+//! machine is suspended. Servers don't check tokens, so that a successor lets [`Terms::gap`] pass
+//! before its first order, in which the last orders of the predecessor arrive.
+
+use std::{sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use shallotlead_base::{
+    id::Version,
+    store::{Call, Key, Object, Reply},
+    time::Time,
+};
+
+/// Kind of the record. Calls of this kind go before all others.
+pub const KIND: &str = "lease";
+/// Length of a term. A dead holder is replaced after it, so it is short; each renewal is paid for.
+const TERM: Duration = Duration::from_millis(2_000);
+/// What the holder ends early and a candidate waits longer, for clocks that drift.
+const MARGIN: Duration = Duration::from_millis(200);
+/// How often the holder renews: three tries in a term.
+const RENEW: Duration = Duration::from_millis(600);
+/// How often the first candidate reads the record, and how often the others do.
+const LOOK: Duration = Duration::from_millis(700);
+const LOOK_LATER: Duration = Duration::from_millis(2_500);
+/// How much later each next candidate takes over.
+const STAGGER: Duration = Duration::from_millis(500);
+/// Pause after a call that failed.
+const RETRY: Duration = Duration::from_millis(300);
+
+/// The right to give orders until a time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Grant {
+    /// The fencing token.
+    pub fence: u64,
+    /// Orders may be given from then on.
+    pub from: Time,
+    /// The right ends then.
+    pub until: Time,
+}
+
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct Record {
+    holder: Arc<str>,
+    /// Makes each write's content unique, so that a lost answer can be settled.
+    write: u64,
+    released: bool,
+}
+
+#[derive(Debug)]
+enum Stage {
+    /// Another instance may hold it: the record's version, since when it has been unchanged, and
+    /// whether it was given back.
+    Watching(Option<Seen>),
+    /// A claim was sent.
+    Claiming { sent: Time, gap: Duration },
+    /// Held.
+    Holding { version: Version, fence: u64, sent: Time, from: Time, renewing: Option<Time> },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    version: Version,
+    since: Time,
+    released: bool,
+    /// It names this life of this instance.
+    is_own: bool,
+}
+
+/// One lease as seen by one instance.
+#[derive(Debug)]
+pub struct Lease {
+    key: Key,
+    me: Arc<str>,
+    gap: Duration,
+    stage: Stage,
+    writes: u64,
+    is_calling: bool,
+    next: Time,
+    released: bool,
+}
+
+impl Lease {
+    /// The lease `name` for the instance's life `me`. `gap`: time between two holders' orders.
+    pub fn open(name: &str, me: Arc<str>, gap: Duration) -> Self {
+        Self {
+            key: Key::new(KIND, name),
+            me,
+            gap,
+            stage: Stage::Watching(None),
+            writes: 0,
+            is_calling: false,
+            next: Time::ZERO,
+            released: false,
+        }
+    }
+
+    /// The right to give orders now, if there is one.
+    pub fn grant(&self, now: Time) -> Option<Grant> {
+        let Stage::Holding { fence, sent, from, .. } = self.stage else { return None };
+        let until = sent + (TERM - MARGIN);
+        (from <= now && now < until).then_some(Grant { fence, from, until })
+    }
+
+    /// Whether it is held, also while the predecessor's orders may still arrive.
+    pub fn is_held(&self, now: Time) -> bool {
+        matches!(self.stage, Stage::Holding { sent, .. } if now < sent + (TERM - MARGIN))
+    }
+
+    /// Gives the lease back at the next tick. No order may be given any more.
+    pub fn release(&mut self) {
+        self.released = true;
+    }
+
+    /// The next call, if one is due. `rank`: this instance's place among the candidates.
+    pub fn tick(&mut self, now: Time, rank: usize) -> Option<Call> {
+        if let Stage::Holding { sent, .. } = self.stage
+            && sent + (TERM - MARGIN) <= now
+        {
+            // Guards against a paused holder that goes on giving orders: after a long pause the
+            // lease may belong to another instance. It shows as orders under two tokens at one
+            // server. The clock goes on during the pause, so that the term is over here too.
+            self.stage = Stage::Watching(None);
+            self.next = now;
+        }
+        if self.is_calling || now < self.next {
+            return None;
+        }
+        let call = self.call(now, rank)?;
+        self.is_calling = true;
+        Some(call)
+    }
+
+    fn call(&mut self, now: Time, rank: usize) -> Option<Call> {
+        match self.stage {
+            Stage::Claiming { .. } => Some(Call::Get(self.key.clone())),
+            Stage::Holding { version, .. } => {
+                if self.released {
+                    self.stage = Stage::Watching(None);
+                }
+                let put = self.put(version);
+                if let Stage::Holding { renewing, .. } = &mut self.stage {
+                    *renewing = Some(now);
+                }
+                Some(put)
+            }
+            Stage::Watching(_) if self.released => None,
+            Stage::Watching(seen) => {
+                let patience = TERM + MARGIN + STAGGER * u32::try_from(rank).unwrap_or(u32::MAX);
+                let free = |it: &Seen| it.released || patience <= now.since(it.since);
+                let Some(seen) = seen.filter(free) else {
+                    return Some(Call::Get(self.key.clone()));
+                };
+                let gap = if seen.is_own { Duration::ZERO } else { self.gap };
+                self.stage = Stage::Claiming { sent: now, gap };
+                Some(self.put(seen.version))
+            }
+        }
+    }
+
+    /// Takes the answer to the call that [`Lease::tick`] returned. `rank` as there.
+    pub fn reply(&mut self, now: Time, rank: usize, reply: &Reply) {
+        self.is_calling = false;
+        self.next = now;
+        let found = match reply {
+            Reply::Got(object) | Reply::Conflict(object) => Some(object.as_ref()),
+            _ => None,
+        };
+        match (&mut self.stage, reply) {
+            (Stage::Claiming { sent, gap }, Reply::Done(version)) => {
+                let from = now + *gap;
+                let sent = *sent;
+                let (version, fence) = (*version, version.0);
+                self.stage = Stage::Holding { version, fence, sent, from, renewing: None };
+                self.next = sent + RENEW;
+            }
+            (Stage::Holding { version, sent, renewing, .. }, Reply::Done(stored)) => {
+                *version = *stored;
+                if let Some(at) = renewing.take() {
+                    *sent = at;
+                }
+                self.next = *sent + RENEW;
+            }
+            (Stage::Holding { .. }, Reply::Failed(_)) => self.next = now + RETRY,
+            (_, Reply::Failed(_)) => {
+                if let Stage::Claiming { .. } = self.stage {
+                    self.stage = Stage::Watching(None);
+                }
+                self.next = now + RETRY;
+            }
+            (Stage::Watching(seen), _) => {
+                if let Some(object) = found {
+                    see(seen, now, &self.me, object);
+                }
+                self.next = now + if rank == 0 { LOOK } else { LOOK_LATER };
+            }
+            (Stage::Claiming { .. } | Stage::Holding { .. }, _) => {
+                let mut seen = None;
+                if let Some(object) = found {
+                    see(&mut seen, now, &self.me, object);
+                }
+                self.stage = Stage::Watching(seen);
+                self.next = now + RETRY;
+            }
+        }
+    }
+
+    fn put(&mut self, expected: Version) -> Call {
+        self.writes += 1;
+        let record =
+            Record { holder: self.me.clone(), write: self.writes, released: self.released };
+        let value = serde_json::to_vec(&record).unwrap_or_default();
+        Call::Put { key: self.key.clone(), expected, value: value.into() }
+    }
+}
+
+fn see(seen: &mut Option<Seen>, now: Time, me: &str, object: Option<&Object>) {
+    let version = object.map_or(Version(0), |it| it.version);
+    if seen.is_some_and(|it| it.version == version) {
+        return;
+    }
+    let record = object.and_then(|it| serde_json::from_slice::<Record>(&it.value).ok());
+    let released = record.as_ref().is_some_and(|it| it.released);
+    let is_own = record.is_some_and(|it| *it.holder == *me);
+    *seen = Some(Seen { version, since: now, released, is_own });
+}
--- /dev/null
+++ b/crates/gateway/src/pool.rs
@@ -0,0 +1,196 @@
+//! The backend servers as this instance knows them.
+
+mod health;
+mod server;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use shallotlead_base::{hash::Map, time::Time};
+
+use crate::dialect::ServerEntry;
+
+pub use health::Health;
+pub use server::{Presence, Server, Switch};
+
+/// How long an entry that is missing after an outage of the store is kept: servers write theirs
+/// again within about two seconds of its return.
+const RETURN: Duration = Duration::from_millis(2_200);
+
+/// A server's place in the pool.
+pub type Id = usize;
+
+/// All backend servers that are or were listed.
+#[derive(Debug, Default)]
+pub struct Pool {
+    servers: Vec<Server>,
+    names: Map<Arc<str>, Id>,
+    /// Until then missing entries may come back.
+    lenient_until: Time,
+    /// Named weights by model, with the time at which this instance learnt of them.
+    weights: Map<Arc<str>, (u64, Time)>,
+}
+
+/// What a change of an entry meant.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// The server is new.
+    Joined(Id),
+    /// It began to leave.
+    Leaving(Id),
+    /// It is gone.
+    Gone(Id),
+    /// It loaded other weights.
+    Loaded(Id),
+    /// Nothing that matters.
+    None,
+}
+
+impl Pool {
+    /// The server at `id`.
+    pub fn get(&self, id: Id) -> &Server {
+        &self.servers[id]
+    }
+
+    /// The server at `id`.
+    pub fn get_mut(&mut self, id: Id) -> &mut Server {
+        &mut self.servers[id]
+    }
+
+    /// The place of the server `name`.
+    pub fn find(&self, name: &str) -> Option<Id> {
+        self.names.get(name).copied()
+    }
+
+    /// All servers that are listed.
+    pub fn listed(&self) -> impl Iterator<Item = (Id, &Server)> {
+        self.servers.iter().enumerate().filter(|it| it.1.presence != Presence::Gone)
+    }
+
+    /// The version of the weights named for `model`, and when this instance learnt of it.
+    pub fn named(&self, model: &str) -> Option<(u64, Time)> {
+        self.weights.get(model).copied()
+    }
+
+    /// All named weights.
+    pub fn all_named(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        self.weights.iter().map(|it| (it.0, it.1.0))
+    }
+
+    /// Weights were named. Says whether that is news; versions only grow.
+    pub fn name_weights(&mut self, now: Time, model: &Arc<str>, version: u64) -> bool {
+        let known = self.weights.get(model).map_or(0, |it| it.0);
+        if version <= known {
+            return false;
+        }
+        self.weights.insert(model.clone(), (version, now));
+        true
+    }
+
+    /// The store has been away and is back.
+    ///
+    /// Guards against forgetting the whole pool: servers that can't renew their entries while the
+    /// store is away lapse, and every request would find no server. It shows as a list that is
+    /// empty right after an outage. It holds since live servers are back before the time is over.
+    pub fn store_returned(&mut self, now: Time) {
+        self.lenient_until = now + RETURN;
+    }
+
+    /// Takes a server's entry.
+    pub fn put(&mut self, now: Time, name: &Arc<str>, revision: u64, entry: ServerEntry) -> Change {
+        let Some(id) = self.find(name) else {
+            let id = self.servers.len();
+            self.names.insert(name.clone(), id);
+            self.servers.push(Server::new(name.clone(), revision, entry));
+            return Change::Joined(id);
+        };
+        let server = &mut self.servers[id];
+        if revision <= server.revision {
+            return Change::None;
+        }
+        server.revision = revision;
+        server.missing_since = None;
+        let was = server.presence;
+        server.take(now, entry).then_some(Change::Loaded(id)).unwrap_or(Change::None).max_with(
+            was,
+            server.presence,
+            id,
+        )
+    }
+
+    /// A server's entry was removed at `revision`.
+    pub fn remove(&mut self, now: Time, name: &str, revision: u64) -> Change {
+        let Some(id) = self.find(name) else { return Change::None };
+        let lenient = now < self.lenient_until;
+        let server = &mut self.servers[id];
+        if server.presence == Presence::Gone || revision < server.revision {
+            return Change::None;
+        }
+        server.revision = revision;
+        if lenient && server.presence == Presence::Ready {
+            server.missing_since.get_or_insert(now);
+            return Change::None;
+        }
+        server.presence = Presence::Gone;
+        Change::Gone(id)
+    }
+
+    /// A whole list was read at `revision`: servers that aren't in `names` are missing.
+    pub fn retain(&mut self, now: Time, names: &[Arc<str>], revision: u64) -> Vec<Change> {
+        let missing = self.listed().filter(|it| !names.contains(&it.1.name));
+        let missing: Vec<Arc<str>> = missing.map(|it| it.1.name.clone()).collect();
+        missing.iter().map(|it| self.remove(now, it, revision)).collect()
+    }
+
+    /// Servers whose entries stay missing are gone. `is_away`: the store can't be reached.
+    pub fn expire(&mut self, now: Time, is_away: bool) -> Vec<Id> {
+        if is_away || now < self.lenient_until {
+            return Vec::new();
+        }
+        let mut gone = Vec::new();
+        for (id, server) in self.servers.iter_mut().enumerate() {
+            if server.missing_since.take().is_some() {
+                server.presence = Presence::Gone;
+                gone.push(id);
+            }
+        }
+        gone
+    }
+
+    /// Another instance tells that the server is leaving.
+    pub fn told_leaving(&mut self, name: &str) -> Change {
+        let Some(id) = self.find(name) else { return Change::None };
+        let server = &mut self.servers[id];
+        if server.presence != Presence::Ready {
+            return Change::None;
+        }
+        server.presence = Presence::Draining;
+        Change::Leaving(id)
+    }
+
+    /// Another server answers at this one's address: it has ended.
+    pub fn replaced(&mut self, id: Id) {
+        self.servers[id].presence = Presence::Gone;
+    }
+
+    /// The listed servers of `service` at which requests may begin.
+    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (Id, &'a Server)> {
+        self.listed()
+            .filter(move |it| it.1.presence == Presence::Ready && *it.1.service == *service)
+    }
+
+    /// Addresses of listed servers other than `id` at `address`.
+    pub fn shares_address(&self, id: Id, address: SocketAddr) -> bool {
+        self.listed().any(|it| it.0 != id && it.1.address == address)
+    }
+}
+
+impl Change {
+    /// A change of presence goes before one of weights.
+    fn max_with(self, was: Presence, is: Presence, id: Id) -> Self {
+        match (was, is) {
+            (Presence::Ready, Presence::Draining) => Self::Leaving(id),
+            (Presence::Gone, Presence::Ready) => Self::Joined(id),
+            _ => self,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pool/server.rs
@@ -0,0 +1,129 @@
+//! One backend server.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use shallotlead_base::time::Time;
+
+use crate::{
+    dialect::{Load, ServerEntry},
+    pool::Health,
+};
+
+/// Whether a server takes new requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Presence {
+    /// It does.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+    /// It has left.
+    Gone,
+}
+
+/// A change of weights that another instance or this one has ordered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Switch {
+    /// The version that is being loaded.
+    pub version: u64,
+    /// When this instance stops waiting for the end.
+    pub until: Time,
+}
+
+/// One life of a backend server: a restart has another name.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Its name, which no other life has.
+    pub name: Arc<str>,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Its address, which may later belong to another server.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub centre: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub presence: Presence,
+    /// Models and the versions of their weights, as far as known.
+    pub models: Vec<(Arc<str>, u64)>,
+    /// The store's revision of what is known of it.
+    pub revision: u64,
+    /// Since when its entry is missing though it may come back.
+    pub missing_since: Option<Time>,
+    /// Weights that it is loading.
+    pub switch: Option<Switch>,
+    /// Whether it answers as it should.
+    pub health: Health,
+    /// The load that it told last, and when.
+    pub load: Option<(Load, Time)>,
+    /// Requests of this instance that are under way there.
+    pub inflight: u32,
+    /// Prompt tokens of this instance's requests that it has yet to read.
+    pub unread: u64,
+    /// Connections that this instance has to it.
+    pub connections: u32,
+}
+
+impl Server {
+    pub(super) fn new(name: Arc<str>, revision: u64, entry: ServerEntry) -> Self {
+        let ServerEntry { service, address, centre, slots, is_draining, models } = entry;
+        Self {
+            name,
+            service,
+            address,
+            centre,
+            slots,
+            presence: if is_draining { Presence::Draining } else { Presence::Ready },
+            models,
+            revision,
+            missing_since: None,
+            switch: None,
+            health: Health::default(),
+            load: None,
+            inflight: 0,
+            unread: 0,
+            connections: 0,
+        }
+    }
+
+    /// Takes a newer entry. Says whether other weights are loaded.
+    pub(super) fn take(&mut self, now: Time, entry: ServerEntry) -> bool {
+        let is_draining = entry.is_draining || self.presence == Presence::Draining;
+        self.presence = if is_draining { Presence::Draining } else { Presence::Ready };
+        self.address = entry.address;
+        self.slots = entry.slots;
+        let mut loaded = false;
+        for (model, version) in entry.models {
+            loaded |= self.loaded(now, &model, version);
+        }
+        loaded
+    }
+
+    /// The version of `model`'s weights that it has.
+    pub fn version(&self, model: &str) -> Option<u64> {
+        self.models.iter().find(|it| *it.0 == *model).map(|it| it.1)
+    }
+
+    /// It has `version` of `model`. Says whether that is news; versions only grow.
+    pub fn loaded(&mut self, now: Time, model: &Arc<str>, version: u64) -> bool {
+        if self.switch.is_some_and(|it| it.version <= version || it.until <= now) {
+            self.switch = None;
+        }
+        match self.models.iter_mut().find(|it| it.0 == *model) {
+            Some(it) if it.1 < version => {
+                it.1 = version;
+                true
+            }
+            Some(_) => false,
+            None => {
+                self.models.push((model.clone(), version));
+                true
+            }
+        }
+    }
+
+    /// Whether it is loading weights and would turn requests away.
+    pub fn is_switching(&self, now: Time) -> bool {
+        self.switch.is_some_and(|it| now < it.until)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/rollout.rs
@@ -0,0 +1,215 @@
+//! Brings the named weights to the backend servers, a few at a time. Pure: the holder of the lease
+//! carries out the steps.
+
+use std::{sync::Arc, time::Duration};
+
+use shallotlead_base::{hash::Map, time::Time};
+
+use crate::{
+    dialect::{OrderReply, Report},
+    pool::{self, Pool, Presence},
+};
+
+/// Part of a model's servers that load at once. Loading slows down beyond two of nine and three of
+/// eighteen servers, and servers that load take no requests.
+const AT_ONCE: f64 = 1.0 / 6.0;
+/// Servers that may finish their requests before loading, besides those that load.
+const FINISHING: usize = 1;
+/// Time after an order until its end is asked for first: loading takes 0.57 s at least.
+const FIRST_LOOK: Duration = Duration::from_millis(550);
+/// Time between further questions.
+const LOOK: Duration = Duration::from_millis(120);
+/// Time without a sign of an order after which it is given again. `expected` keeps a late copy from
+/// being carried out.
+const LOST: Duration = Duration::from_millis(900);
+/// How long an order may take in all before its server counts as stuck.
+const STUCK: Duration = Duration::from_secs(6);
+/// Pause before a server that failed is tried again.
+const AGAIN: Duration = Duration::from_millis(500);
+
+/// What is to be done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Ask the server for its state.
+    Ask(pool::Id),
+    /// Order the server to load a version; it must have accepted so many orders.
+    Order(pool::Id, Arc<str>, u64, u64),
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stage {
+    /// Its state is being asked for, before the order.
+    Asking,
+    /// The order is on its way; so many were accepted before.
+    Ordering(u64),
+    /// It was accepted, or its answer was lost; so many were accepted before.
+    Loading(u64),
+    /// It failed; it is left alone for a while.
+    Resting,
+}
+
+#[derive(Clone, Debug)]
+struct Task {
+    model: Arc<str>,
+    version: u64,
+    stage: Stage,
+    since: Time,
+    begun: Time,
+    next: Time,
+    /// A question or order is under way.
+    is_open: bool,
+}
+
+/// The state of all roll-outs.
+#[derive(Debug, Default)]
+pub struct Rollout {
+    tasks: Map<pool::Id, Task>,
+}
+
+impl Rollout {
+    /// Forgets everything: the lease is gone, and so is the right to go on.
+    pub fn clear(&mut self) {
+        self.tasks.clear();
+    }
+
+    /// What is due now.
+    pub fn tick(&mut self, now: Time, pool: &Pool) -> Vec<Step> {
+        self.tasks.retain(|id, task| {
+            let server = pool.get(*id);
+            let has = server.version(&task.model).unwrap_or(0);
+            let is_over = task.stage == Stage::Resting && task.next <= now;
+            server.presence == Presence::Ready && has < task.version && !is_over
+        });
+        self.begin(now, pool);
+        let mut steps = Vec::new();
+        for (id, task) in &mut self.tasks {
+            if task.is_open || now < task.next || task.stage == Stage::Resting {
+                continue;
+            }
+            task.is_open = true;
+            steps.push(Step::Ask(*id));
+        }
+        steps
+    }
+
+    /// When the next step is due.
+    pub fn next(&self) -> Option<Time> {
+        self.tasks.values().filter(|it| !it.is_open).map(|it| it.next).min()
+    }
+
+    /// Servers that are being worked on.
+    pub fn open(&self) -> usize {
+        self.tasks.len()
+    }
+
+    fn begin(&mut self, now: Time, pool: &Pool) {
+        for (model, version) in pool.all_named() {
+            let serving = |it: &&(pool::Id, &pool::Server)| it.1.version(model).is_some();
+            let servers: Vec<_> = pool.listed().filter(|it| serving(&it)).collect();
+            let most = ((servers.len() as f64 * AT_ONCE).ceil() as usize).max(1) + FINISHING;
+            let mut old: Vec<_> = servers
+                .into_iter()
+                .filter(|it| it.1.presence == Presence::Ready)
+                .filter(|it| it.1.version(model).is_some_and(|it| it < version))
+                .filter(|it| !self.tasks.contains_key(&it.0))
+                .collect();
+            old.sort_by_key(|it| {
+                (it.1.version(model), it.1.load.map_or(0, |it| it.0.running), it.0)
+            });
+            let active =
+                self.tasks.values().filter(|it| it.model == *model && it.stage != Stage::Resting);
+            let free = most.saturating_sub(active.count());
+            for (id, _) in old.into_iter().take(free) {
+                let task = Task {
+                    model: model.clone(),
+                    version,
+                    stage: Stage::Asking,
+                    since: now,
+                    begun: now,
+                    next: now,
+                    is_open: false,
+                };
+                self.tasks.insert(id, task);
+            }
+        }
+    }
+
+    /// The server told its state; `None` when it didn't answer. Returns the order that follows.
+    pub fn reported(
+        &mut self,
+        now: Time,
+        pool: &Pool,
+        id: pool::Id,
+        report: Option<&Report>,
+    ) -> Option<Step> {
+        let task = self.tasks.get_mut(&id)?;
+        task.is_open = false;
+        task.next = now + LOOK;
+        if STUCK < now.since(task.begun) {
+            task.rest(now);
+            return None;
+        }
+        let Some(report) = report else {
+            task.next = now + AGAIN;
+            return None;
+        };
+        let named = pool.named(&task.model).map_or(task.version, |it| it.0);
+        match task.stage {
+            Stage::Asking if report.is_busy => None,
+            Stage::Asking => Some(task.order(now, id, named, report.orders)),
+            Stage::Ordering(orders) | Stage::Loading(orders) => {
+                let has_begun = report.is_busy || orders < report.orders;
+                if has_begun {
+                    task.since = now;
+                } else if LOST <= now.since(task.since) {
+                    return Some(task.order(now, id, named, report.orders));
+                }
+                if orders < report.orders && !report.is_busy {
+                    // Something else was carried out, such as an older order that came late.
+                    task.stage = Stage::Asking;
+                }
+                None
+            }
+            Stage::Resting => None,
+        }
+    }
+
+    /// The server answered an order, or `None` when the answer was lost.
+    pub fn ordered(&mut self, now: Time, id: pool::Id, reply: Option<OrderReply>) {
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        task.is_open = false;
+        let Stage::Ordering(orders) = task.stage else { return };
+        match reply {
+            Some(OrderReply::Accepted | OrderReply::Holds) => {
+                task.stage = Stage::Loading(orders);
+                task.next = now + FIRST_LOOK;
+            }
+            None => {
+                task.stage = Stage::Loading(orders);
+                task.next = now + LOOK;
+            }
+            Some(OrderReply::Conflict) => {
+                task.stage = Stage::Asking;
+                task.next = now + LOOK;
+            }
+            Some(OrderReply::Fenced | OrderReply::Elsewhere | OrderReply::Refused) => {
+                task.rest(now)
+            }
+        }
+    }
+}
+
+impl Task {
+    fn order(&mut self, now: Time, id: pool::Id, named: u64, orders: u64) -> Step {
+        self.version = named;
+        self.stage = Stage::Ordering(orders);
+        self.since = now;
+        self.is_open = true;
+        Step::Order(id, self.model.clone(), named, orders)
+    }
+
+    fn rest(&mut self, now: Time) {
+        self.stage = Stage::Resting;
+        self.next = now + AGAIN;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,183 @@
+//! The settings file of an instance that runs the reactor: INI, checked before anything is bound.
+
+use std::{
+    fs,
+    net::{IpAddr, SocketAddr},
+    path::Path,
+    str::FromStr,
+    sync::Arc,
+    time::Duration,
+};
+
+use ini::Ini;
+
+use crate::budget;
+
+/// What one instance needs to know before it starts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its data centre.
+    pub centre: Arc<str>,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Where the platform's store is.
+    pub store: SocketAddr,
+    /// Reads and writes a second that the store allows all instances together.
+    pub store_rates: (f64, f64),
+    /// Addresses at which other instances may be met before the store has named them.
+    pub seeds: Vec<SocketAddr>,
+    /// How long callers may keep an answer of the directory.
+    pub ttl: Duration,
+    /// The shared retry budget.
+    pub retries: budget::Terms,
+    /// Orders of two holders of the lease must lie this far apart.
+    pub order_gap: Duration,
+    /// Time between SIGTERM and the process's end by force.
+    pub grace: Duration,
+    /// Log lines a second, from which on lines are dropped and counted.
+    pub log_rate: u32,
+}
+
+/// The addresses of one instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Listen {
+    /// Callers' requests.
+    pub callers: SocketAddr,
+    /// Readiness.
+    pub ready: SocketAddr,
+    /// Which addresses to use.
+    pub directory: SocketAddr,
+    /// Other instances: datagrams and connections.
+    pub peers: SocketAddr,
+    /// Metrics.
+    pub metrics: SocketAddr,
+}
+
+/// Why a settings file can't be used.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// It can't be read or isn't INI.
+    #[error("{path}: {reason}")]
+    File {
+        /// The file.
+        path: String,
+        /// Why.
+        reason: String,
+    },
+    /// A key is missing.
+    #[error("[{section}] {key}: missing; expected {expected}")]
+    Missing {
+        /// Its section.
+        section: &'static str,
+        /// The key.
+        key: &'static str,
+        /// What should stand there.
+        expected: &'static str,
+    },
+    /// A value doesn't fit.
+    #[error("[{section}] {key} = {found}: expected {expected}")]
+    Value {
+        /// Its section.
+        section: &'static str,
+        /// The key.
+        key: &'static str,
+        /// What stands there.
+        found: String,
+        /// What should.
+        expected: &'static str,
+    },
+}
+
+/// Reads and checks the file at `path`.
+pub fn open(path: &Path) -> Result<Settings, Error> {
+    let file = |reason: String| Error::File { path: path.display().to_string(), reason };
+    let text = fs::read_to_string(path).map_err(|it| file(it.to_string()))?;
+    let ini = Ini::load_from_str(&text).map_err(|it| file(it.to_string()))?;
+    read(&ini)
+}
+
+/// Checks settings that stand in `text`.
+pub fn parse(text: &str) -> Result<Settings, Error> {
+    let failed = |it: ini::ParseError| Error::File { path: "-".into(), reason: it.to_string() };
+    read(&Ini::load_from_str(text).map_err(failed)?)
+}
+
+fn read(ini: &Ini) -> Result<Settings, Error> {
+    let millis = |section, key| number(ini, section, key, "a number of milliseconds").map(from_ms);
+    let listen = Listen {
+        callers: address(ini, "listen", "callers")?,
+        ready: address(ini, "listen", "ready")?,
+        directory: address(ini, "listen", "directory")?,
+        peers: address(ini, "listen", "peers")?,
+        metrics: address(ini, "listen", "metrics")?,
+    };
+    Ok(Settings {
+        name: Arc::from(text(ini, "instance", "name", "a name")?),
+        centre: Arc::from(text(ini, "instance", "data_centre", "a name")?),
+        seeds: seeds(ini, listen.peers.port())?,
+        listen,
+        store: address(ini, "store", "address")?,
+        store_rates: (
+            number(ini, "store", "reads_per_second", "a number")?,
+            number(ini, "store", "writes_per_second", "a number")?,
+        ),
+        ttl: millis("directory", "ttl_ms")?,
+        retries: budget::Terms {
+            ratio: number(ini, "retries", "ratio", "a number")?,
+            window: millis("retries", "window_ms")?,
+            slack: number(ini, "retries", "slack", "a number")?,
+        },
+        order_gap: millis("orders", "gap_ms")?,
+        grace: millis("shutdown", "grace_ms")?,
+        log_rate: number(ini, "log", "lines_per_second", "a whole number")?,
+    })
+}
+
+fn from_ms(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms.max(0.0) / 1e3)
+}
+
+/// Seeds name other instances by any of their addresses; they meet at the same port everywhere.
+fn seeds(ini: &Ini, port: u16) -> Result<Vec<SocketAddr>, Error> {
+    let Some(list) = ini.get_from(Some("peers"), "seeds") else { return Ok(Vec::new()) };
+    let entries = list.split(',').map(str::trim).filter(|it| !it.is_empty());
+    entries
+        .map(|it| {
+            let host = it.rsplit_once(':').map_or(it, |it| it.0);
+            let ip = IpAddr::from_str(host).map_err(|_| Error::Value {
+                section: "peers",
+                key: "seeds",
+                found: it.to_owned(),
+                expected: "addresses separated by commas",
+            })?;
+            Ok(SocketAddr::new(ip, port))
+        })
+        .collect()
+}
+
+fn text<'a>(
+    ini: &'a Ini,
+    section: &'static str,
+    key: &'static str,
+    expected: &'static str,
+) -> Result<&'a str, Error> {
+    let found = ini.get_from(Some(section), key).filter(|it| !it.is_empty());
+    found.ok_or(Error::Missing { section, key, expected })
+}
+
+fn number<T: FromStr>(
+    ini: &Ini,
+    section: &'static str,
+    key: &'static str,
+    expected: &'static str,
+) -> Result<T, Error> {
+    let found = text(ini, section, key, expected)?;
+    let value = || Error::Value { section, key, found: found.to_owned(), expected };
+    found.parse().map_err(|_| value())
+}
+
+fn address(ini: &Ini, section: &'static str, key: &'static str) -> Result<SocketAddr, Error> {
+    number(ini, section, key, "IP:PORT")
+}
--- a/crates/shallotlead/src/command.rs
+++ b/crates/shallotlead/src/command.rs
@@ -4,6 +4,7 @@
 pub(crate) mod demo;
 pub(crate) mod entry;
 pub(crate) mod explain;
+pub(crate) mod gateway;
 pub(crate) mod load;
 pub(crate) mod operator;
 pub(crate) mod standin;
@@ -33,6 +34,7 @@
         Command::Demo(arguments) => demo::run(arguments),
         Command::Entry(arguments) => entry::run(arguments),
         Command::Explain(arguments) => client().and_then(|it| explain::run(&arguments, &it)),
+        Command::Gateway(arguments) => gateway::run(arguments),
         Command::Load(arguments) => load::run(arguments),
         Command::Status(arguments) => client().and_then(|it| status::run(&arguments, &it)),
         Command::Table(arguments) => table::run(arguments, client),
@@ -73,6 +75,8 @@
     Entry(entry::Arguments),
     #[options(help = "explain the decisions on a request, or list the latest ones")]
     Explain(explain::Arguments),
+    #[options(help = "run one instance on the users' platform")]
+    Gateway(gateway::Arguments),
     #[options(help = "send a deployment's traffic to running instances")]
     Load(load::Arguments),
     #[options(help = "show instances, versions in force, duties and the platform's health")]
