Keep shared parts in the store of cached prompts, and probe servers that are late

Cause: parts were evicted before their next use, and instances sent requests to silent servers until the connections broke. Requests taken late after SIGTERM are refused as not run.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -1,6 +1,6 @@
 //! The configuration in force: routes, services, organisations and limits.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use shallotlead_base::hash::{self, Map};
 
@@ -64,6 +64,8 @@
     pub max_connections: u32,
     /// Set for model engines.
     pub engine: Option<Engine>,
+    /// Set for a store of cached prompts: its address.
+    pub keeps_cache_at: Option<SocketAddr>,
 }
 
 /// What model engines of one service have in common.
@@ -144,6 +146,11 @@
         Self { version, services, limits, hosts, keys }
     }
 
+    /// The address of the store of cached prompts, if there is one.
+    pub fn cache_store(&self) -> Option<SocketAddr> {
+        self.services.values().filter_map(|it| it.keeps_cache_at).min()
+    }
+
     /// Routes in force.
     pub fn routes(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod pages;
 mod peers;
+mod probe;
 mod stats;
 mod storage;
 
@@ -49,11 +50,14 @@
 const IDLE: Duration = Duration::from_millis(250);
 /// How often idle connections and silent members are looked through.
 const SWEEP: Duration = Duration::from_millis(250);
-/// Time after SIGTERM in which new connections are still taken: callers keep an answer of the
-/// directory for some seconds.
-const ACCEPTING: Duration = Duration::from_millis(3_500);
+/// Time after SIGTERM in which new connections and requests are still taken: callers keep an answer of
+/// the directory for some seconds. What is taken later may not end before the process must.
+const ACCEPTING: Duration = Duration::from_millis(2_000);
 /// Time after SIGTERM from which on idle connections of callers are closed.
 const KEEPING_IDLE: Duration = Duration::from_millis(1_500);
+/// Time after SIGTERM until which the process stays at least, for callers that still hold open
+/// connections.
+const STAYING: Duration = Duration::from_millis(3_000);
 /// Time before the forced end at which the process leaves by itself.
 const BEFORE_FORCE: Duration = Duration::from_millis(400);
 /// The lease under which weights are loaded.
@@ -92,6 +96,7 @@
     dialect: Box<dyn Dialect>,
     net: Net,
     roles: Map<Key, Role>,
+    /// Where callers' connections are accepted; closed while leaving.
     listeners: Vec<Key>,
     now: Time,
     rng: SmallRng,
@@ -102,6 +107,7 @@
     catalog: Option<Arc<Catalog>>,
     pool: Pool,
     memory: Memory,
+    cache_store: probe::CacheStore,
     budget: Budget,
     storage: storage::Storage,
     members: Members,
@@ -166,7 +172,10 @@
         let mut listeners = Vec::new();
         for (address, door) in doors {
             let named = |err: io::Error| io::Error::new(err.kind(), format!("{address}: {err}"));
-            listeners.push(net.listen(address, door).map_err(named)?);
+            let key = net.listen(address, door).map_err(named)?;
+            if door == Door::Callers {
+                listeners.push(key);
+            }
         }
         net.take_datagrams(listen.peers)?;
         // Lives of one instance are told apart by the time of their start.
@@ -204,6 +213,7 @@
             catalog: None,
             pool: Pool::default(),
             memory: Memory::default(),
+            cache_store: probe::CacheStore::default(),
             rollout: Rollout::default(),
             signals,
             leaving_since: None,
@@ -298,6 +308,7 @@
         }
         self.tick_storage();
         self.tick_duties();
+        self.tick_probes();
         self.tick_peers();
         if SWEEP <= self.now.since(self.swept) {
             self.swept = self.now;
@@ -307,9 +318,15 @@
     }
 
     fn sweep(&mut self) {
+        if self.is_closing() {
+            for key in std::mem::take(&mut self.listeners) {
+                self.net.close(key);
+            }
+        }
         self.sweep_callers();
         self.sweep_backends();
         self.sweep_errands();
+        self.sweep_probes();
         for id in self.pool.expire(self.now, self.storage.is_away()) {
             self.server_gone(id, "missing after the store's return");
         }
@@ -350,11 +367,16 @@
         self.leaving_since.is_none() && self.catalog.is_some()
     }
 
+    /// Whether the time in which a leaving instance takes requests is over.
+    fn is_closing(&self) -> bool {
+        self.leaving_since.is_some_and(|it| ACCEPTING <= self.now.since(it))
+    }
+
     fn is_over(&mut self) -> bool {
         let Some(since) = self.leaving_since else { return false };
         let passed = self.now.since(since);
         let force = self.settings.grace.saturating_sub(BEFORE_FORCE);
-        force <= passed || (ACCEPTING <= passed && self.exchanges.is_empty() && self.has_sent_all())
+        force <= passed || (STAYING <= passed && self.exchanges.is_empty() && self.has_sent_all())
     }
 
     fn has_sent_all(&mut self) -> bool {
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -20,7 +20,9 @@
 
 /// Longest time for a connection to come about. A lost opening packet is sent again after a second;
 /// another server is the shorter way.
-const CONNECT: Duration = Duration::from_millis(300);
+const CONNECT: Duration = Duration::from_millis(150);
+/// How much later than expected an answer may begin before its server is asked whether it lives.
+const LATE: Duration = Duration::from_millis(250);
 /// Bytes that a slow caller may leave unread here before its server is held up.
 const MAX_UNSENT: usize = 64 * 1024;
 /// Longest answer that is held until it is complete, so that a broken one can be asked for again.
@@ -35,6 +37,8 @@
     pub(crate) connection: Key,
     pub(crate) sent: Time,
     pub(crate) connect_until: Time,
+    /// When the head of the answer should have come; a server that is later is looked at.
+    pub(crate) expected: Time,
     /// The head of the answer came.
     pub(crate) has_head: bool,
     weights: Option<u64>,
@@ -60,7 +64,6 @@
         };
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(place) else { return };
-        let fetch_from = choice.fetch_from.map(|it| self.pool.get(it).address);
         let server = self.pool.get_mut(choice.server);
         let scope = choice.weights.map(|it| cache_scope(it, exchange.wall()));
         let left = exchange.deadline.since(now);
@@ -71,15 +74,17 @@
             urgency: choice.weights.map(|_| exchange.urgency()),
             cache_scope: scope.as_deref(),
             weights: choice.weights,
-            fetch_from,
+            fetch_from: choice.fetch_from,
+            save_to: choice.save_to,
             last_event: exchange.delivery.last_event,
             body: (exchange.head.framing != Framing::Empty).then_some(exchange.body.len()),
         };
+        let expected = choice.expected() + LATE;
+        let look = now + expected;
         let mut bytes = Vec::with_capacity(1024 + exchange.body.len());
         self.dialect.forward(&exchange.head, &sending, &mut bytes);
         bytes.extend_from_slice(&exchange.body);
         server.inflight += 1;
-        server.health.sent();
         exchange.runs += 1;
         exchange.sends += 1;
         exchange.attempt = Some(Attempt {
@@ -87,6 +92,7 @@
             connection,
             sent: now,
             connect_until: now + CONNECT,
+            expected: now + expected,
             has_head: false,
             weights: choice.weights,
             answer: None,
@@ -123,9 +129,8 @@
         self.net.send(connection, &bytes);
         if is_connecting {
             self.at(now + CONNECT, Timer::Exchange(place, serial));
-        } else if self.exchanges.get(place).is_some_and(Exchange::is_repeatable) {
-            self.at(now + CONNECT * 3, Timer::Exchange(place, serial));
         }
+        self.at(look, Timer::Exchange(place, serial));
     }
 
     /// Ends the attempt, if there is one. `closes`: its connection can't be used again.
@@ -133,9 +138,6 @@
         let attempt = self.exchanges.get_mut(place)?.attempt.take()?;
         let server = self.pool.get_mut(attempt.server);
         server.inflight = server.inflight.saturating_sub(1);
-        if !attempt.has_head {
-            server.health.forget();
-        }
         if closes {
             self.drop_backend(attempt.connection);
         }
@@ -156,9 +158,8 @@
         }
         attempt.has_head = true;
         attempt.answer = Some(head.clone());
-        match head.status {
-            200..500 if !answer.is_not_run => server.health.succeeded(),
-            _ => server.health.forget(),
+        if head.status < 500 && !answer.is_not_run {
+            server.health.succeeded();
         }
         if 500 <= head.status && !answer.is_not_run && server.health.erred(now) {
             let server = attempt.server;
@@ -465,7 +466,23 @@
         }
     }
 
-    fn log_left_out(&mut self, server: pool::Id, reason: &str) {
+    /// A server doesn't answer at all: no request is sent to it until a probe succeeds, and those that
+    /// may run again go elsewhere.
+    pub(crate) fn server_silent(&mut self, server: pool::Id) {
+        if !self.pool.get_mut(server).health.is_silent(self.now) {
+            return;
+        }
+        self.log_left_out(server, "silent");
+        self.drop_idle(server);
+        self.tell_silent(server);
+        let is_there = |it: &Exchange| it.attempt.as_ref().is_some_and(|it| it.server == server);
+        let places = self.exchanges.iter().filter(|it| is_there(it.1) && it.1.is_repeatable());
+        for place in places.map(|it| it.0).collect::<Vec<_>>() {
+            self.try_again(place, "silent");
+        }
+    }
+
+    pub(crate) fn log_left_out(&mut self, server: pool::Id, reason: &str) {
         self.journal
             .line(self.now, "server_left_out")
             .text("server", &self.pool.get(server).name)
--- a/crates/gateway/src/core/errand.rs
+++ b/crates/gateway/src/core/errand.rs
@@ -30,6 +30,10 @@
     Store { sent: Sent, call: Call, pages: Vec<Object>, timeout: Duration },
     /// A backend server's state.
     Report(pool::Id),
+    /// Whether a backend server lives.
+    Probe(pool::Id),
+    /// Whether the store of cached prompts lives.
+    CacheStore,
     /// An order to a backend server.
     Order(pool::Id),
     /// Another instance's knowledge.
@@ -192,6 +196,8 @@
                 self.store_answered(sent, call, pages, timeout, result);
             }
             Purpose::Report(id) => self.server_reported(id, &result),
+            Purpose::Probe(id) => self.server_probed(id, &result),
+            Purpose::CacheStore => self.cache_store_answered(&result),
             Purpose::Order(id) => self.server_ordered(id, &result),
             Purpose::State => self.state_came(&result),
         }
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -71,6 +71,8 @@
 pub(crate) enum Refusal {
     /// No configuration is known yet.
     Starting,
+    /// The instance is shutting down.
+    Leaving,
     /// No route matches.
     NoRoute,
     /// It carries no known key.
@@ -91,13 +93,18 @@
             Self::NoRoute => 404,
             Self::NoKey => 401,
             Self::NoId => 400,
-            Self::Starting | Self::Shortage(_) | Self::TurnedAway | Self::TimeOut => 503,
+            Self::Starting
+            | Self::Leaving
+            | Self::Shortage(_)
+            | Self::TurnedAway
+            | Self::TimeOut => 503,
         }
     }
 
     fn reason(self) -> &'static str {
         match self {
             Self::Starting => "starting",
+            Self::Leaving => "leaving",
             Self::NoRoute => "no-route",
             Self::NoKey => "no-key",
             Self::NoId => "no-id",
@@ -113,6 +120,7 @@
         match self {
             Self::NoRoute | Self::NoKey | Self::NoId => None,
             Self::Starting => Some(STARTING_RETRY_AFTER),
+            Self::Leaving => Some(Duration::ZERO),
             Self::Shortage(_) | Self::TurnedAway | Self::TimeOut => Some(RETRY_AFTER),
         }
     }
@@ -198,6 +206,9 @@
         head: &Request,
         ask: &Ask,
     ) -> Result<(Arc<Route>, Option<Arc<Organisation>>, Arc<str>), Refusal> {
+        if self.is_closing() {
+            return Err(Refusal::Leaving);
+        }
         let Some(catalog) = &self.catalog else { return Err(Refusal::Starting) };
         let (route, organisation) = catalog.route(&ask.host, head.path(), ask.key.as_deref())?;
         let Some(id) = &ask.id else { return Err(Refusal::NoId) };
@@ -209,12 +220,13 @@
     /// Sends the request to the best server, or finds out that none can take it now.
     pub(crate) fn dispatch(&mut self, place: usize) {
         let random = self.random();
-        let Self { exchanges, pool, memory, now, settings, catalog, .. } = self;
+        let Self { exchanges, pool, memory, now, settings, catalog, cache_store, .. } = self;
         let Some(exchange) = exchanges.get(place) else { return };
         let service = catalog.as_ref().and_then(|it| it.services.get(&exchange.service));
         let engine = service.and_then(|it| it.engine.as_ref());
         let wish = Wish {
             fetch_ms: engine.map_or(0.0, |it| it.fetch_ms),
+            store: cache_store.address(),
             capacity: engine.map_or(0.0, |it| f64::from(it.capacity)),
             service: &exchange.service,
             model: exchange.ask.model.as_deref(),
@@ -262,13 +274,20 @@
         let connects_late = attempt.connect_until <= now;
         let awaits_head = !attempt.has_head && repeatable;
         let silent_at = attempt.sent + exchange.silence();
+        let is_late = !attempt.has_head && attempt.expected <= now;
+        let server = attempt.server;
         let connection = attempt.connection;
         if connects_late && self.is_connecting(connection) {
             self.attempt_not_run(place, "connect-timeout", true);
         } else if silent && repeatable {
             self.attempt_broken(place, "silent");
-        } else if awaits_head {
-            self.at(silent_at, Timer::Exchange(place, serial));
+        } else {
+            if awaits_head {
+                self.at(silent_at, Timer::Exchange(place, serial));
+            }
+            if is_late {
+                self.look_at(server);
+            }
         }
     }
 
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -39,6 +39,8 @@
     /// Since when another instance, at this address, has a newer configuration.
     behind: Option<(Time, SocketAddr)>,
     asked: Time,
+    /// Servers that were found silent since the others were told last.
+    silent: Vec<Arc<str>>,
     /// Prompts that were sent since the others were told last.
     placed: Vec<Placement>,
 }
@@ -129,6 +131,7 @@
             weights: self.pool.all_named().map(|it| (it.0.clone(), it.1)).collect(),
             leaving: self.peers.leaving.iter().map(|it| it.0.clone()).collect(),
             loading: self.peers.loading.iter().map(|it| it.0.clone()).collect(),
+            silent: std::mem::take(&mut self.peers.silent),
         };
         self.send_to(targets, &Datagram::News(Box::new(message)));
     }
@@ -140,6 +143,13 @@
         self.tell_all();
     }
 
+    /// A server doesn't answer.
+    pub(crate) fn tell_silent(&mut self, id: pool::Id) {
+        let name = self.pool.get(id).name.clone();
+        self.peers.silent.push(name);
+        self.tell_all();
+    }
+
     /// A server loads other weights, or is done with it.
     pub(crate) fn tell_loading(
         &mut self,
@@ -171,7 +181,7 @@
 
     fn take_news(&mut self, message: Message) {
         let now = self.now;
-        let Message { from, members, configuration, weights, leaving, loading } = message;
+        let Message { from, members, configuration, weights, leaving, loading, silent } = message;
         let address = from.peers;
         self.members.take(now, from);
         for member in members {
@@ -199,6 +209,11 @@
         for it in loading {
             self.told_loading(&it);
         }
+        for name in silent {
+            if let Some(id) = self.pool.find(&name) {
+                self.look_at(id);
+            }
+        }
     }
 
     fn told_loading(&mut self, loading: &Loading) {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -30,6 +30,10 @@
     ) -> Vec<(&'static str, String)>;
     /// The call that asks a backend server for its state.
     fn report_call(&self) -> Errand;
+    /// The call that shows whether the store of cached prompts lives; it waits up to a second.
+    fn cache_call(&self, since: u64) -> Errand;
+    /// Where the next such call goes on, from an answer to the last one.
+    fn cache_reply(&self, body: &[u8]) -> Option<u64>;
     /// Reads a backend server's state.
     fn report(&self, body: &[u8]) -> Option<Report>;
     /// The call that gives an order to a backend server.
@@ -105,6 +109,8 @@
     pub weights: Option<u64>,
     /// Where to fetch cached parts of the prompt from.
     pub fetch_from: Option<SocketAddr>,
+    /// Where to save the parts of the prompt that the server reads.
+    pub save_to: Option<SocketAddr>,
     /// The last event that the caller has, to go on behind it.
     pub last_event: Option<u64>,
     /// Length of the body, if the request has one.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -92,6 +92,9 @@
     pub leaving: Vec<Arc<str>>,
     /// Servers whose weights are being changed.
     pub loading: Vec<Loading>,
+    /// Servers that have just been found silent. Others look for themselves: the sender may be the
+    /// one that is cut off.
+    pub silent: Vec<Arc<str>>,
 }
 
 #[derive(Debug)]
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -2,7 +2,7 @@
 //! for prompt parts that are read again, for weights that are no longer current and for bytes
 //! between data centres.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use shallotlead_base::{
     hash::{self, Map},
@@ -48,6 +48,8 @@
 const FAR_FETCH: f64 = 2.0;
 /// Shared parts below this many tokens aren't fetched: the setup takes as long as reading them.
 const LEAST_FETCHED: u32 = 64;
+/// Shared prefixes below this many tokens aren't kept in the store: they would drive out longer ones.
+const LEAST_STORED: u32 = 1_000;
 /// Weights count as old from this long on after newer ones were named; answers are worth less then.
 const OLD_AFTER: Duration = Duration::from_millis(1_300);
 /// What an answer on old weights costs, ms: a fifth of its worth.
@@ -78,6 +80,8 @@
     pub fetch_ms: f64,
     /// Tokens that fit into a server's memory.
     pub capacity: f64,
+    /// The store of cached prompts, while it lives.
+    pub store: Option<SocketAddr>,
     /// Servers that have turned it away or failed it.
     pub excluded: &'a [pool::Id],
 }
@@ -95,12 +99,21 @@
     pub wait_ms: f64,
     /// The score that won, ms.
     pub score: f64,
-    /// Another server that is expected to hold more of the prompt.
-    pub fetch_from: Option<pool::Id>,
+    /// Where more of the prompt is expected: another server, or the store of cached prompts.
+    pub fetch_from: Option<SocketAddr>,
+    /// Where to save shared parts that are read for the first time.
+    pub save_to: Option<SocketAddr>,
     /// Servers that were weighed.
     pub candidates: u32,
 }
 
+impl Choice {
+    /// Expected time until the answer begins.
+    pub fn expected(&self) -> Duration {
+        Duration::from_secs_f64((self.wait_ms + f64::from(self.unread) / TOKENS_PER_MS) / 1e3)
+    }
+}
+
 /// Why no server can take a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Shortage {
@@ -175,7 +188,7 @@
     let mut shortage = Shortage::NoServer;
     let mut ready = Vec::new();
     for (id, server) in pool.usable(wish.service) {
-        let is_ready = server.health.allows(now) && !server.is_switching(now);
+        let is_ready = server.health.is_in() && !server.is_switching(now);
         if !is_ready || wish.excluded.contains(&id) {
             shortage = Shortage::NoneReady;
             continue;
@@ -262,8 +275,13 @@
     let away = if *server.centre == *wish.centre { 0.0 } else { OTHER_CENTRE_MS * kilobytes };
     let tie = (random.rotate_left(id as u32 % 64) & 0xff) as f64 / 256.0;
     let score = wait_ms + f64::from(unread) / TOKENS_PER_MS + shared_ms + age_ms + away + tie;
-    let fetch_from = source.map(|it| it.id);
-    Choice { server: id, weights, unread, wait_ms, score, fetch_from, candidates: 0 }
+    let common: u32 = shared(wish.parts).iter().map(|it| it.tokens).sum();
+    // What is believed to be held may have been evicted: asking the store costs a millisecond, reading
+    // the parts again a hundred.
+    let store = wish.store.filter(|_| LEAST_STORED <= common);
+    let fetch_from = source.map(|it| it.server.address).or(store);
+    let save_to = store.filter(|_| known.max(held.tokens) < common);
+    Choice { server: id, weights, unread, wait_ms, score, fetch_from, save_to, candidates: 0 }
 }
 
 /// The parts that other requests share: all but the last one.
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -64,6 +64,8 @@
     pub busy_until: Time,
     /// Prompt tokens that instances are known to have sent it.
     pub taken: u64,
+    /// When it was last asked whether it lives, for being late.
+    pub looked_at: Time,
     /// Connections that this instance has to it.
     pub connections: u32,
 }
@@ -88,6 +90,7 @@
             inflight: 0,
             busy_until: Time::ZERO,
             taken: 0,
+            looked_at: Time::ZERO,
             connections: 0,
         }
     }
