--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -60,6 +60,12 @@
         true
     }
 
+    /// Counts a retry that must be made, whatever is left: a caller has part of the answer. The margin
+    /// is kept for these.
+    pub fn force(&mut self, now: Time, service: &Arc<str>) {
+        self.bucket(now, service).2 += 1;
+    }
+
     /// Retries at `service` that are left now.
     pub fn left(&mut self, now: Time, service: &Arc<str>, instances: u32) -> f64 {
         let Terms { ratio, window, slack } = self.terms;
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -23,13 +23,22 @@
 const CONNECT: Duration = Duration::from_millis(150);
 /// How much later than expected an answer may begin before its server is asked whether it lives.
 const LATE: Duration = Duration::from_millis(250);
+/// Retries that are kept back when streams leave a server that works, for those that are turned away
+/// where they go.
+const KEPT_BACK: f64 = 3.0;
+/// How often a stream that has begun is sent again beyond the budget, and the pause before. Without
+/// the bound, streams that every server turns away would be sent hundreds of times.
+const MOST_FORCED: u8 = 3;
+const FORCED_PAUSE: Duration = Duration::from_millis(80);
+/// Why a stream leaves a server that works: it may stay as well.
+const LOADING: &str = "loading";
 /// Bytes that a slow caller may leave unread here before its server is held up.
 const MAX_UNSENT: usize = 64 * 1024;
 /// Longest answer that is held until it is complete, so that a broken one can be asked for again.
 const MAX_WHOLE: usize = 512 * 1024;
-/// How long a server that turned away a request for its weights is left alone: loading takes 0.57 s
-/// at least, and the next entry or answer tells more.
-const OTHER_WEIGHTS: Duration = Duration::from_millis(250);
+/// How long a server that turned away a request for its weights is left alone, unless its own word on
+/// them comes before.
+const OTHER_WEIGHTS: Duration = Duration::from_millis(400);
 
 /// One try of a request.
 pub(crate) struct Attempt {
@@ -43,6 +52,8 @@
     pub(crate) has_head: bool,
     weights: Option<u64>,
     answer: Option<Response>,
+    /// The answer is long and passed on as it comes.
+    is_passed_on: bool,
 }
 
 impl Attempt {
@@ -96,6 +107,7 @@
             has_head: false,
             weights: choice.weights,
             answer: None,
+            is_passed_on: false,
         });
         let load_age = server.load.map_or(Duration::ZERO, |it| now.since(it.1));
         self.journal
@@ -175,7 +187,11 @@
             return self.relay(place, body, done);
         }
         exchange.delivery.pending.extend_from_slice(body);
-        if exchange.delivery.has_begun || MAX_WHOLE < exchange.delivery.pending.len() {
+        // Guards against taking a refusal for the rest of a stream: a stream that goes on at another
+        // server may be turned away there, while its caller already has a head and some events. It
+        // shows as streams that are broken off right after a 503. Only an answer that is being passed
+        // on itself is passed on further.
+        if attempt.is_passed_on || MAX_WHOLE < exchange.delivery.pending.len() {
             return self.pass_on(place);
         }
         if !done {
@@ -199,7 +215,12 @@
             self.attempt_broken(place, "unsigned");
             return false;
         }
-        if 500 <= head.status && exchange.is_repeatable() && !exchange.delivery.has_begun {
+        if exchange.delivery.has_begun {
+            // The caller has another answer's head already.
+            self.attempt_broken(place, "server-error");
+            return false;
+        }
+        if 500 <= head.status && exchange.is_repeatable() {
             if self.try_again(place, "server-error") {
                 return false;
             }
@@ -235,6 +256,9 @@
         }
         self.begin_stream(place, &head);
         let Some(exchange) = self.exchanges.get_mut(place) else { return false };
+        if let Some(attempt) = &mut exchange.attempt {
+            attempt.is_passed_on = true;
+        }
         let body = std::mem::take(&mut exchange.delivery.pending);
         let caller = exchange.caller;
         let mut bytes = Vec::with_capacity(body.len() + 16);
@@ -274,7 +298,9 @@
             }
             self.begin_stream(place, &head);
         }
-        let Some(exchange) = self.exchanges.get(place) else { return false };
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get_mut(place) else { return false };
+        exchange.delivery.last_piece = now;
         let caller = exchange.caller;
         let mut out = Vec::with_capacity(bytes.len() + 24);
         write::chunk(&mut out, &bytes);
@@ -367,6 +393,9 @@
             .text("reason", reason)
             .number("status", head.status)
             .ms("after_ms", now.since(exchange.arrived));
+        if reason == "other-weights" {
+            self.look_at(server);
+        }
         self.attempt_not_run(place, reason, false);
     }
 
@@ -393,8 +422,15 @@
         }
         let instances = self.members.sharers();
         let service = exchange.service.clone();
+        let has_begun = exchange.delivery.has_begun;
         if self.budget.withdraw(self.now, &service, instances) {
             self.dispatch(place);
+        } else if has_begun && exchange.forced < MOST_FORCED {
+            exchange.forced += 1;
+            let serial = exchange.serial;
+            self.budget.force(self.now, &service);
+            // Where it goes on is looked for after a pause: whatever turned it away is still there.
+            self.at(self.now + FORCED_PAUSE, Timer::Exchange(place, serial));
         } else {
             self.give_up(place, Refusal::TurnedAway);
         }
@@ -430,7 +466,11 @@
             return false;
         }
         let service = exchange.service.clone();
-        if !self.budget.withdraw(self.now, &service, instances) {
+        let is_forced =
+            exchange.delivery.has_begun && reason != LOADING && exchange.forced < MOST_FORCED;
+        if is_forced {
+            self.budget.force(self.now, &service);
+        } else if !self.budget.withdraw(self.now, &service, instances) {
             self.journal
                 .line(self.now, "no_budget")
                 .text("request", exchange.id())
@@ -455,6 +495,13 @@
         };
         let places = self.exchanges.iter().filter(|it| is_moved(it.1)).map(|it| it.0);
         for place in places.collect::<Vec<_>>() {
+            let instances = self.members.sharers();
+            let Some(service) = self.exchanges.get(place).map(|it| it.service.clone()) else {
+                continue;
+            };
+            if self.budget.left(self.now, &service, instances) < KEPT_BACK {
+                return;
+            }
             if let Some(exchange) = self.exchanges.get(place) {
                 self.journal
                     .line(self.now, "moved")
@@ -462,7 +509,7 @@
                     .text("server", &self.pool.get(server).name)
                     .number("last_event", exchange.delivery.last_event.unwrap_or(0));
             }
-            self.try_again(place, "loading");
+            self.try_again(place, LOADING);
         }
     }
 
--- a/crates/gateway/src/core/duties.rs
+++ b/crates/gateway/src/core/duties.rs
@@ -7,13 +7,15 @@
         Core,
         errand::{Purpose, Result},
     },
-    dialect::Order,
+    dialect::{Order, Report},
     pool::{self, Switch},
     rollout::Step,
 };
 
 /// How long a server's state or its answer to an order may take.
 const TIMEOUT: Duration = Duration::from_millis(600);
+/// How long a server counts as about to load when no order follows: its holder may have ended.
+const ANNOUNCED: Duration = Duration::from_millis(700);
 /// How long a server counts as loading without further word.
 const LOADING: Duration = Duration::from_secs(4);
 
@@ -38,9 +40,9 @@
                 self.run_errand(address, &errand, TIMEOUT, Purpose::Report(id));
             }
             Step::Announce(id, model, version) => {
-                let until = self.now + LOADING;
+                let until = self.now + ANNOUNCED;
                 self.pool.get_mut(id).switch = Some(Switch { version, until });
-                self.tell_loading(id, &model, version, false);
+                self.tell_loading(id, &model, version, ANNOUNCED);
                 self.move_streams(id);
             }
             Step::Order(id, model, version, orders) => self.order(id, &model, version, orders),
@@ -49,7 +51,11 @@
 
     fn order(&mut self, id: pool::Id, model: &Arc<str>, version: u64, orders: u64) {
         // The right to give orders is looked at right before each of them.
-        let Some(grant) = self.lease.grant(self.now) else { return };
+        let name = self.pool.get(id).name.clone();
+        let Some(grant) = self.lease.order(self.now, &name) else {
+            self.rollout.postpone(self.now, id);
+            return;
+        };
         let server = self.pool.get_mut(id);
         server.switch = Some(Switch { version, until: self.now + LOADING });
         let order = Order {
@@ -70,31 +76,12 @@
             .number("fence", grant.fence)
             .number("expected", orders)
             .number("running", server.load.map_or(0, |it| it.0.running));
+        self.tell_loading(id, model, version, LOADING);
         self.run_errand(address, &errand, TIMEOUT, Purpose::Order(id));
     }
 
     pub(crate) fn server_reported(&mut self, id: pool::Id, result: &Result) {
-        let report = match result {
-            Result::Answered { status: 200, body, .. } => self.dialect.report(body),
-            Result::Answered { .. } | Result::NotSent | Result::Lost => None,
-        };
-        if let Some(report) = &report {
-            let server = self.pool.get_mut(id);
-            server.load = Some((report.load, self.now));
-            let mut news = Vec::new();
-            for (model, version) in &report.models {
-                if server.loaded(self.now, model, *version) {
-                    news.push((model.clone(), *version));
-                }
-            }
-            for (model, version) in news {
-                self.journal
-                    .line(self.now, "loaded")
-                    .text("server", &self.pool.get(id).name)
-                    .number("version", version);
-                self.tell_loading(id, &model, version, true);
-            }
-        }
+        let report = self.take_report(id, result);
         if self.lease.grant(self.now).is_none() {
             return;
         }
@@ -103,6 +90,28 @@
         }
     }
 
+    /// Takes a server's word on its load and its weights.
+    pub(crate) fn take_report(&mut self, id: pool::Id, result: &Result) -> Option<Report> {
+        let Result::Answered { status: 200, body, .. } = result else { return None };
+        let report = self.dialect.report(body)?;
+        let server = self.pool.get_mut(id);
+        server.load = Some((report.load, self.now));
+        let mut news = Vec::new();
+        for (model, version) in &report.models {
+            if server.loaded(self.now, model, *version) {
+                news.push((model.clone(), *version));
+            }
+        }
+        for (model, version) in news {
+            self.journal
+                .line(self.now, "loaded")
+                .text("server", &self.pool.get(id).name)
+                .number("version", version);
+            self.tell_loading(id, &model, version, Duration::ZERO);
+        }
+        Some(report)
+    }
+
     pub(crate) fn server_ordered(&mut self, id: pool::Id, result: &Result) {
         let reply = match result {
             Result::Answered { status, .. } => Some(self.dialect.order_reply(*status)),
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -21,6 +21,9 @@
 /// Part of the aim for which a request may wait for a server before it is refused; a refusal that
 /// comes later than that helps its caller less.
 const WAIT_PART: u32 = 8;
+/// How long a stream may stand still while no server can go on with it: callers leave after a gap of
+/// two seconds.
+const STREAM_WAIT: Duration = Duration::from_millis(1_800);
 /// Pause between two looks for a server.
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
 /// What an answer needs to reach its caller before the deadline.
@@ -47,6 +50,8 @@
     pub(crate) runs: u8,
     /// Servers that it was sent to, whatever became of it.
     pub(crate) sends: u8,
+    /// Times that it was sent beyond the retry budget.
+    pub(crate) forced: u8,
     /// Servers that turned it away or failed it.
     pub(crate) excluded: Vec<pool::Id>,
     pub(crate) attempt: Option<Attempt>,
@@ -62,6 +67,8 @@
     pub(crate) last_event: Option<u64>,
     /// Bytes of an event that isn't complete yet, or of a whole answer.
     pub(crate) pending: Vec<u8>,
+    /// When the last piece was sent.
+    pub(crate) last_piece: Time,
     /// When the first piece was sent.
     pub(crate) first_piece: Option<Time>,
 }
@@ -191,6 +198,7 @@
             deadline,
             runs: 0,
             sends: 0,
+            forced: 0,
             excluded: Vec::new(),
             attempt: None,
             delivery: Delivery { last_event, ..Delivery::default() },
@@ -243,10 +251,14 @@
 
     fn wait_or_refuse(&mut self, place: usize, shortage: Shortage) {
         let Some(exchange) = self.exchanges.get_mut(place) else { return };
-        let patience = exchange.arrived + exchange.route.aim / WAIT_PART;
+        let patience = match exchange.delivery.has_begun {
+            true => exchange.delivery.last_piece + STREAM_WAIT,
+            false => exchange.arrived + exchange.route.aim / WAIT_PART,
+        };
         // A server that is left out for its failures may be all that there is.
         exchange.excluded.clear();
-        if patience <= self.now || shortage == Shortage::OldWeights {
+        let is_final = shortage == Shortage::OldWeights && !exchange.delivery.has_begun;
+        if patience <= self.now || is_final {
             self.give_up(place, Refusal::Shortage(shortage));
             return;
         }
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -27,8 +27,6 @@
 const BEHIND: Duration = Duration::from_millis(200);
 /// Time between two such questions, and how long one may take.
 const ASK_AGAIN: Duration = Duration::from_millis(400);
-/// How long a server counts as loading without further word.
-const LOADING: Duration = Duration::from_secs(4);
 
 /// What is told to other instances, and what is asked of them.
 #[derive(Debug, Default)]
@@ -124,13 +122,14 @@
             return;
         }
         self.members.me_mut().beat += 1;
+        let now = self.now;
         let message = Message {
             from: self.members.me().clone(),
             members: self.members.rumours(self.now),
             configuration: self.catalog.as_ref().map_or(0, |it| it.version),
             weights: self.pool.all_named().map(|it| (it.0.clone(), it.1)).collect(),
             leaving: self.peers.leaving.iter().map(|it| it.0.clone()).collect(),
-            loading: self.peers.loading.iter().map(|it| it.0.clone()).collect(),
+            loading: self.peers.loading.iter().filter_map(|it| remaining(now, it)).collect(),
             silent: std::mem::take(&mut self.peers.silent),
         };
         self.send_to(targets, &Datagram::News(Box::new(message)));
@@ -156,11 +155,12 @@
         id: pool::Id,
         model: &Arc<str>,
         version: u64,
-        is_done: bool,
+        valid: Duration,
     ) {
         let server = self.pool.get(id).name.clone();
         self.peers.loading.retain(|it| it.0.server != server);
-        let loading = Loading { server, model: model.clone(), version, is_done };
+        let valid_ms = valid.as_millis() as u32;
+        let loading = Loading { server, model: model.clone(), version, valid_ms };
         self.peers.loading.push((loading, self.now));
         self.tell_all();
     }
@@ -183,6 +183,9 @@
         let now = self.now;
         let Message { from, members, configuration, weights, leaving, loading, silent } = message;
         let address = from.peers;
+        if from.is_leaving {
+            self.lease.hurry(now);
+        }
         self.members.take(now, from);
         for member in members {
             self.members.take(now, member);
@@ -220,13 +223,18 @@
         let now = self.now;
         let Some(id) = self.pool.find(&loading.server) else { return };
         let server = self.pool.get_mut(id);
-        if loading.is_done {
+        if loading.valid_ms == 0 {
             server.loaded(now, &loading.model, loading.version);
         } else if server.version(&loading.model).unwrap_or(0) < loading.version
-            && server.switch.is_none_or(|it| it.version < loading.version)
+            && server.switch.is_none_or(|it| it.version <= loading.version)
         {
-            server.switch = Some(Switch { version: loading.version, until: now + LOADING });
-            self.move_streams(id);
+            // What is repeated counts from its first word, but for the time that it took.
+            let until = now + Duration::from_millis(u64::from(loading.valid_ms));
+            let is_news = server.switch.is_none();
+            server.switch = Some(Switch { version: loading.version, until });
+            if is_news {
+                self.move_streams(id);
+            }
         }
     }
 
@@ -287,3 +295,14 @@
         }
     }
 }
+
+/// What is left of the time for which a server counts as loading; nothing once it is over.
+fn remaining(now: Time, told: &(Loading, Time)) -> Option<Loading> {
+    let (loading, at) = told;
+    let passed = now.since(*at).as_millis() as u32;
+    match loading.valid_ms {
+        0 => Some(loading.clone()),
+        valid if passed < valid => Some(Loading { valid_ms: valid - passed, ..loading.clone() }),
+        _ => None,
+    }
+}
--- a/crates/gateway/src/core/probe.rs
+++ b/crates/gateway/src/core/probe.rs
@@ -99,6 +99,7 @@
             // so that silence behind an open connection tells nothing.
             Result::Lost => !self.is_engine(id),
         };
+        self.take_report(id, result);
         let server = self.pool.get_mut(id);
         if server.health.is_in() {
             if !is_well {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -49,8 +49,8 @@
     pub model: Arc<str>,
     /// The version.
     pub version: u64,
-    /// Whether it is done.
-    pub is_done: bool,
+    /// How long it counts as loading without further word, ms; zero: it is done.
+    pub valid_ms: u32,
 }
 
 /// One datagram.
@@ -173,8 +173,11 @@
         known.into_iter().take(MAX_MEMBERS).map(|it| it.member.clone()).collect()
     }
 
-    /// This instance's place among those that may hold the lease: the live ones in order of name.
+    /// This instance's place among those that may hold the lease: the ready ones, the youngest first,
+    /// since a rolling restart comes to those that haven't been restarted yet.
     pub fn rank(&self, now: Time) -> usize {
-        self.alive(now).filter(|it| !it.is_leaving && it.name < self.me.name).count()
+        let key = |it: &Member| (std::cmp::Reverse(it.incarnation), it.name.clone());
+        let own = key(&self.me);
+        self.alive(now).filter(|it| it.is_ready && !it.is_leaving && key(it) < own).count()
     }
 }
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 use shallotlead_base::{
+    hash::Map,
     id::Version,
     store::{Call, Key, Object, Reply},
     time::Time,
@@ -30,6 +31,9 @@
 const CANDIDATES: usize = 3;
 /// How much later each next candidate takes over.
 const STAGGER: Duration = Duration::from_millis(500);
+/// How often the record is read while a holder is about to give the lease back, and for how long.
+const HURRY: Duration = Duration::from_millis(40);
+const HURRIED: Duration = Duration::from_millis(400);
 /// Pause after a call that failed.
 const RETRY: Duration = Duration::from_millis(300);
 
@@ -49,7 +53,9 @@
     holder: Arc<str>,
     /// Makes each write's content unique, so that a lost answer can be settled.
     write: u64,
-    released: bool,
+    /// Set when the holder gives the lease back: the servers that it has ordered lately, each with the
+    /// age of the order in milliseconds.
+    released: Option<Vec<(Arc<str>, u64)>>,
 }
 
 #[derive(Debug)]
@@ -63,11 +69,12 @@
     Holding { version: Version, fence: u64, sent: Time, from: Time, renewing: Option<Time> },
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Seen {
     version: Version,
     since: Time,
-    released: bool,
+    /// The orders of the instance that gave it back.
+    released: Option<Vec<(Arc<str>, u64)>>,
     /// It names this life of this instance.
     is_own: bool,
 }
@@ -83,6 +90,12 @@
     is_calling: bool,
     next: Time,
     released: bool,
+    /// When each server was last ordered, by this instance or by the one that gave the lease back.
+    orders: Map<Arc<str>, Time>,
+    /// When each server may be ordered that the predecessor has ordered.
+    others: Map<Arc<str>, Time>,
+    /// Until then the record is read often.
+    hurried_until: Time,
 }
 
 impl Lease {
@@ -97,6 +110,9 @@
             is_calling: false,
             next: Time::ZERO,
             released: false,
+            orders: Map::default(),
+            others: Map::default(),
+            hurried_until: Time::ZERO,
         }
     }
 
@@ -112,9 +128,29 @@
         matches!(self.stage, Stage::Holding { sent, .. } if now < sent + (TERM - MARGIN))
     }
 
+    /// The right to order `server` now, if there is one. Orders of two holders to one server must lie
+    /// apart; the own ones needn't.
+    pub fn order(&mut self, now: Time, server: &Arc<str>) -> Option<Grant> {
+        let grant = self.grant(now)?;
+        if self.others.get(server).is_some_and(|it| now < *it) {
+            return None;
+        }
+        self.orders.insert(server.clone(), now);
+        Some(grant)
+    }
+
     /// Gives the lease back at the next tick. No order may be given any more.
     pub fn release(&mut self) {
         self.released = true;
+        self.next = Time::ZERO;
+    }
+
+    /// The holder is about to give the lease back: look soon.
+    pub fn hurry(&mut self, now: Time) {
+        if matches!(self.stage, Stage::Watching(_)) {
+            self.next = self.next.min(now + HURRY);
+            self.hurried_until = now + HURRIED;
+        }
     }
 
     /// The next call, if one is due. `rank`: this instance's place among the candidates.
@@ -137,13 +173,13 @@
     }
 
     fn call(&mut self, now: Time, rank: usize) -> Option<Call> {
-        match self.stage {
+        match &self.stage {
             Stage::Claiming { .. } => Some(Call::Get(self.key.clone())),
             Stage::Holding { version, .. } => {
+                let put = self.put(now, *version);
                 if self.released {
                     self.stage = Stage::Watching(None);
                 }
-                let put = self.put(version);
                 if let Stage::Holding { renewing, .. } = &mut self.stage {
                     *renewing = Some(now);
                 }
@@ -152,16 +188,24 @@
             Stage::Watching(_) if self.released || CANDIDATES <= rank => None,
             Stage::Watching(seen) => {
                 let patience = TERM + MARGIN + STAGGER * u32::try_from(rank).unwrap_or(u32::MAX);
-                let free = |it: &Seen| it.released || patience <= now.since(it.since);
-                let Some(seen) = seen.filter(free) else {
+                let free = |it: &&Seen| it.released.is_some() || patience <= now.since(it.since);
+                let Some(seen) = seen.as_ref().filter(free).cloned() else {
                     return Some(Call::Get(self.key.clone()));
                 };
                 // The predecessor's last order is not later than the end of its term, which was over
                 // when this instance read an unchanged record a term after it had seen it first.
-                let last = if seen.released { seen.since } else { seen.since + TERM };
-                let from = if seen.is_own { now } else { last + self.gap };
+                // One that gave the lease back has told which servers it has ordered, and when.
+                let from = match &seen.released {
+                    _ if seen.is_own => now,
+                    None => seen.since + TERM + self.gap,
+                    Some(_) => now,
+                };
+                let gap = self.gap;
+                let until = |age: u64| seen.since + gap - Duration::from_millis(age);
+                let orders = seen.released.iter().flatten();
+                self.others = orders.map(|it| (it.0.clone(), until(it.1))).collect();
                 self.stage = Stage::Claiming { sent: now, from };
-                Some(self.put(seen.version))
+                Some(self.put(now, seen.version))
             }
         }
     }
@@ -199,8 +243,14 @@
                 if let Some(object) = found {
                     see(seen, now, &self.me, object);
                 }
-                let is_late = seen.is_some_and(|it| TERM <= now.since(it.since));
-                self.next = now + if rank <= 1 || is_late { LOOK } else { LOOK_LATER };
+                let is_late = seen.as_ref().is_some_and(|it| TERM <= now.since(it.since));
+                let pause = match rank {
+                    _ if now < self.hurried_until => HURRY,
+                    0 | 1 => LOOK,
+                    _ if is_late => LOOK,
+                    _ => LOOK_LATER,
+                };
+                self.next = now + pause;
             }
             (Stage::Claiming { .. } | Stage::Holding { .. }, _) => {
                 let mut seen = None;
@@ -213,10 +263,12 @@
         }
     }
 
-    fn put(&mut self, expected: Version) -> Call {
+    fn put(&mut self, now: Time, expected: Version) -> Call {
         self.writes += 1;
-        let record =
-            Record { holder: self.me.clone(), write: self.writes, released: self.released };
+        let recent = self.orders.iter().filter(|it| now.since(*it.1) < self.gap);
+        let age = |at: Time| now.since(at).as_millis() as u64;
+        let released = self.released.then(|| recent.map(|it| (it.0.clone(), age(*it.1))).collect());
+        let record = Record { holder: self.me.clone(), write: self.writes, released };
         let value = serde_json::to_vec(&record).unwrap_or_default();
         Call::Put { key: self.key.clone(), expected, value: value.into() }
     }
@@ -224,11 +276,11 @@
 
 fn see(seen: &mut Option<Seen>, now: Time, me: &str, object: Option<&Object>) {
     let version = object.map_or(Version(0), |it| it.version);
-    if seen.is_some_and(|it| it.version == version) {
+    if seen.as_ref().is_some_and(|it| it.version == version) {
         return;
     }
     let record = object.and_then(|it| serde_json::from_slice::<Record>(&it.value).ok());
-    let released = record.as_ref().is_some_and(|it| it.released);
-    let is_own = record.is_some_and(|it| *it.holder == *me);
+    let is_own = record.as_ref().is_some_and(|it| *it.holder == *me);
+    let released = record.and_then(|it| it.released);
     *seen = Some(Seen { version, since: now, released, is_own });
 }
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -183,6 +183,15 @@
         }
     }
 
+    /// The order can't be given yet: another holder's may still arrive at the server.
+    pub fn postpone(&mut self, now: Time, id: pool::Id) {
+        if let Some(task) = self.tasks.get_mut(&id) {
+            task.is_open = false;
+            task.stage = Stage::Asking;
+            task.next = now + LOOK;
+        }
+    }
+
     /// The server answered an order, or `None` when the answer was lost.
     pub fn ordered(&mut self, now: Time, id: pool::Id, reply: Option<OrderReply>) {
         let Some(task) = self.tasks.get_mut(&id) else { return };
