--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -60,6 +60,8 @@
 const STAYING: Duration = Duration::from_millis(3_000);
 /// Time before the forced end at which the process leaves by itself.
 const BEFORE_FORCE: Duration = Duration::from_millis(400);
+/// What the thread that writes the log needs for the last lines.
+const LAST_LINES: Duration = Duration::from_millis(20);
 /// The lease under which weights are loaded.
 const LEASE: &str = "weights";
 
@@ -84,10 +86,27 @@
     Errand(usize, u64),
 }
 
-/// The signals that the process was sent.
-struct Signals {
-    term: Arc<AtomicBool>,
-    hup: Arc<AtomicBool>,
+/// What the instance is asked to do from outside its reactor.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Orders {
+    /// Leave in good order.
+    pub(crate) leave: Arc<AtomicBool>,
+    /// The settings file has changed.
+    pub(crate) reload: Arc<AtomicBool>,
+    /// End at once, as a kill would.
+    pub(crate) end: Arc<AtomicBool>,
+}
+
+impl Orders {
+    /// Takes the process's signals as orders.
+    pub(crate) fn from_signals() -> io::Result<Self> {
+        let orders = Self::default();
+        for signal in [SIGTERM, SIGINT] {
+            signal_hook::flag::register(signal, Arc::clone(&orders.leave))?;
+        }
+        signal_hook::flag::register(SIGHUP, Arc::clone(&orders.reload))?;
+        Ok(orders)
+    }
 }
 
 /// One instance.
@@ -116,16 +135,14 @@
     rollout: Rollout,
     journal: Journal,
     stats: Stats,
-    signals: Signals,
+    orders: Orders,
     /// When SIGTERM came.
     leaving_since: Option<Time>,
     swept: Time,
 }
 
-/// Binds all addresses and starts to serve; returns when the process is to end.
-pub(crate) fn run(settings: Settings, dialect: Box<dyn Dialect>) -> io::Result<()> {
-    let signals = Signals::open()?;
-    let mut core = Core::bind(settings, dialect, signals)?;
+/// Serves until the instance is asked to end.
+pub(crate) fn run(mut core: Core) -> io::Result<()> {
     core.announce();
     let mut events = Vec::new();
     while !core.is_over() {
@@ -140,24 +157,17 @@
     core.journal.line(core.now, "stop").number("open_requests", core.exchanges.len());
     core.journal.flush(core.now, true);
     // The writing thread gets the last lines out.
-    std::thread::sleep(Duration::from_millis(20));
+    std::thread::sleep(LAST_LINES);
     Ok(())
 }
 
-impl Signals {
-    fn open() -> io::Result<Self> {
-        let term = Arc::new(AtomicBool::new(false));
-        let hup = Arc::new(AtomicBool::new(false));
-        for signal in [SIGTERM, SIGINT] {
-            signal_hook::flag::register(signal, Arc::clone(&term))?;
-        }
-        signal_hook::flag::register(SIGHUP, Arc::clone(&hup))?;
-        Ok(Self { term, hup })
-    }
-}
-
 impl Core {
-    fn bind(settings: Settings, dialect: Box<dyn Dialect>, signals: Signals) -> io::Result<Self> {
+    /// Binds all addresses.
+    pub(crate) fn bind(
+        settings: Settings,
+        dialect: Box<dyn Dialect>,
+        orders: Orders,
+    ) -> io::Result<Self> {
         let now = clock::now();
         let seed = getrandom::u64().map_err(io::Error::other)?;
         let listen = settings.listen;
@@ -215,7 +225,7 @@
             memory: Memory::default(),
             cache_store: probe::CacheStore::default(),
             rollout: Rollout::default(),
-            signals,
+            orders,
             leaving_since: None,
             swept: now,
             settings,
@@ -303,7 +313,7 @@
 
     /// Runs what is due.
     fn tick(&mut self) {
-        self.take_signals();
+        self.take_orders();
         while let Some(Reverse((at, timer))) = self.timers.peek().copied()
             && at <= self.now
         {
@@ -354,11 +364,11 @@
         next.map_or(IDLE, |it| it.since(self.now).min(IDLE))
     }
 
-    fn take_signals(&mut self) {
-        if self.signals.hup.swap(false, Ordering::Relaxed) {
+    fn take_orders(&mut self) {
+        if self.orders.reload.swap(false, Ordering::Relaxed) {
             self.journal.line(self.now, "reload").text("result", "settings need a restart");
         }
-        if self.leaving_since.is_none() && self.signals.term.load(Ordering::Relaxed) {
+        if self.leaving_since.is_none() && self.orders.leave.load(Ordering::Relaxed) {
             self.leaving_since = Some(self.now);
             self.members.me_mut().is_leaving = true;
             self.members.me_mut().is_ready = false;
@@ -380,6 +390,9 @@
     }
 
     fn is_over(&mut self) -> bool {
+        if self.orders.end.load(Ordering::Relaxed) {
+            return true;
+        }
         let Some(since) = self.leaving_since else { return false };
         let passed = self.now.since(since);
         let force = self.settings.grace.saturating_sub(BEFORE_FORCE);
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -221,10 +221,9 @@
             self.attempt_broken(place, "server-error");
             return false;
         }
-        if 500 <= head.status && exchange.is_repeatable() {
-            if self.try_again(place, "server-error") {
-                return false;
-            }
+        let may_repeat = 500 <= head.status && exchange.is_repeatable();
+        if may_repeat && self.try_again(place, "server-error") {
+            return false;
         }
         let Some(exchange) = self.exchanges.get_mut(place) else { return false };
         let body = std::mem::take(&mut exchange.delivery.pending);
--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -65,7 +65,7 @@
             return None;
         }
         let address = row.address;
-        match self.net.connect(address, self.now) {
+        match self.net.connect(address) {
             Ok(key) => {
                 self.pool.get_mut(server).connections += 1;
                 let backend = Backend {
--- a/crates/gateway/src/core/errand.rs
+++ b/crates/gateway/src/core/errand.rs
@@ -120,7 +120,7 @@
         if let Some((key, _)) = self.roles.iter().find(|it| is_free(it.1, self.now)) {
             return Some(*key);
         }
-        match self.net.connect(address, self.now) {
+        match self.net.connect(address) {
             Ok(key) => {
                 let conn = Conn { address, task: None, reading: None, idle_until: self.now + IDLE };
                 self.roles.insert(key, Role::Errand(conn));
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -64,6 +64,13 @@
     pub(crate) delivery: Delivery,
 }
 
+/// Where a request belongs.
+struct Admitted {
+    route: Arc<Route>,
+    organisation: Option<Arc<Organisation>>,
+    service: Arc<str>,
+}
+
 /// What the caller has of the answer.
 #[derive(Debug, Default)]
 pub(crate) struct Delivery {
@@ -198,7 +205,7 @@
     pub(crate) fn begin(&mut self, caller: Key, head: Request, body: Vec<u8>, arrived: Time) {
         let ask = self.dialect.ask(&head);
         let found = self.admit(&head, &ask);
-        let (route, organisation, service) = match found {
+        let Admitted { route, organisation, service } = match found {
             Ok(it) => it,
             Err(refusal) => {
                 self.refuse(caller, head.keeps_alive(), &ask, refusal, arrived);
@@ -234,11 +241,7 @@
         self.dispatch(place);
     }
 
-    fn admit(
-        &self,
-        head: &Request,
-        ask: &Ask,
-    ) -> Result<(Arc<Route>, Option<Arc<Organisation>>, Arc<str>), Refusal> {
+    fn admit(&self, head: &Request, ask: &Ask) -> Result<Admitted, Refusal> {
         if self.is_closing() {
             return Err(Refusal::Leaving);
         }
@@ -247,7 +250,7 @@
         let Some(id) = &ask.id else { return Err(Refusal::NoId) };
         let service = route.service(id).ok_or(Refusal::Shortage(Shortage::NoServer))?;
         let service = service.clone();
-        Ok((route, organisation, service))
+        Ok(Admitted { route, organisation, service })
     }
 
     /// Sends the request to the best server, or finds out that none can take it now.
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -254,7 +254,7 @@
         let alive: Vec<SocketAddr> = self.members.alive(now).map(|it| it.peers).collect();
         let Some(target) = behind.or_else(|| alive.choose(&mut self.rng).copied()) else { return };
         self.peers.asked = now;
-        let revision = self.storage.entries.values().map(|it| it.0).max().unwrap_or(0);
+        let revision = self.storage.entries.values().map(|it| it.revision).max().unwrap_or(0);
         let entries = if is_away { revision } else { u64::MAX };
         let target_path = format!("{STATE_PATH}?configuration={own}&entries={entries}");
         let errand =
@@ -265,11 +265,11 @@
     /// What this instance knows beyond `configuration` and the revision `entries`.
     pub(crate) fn state(&self, configuration: u64, entries: u64) -> Vec<u8> {
         let newer = self.storage.configuration.as_ref().filter(|it| configuration < it.0);
-        let entries = self.storage.entries.iter().filter(|it| entries < it.1.0);
+        let entries = self.storage.entries.iter().filter(|it| entries < it.1.revision);
         let state = State {
             configuration: newer.map(|it| it.1.to_vec()),
             entries: entries
-                .map(|it| (it.0.clone(), it.1.0, it.1.1.as_ref().map(|it| it.to_vec())))
+                .map(|it| (it.0.clone(), it.1.revision, it.1.value.as_ref().map(|it| it.to_vec())))
                 .collect(),
             weights: self.pool.all_named().map(|it| (it.0.clone(), it.1)).collect(),
         };
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -54,10 +54,18 @@
     /// The configuration as it lies in the store, for instances that can't reach it.
     pub(crate) configuration: Option<(u64, Arc<[u8]>)>,
     /// Servers' entries as they lie in the store, for the same.
-    pub(crate) entries: Map<Arc<str>, (u64, Option<Arc<[u8]>>)>,
+    pub(crate) entries: Map<Arc<str>, Entry>,
     register: Register,
 }
 
+/// A server's entry as it lies in the store.
+pub(crate) struct Entry {
+    /// The revision of its last change.
+    pub(crate) revision: u64,
+    /// Its content; nothing once it was removed.
+    pub(crate) value: Option<Arc<[u8]>>,
+}
+
 /// What an answer is for.
 #[derive(Clone, Copy, Debug)]
 enum Want {
@@ -421,11 +429,11 @@
 
     /// Takes a server's entry, or that it was removed.
     pub(crate) fn take_entry(&mut self, name: &Arc<str>, revision: u64, value: Option<&Arc<[u8]>>) {
-        let known = self.storage.entries.get(name).map_or(0, |it| it.0);
+        let known = self.storage.entries.get(name).map_or(0, |it| it.revision);
         if revision <= known {
             return;
         }
-        self.storage.entries.insert(name.clone(), (revision, value.cloned()));
+        self.storage.entries.insert(name.clone(), Entry { revision, value: value.cloned() });
         let change = match value {
             None => self.pool.remove(self.now, name, revision),
             Some(value) => match self.dialect.server(value) {
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -9,11 +9,13 @@
     io::{self, Write as _},
     sync::mpsc::{self, Receiver, SyncSender, TrySendError},
     thread,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use shallotlead_base::time::Time;
 
+use crate::clock;
+
 /// Lines are handed to the writing thread this often, or when the buffer is full.
 const FLUSH: Duration = Duration::from_millis(400);
 /// Bytes in the buffer from which on it is handed over at once.
@@ -27,6 +29,9 @@
     tx: SyncSender<Vec<u8>>,
     buffer: String,
     instance: Box<str>,
+    /// Time of day at the origin of the clock, ms since 1970. It is taken anew now and then, as the time
+    /// of day may be set.
+    offset: u64,
     flushed: Time,
     rate: u32,
     second: u64,
@@ -50,6 +55,7 @@
             tx,
             buffer: String::new(),
             instance: instance.into(),
+            offset: offset(clock::now()),
             flushed: Time::ZERO,
             rate,
             second: 0,
@@ -71,10 +77,11 @@
             self.dropped += 1;
             return Line { journal: None };
         }
-        let ms = now.as_millis();
+        let ms = self.offset + now.as_millis();
         let Self { buffer, instance, .. } = self;
         // Writing to a string can't fail.
-        let _ = write!(buffer, "{{\"ms\":{ms},\"instance\":\"{instance}\",\"event\":\"{event}\"");
+        let _ =
+            write!(buffer, "{{\"time_ms\":{ms},\"instance\":\"{instance}\",\"event\":\"{event}\"");
         Line { journal: Some(self) }
     }
 
@@ -92,6 +99,7 @@
             return;
         }
         self.flushed = now;
+        self.offset = offset(now);
         if self.told < self.dropped {
             self.told = self.dropped;
             let dropped = self.dropped;
@@ -142,6 +150,11 @@
     }
 }
 
+fn offset(now: Time) -> u64 {
+    let day = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    (day.as_millis() as u64).saturating_sub(now.as_millis())
+}
+
 fn escape(out: &mut String, value: &str) {
     for it in value.chars() {
         match it {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,12 +22,74 @@
 pub mod rollout;
 pub mod settings;
 
-use std::io;
+use std::{
+    io,
+    sync::atomic::Ordering,
+    thread::{self, JoinHandle},
+};
 
+use core::{Core, Orders};
 use dialect::Dialect;
 use settings::Settings;
 
-/// Runs one instance until it is told to leave by a signal.
+/// Runs one instance on this thread until a signal tells the process to leave.
 pub fn run(settings: Settings, dialect: Box<dyn Dialect>) -> io::Result<()> {
-    core::run(settings, dialect)
+    let orders = Orders::from_signals()?;
+    core::run(Core::bind(settings, dialect, orders)?)
+}
+
+/// A running instance on a thread of its own. Dropping it ends it at once, as a kill would.
+#[derive(Debug)]
+pub struct Instance {
+    orders: Orders,
+    thread: Option<JoinHandle<io::Result<()>>>,
+}
+
+/// Binds all addresses and starts to serve.
+pub fn spawn(settings: Settings, dialect: Box<dyn Dialect + Send>) -> io::Result<Instance> {
+    let orders = Orders::default();
+    let theirs = orders.clone();
+    let (tx, rx) = std::sync::mpsc::channel();
+    let thread = thread::Builder::new().name("instance".into()).spawn(move || {
+        let bound = Core::bind(settings, dialect, theirs);
+        let failure = bound.as_ref().err().map(|it| io::Error::new(it.kind(), it.to_string()));
+        // Whoever spawns waits for this.
+        let _ = tx.send(failure);
+        core::run(bound?)
+    })?;
+    match rx.recv() {
+        Ok(None) => Ok(Instance { orders, thread: Some(thread) }),
+        Ok(Some(err)) => Err(err),
+        Err(err) => Err(io::Error::other(err)),
+    }
+}
+
+impl Instance {
+    /// Tells it to leave in good order, and waits until it has.
+    pub fn leave(mut self) -> io::Result<()> {
+        self.orders.leave.store(true, Ordering::Relaxed);
+        self.join()
+    }
+
+    /// Tells it to leave in good order.
+    pub fn begin_to_leave(&self) {
+        self.orders.leave.store(true, Ordering::Relaxed);
+    }
+
+    fn join(&mut self) -> io::Result<()> {
+        match self.thread.take().map(JoinHandle::join) {
+            Some(Ok(result)) => result,
+            Some(Err(_)) => Err(io::Error::other("the instance's thread panicked")),
+            None => Ok(()),
+        }
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.orders.end.store(true, Ordering::Relaxed);
+        if let Err(err) = self.join() {
+            log::error!("an instance ended by an error: {err}");
+        }
+    }
 }
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -15,7 +15,6 @@
     Events, Interest, Poll, Token,
     net::{TcpListener, TcpStream, UdpSocket},
 };
-use shallotlead_base::time::Time;
 use slab::Slab;
 use socket2::{Domain, SockRef, Socket as RawSocket, TcpKeepalive, Type};
 
@@ -145,9 +144,9 @@
     }
 
     /// Starts to connect to `address`.
-    pub(crate) fn connect(&mut self, address: SocketAddr, now: Time) -> io::Result<Key> {
+    pub(crate) fn connect(&mut self, address: SocketAddr) -> io::Result<Key> {
         let stream = TcpStream::connect(address)?;
-        let key = self.add(stream, now)?;
+        let key = self.add(stream)?;
         if let Some(socket) = self.get_mut(key) {
             socket.is_connecting = true;
         }
@@ -186,11 +185,6 @@
         }
     }
 
-    /// Streams that are open.
-    pub(crate) fn streams(&self) -> usize {
-        self.slots.iter().filter(|(_, (_, it))| matches!(it, Slot::Stream(_))).count()
-    }
-
     /// Waits up to `timeout` and appends what happened to `events`.
     pub(crate) fn poll(&mut self, timeout: Duration, events: &mut Vec<Event>) -> io::Result<()> {
         let timeout = if self.unfinished.is_empty() { timeout } else { Duration::ZERO };
@@ -257,14 +251,14 @@
                     return;
                 }
             };
-            match self.add(stream, Time::ZERO) {
+            match self.add(stream) {
                 Ok(key) => events.push(Event::Accepted(key, door)),
                 Err(err) => log::warn!("an accepted connection could not be used: {err}"),
             }
         }
     }
 
-    fn add(&mut self, mut stream: TcpStream, now: Time) -> io::Result<Key> {
+    fn add(&mut self, mut stream: TcpStream) -> io::Result<Key> {
         stream.set_nodelay(true)?;
         let raw = SockRef::from(&stream);
         raw.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
@@ -276,7 +270,7 @@
         let key = self.next_key();
         let interest = Interest::READABLE | Interest::WRITABLE;
         self.poll.registry().register(&mut stream, Token(key.index), interest)?;
-        self.slots.insert((key.serial, Slot::Stream(Socket::new(stream, now))));
+        self.slots.insert((key.serial, Slot::Stream(Socket::new(stream))));
         Ok(key)
     }
 
--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -3,7 +3,6 @@
 use std::io::{ErrorKind, Write};
 
 use mio::net::TcpStream;
-use shallotlead_base::time::Time;
 
 use super::{Event, Key, MAX_UNREAD, read_once};
 
@@ -18,8 +17,6 @@
     output: Vec<u8>,
     /// How much of `output` the kernel has.
     written: usize,
-    /// When this instance started to connect.
-    pub(crate) opened: Time,
     pub(super) is_connecting: bool,
     /// Nothing is read since the input is full.
     pub(super) is_paused: bool,
@@ -29,13 +26,12 @@
 }
 
 impl Socket {
-    pub(super) fn new(stream: TcpStream, opened: Time) -> Self {
+    pub(super) fn new(stream: TcpStream) -> Self {
         Self {
             stream,
             input: Vec::new(),
             output: Vec::new(),
             written: 0,
-            opened,
             is_connecting: false,
             is_paused: false,
             is_ending: false,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -138,11 +138,13 @@
         server.revision = revision;
         server.missing_since = None;
         let was = server.presence;
-        server.take(now, entry).then_some(Change::Loaded(id)).unwrap_or(Change::None).max_with(
-            was,
-            server.presence,
-            id,
-        )
+        let loaded = server.take(now, entry);
+        match (was, server.presence) {
+            (Presence::Ready, Presence::Draining) => Change::Leaving(id),
+            (Presence::Gone, Presence::Ready) => Change::Joined(id),
+            _ if loaded => Change::Loaded(id),
+            _ => Change::None,
+        }
     }
 
     /// A new server has `address`: whoever had it before has ended, though its entry has not lapsed.
@@ -212,14 +214,3 @@
             .filter(move |it| it.1.presence == Presence::Ready && *it.1.service == *service)
     }
 }
-
-impl Change {
-    /// A change of presence goes before one of weights.
-    fn max_with(self, was: Presence, is: Presence, id: Id) -> Self {
-        match (was, is) {
-            (Presence::Ready, Presence::Draining) => Self::Leaving(id),
-            (Presence::Gone, Presence::Ready) => Self::Joined(id),
-            _ => self,
-        }
-    }
-}
--- /dev/null
+++ b/crates/gateway/tests/catalog.rs
@@ -0,0 +1,74 @@
+//! Which route and organisation a request belongs to.
+
+use std::{sync::Arc, time::Duration};
+
+use shallotlead_gateway::catalog::{Catalog, Denial, Limits, Organisation, Repeat, Route, Service};
+
+fn route(name: &str, prefix: &str, is_public: bool) -> Route {
+    Route {
+        name: Arc::from(name),
+        host: "h".into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Once,
+        is_stream: true,
+        timeout: Duration::from_secs(1),
+        aim: Duration::from_millis(if is_public { 300 } else { 500 }),
+        priority: 0,
+        split: vec![(Arc::from("s1"), 90), (Arc::from("s2"), 10)],
+        attempts: 1,
+        is_public,
+    }
+}
+
+fn catalog(keys: Option<Vec<(Box<str>, Arc<Organisation>)>>) -> Catalog {
+    let routes =
+        vec![route("all", "/", true), route("long", "/a/b/", false), route("a", "/a/", false)];
+    let service = Service {
+        name: Arc::from("s1"),
+        max_connections: 10,
+        engine: None,
+        keeps_cache_at: Some("10.0.0.1:80".parse().expect("an address")),
+    };
+    Catalog::new(1, routes, vec![service], keys, Limits::default())
+}
+
+fn organisation() -> Arc<Organisation> {
+    Arc::new(Organisation { name: Arc::from("o"), priority: None, is_isolated: false })
+}
+
+#[test]
+fn longest_prefix_wins() {
+    let catalog = catalog(None);
+    let name = |path: &str| catalog.route("h", path, None).unwrap().0.name.to_string();
+    assert_eq!(name("/a/b/c"), "long");
+    assert_eq!(name("/a/bc"), "a");
+    assert_eq!(name("/x"), "all");
+    assert_eq!(catalog.route("other", "/a/", None).unwrap_err(), Denial::NoRoute);
+}
+
+#[test]
+fn keys_are_needed_unless_the_route_is_public() {
+    let catalog = catalog(Some(vec![("k".into(), organisation())]));
+    assert!(catalog.route("h", "/a/", Some("k")).unwrap().1.is_some());
+    assert_eq!(catalog.route("h", "/a/", Some("x")).unwrap_err(), Denial::NoKey);
+    assert_eq!(catalog.route("h", "/a/", None).unwrap_err(), Denial::NoKey);
+    assert!(catalog.route("h", "/x", None).unwrap().1.is_none());
+}
+
+#[test]
+fn split_follows_its_weights_and_keeps_to_its_choice() {
+    let route = route("a", "/", false);
+    let ids: Vec<String> = (0..2_000).map(|it| format!("r{it}")).collect();
+    let second = ids.iter().filter(|it| **route.service(it).unwrap() == *"s2").count();
+    assert!((120..=280).contains(&second), "{second}");
+    assert_eq!(route.service("r1"), route.service("r1"));
+}
+
+#[test]
+fn shortest_aim_and_cache_store_are_found() {
+    let catalog = catalog(None);
+    assert_eq!(catalog.shortest_aim("s1"), Some(Duration::from_millis(300)));
+    assert_eq!(catalog.shortest_aim("none"), None);
+    assert!(catalog.cache_store().is_some());
+    assert_eq!(catalog.routes(), 3);
+}
--- /dev/null
+++ b/crates/gateway/tests/gossip.rs
@@ -0,0 +1,49 @@
+//! What instances know of each other.
+
+mod support;
+
+use std::sync::Arc;
+
+use shallotlead_gateway::gossip::{Member, Members};
+use support::at;
+
+fn member(name: &str, incarnation: u64, beat: u64) -> Member {
+    Member {
+        name: Arc::from(name),
+        incarnation,
+        beat,
+        centre: Arc::from("a"),
+        callers: "10.0.0.1:1".parse().expect("an address"),
+        peers: "10.0.0.1:2".parse().expect("an address"),
+        is_ready: true,
+        is_leaving: false,
+    }
+}
+
+// An instance dies, and others repeat its last words. They are not newer than what is known, so that
+// it counts as dead in time.
+#[test]
+fn rumours_don_t_keep_the_dead_alive() {
+    let mut members = Members::open(member("me", 1, 0));
+    assert!(members.take(at(0), member("b", 1, 5)));
+    for ms in (0..4_000).step_by(100) {
+        assert!(!members.take(at(ms), member("b", 1, 5)));
+        assert!(!members.take(at(ms), member("b", 1, 4)));
+    }
+    assert_eq!(members.alive(at(2_000)).count(), 1);
+    assert_eq!(members.alive(at(3_500)).count(), 0);
+    assert_eq!(members.sharers(), 2, "it still counts for the shared budget");
+    members.expire(at(31_000));
+    assert_eq!(members.sharers(), 1);
+    assert!(members.take(at(31_000), member("b", 2, 0)), "another life of it is news");
+}
+
+// A rolling restart comes to the instances that have run longest: the youngest keeps a lease longest.
+#[test]
+fn youngest_instance_ranks_first() {
+    let mut members = Members::open(member("me", 5, 0));
+    members.take(at(0), member("older", 3, 0));
+    members.take(at(0), member("younger", 9, 0));
+    members.take(at(0), Member { is_leaving: true, ..member("leaving", 20, 0) });
+    assert_eq!(members.rank(at(0)), 1);
+}
--- /dev/null
+++ b/crates/gateway/tests/http.rs
@@ -0,0 +1,135 @@
+//! Heads and bodies, whole and in pieces.
+
+use proptest::prelude::*;
+use shallotlead_gateway::http::{
+    Error,
+    body::Framing,
+    head::{Request, Response},
+    write,
+};
+
+const MAX: usize = 16_384;
+
+fn request(text: &str) -> Result<Option<Request>, Error> {
+    Request::take(&mut text.as_bytes().to_vec(), MAX)
+}
+
+#[test]
+fn head_is_taken_once_it_is_whole() {
+    let text = b"GET /a?b=c HTTP/1.1\r\nHost: h\r\n\r\nrest";
+    let mut input = Vec::new();
+    for (index, byte) in text.iter().enumerate() {
+        input.push(*byte);
+        if let Some(head) = Request::take(&mut input, MAX).unwrap() {
+            assert_eq!((head.path(), head.query()), ("/a", "b=c"));
+            assert_eq!(index + 1, text.len() - "rest".len());
+            assert!(input.is_empty());
+            return;
+        }
+    }
+    panic!("no head was found");
+}
+
+// Two parties that frame one message differently see a second request in its body. All that has more
+// than one reading is refused.
+#[test]
+fn ambiguous_framing_is_refused() {
+    for fields in [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "Content-Length: 3\r\nContent-Length: 4",
+        "Content-Length: +3",
+        "Content-Length: 3, 4",
+        "Content-Length:",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: xchunked",
+    ] {
+        let text = format!("POST / HTTP/1.1\r\nHost: h\r\n{fields}\r\n\r\nabc");
+        assert_eq!(request(&text).unwrap_err(), Error::Framing, "{fields}");
+    }
+    let same = "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc";
+    assert_eq!(request(same).unwrap().unwrap().framing, Framing::Length(3));
+}
+
+#[test]
+fn long_and_malformed_heads_are_told_apart() {
+    let long = format!("GET / HTTP/1.1\r\nX: {}", "x".repeat(MAX));
+    assert_eq!(request(&long).unwrap_err(), Error::TooLong);
+    assert_eq!(request("GET / HTTP/2.0\r\n\r\n").unwrap_err(), Error::Version);
+    assert_eq!(request("GET /\x01 HTTP/1.1\r\n\r\n").unwrap_err(), Error::Head);
+}
+
+#[test]
+fn interim_responses_are_passed_over() {
+    let text = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    let mut input = text.to_vec();
+    let head = Response::take(&mut input, MAX, false).unwrap().unwrap();
+    assert_eq!((head.status, head.framing, head.closes), (200, Framing::Length(2), false));
+    assert_eq!(input, b"ok");
+}
+
+#[test]
+fn response_without_a_length_lasts_until_the_end() {
+    let mut input = b"HTTP/1.1 200 OK\r\n\r\nsome".to_vec();
+    let head = Response::take(&mut input, MAX, false).unwrap().unwrap();
+    let mut framing = head.framing;
+    let mut body = Vec::new();
+    assert!(head.closes);
+    assert!(!framing.take(&mut input, &mut body).unwrap());
+    assert_eq!(body, b"some");
+}
+
+#[test]
+fn malformed_chunks_are_refused() {
+    for text in ["x\r\n", "\r\n", "3\r\nabcd\r\n", "fffffffffffffffff\r\n", "-1\r\n"] {
+        let mut framing = Framing::chunked();
+        let result = framing.take(&mut text.as_bytes().to_vec(), &mut Vec::new());
+        assert_eq!(result, Err(Error::Body), "{text:?}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn chunks_come_back_whatever_the_pieces(
+        body in proptest::collection::vec(any::<u8>(), 0..600),
+        sizes in proptest::collection::vec(1usize..50, 1..20),
+        pieces in proptest::collection::vec(1usize..40, 1..20),
+    ) {
+        let mut bytes = Vec::new();
+        let mut rest = body.as_slice();
+        for size in sizes.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (chunk, left) = rest.split_at((*size).min(rest.len()));
+            write::chunk(&mut bytes, chunk);
+            rest = left;
+        }
+        bytes.extend_from_slice(write::LAST_CHUNK);
+        bytes.extend_from_slice(b"next");
+        let mut framing = Framing::chunked();
+        let (mut input, mut got, mut done) = (Vec::new(), Vec::new(), false);
+        let mut rest = bytes.as_slice();
+        for piece in pieces.iter().cycle() {
+            let (now, left) = rest.split_at((*piece).min(rest.len()));
+            input.extend_from_slice(now);
+            rest = left;
+            if !done {
+                done = framing.take(&mut input, &mut got).unwrap();
+            }
+            if rest.is_empty() {
+                break;
+            }
+        }
+        prop_assert!(done);
+        prop_assert_eq!(got, body);
+        prop_assert_eq!(input, b"next");
+    }
+
+    #[test]
+    fn no_input_makes_a_parser_panic(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let _ = Request::take(&mut bytes.clone(), 300);
+        let _ = Response::take(&mut bytes.clone(), 300, false);
+        let _ = Framing::chunked().take(&mut bytes.clone(), &mut Vec::new());
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/lease.rs
@@ -0,0 +1,165 @@
+//! The lease for orders: at most one holder, however answers are lost and holders paused.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use proptest::prelude::*;
+use shallotlead_base::{
+    id::Version,
+    store::{Call, Failure, Object, Reply},
+    time::Time,
+};
+use shallotlead_gateway::lease::Lease;
+use support::at;
+
+const GAP: Duration = Duration::from_millis(3_000);
+
+/// A store with one record.
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    object: Option<Object>,
+}
+
+impl Store {
+    fn answer(&mut self, call: &Call) -> Reply {
+        match call {
+            Call::Get(_) => Reply::Got(self.object.clone()),
+            Call::Put { key, expected, value } => {
+                let found = self.object.as_ref().map_or(Version(0), |it| it.version);
+                if found != *expected {
+                    return Reply::Conflict(self.object.clone());
+                }
+                self.revision += 1;
+                let version = Version(self.revision);
+                self.object = Some(Object { key: key.clone(), version, value: value.clone() });
+                Reply::Done(version)
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+fn open(name: &str) -> Lease {
+    Lease::open("weights", Arc::from(name), GAP)
+}
+
+/// Runs one step of `lease` with an answer at once.
+fn step(lease: &mut Lease, store: &mut Store, now: Time, rank: usize) {
+    if let Some(call) = lease.tick(now, rank) {
+        let reply = store.answer(&call);
+        lease.reply(now, rank, &reply);
+    }
+}
+
+/// Runs `lease` alone until it may give orders.
+fn take(lease: &mut Lease, store: &mut Store, from: u64) -> u64 {
+    for ms in (from..from + 30_000).step_by(20) {
+        step(lease, store, at(ms), 0);
+        if lease.grant(at(ms)).is_some() {
+            return ms;
+        }
+    }
+    panic!("the lease was never granted");
+}
+
+// The holder is suspended for longer than its term, wakes and goes on as if nothing had happened. By
+// its own clock, which went on, its right is over before it can give another order.
+#[test]
+fn suspended_holder_has_no_right_left() {
+    let (mut store, mut lease) = (Store::default(), open("a"));
+    let ms = take(&mut lease, &mut store, 0);
+    assert!(lease.order(at(ms + 1_000), &Arc::from("e1")).is_some());
+    assert!(lease.order(at(ms + 4_000), &Arc::from("e1")).is_none());
+}
+
+// The holder dies. The successor's first order comes a whole gap after the last one that the holder
+// can have given.
+#[test]
+fn successor_waits_for_the_last_orders() {
+    let (mut store, mut first, mut second) = (Store::default(), open("a"), open("b"));
+    let start = take(&mut first, &mut store, 0);
+    let mut last = start;
+    for ms in (start..start + 2_000).step_by(20) {
+        step(&mut first, &mut store, at(ms), 0);
+        step(&mut second, &mut store, at(ms), 1);
+        if first.order(at(ms), &Arc::from("e1")).is_some() {
+            last = ms;
+        }
+    }
+    let ms = take(&mut second, &mut store, start + 2_000);
+    assert!(last + 3_000 <= ms, "last order at {last}, next at {ms}");
+    assert!(ms <= last + 6_500, "too late for weights that are to load in eight seconds: {ms}");
+}
+
+// A rolling restart passes the lease on every few seconds. The next holder may order servers at once
+// that the one before has not ordered lately, else weights would never load.
+#[test]
+fn lease_that_is_given_back_is_taken_at_once() {
+    let (mut store, mut first, mut second) = (Store::default(), open("a"), open("b"));
+    let start = take(&mut first, &mut store, 0);
+    let (ordered, other): (Arc<str>, Arc<str>) = (Arc::from("e1"), Arc::from("e2"));
+    assert!(first.order(at(start), &ordered).is_some());
+    first.release();
+    second.hurry(at(start));
+    let mut taken = None;
+    for ms in (start..start + 1_000).step_by(20) {
+        step(&mut first, &mut store, at(ms), 0);
+        step(&mut second, &mut store, at(ms), 1);
+        assert!(first.grant(at(ms)).is_none());
+        if second.order(at(ms), &other).is_some() {
+            taken = Some(ms);
+            break;
+        }
+    }
+    let ms = taken.expect("the other server can be ordered");
+    assert!(second.order(at(ms), &ordered).is_none(), "orders of two holders lie too close");
+    let mut again = ms;
+    while second.order(at(again), &ordered).is_none() {
+        step(&mut second, &mut store, at(again), 1);
+        again += 20;
+        assert!(again < start + 5_000);
+    }
+    assert!(start + 3_000 <= again);
+}
+
+proptest! {
+    // Instances are suspended and their calls fail, at random. No two of them have the right to order
+    // the same server at the same time, and tokens only grow.
+    #[test]
+    fn one_holder_at_a_time(events in proptest::collection::vec((0usize..3, 0u8..12), 50..400)) {
+        let mut store = Store::default();
+        let mut leases: Vec<Lease> = ["a", "b", "c"].map(open).into();
+        let mut asleep = [0u64; 3];
+        let mut fences = Vec::new();
+        for (step, (index, event)) in events.into_iter().enumerate() {
+            let ms = step as u64 * 200;
+            match event {
+                0 => asleep[index] = ms + 4_000,
+                1 => leases[index].hurry(at(ms)),
+                _ => {}
+            }
+            for (rank, lease) in leases.iter_mut().enumerate() {
+                if ms < asleep[rank] {
+                    continue;
+                }
+                let Some(call) = lease.tick(at(ms), rank) else { continue };
+                let reply = match (event, &call) {
+                    // The scheduler has settled what was lost, or given up.
+                    (2, _) => Reply::Failed(Failure::NotApplied { retry_after: Duration::ZERO }),
+                    (3, Call::Put { .. }) => {
+                        store.answer(&call);
+                        Reply::Failed(Failure::Unknown)
+                    }
+                    _ => store.answer(&call),
+                };
+                lease.reply(at(ms), rank, &reply);
+            }
+            let grants: Vec<_> = leases.iter().filter_map(|it| it.grant(at(ms))).collect();
+            prop_assert!(grants.len() <= 1, "{:?}", grants);
+            fences.extend(grants.iter().map(|it| it.fence));
+        }
+        prop_assert!(fences.is_sorted());
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/placement.rs
@@ -0,0 +1,161 @@
+//! Which server runs a prompt.
+
+mod support;
+
+use std::sync::Arc;
+
+use shallotlead_base::time::Time;
+use shallotlead_gateway::{
+    dialect::Part,
+    gossip::Placement,
+    placement::{self, Choice, Memory, Shortage, Wish, choose},
+    pool::{Pool, Switch},
+};
+use support::{MODEL, at, entry, pool, prompt, wish};
+
+/// Sends the prompt to the chosen server, as all instances hear of it.
+fn send(pool: &mut Pool, memory: &mut Memory, now: Time, wish: &Wish<'_>) -> Choice {
+    let choice = choose(pool, memory, now, wish, 7).expect("a server is ready");
+    let placement = Placement {
+        server: pool.get(choice.server).name.clone(),
+        scope: placement::scope(choice.weights, wish.wall),
+        parts: wish.parts[..wish.parts.len() - 1].to_vec(),
+        tokens: wish.parts.iter().map(|it| it.tokens).sum(),
+        unread: choice.unread,
+    };
+    memory.placed(now, pool, choice.server, &placement);
+    choice
+}
+
+// Requests about one history follow each other. The first one is read at one server; the others find
+// it there and read their own part only.
+#[test]
+fn prompt_goes_where_its_parts_are() {
+    let (mut pool, mut memory) = (pool(9), Memory::default());
+    let first = send(&mut pool, &mut memory, at(0), &wish(&prompt(1, 1)));
+    assert_eq!(first.unread, 9_200);
+    let second = send(&mut pool, &mut memory, at(1_000), &wish(&prompt(1, 2)));
+    assert_eq!((second.server, second.unread), (first.server, 2_900));
+}
+
+// A history is hot. Its server gets a queue, and another one fetches the parts instead of reading
+// them again.
+#[test]
+fn busy_holder_is_a_source() {
+    let (mut pool, mut memory) = (pool(9), Memory::default());
+    let first = send(&mut pool, &mut memory, at(0), &wish(&prompt(1, 1)));
+    let mut others = Vec::new();
+    for own in 2..12 {
+        let choice = send(&mut pool, &mut memory, at(1_000), &wish(&prompt(1, own)));
+        if choice.server != first.server {
+            others.push(choice);
+        }
+    }
+    assert!(!others.is_empty());
+    let address = pool.get(first.server).address;
+    assert!(others.iter().any(|it| it.fetch_from == Some(address) && it.unread == 2_900));
+}
+
+// Instances don't hear of each other's sends. A history that none of them knows is read at the same
+// server all the same.
+#[test]
+fn unknown_parts_have_one_home() {
+    let pool = pool(9);
+    for history in 0..50 {
+        let parts = prompt(history, 1);
+        let choices: Vec<_> = (0..7)
+            .map(|seed| choose(&pool, &Memory::default(), at(0), &wish(&parts), seed << 40))
+            .map(|it| it.unwrap().server)
+            .collect();
+        assert!(choices.iter().all(|it| *it == choices[0]), "{choices:?}");
+    }
+}
+
+// Parts that were read with older weights are of no use to a server that has newer ones.
+#[test]
+fn parts_of_other_weights_and_walls_don_t_count() {
+    let (mut pool, mut memory) = (pool(1), Memory::default());
+    send(&mut pool, &mut memory, at(0), &wish(&prompt(1, 1)));
+    pool.get_mut(0).loaded(at(500), &Arc::from(MODEL), 2);
+    let after = choose(&pool, &memory, at(1_000), &wish(&prompt(1, 2)), 7).unwrap();
+    assert_eq!((after.weights, after.unread), (Some(2), 9_200));
+    let parts = prompt(1, 3);
+    let walled = Wish { wall: Some("o"), ..wish(&parts) };
+    assert_ne!(placement::scope(Some(2), Some("o")), placement::scope(Some(2), None));
+    assert_eq!(choose(&pool, &memory, at(1_000), &walled, 7).unwrap().unread, 9_200);
+}
+
+// A server's memory is full of newer prompts. What was read there first is no longer believed.
+#[test]
+fn evicted_parts_are_forgotten() {
+    let (mut pool, mut memory) = (pool(1), Memory::default());
+    send(&mut pool, &mut memory, at(0), &wish(&prompt(1, 1)));
+    for history in 2..14 {
+        send(&mut pool, &mut memory, at(history * 300), &wish(&prompt(history, history)));
+    }
+    let again = choose(&pool, &memory, at(9_000), &wish(&prompt(1, 99)), 7).unwrap();
+    assert_eq!(again.unread, 9_200 - 2_500, "the first part is shared by all and stays");
+}
+
+// Newer weights were named a while ago, and one of three servers has them. It is preferred, but not
+// at any price; later nothing may begin on the old ones.
+#[test]
+fn current_weights_are_preferred_then_required() {
+    let mut pool = pool(3);
+    pool.name_weights(at(0), &Arc::from(MODEL), 2);
+    pool.get_mut(1).loaded(at(600), &Arc::from(MODEL), 2);
+    let parts = [Part { id: 5, tokens: 300 }];
+    let chosen = |pool: &Pool, ms| choose(pool, &Memory::default(), at(ms), &wish(&parts), 7);
+    assert_eq!(chosen(&pool, 2_000).unwrap().server, 1);
+    pool.get_mut(1).busy_until = at(2_500);
+    assert_ne!(chosen(&pool, 2_000).unwrap().server, 1);
+    pool.get_mut(1).busy_until = at(9_000);
+    assert_eq!(chosen(&pool, 7_000).unwrap().server, 1);
+    pool.get_mut(1).switch = Some(Switch { version: 3, until: at(9_000) });
+    assert_eq!(chosen(&pool, 7_000).unwrap_err(), Shortage::OldWeights);
+}
+
+// Weights are named every three seconds. A server that is two versions behind counts from the time at
+// which its own were replaced first, not from the newest naming.
+#[test]
+fn age_counts_from_the_first_replacement() {
+    let mut pool = pool(1);
+    for version in 2..5 {
+        pool.name_weights(at(version * 3_000 - 6_000), &Arc::from(MODEL), version);
+    }
+    let parts = [Part { id: 5, tokens: 300 }];
+    let result = choose(&pool, &Memory::default(), at(6_500), &wish(&parts), 7);
+    assert_eq!(result.unwrap_err(), Shortage::OldWeights);
+}
+
+#[test]
+fn servers_that_are_out_are_passed_over() {
+    let mut pool = pool(3);
+    pool.get_mut(0).health.is_silent(at(0));
+    pool.get_mut(1).switch = Some(Switch { version: 2, until: at(1_000) });
+    let parts = [Part { id: 5, tokens: 300 }];
+    let chosen = |pool: &Pool, excluded: &[usize]| {
+        choose(pool, &Memory::default(), at(0), &Wish { excluded, ..wish(&parts) }, 7)
+    };
+    assert_eq!(chosen(&pool, &[]).unwrap().server, 2);
+    assert_eq!(chosen(&pool, &[2]).unwrap_err(), Shortage::NoneReady);
+    assert_eq!(
+        choose(&Pool::default(), &Memory::default(), at(0), &wish(&parts), 7).unwrap_err(),
+        Shortage::NoServer
+    );
+}
+
+// Bytes between data centres are paid for: without a queue a request stays where it came in.
+#[test]
+fn own_data_centre_is_preferred() {
+    let mut pool = pool(0);
+    for number in 0..6 {
+        let centre = if number % 2 == 0 { "b" } else { "a" };
+        pool.put(at(0), &Arc::from(format!("e{number}")), 10, entry(number, centre, 1));
+    }
+    let parts = [Part { id: 5, tokens: 300 }];
+    for seed in 0..20u64 {
+        let choice = choose(&pool, &Memory::default(), at(0), &wish(&parts), seed << 33).unwrap();
+        assert_eq!(&*pool.get(choice.server).centre, "a");
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/pool.rs
@@ -0,0 +1,83 @@
+//! Which servers are there, and which of them can be relied on.
+
+mod support;
+
+use std::sync::Arc;
+
+use shallotlead_gateway::pool::{Change, Health, Presence};
+use support::{at, entry, pool};
+
+fn name(number: u8) -> Arc<str> {
+    Arc::from(format!("e{number}"))
+}
+
+// The store is away, and all entries lapse. They are back within two seconds of its return; in between
+// the whole pool must not be forgotten.
+#[test]
+fn entries_that_lapsed_with_the_store_may_come_back() {
+    let mut pool = pool(2);
+    pool.store_returned(at(1_000));
+    assert_eq!(pool.remove(at(1_100), "e0", 50), Change::None);
+    assert_eq!(pool.remove(at(1_100), "e1", 51), Change::None);
+    assert_eq!(pool.usable(support::SERVICE).count(), 2);
+    pool.put(at(2_000), &name(0), 60, entry(0, "a", 1));
+    assert!(pool.expire(at(2_500), false).is_empty());
+    assert_eq!(pool.expire(at(3_300), false), [1]);
+    assert_eq!(pool.usable(support::SERVICE).count(), 1);
+}
+
+#[test]
+fn removal_without_an_outage_counts_at_once() {
+    let mut pool = pool(2);
+    assert_eq!(pool.remove(at(100), "e0", 50), Change::Gone(0));
+    assert_eq!(pool.remove(at(100), "e0", 51), Change::None);
+    assert_eq!(pool.retain(at(200), &[], 60), [Change::Gone(1)]);
+}
+
+// A watch brings an older entry after a newer one. A server that leaves doesn't come back by it.
+#[test]
+fn older_entries_change_nothing() {
+    let mut pool = pool(1);
+    let mut leaving = entry(0, "a", 1);
+    leaving.is_draining = true;
+    assert_eq!(pool.put(at(0), &name(0), 9, leaving), Change::Leaving(0));
+    assert_eq!(pool.put(at(0), &name(0), 8, entry(0, "a", 1)), Change::None);
+    assert_eq!(pool.put(at(0), &name(0), 10, entry(0, "a", 2)), Change::Loaded(0));
+    assert_eq!(pool.get(0).presence, Presence::Draining);
+}
+
+// A server crashes and starts again at its address under another name. The old one's entry hasn't
+// lapsed yet, but nothing should be sent to it.
+#[test]
+fn address_belongs_to_the_newest_server() {
+    let mut pool = pool(1);
+    assert_eq!(pool.put(at(0), &Arc::from("new"), 20, entry(0, "a", 1)), Change::Joined(1));
+    assert_eq!(pool.get(0).presence, Presence::Gone);
+    assert_eq!(pool.get(1).presence, Presence::Ready);
+}
+
+#[test]
+fn failures_in_a_row_take_a_server_out_until_a_probe_succeeds() {
+    let mut health = Health::default();
+    assert!(!health.failed(at(0)));
+    assert!(health.failed(at(1)));
+    assert!(!health.is_in());
+    assert!(!health.probe(at(100)));
+    assert!(health.probe(at(400)));
+    assert!(!health.probe(at(400)), "one probe at a time");
+    assert!(!health.probed(at(450), false));
+    assert!(!health.probe(at(800)), "the pause has doubled");
+    assert!(health.probe(at(1_200)));
+    assert!(health.probed(at(1_210), true));
+    assert!(health.is_in());
+    assert!(health.failed(at(1_300)), "one more failure is enough now");
+}
+
+// Some requests end in errors at every server. They must not take the servers out one by one.
+#[test]
+fn errors_alone_take_nobody_out() {
+    let mut health = Health::default();
+    for ms in 0..1_000 {
+        assert!(!health.erred(at(ms)));
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/rollout.rs
@@ -0,0 +1,144 @@
+//! Bringing weights to servers.
+
+mod support;
+
+use std::sync::Arc;
+
+use shallotlead_gateway::{
+    dialect::{OrderReply, Report},
+    pool::{self, Pool},
+    rollout::{Rollout, Step},
+};
+use support::{MODEL, at, pool};
+
+/// Engines that take `load_ms` from an order on.
+struct Engines {
+    orders: Vec<u64>,
+    loading: Vec<Option<(u64, u64)>>,
+    load_ms: u64,
+    /// Orders of which the answer is lost; they are not carried out either.
+    lost: u32,
+    most_at_once: usize,
+}
+
+impl Engines {
+    fn open(count: usize, load_ms: u64) -> Self {
+        let (orders, loading) = (vec![0; count], vec![None; count]);
+        Self { orders, loading, load_ms, lost: 0, most_at_once: 0 }
+    }
+
+    fn report(&self, pool: &Pool, id: pool::Id) -> Report {
+        let version = pool.get(id).version(MODEL).expect("all serve the model");
+        Report {
+            models: vec![(Arc::from(MODEL), version)],
+            is_busy: self.loading[id].is_some(),
+            orders: self.orders[id],
+            ..Report::default()
+        }
+    }
+
+    /// Runs until `until_ms`; returns when the last server had the newest weights.
+    fn run(&mut self, pool: &mut Pool, rollout: &mut Rollout, from: u64, until_ms: u64) -> u64 {
+        let mut last = 0;
+        for ms in (from..until_ms).step_by(10) {
+            for id in 0..self.orders.len() {
+                if let Some((version, end)) = self.loading[id]
+                    && end <= ms
+                {
+                    self.loading[id] = None;
+                    pool.get_mut(id).loaded(at(ms), &Arc::from(MODEL), version);
+                    last = ms;
+                }
+            }
+            let mut steps = rollout.tick(at(ms), pool);
+            while let Some(step) = steps.pop() {
+                match step {
+                    Step::Announce(..) => {}
+                    Step::Ask(id) => {
+                        let report = self.report(pool, id);
+                        steps.extend(rollout.reported(at(ms), pool, id, Some(&report)));
+                    }
+                    Step::Order(id, _, version, expected) => {
+                        if 0 < self.lost {
+                            self.lost -= 1;
+                            rollout.ordered(at(ms), id, None);
+                            continue;
+                        }
+                        assert_eq!(expected, self.orders[id]);
+                        self.orders[id] += 1;
+                        self.loading[id] = Some((version, ms + self.load_ms));
+                        rollout.ordered(at(ms), id, Some(OrderReply::Accepted));
+                    }
+                }
+            }
+            let loading = self.loading.iter().flatten().count();
+            self.most_at_once = self.most_at_once.max(loading);
+        }
+        last
+    }
+}
+
+fn versions(pool: &Pool) -> Vec<u64> {
+    pool.listed().filter_map(|it| it.1.version(MODEL)).collect()
+}
+
+#[test]
+fn all_servers_load_a_few_at_a_time() {
+    let (mut pool, mut rollout) = (pool(9), Rollout::default());
+    pool.name_weights(at(0), &Arc::from(MODEL), 2);
+    let mut engines = Engines::open(9, 570);
+    let last = engines.run(&mut pool, &mut rollout, 0, 8_000);
+    assert_eq!(versions(&pool), [2; 9]);
+    assert_eq!(engines.orders, [1; 9]);
+    assert!(engines.most_at_once <= 4, "{}", engines.most_at_once);
+    assert!(last <= 3_500, "{last}");
+}
+
+// The next weights are named while the first are still being loaded. Servers that have neither get
+// the newest only.
+#[test]
+fn version_that_was_overtaken_is_skipped() {
+    let (mut pool, mut rollout) = (pool(9), Rollout::default());
+    let mut engines = Engines::open(9, 570);
+    pool.name_weights(at(0), &Arc::from(MODEL), 2);
+    engines.run(&mut pool, &mut rollout, 0, 1_000);
+    pool.name_weights(at(1_000), &Arc::from(MODEL), 3);
+    engines.run(&mut pool, &mut rollout, 1_000, 10_000);
+    assert_eq!(versions(&pool), [3; 9]);
+    assert!(engines.orders.iter().sum::<u64>() < 18);
+}
+
+// Orders are lost. They are given again, and no server stays behind.
+#[test]
+fn lost_orders_are_repeated() {
+    let (mut pool, mut rollout) = (pool(4), Rollout::default());
+    pool.name_weights(at(0), &Arc::from(MODEL), 2);
+    let mut engines = Engines::open(4, 570);
+    engines.lost = 3;
+    engines.run(&mut pool, &mut rollout, 0, 12_000);
+    assert_eq!(versions(&pool), [2; 4]);
+}
+
+// A server never answers. It must not keep the others from their weights.
+#[test]
+fn server_that_is_stuck_holds_nobody_up() {
+    let (mut pool, mut rollout) = (pool(9), Rollout::default());
+    pool.name_weights(at(0), &Arc::from(MODEL), 2);
+    let mut engines = Engines::open(9, 570);
+    for ms in (0..20_000).step_by(10) {
+        for step in rollout.tick(at(ms), &pool) {
+            if let Step::Ask(0) = step {
+                rollout.reported(at(ms), &pool, 0, None);
+            } else if let Step::Ask(id) = step {
+                let report = engines.report(&pool, id);
+                let order = rollout.reported(at(ms), &pool, id, Some(&report));
+                if let Some(Step::Order(id, _, version, _)) = order {
+                    engines.orders[id] += 1;
+                    rollout.ordered(at(ms), id, Some(OrderReply::Accepted));
+                    pool.get_mut(id).loaded(at(ms), &Arc::from(MODEL), version);
+                }
+            }
+        }
+    }
+    assert_eq!(versions(&pool)[1..], [2; 8]);
+}
--- /dev/null
+++ b/crates/gateway/tests/settings.rs
@@ -0,0 +1,31 @@
+//! Settings are checked before anything is bound.
+
+use shallotlead_gateway::settings::{Error, parse};
+
+const VALID: &str = "\
+[instance]\nname = i1\ndata_centre = a\n\
+[listen]\ncallers = 127.0.0.1:1\nready = 127.0.0.1:2\ndirectory = 127.0.0.1:3\n\
+peers = 127.0.0.1:4\nmetrics = 127.0.0.1:5\n\
+[store]\naddress = 127.0.0.1:6\nreads_per_second = 2000\nwrites_per_second = 400\n\
+[peers]\nseeds = 127.0.0.2:9, 127.0.0.3:9\n[directory]\nttl_ms = 5000\n\
+[retries]\nratio = 0.2\nwindow_ms = 10000\nslack = 54\n\
+[orders]\ngap_ms = 3000\n[shutdown]\ngrace_ms = 8000\n[log]\nlines_per_second = 400\n";
+
+#[test]
+fn seeds_are_met_at_the_port_of_peers() {
+    let settings = parse(VALID).unwrap();
+    let seeds: Vec<String> = settings.seeds.iter().map(ToString::to_string).collect();
+    assert_eq!(seeds, ["127.0.0.2:4", "127.0.0.3:4"]);
+    assert!(parse(&VALID.replace("127.0.0.2:9, 127.0.0.3:9", "")).unwrap().seeds.is_empty());
+}
+
+#[test]
+fn error_names_section_key_and_what_was_expected() {
+    let missing = parse(&VALID.replace("name = i1\n", "")).unwrap_err();
+    assert_eq!(missing.to_string(), "[instance] name: missing; expected a name");
+    let wrong = parse(&VALID.replace("callers = 127.0.0.1:1", "callers = here")).unwrap_err();
+    assert_eq!(wrong.to_string(), "[listen] callers = here: expected IP:PORT");
+    let seeds = parse(&VALID.replace("127.0.0.3:9", "there:9")).unwrap_err();
+    assert!(matches!(seeds, Error::Value { section: "peers", key: "seeds", .. }));
+    assert!(matches!(parse("[x").unwrap_err(), Error::File { .. }));
+}
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,67 @@
+//! Pools of servers for the tests of decisions.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::sync::Arc;
+
+use shallotlead_base::time::Time;
+use shallotlead_gateway::{
+    dialect::{Part, ServerEntry},
+    placement::Wish,
+    pool::Pool,
+};
+
+pub(crate) const MODEL: &str = "m0";
+pub(crate) const SERVICE: &str = "pool";
+
+/// The time `ms` after a start that is far from the clock's origin.
+pub(crate) fn at(ms: u64) -> Time {
+    Time::from_millis(1_000_000 + ms)
+}
+
+pub(crate) fn entry(number: u8, centre: &str, version: u64) -> ServerEntry {
+    ServerEntry {
+        service: Arc::from(SERVICE),
+        address: format!("10.0.0.{number}:80")
+            .parse()
+            .expect("the stand-ins speak well-formed HTTP and JSON"),
+        centre: Arc::from(centre),
+        slots: 128,
+        is_draining: false,
+        models: vec![(Arc::from(MODEL), version)],
+    }
+}
+
+/// A pool of `count` servers `e0`, `e1`, … with weights 1, all in data centre `a`.
+pub(crate) fn pool(count: u8) -> Pool {
+    let mut pool = Pool::default();
+    pool.name_weights(at(0), &Arc::from(MODEL), 1);
+    for number in 0..count {
+        let name = Arc::from(format!("e{number}"));
+        pool.put(at(0), &name, u64::from(number) + 1, entry(number, "a", 1));
+    }
+    pool
+}
+
+pub(crate) fn wish(parts: &[Part]) -> Wish<'_> {
+    Wish {
+        service: SERVICE,
+        model: Some(MODEL),
+        parts,
+        wall: None,
+        centre: "a",
+        fetch_ms: 0.003,
+        capacity: 112_000.0,
+        store: None,
+        excluded: &[],
+    }
+}
+
+/// A long shared prompt with a part of its own.
+pub(crate) fn prompt(history: u64, own: u64) -> Vec<Part> {
+    vec![
+        Part { id: 1, tokens: 2_500 },
+        Part { id: 100 + history, tokens: 3_800 },
+        Part { id: 10_000 + own, tokens: 2_900 },
+    ]
+}
