--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -66,17 +66,8 @@
     pub max_connections: u32,
     /// Set for model engines.
     pub engine: Option<Engine>,
-    /// Set for a store of cached prompts.
-    pub store: Option<CacheStore>,
-}
-
-/// A store of cached prompts.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct CacheStore {
-    /// Its address.
-    pub address: SocketAddr,
-    /// Its data centre.
-    pub centre: Arc<str>,
+    /// Set for a store of cached prompts: its address.
+    pub keeps_cache_at: Option<SocketAddr>,
 }
 
 /// What model engines of one service have in common.
@@ -167,11 +158,12 @@
         self.aims.get(service).copied()
     }
 
-    /// The address of the store of cached prompts that instances in `centre` use, if there is one.
-    pub fn cache_store(&self, centre: &str) -> Option<SocketAddr> {
-        let stores = self.services.values().filter_map(|it| it.store.as_ref());
-        let chosen = stores.min_by_key(|it| (*it.centre != *centre, it.address));
-        chosen.map(|it| it.address)
+    /// The addresses of all stores of cached prompts, in order.
+    pub fn cache_stores(&self) -> Vec<SocketAddr> {
+        let mut stores: Vec<_> =
+            self.services.values().filter_map(|it| it.keeps_cache_at).collect();
+        stores.sort_unstable();
+        stores
     }
 
     /// Routes in force.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod backend;
+mod cache;
 mod caller;
 mod duties;
 mod errand;
@@ -126,7 +127,7 @@
     catalog: Option<Arc<Catalog>>,
     pool: Pool,
     memory: Memory,
-    cache_store: probe::CacheStore,
+    cache_stores: cache::Stores,
     budget: Budget,
     storage: storage::Storage,
     members: Members,
@@ -224,7 +225,7 @@
             catalog: None,
             pool: Pool::default(),
             memory: Memory::default(),
-            cache_store: probe::CacheStore::default(),
+            cache_stores: cache::Stores::default(),
             rollout: Rollout::default(),
             orders,
             leaving_since: None,
@@ -326,7 +327,7 @@
         }
         self.tick_storage();
         self.tick_duties();
-        self.tick_probes();
+        self.tick_cache_stores();
         self.tick_peers();
         if SWEEP <= self.now.since(self.swept) {
             self.swept = self.now;
--- /dev/null
+++ b/crates/gateway/src/core/cache.rs
@@ -0,0 +1,144 @@
+//! The stores of cached prompts, as this instance sees them.
+
+use std::{net::SocketAddr, time::Duration};
+
+use shallotlead_base::{hash, time::Time};
+
+use crate::core::{
+    Core,
+    errand::{Purpose, Result},
+};
+
+/// Pause between two calls to a store. Each call waits for events up to a second.
+const PAUSE: Duration = Duration::from_millis(250);
+/// How long a call may take: its wait, and a little more.
+const TIMEOUT: Duration = Duration::from_millis(1_250);
+/// How long another instance's word on a store counts.
+const TOLD: Duration = Duration::from_secs(4);
+
+/// All stores of cached prompts. Each shared prefix has one of them, so that all of their memory is
+/// used and all instances look in the same place.
+///
+/// Guards against a store that is down: each request that names it as a source would wait some
+/// hundred milliseconds for nothing. It shows as first tokens that are all late by that time. It
+/// holds since a call is always waiting there, which ends when the store does.
+#[derive(Debug, Default)]
+pub(crate) struct Stores {
+    stores: Vec<Store>,
+    /// Whether this instance looks itself; others are told.
+    is_looking: bool,
+}
+
+#[derive(Debug)]
+struct Store {
+    address: SocketAddr,
+    /// The address as text, for hashing.
+    name: String,
+    is_alive: bool,
+    is_open: bool,
+    /// Where the next call goes on.
+    since: u64,
+    next: Time,
+    /// What another instance has said last, and when.
+    told: Option<(bool, Time)>,
+}
+
+impl Store {
+    fn open(address: SocketAddr) -> Self {
+        Self {
+            address,
+            name: address.to_string(),
+            is_alive: false,
+            is_open: false,
+            since: 0,
+            next: Time::ZERO,
+            told: None,
+        }
+    }
+}
+
+impl Stores {
+    /// The store that keeps the prefix `key`, while it lives.
+    pub(crate) fn keeper(&self, now: Time, key: u64) -> Option<SocketAddr> {
+        let store = self.stores.iter().max_by_key(|it| hash::weight(&it.name, key))?;
+        let told = store.told.is_some_and(|it| it.0 && now.since(it.1) < TOLD);
+        let is_alive = if self.is_looking { store.is_alive } else { told };
+        is_alive.then_some(store.address)
+    }
+
+    /// Which stores live, if this instance looks itself.
+    pub(crate) fn seen(&self) -> Vec<(SocketAddr, bool)> {
+        let seen = self.stores.iter().filter(|_| self.is_looking);
+        seen.map(|it| (it.address, it.is_alive)).collect()
+    }
+
+    /// Another instance that looks itself says whether a store lives.
+    pub(crate) fn told(&mut self, now: Time, address: SocketAddr, is_alive: bool) {
+        if let Some(store) = self.find(address) {
+            store.told = Some((is_alive, now));
+        }
+    }
+
+    fn find(&mut self, address: SocketAddr) -> Option<&mut Store> {
+        self.stores.iter_mut().find(|it| it.address == address)
+    }
+
+    /// Follows the configuration.
+    fn follow(&mut self, addresses: &[SocketAddr]) {
+        self.stores.retain(|it| addresses.contains(&it.address));
+        for address in addresses {
+            if self.find(*address).is_none() {
+                self.stores.push(Store::open(*address));
+            }
+        }
+    }
+}
+
+impl Core {
+    pub(crate) fn tick_cache_stores(&mut self) {
+        let now = self.now;
+        self.cache_stores.is_looking = self.members.is_looking(now);
+        if !self.cache_stores.is_looking {
+            return;
+        }
+        let due = self.cache_stores.stores.iter_mut().filter(|it| !it.is_open && it.next <= now);
+        let mut calls = Vec::new();
+        for store in due {
+            store.is_open = true;
+            calls.push((store.address, store.since));
+        }
+        for (address, since) in calls {
+            let errand = self.dialect.cache_call(since);
+            self.run_errand(address, &errand, TIMEOUT, Purpose::CacheStore(address));
+        }
+    }
+
+    /// Follows the configuration's stores.
+    pub(crate) fn follow_cache_stores(&mut self) {
+        let addresses = self.catalog.as_ref().map(|it| it.cache_stores()).unwrap_or_default();
+        self.cache_stores.follow(&addresses);
+    }
+
+    pub(crate) fn cache_store_answered(&mut self, address: SocketAddr, result: &Result) {
+        let now = self.now;
+        let Some(store) = self.cache_stores.find(address) else { return };
+        let next = match result {
+            Result::Answered { status: 200, body, .. } => self.dialect.cache_reply(body),
+            // Too many instances ask at once: it lives.
+            Result::Answered { status: 429, .. } => Some(store.since),
+            Result::Answered { .. } | Result::NotSent | Result::Reset | Result::Lost => None,
+        };
+        store.is_open = false;
+        store.next = now + PAUSE;
+        store.since = next.unwrap_or(0);
+        let is_alive = next.is_some();
+        if store.is_alive != is_alive {
+            store.is_alive = is_alive;
+            self.journal
+                .line(now, "cache_store")
+                .text("address", &address.to_string())
+                .number("is_alive", is_alive);
+            self.tell_all();
+        }
+    }
+}
--- a/crates/gateway/src/core/errand.rs
+++ b/crates/gateway/src/core/errand.rs
@@ -32,8 +32,8 @@
     Report(pool::Id),
     /// Whether a backend server lives.
     Probe(pool::Id),
-    /// Whether the store of cached prompts lives.
-    CacheStore,
+    /// Whether the store of cached prompts at this address lives.
+    CacheStore(SocketAddr),
     /// An order to a backend server.
     Order(pool::Id),
     /// Another instance's knowledge.
@@ -215,7 +215,7 @@
             }
             Purpose::Report(id) => self.server_reported(id, &result),
             Purpose::Probe(id) => self.server_probed(id, &result),
-            Purpose::CacheStore => self.cache_store_answered(&result),
+            Purpose::CacheStore(address) => self.cache_store_answered(address, &result),
             Purpose::Order(id) => self.server_ordered(id, &result),
             Purpose::State => self.state_came(&result),
         }
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -256,14 +256,14 @@
     /// Sends the request to the best server, or finds out that none can take it now.
     pub(crate) fn dispatch(&mut self, place: usize) {
         let random = self.random();
-        let Self { exchanges, pool, memory, now, settings, catalog, cache_store, members, .. } =
+        let Self { exchanges, pool, memory, now, settings, catalog, cache_stores, members, .. } =
             self;
         let Some(exchange) = exchanges.get(place) else { return };
         let service = catalog.as_ref().and_then(|it| it.services.get(&exchange.service));
         let engine = service.and_then(|it| it.engine.as_ref());
         let wish = Wish {
             fetch_ms: engine.map_or(0.0, |it| it.fetch_ms),
-            store: cache_store.address(*now),
+            store: placement::key(&exchange.ask.parts).and_then(|it| cache_stores.keeper(*now, it)),
             capacity: engine.map_or(0.0, |it| f64::from(it.capacity)),
             service: &exchange.service,
             model: exchange.ask.model.as_deref(),
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -164,7 +164,7 @@
             leaving: self.peers.leaving.iter().map(|it| it.0.clone()).collect(),
             loading: self.peers.loading.iter().filter_map(|it| remaining(now, it)).collect(),
             silent: std::mem::take(&mut self.peers.silent),
-            cache_store: self.cache_store.seen(),
+            cache_stores: self.cache_stores.seen(),
         };
         self.send_to(targets, &Datagram::News(Box::new(message)));
     }
@@ -229,11 +229,11 @@
             leaving,
             loading,
             silent,
-            cache_store,
+            cache_stores,
         } = message;
         let address = from.peers;
-        if let Some((address, is_alive)) = cache_store {
-            self.cache_store.told(now, address, is_alive);
+        for (address, is_alive) in cache_stores {
+            self.cache_stores.told(now, address, is_alive);
         }
         if from.is_leaving {
             self.lease.hurry(now);
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -418,6 +418,7 @@
             .text("source", source);
         self.storage.configuration = Some((catalog.version, value.clone()));
         self.catalog = Some(Arc::new(catalog));
+        self.follow_cache_stores();
         self.tell_all();
     }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -119,8 +119,8 @@
     /// Servers that have just been found silent. Others look for themselves: the sender may be the
     /// one that is cut off.
     pub silent: Vec<Arc<str>>,
-    /// The store of cached prompts at which the sender looks itself, and whether it lives.
-    pub cache_store: Option<(SocketAddr, bool)>,
+    /// The stores of cached prompts at which the sender looks itself, and whether they live.
+    pub cache_stores: Vec<(SocketAddr, bool)>,
 }
 
 #[derive(Debug)]
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -85,7 +85,7 @@
     pub fetch_ms: f64,
     /// Tokens that fit into a server's memory.
     pub capacity: f64,
-    /// The store of cached prompts, while it lives.
+    /// The store that keeps cached parts of this prompt, while it lives.
     pub store: Option<SocketAddr>,
     /// Servers that have turned it away or failed it.
     pub excluded: &'a [pool::Id],
@@ -259,12 +259,17 @@
     prefix
 }
 
+/// What a prompt's shared prefix is known by: its last shared part.
+pub(crate) fn key(parts: &[Part]) -> Option<u64> {
+    shared(parts).last().map(|it| it.id)
+}
+
 /// The server that reads parts which nobody holds.
 fn home(wish: &Wish<'_>, ready: &[Place<'_>]) -> Option<pool::Id> {
-    let last = shared(wish.parts).last()?;
+    let key = key(wish.parts)?;
     let newest = ready.iter().map(|it| it.weights).max()?;
     let current = ready.iter().filter(|it| it.weights == newest);
-    current.max_by_key(|it| hash::weight(&it.server.name, last.id)).map(|it| it.id)
+    current.max_by_key(|it| hash::weight(&it.server.name, key)).map(|it| it.id)
 }
 
 fn weigh(
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -10,9 +10,9 @@
     pool::{self, Pool, Presence},
 };
 
-/// Part of a model's servers that load at once. Loading slows down beyond two of nine and three of
-/// eighteen servers, and servers that load take no requests.
-const AT_ONCE: f64 = 1.0 / 6.0;
+/// Part of a model's servers that load at once, rounded. Loading slows down beyond two of nine, three of
+/// eighteen and twelve of sixty servers, and servers that load take no requests.
+const AT_ONCE: f64 = 0.193;
 /// Servers that may finish their requests before loading, for each that loads. Finishing takes as
 /// long as loading.
 const FINISHING: usize = 1;
@@ -112,7 +112,7 @@
         for (model, version) in pool.all_named() {
             let serving = |it: &&(pool::Id, &pool::Server)| it.1.version(model).is_some();
             let servers: Vec<_> = pool.listed().filter(|it| serving(&it)).collect();
-            let loading = ((servers.len() as f64 * AT_ONCE).ceil() as usize).max(1);
+            let loading = ((servers.len() as f64 * AT_ONCE).round() as usize).max(1);
             let most = loading * (1 + FINISHING);
             let mut old: Vec<_> = servers
                 .into_iter()
--- a/crates/gateway/tests/catalog.rs
+++ b/crates/gateway/tests/catalog.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use shallotlead_gateway::catalog::{
-    CacheStore, Catalog, Denial, Limits, Organisation, Repeat, Route, Service,
+    Catalog, Denial, Limits, Organisation, Repeat, Route, Service,
 };
 
 fn route(name: &str, prefix: &str, is_public: bool) -> Route {
@@ -29,10 +29,7 @@
         name: Arc::from("s1"),
         max_connections: 10,
         engine: None,
-        store: Some(CacheStore {
-            address: "10.0.0.1:80".parse().expect("an address"),
-            centre: Arc::from("a"),
-        }),
+        keeps_cache_at: Some("10.0.0.1:80".parse().expect("an address")),
     };
     Catalog::new(1, routes, vec![service], keys, Limits::default())
 }
@@ -74,6 +71,6 @@
     let catalog = catalog(None);
     assert_eq!(catalog.shortest_aim("s1"), Some(Duration::from_millis(300)));
     assert_eq!(catalog.shortest_aim("none"), None);
-    assert!(catalog.cache_store("b").is_some());
+    assert!(!catalog.cache_stores().is_empty());
     assert_eq!(catalog.routes(), 3);
 }
