--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -26,6 +26,9 @@
 /// Part of an engine's memory that prompts may fill before those used longest ago count as gone. The
 /// rest holds answers and what is running.
 const CAPACITY_PART: f64 = 0.6;
+/// Part of it that may have been filled since the last use of a part that is still sure to be there.
+/// From an engine that has evicted it, it can't be fetched; the store has it then.
+const SURE_PART: f64 = 0.25;
 /// What it costs to read parts that nobody holds at another server than their home, ms: another
 /// instance may do the same at that moment.
 const NOT_HOME_MS: f64 = 10.0;
@@ -183,7 +186,7 @@
         }
     }
 
-    /// When the server has the part, if it is believed to hold it.
+    /// When the server has the part, and whether that is sure, if it is believed to hold it.
     fn held(
         &self,
         pool: &Pool,
@@ -191,10 +194,11 @@
         scope: u64,
         id: pool::Id,
         capacity: f64,
-    ) -> Option<Time> {
+    ) -> Option<(Time, bool)> {
         let held = self.held.get(&(mix(part, scope), id))?;
         let since = pool.get(id).taken.saturating_sub(held.mark) as f64;
-        (since < capacity * CAPACITY_PART).then_some(held.ready)
+        let is_sure = since < capacity * SURE_PART;
+        (since < capacity * CAPACITY_PART).then_some((held.ready, is_sure))
     }
 }
 
@@ -252,13 +256,18 @@
 struct Prefix {
     tokens: u32,
     ready: Time,
+    /// A part of it may have been evicted.
+    is_unsure: bool,
 }
 
 fn held(pool: &Pool, memory: &Memory, wish: &Wish<'_>, scope: u64, id: pool::Id) -> Prefix {
     let mut prefix = Prefix::default();
     // A part is of use only behind all parts before it.
     for part in shared(wish.parts) {
-        let Some(ready) = memory.held(pool, part.id, scope, id, wish.capacity) else { break };
+        let Some((ready, is_sure)) = memory.held(pool, part.id, scope, id, wish.capacity) else {
+            break;
+        };
+        prefix.is_unsure |= !is_sure;
         prefix.tokens += part.tokens;
         prefix.ready = prefix.ready.max(ready);
     }
@@ -294,6 +303,7 @@
     let known = others.clone().map(|it| it.held.tokens).max().unwrap_or(0);
     let source = others
         .filter(|it| held.tokens + LEAST_FETCHED <= it.held.tokens && it.held.ready <= now)
+        .filter(|it| !it.held.is_unsure || wish.store.is_none())
         .max_by_key(|it| (it.held.tokens, it.server.centre == server.centre));
     let fetched = source.map_or(0, |it| it.held.tokens - held.tokens);
     let factor =
