--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -134,7 +134,7 @@
                 server: server.name.clone(),
                 scope: placement::scope(choice.weights, exchange.wall()),
                 parts: placement::shared(&exchange.ask.parts).to_vec(),
-                tokens: exchange.ask.parts.iter().map(|it| it.tokens).sum(),
+                added: choice.added,
                 unread: choice.unread,
             };
             self.memory.placed(now, &mut self.pool, choice.server, &placement);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -108,8 +108,8 @@
     pub scope: u64,
     /// The shared parts.
     pub parts: Vec<Part>,
-    /// Tokens of the whole prompt.
-    pub tokens: u32,
+    /// Tokens that come into the server's memory.
+    pub added: u32,
     /// Tokens that the server has to read.
     pub unread: u32,
 }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -112,6 +112,8 @@
     pub weights: Option<u64>,
     /// Prompt tokens that it has to read, as far as known.
     pub unread: u32,
+    /// Prompt tokens that come into its memory, read or fetched.
+    pub added: u32,
     /// Expected time until it begins, ms.
     pub wait_ms: f64,
     /// The score that won, ms.
@@ -174,7 +176,7 @@
         let server = pool.get_mut(id);
         let read_ms = SETUP_MS + f64::from(placement.unread) / TOKENS_PER_MS;
         server.busy_until = server.busy_until.max(now) + Duration::from_secs_f64(read_ms / 1e3);
-        server.taken += u64::from(placement.tokens);
+        server.taken += u64::from(placement.added);
         if MAX_PARTS <= self.held.len() {
             let oldest = now - KEPT;
             self.held.retain(|_, it| oldest < it.ready);
@@ -325,7 +327,18 @@
     let store = wish.store.filter(|_| LEAST_STORED <= common);
     let fetch_from = source.map(|it| it.server.address).or(store);
     let save_to = store.filter(|_| known.max(held.tokens) < common);
-    Choice { server: id, weights, unread, wait_ms, score, fetch_from, save_to, candidates: 0 }
+    let added = all - held.tokens;
+    Choice {
+        server: id,
+        weights,
+        unread,
+        added,
+        wait_ms,
+        score,
+        fetch_from,
+        save_to,
+        candidates: 0,
+    }
 }
 
 /// The parts that other requests share: all but the last one.
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -64,7 +64,7 @@
     pub inflight: u32,
     /// When it will have read all prompts that instances are known to have sent it.
     pub busy_until: Time,
-    /// Prompt tokens that instances are known to have sent it.
+    /// Prompt tokens that are known to have come into its memory.
     pub taken: u64,
     /// When it was last asked whether it lives, for being late.
     pub looked_at: Time,
--- a/crates/gateway/tests/admission.rs
+++ b/crates/gateway/tests/admission.rs
@@ -9,6 +9,7 @@
         server: 0,
         weights: Some(1),
         unread,
+        added: unread,
         wait_ms,
         score: 0.0,
         fetch_from: None,
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -20,7 +20,7 @@
         server: pool.get(choice.server).name.clone(),
         scope: placement::scope(choice.weights, wish.wall),
         parts: wish.parts[..wish.parts.len() - 1].to_vec(),
-        tokens: wish.parts.iter().map(|it| it.tokens).sum(),
+        added: choice.added,
         unread: choice.unread,
     };
     memory.placed(now, pool, choice.server, &placement);
