--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -13,7 +13,7 @@
         storage::Source,
     },
     dialect::{Errand, Load},
-    gossip::{Datagram, Entry, Loading, Message, PERIOD, Placement, Told},
+    gossip::{Datagram, Entry, Loading, Message, Naming, PERIOD, Placement, Told},
     pool::{self, Presence, Switch},
 };
 
@@ -39,7 +39,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     told: Time,
-    leaving: Vec<(Arc<str>, Time)>,
+    leaving: Vec<(Arc<str>, u64, Time)>,
     loading: Vec<(Loading, Time)>,
     /// Since when another instance, at this address, has a newer configuration.
     behind: Option<(Time, SocketAddr)>,
@@ -81,7 +81,7 @@
     /// Servers' entries as they lie there; without a value: removed.
     entries: Vec<(Arc<str>, u64, Option<Vec<u8>>)>,
     /// The named weights.
-    weights: Vec<(Arc<str>, u64)>,
+    weights: Vec<Naming>,
 }
 
 impl Core {
@@ -89,7 +89,7 @@
         let now = self.now;
         if PERIOD <= now.since(self.peers.told) {
             self.peers.told = now;
-            self.peers.leaving.retain(|it| now.since(it.1) < REPEAT);
+            self.peers.leaving.retain(|it| now.since(it.2) < REPEAT);
             self.peers.loading.retain(|it| now.since(it.1) < REPEAT);
             self.members.expire(now);
             self.storage.set_sharers(self.members.sharers(), now);
@@ -182,8 +182,8 @@
             from: self.members.me().clone(),
             members: if with_members { self.members.rumours(now) } else { Vec::new() },
             configuration: self.catalog.as_ref().map_or(0, |it| it.version),
-            weights: self.pool.all_named().map(|it| (it.0.clone(), it.1)).collect(),
-            leaving: self.peers.leaving.iter().map(|it| it.0.clone()).collect(),
+            weights: self.namings(),
+            leaving: self.peers.leaving.iter().map(|it| (it.0.clone(), it.1)).collect(),
             loading: self.peers.loading.iter().filter_map(|it| remaining(now, it)).collect(),
             silent: std::mem::take(&mut self.peers.silent),
             cache_stores: self.cache_stores.seen(),
@@ -193,8 +193,8 @@
 
     /// A server has begun to leave: what this instance knows binds all.
     pub(crate) fn tell_leaving(&mut self, id: pool::Id) {
-        let name = self.pool.get(id).name.clone();
-        self.peers.leaving.push((name, self.now));
+        let server = self.pool.get(id);
+        self.peers.leaving.push((server.name.clone(), server.revision, self.now));
         self.tell_all();
     }
 
@@ -244,6 +244,22 @@
         }
     }
 
+    fn namings(&self) -> Vec<Naming> {
+        let naming = |it: (&Arc<str>, &pool::Named)| Naming {
+            model: it.0.clone(),
+            version: it.1.newest(),
+            age_ms: self.now.since(it.1.newest_at()).as_millis() as u64,
+        };
+        self.pool.all_named().map(naming).collect()
+    }
+
+    fn take_namings(&mut self, namings: &[Naming]) {
+        for it in namings {
+            let at = self.now - Duration::from_millis(it.age_ms);
+            self.weights_named(at, &it.model, it.version, "instance");
+        }
+    }
+
     /// A server has told another instance its load.
     fn told_load(&mut self, told: &Told) {
         let Some(id) = self.pool.find(&told.server) else { return };
@@ -287,11 +303,9 @@
             let since = self.peers.behind.map_or(now, |it| it.0);
             self.peers.behind = Some((since, address));
         }
-        for (model, version) in weights {
-            self.weights_named(&model, version, "instance");
-        }
-        for name in leaving {
-            let change = self.pool.told_leaving(&name);
+        self.take_namings(&weights);
+        for (name, revision) in leaving {
+            let change = self.pool.told_leaving(&name, revision);
             if let pool::Change::Leaving(id) = change {
                 self.drop_idle(id);
                 self.journal
@@ -371,7 +385,7 @@
             entries: entries
                 .map(|it| (it.0.clone(), it.1.revision, it.1.value.as_ref().map(|it| it.to_vec())))
                 .collect(),
-            weights: self.pool.all_named().map(|it| (it.0.clone(), it.1)).collect(),
+            weights: self.namings(),
         };
         postcard::to_stdvec(&state).unwrap_or_default()
     }
@@ -390,9 +404,7 @@
             let value = value.map(Arc::from);
             self.take_entry(&name, revision, value.as_ref(), Source::Instance);
         }
-        for (model, version) in state.weights {
-            self.weights_named(&model, version, "instance");
-        }
+        self.take_namings(&state.weights);
     }
 }
 
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -36,6 +36,9 @@
 const TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Pause before a kind is followed again after a failure.
 const AGAIN: Duration = Duration::from_millis(150);
+/// How long ago weights count as named that lie in the store when an instance starts, unless another
+/// one knows better.
+const NAMED_BEFORE: Duration = Duration::from_millis(1_500);
 /// Instances that share the store's rates until more is known: a herd that starts together must
 /// not call at once.
 const SHARERS: u32 = 8;
@@ -337,6 +340,11 @@
             }
             Reply::Changed { changes, version } => {
                 follower.revision = Some(*version);
+                let is_removal = |it: &&Change| matches!(it, Change::Delete(..));
+                let removals = changes.iter().filter(is_removal).count();
+                if what == What::Subject(Subject::Servers) {
+                    self.pool.lapsed_together(now, removals);
+                }
                 for change in changes {
                     match change {
                         Change::Put(object) => self.take_object(what, object),
@@ -364,6 +372,8 @@
         }
         if what == What::Subject(Subject::Servers) {
             let names: Vec<Arc<str>> = objects.iter().map(|it| it.key.name.clone()).collect();
+            let missing = self.pool.listed().filter(|it| !names.contains(&it.1.name)).count();
+            self.pool.lapsed_together(self.now, missing);
             for change in self.pool.retain(self.now, &names, version.0) {
                 self.server_changed(change, "not listed");
             }
@@ -424,15 +434,20 @@
 
     fn take_weights(&mut self, value: &[u8]) {
         match self.dialect.weights(value) {
-            Ok(it) => self.weights_named(&it.model, it.version, "store"),
+            // What lay there at the start was named at some time before.
+            Ok(it) => {
+                let is_first = self.pool.named(&it.model).is_none();
+                let at = if is_first { self.now - NAMED_BEFORE } else { self.now };
+                self.weights_named(at, &it.model, it.version, "store");
+            }
             Err(err) => {
                 self.journal.line(self.now, "weights_unreadable").text("error", &err.to_string());
             }
         }
     }
 
-    pub(crate) fn weights_named(&mut self, model: &Arc<str>, version: u64, source: &str) {
-        if self.pool.name_weights(self.now, model, version) {
+    pub(crate) fn weights_named(&mut self, at: Time, model: &Arc<str>, version: u64, source: &str) {
+        if self.pool.name_weights(at, model, version) {
             self.journal
                 .line(self.now, "weights_named")
                 .text("model", model)
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -51,6 +51,17 @@
     pub is_watching: bool,
 }
 
+/// Weights that were named.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Naming {
+    /// The model.
+    pub model: Arc<str>,
+    /// The version.
+    pub version: u64,
+    /// How long ago, ms, as far as the sender knows.
+    pub age_ms: u64,
+}
+
 /// A change of weights that the holder of the lease has ordered.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Loading {
@@ -124,9 +135,9 @@
     /// The version of the configuration that it has.
     pub configuration: u64,
     /// The weights that it has heard of.
-    pub weights: Vec<(Arc<str>, u64)>,
-    /// Servers that have begun to leave lately.
-    pub leaving: Vec<Arc<str>>,
+    pub weights: Vec<Naming>,
+    /// Servers that have begun to leave lately, with the revisions that say so.
+    pub leaving: Vec<(Arc<str>, u64)>,
     /// Servers whose weights are being changed.
     pub loading: Vec<Loading>,
     /// Servers that have just been found silent. Others look for themselves: the sender may be the
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -19,6 +19,11 @@
 /// Versions of a model's weights that are remembered: servers are a few behind at most.
 const NAMED_KEPT: usize = 16;
 
+/// Part of the servers whose entries must lapse together to look like an outage.
+const TOGETHER: f64 = 0.25;
+/// How long those are kept: servers renew their entries each 1.2 s, and planned departures, which may
+/// look the same, must be heeded within two seconds.
+const UNNOTICED: Duration = Duration::from_millis(1_600);
 /// A server's place in the pool.
 pub type Id = usize;
 
@@ -49,8 +54,13 @@
         self.0.iter().find(|it| version < it.0).map(|it| it.1)
     }
 
-    fn push(&mut self, version: u64, now: Time) {
-        self.0.push((version, now));
+    /// When the newest version was named.
+    pub fn newest_at(&self) -> Time {
+        self.0.last().map_or(Time::ZERO, |it| it.1)
+    }
+
+    fn push(&mut self, version: u64, at: Time) {
+        self.0.push((version, at));
         if NAMED_KEPT < self.0.len() {
             self.0.remove(0);
         }
@@ -99,17 +109,24 @@
     }
 
     /// All named weights.
-    pub fn all_named(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
-        self.weights.iter().map(|it| (it.0, it.1.newest()))
+    pub fn all_named(&self) -> impl Iterator<Item = (&Arc<str>, &Named)> {
+        self.weights.iter()
     }
 
     /// Weights were named. Says whether that is news; versions only grow.
-    pub fn name_weights(&mut self, now: Time, model: &Arc<str>, version: u64) -> bool {
+    ///
+    /// `at`: when they were named, as far as known. An instance that starts late must not take them
+    /// for new: it would begin requests on weights that were replaced long ago.
+    pub fn name_weights(&mut self, at: Time, model: &Arc<str>, version: u64) -> bool {
         let named = self.weights.entry(model.clone()).or_default();
+        if let Some(known) = named.0.iter_mut().find(|it| it.0 == version) {
+            known.1 = known.1.min(at);
+            return false;
+        }
         if version <= named.newest() {
             return false;
         }
-        named.push(version, now);
+        named.push(version, at);
         true
     }
 
@@ -122,6 +139,15 @@
         self.lenient_until = now + RETURN;
     }
 
+    /// `gone` entries were removed at once. When many lapse together, the store was probably away
+    /// without this instance noticing; they get a little time to come back.
+    pub fn lapsed_together(&mut self, now: Time, gone: usize) {
+        let listed = self.listed().filter(|it| it.1.presence == Presence::Ready).count();
+        if 2 <= gone && listed as f64 * TOGETHER <= gone as f64 {
+            self.lenient_until = self.lenient_until.max(now + UNNOTICED);
+        }
+    }
+
     /// Takes a server's entry.
     pub fn put(&mut self, now: Time, name: &Arc<str>, revision: u64, entry: ServerEntry) -> Change {
         let Some(id) = self.find(name) else {
@@ -192,13 +218,18 @@
         gone
     }
 
-    /// Another instance tells that the server is leaving.
-    pub fn told_leaving(&mut self, name: &str) -> Change {
+    /// Another instance tells that the server was leaving, or gone, at `revision`.
+    ///
+    /// Guards against a rumour that outlives its cause: a server whose entry lapsed is back under a
+    /// newer revision, while others still repeat that it is gone. It shows as servers that are never
+    /// used nor loaded again. The check holds since revisions of the store only grow.
+    pub fn told_leaving(&mut self, name: &str, revision: u64) -> Change {
         let Some(id) = self.find(name) else { return Change::None };
         let server = &mut self.servers[id];
-        if server.presence != Presence::Ready {
+        if server.presence != Presence::Ready || revision <= server.revision {
             return Change::None;
         }
+        server.revision = revision;
         server.presence = Presence::Draining;
         Change::Leaving(id)
     }
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -100,8 +100,7 @@
 
     /// Takes a newer entry. Says whether other weights are loaded.
     pub(super) fn take(&mut self, now: Time, entry: ServerEntry) -> bool {
-        let is_draining = entry.is_draining || self.presence == Presence::Draining;
-        self.presence = if is_draining { Presence::Draining } else { Presence::Ready };
+        self.presence = if entry.is_draining { Presence::Draining } else { Presence::Ready };
         self.address = entry.address;
         self.slots = entry.slots;
         let mut loaded = false;
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -111,7 +111,8 @@
 
     fn begin(&mut self, now: Time, pool: &Pool) -> Vec<Step> {
         let mut steps = Vec::new();
-        for (model, version) in pool.all_named() {
+        for (model, named) in pool.all_named() {
+            let version = named.newest();
             let serving = |it: &&(pool::Id, &pool::Server)| it.1.version(model).is_some();
             let servers: Vec<_> = pool.listed().filter(|it| serving(&it)).collect();
             let loading = ((servers.len() as f64 * AT_ONCE).round() as usize).max(1);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -76,6 +76,14 @@
         /// What should stand there.
         expected: &'static str,
     },
+    /// A section or key that doesn't exist, such as a misspelt one.
+    #[error("[{section}] {key}: no such setting")]
+    Unknown {
+        /// Its section.
+        section: String,
+        /// The key.
+        key: String,
+    },
     /// A value doesn't fit.
     #[error("[{section}] {key} = {found}: expected {expected}")]
     Value {
@@ -104,7 +112,34 @@
     read(&Ini::load_from_str(text).map_err(failed)?)
 }
 
+/// All settings, by section.
+const KNOWN: [(&str, &[&str]); 9] = [
+    ("instance", &["name", "data_centre"]),
+    ("listen", &["callers", "ready", "directory", "peers", "metrics"]),
+    ("store", &["address", "reads_per_second", "writes_per_second"]),
+    ("peers", &["seeds"]),
+    ("directory", &["ttl_ms"]),
+    ("retries", &["ratio", "window_ms", "slack"]),
+    ("orders", &["gap_ms"]),
+    ("shutdown", &["grace_ms"]),
+    ("log", &["lines_per_second"]),
+];
+
+fn check_names(ini: &Ini) -> Result<(), Error> {
+    for (section, properties) in ini.iter() {
+        let section = section.unwrap_or_default();
+        let known = KNOWN.iter().find(|it| it.0 == section).map_or(&[][..], |it| it.1);
+        for (key, _) in properties.iter() {
+            if !known.contains(&key) {
+                return Err(Error::Unknown { section: section.to_owned(), key: key.to_owned() });
+            }
+        }
+    }
+    Ok(())
+}
+
 fn read(ini: &Ini) -> Result<Settings, Error> {
+    check_names(ini)?;
     let millis = |section, key| number(ini, section, key, "a number of milliseconds").map(from_ms);
     let listen = Listen {
         callers: address(ini, "listen", "callers")?,
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -27,5 +27,7 @@
     assert_eq!(wrong.to_string(), "[listen] callers = here: expected IP:PORT");
     let seeds = parse(&VALID.replace("127.0.0.3:9", "there:9")).unwrap_err();
     assert!(matches!(seeds, Error::Value { section: "peers", key: "seeds", .. }));
+    let unknown = parse(&VALID.replace("ttl_ms", "tll_ms")).unwrap_err();
+    assert_eq!(unknown.to_string(), "[directory] tll_ms: no such setting");
     assert!(matches!(parse("[x").unwrap_err(), Error::File { .. }));
 }
--- a/crates/shallotlead/src/command.rs
+++ b/crates/shallotlead/src/command.rs
@@ -33,7 +33,8 @@
         }
         Command::Demo(arguments) => demo::run(arguments),
         Command::Entry(arguments) => entry::run(arguments),
-        Command::Explain(arguments) => client().and_then(|it| explain::run(&arguments, &it)),
+        Command::Explain(arguments) => explain::from_log(&arguments)
+            .unwrap_or_else(|| client().and_then(|it| explain::run(&arguments, &it))),
         Command::Gateway(arguments) => gateway::run(arguments),
         Command::Load(arguments) => load::run(arguments),
         Command::Status(arguments) => client().and_then(|it| status::run(&arguments, &it)),
--- a/crates/shallotlead/src/command/explain.rs
+++ b/crates/shallotlead/src/command/explain.rs
@@ -1,5 +1,7 @@
 //! `shallotlead explain`: why a request went where it went.
 
+mod story;
+
 use gumdrop::Options;
 use shallotlead_admin::{api::Decision, client::Client};
 use shallotlead_base::id::Request;
@@ -20,6 +22,20 @@
     request: Option<String>,
     #[options(no_short, help = "print JSON")]
     json: bool,
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "read the story from log lines; - for standard input"
+    )]
+    log: Option<String>,
+}
+
+/// Tells a request's story from log lines, if the arguments name a log.
+pub(crate) fn from_log(arguments: &Arguments) -> Option<Result<(), Failure>> {
+    let file = arguments.log.as_ref()?;
+    let missing = || Failure::Usage("--log needs the id of a request".to_owned());
+    let request = arguments.request.as_ref().ok_or_else(missing);
+    Some(request.and_then(|it| story::print(it, file)))
 }
 
 /// Runs the subcommand.
