--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -423,6 +423,8 @@
             if self.pool.get_mut(attempt.server).health.failed(self.now) {
                 self.log_left_out(attempt.server, reason);
             }
+            // Others may be about to send there: a probe finds out for all.
+            self.look_at(attempt.server);
             self.dispatch(place);
             return;
         }
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -101,8 +101,13 @@
     NoId,
     /// No server can take it.
     Shortage(Shortage),
-    /// Every server would begin with it too late; it may come back after this time.
-    Overload(Duration),
+    /// Every server would begin with it too late.
+    Overload {
+        /// When it may come back.
+        after: Duration,
+        /// How long it would wait at the best server.
+        wait: Duration,
+    },
     /// Servers turned it away, and no try is left.
     TurnedAway,
     /// Its time ran out before it was sent.
@@ -118,7 +123,7 @@
             Self::Starting
             | Self::Leaving
             | Self::Shortage(_)
-            | Self::Overload(_)
+            | Self::Overload { .. }
             | Self::TurnedAway
             | Self::TimeOut => 503,
         }
@@ -134,18 +139,26 @@
             Self::Shortage(Shortage::NoServer) => "no-server",
             Self::Shortage(Shortage::NoneReady) => "none-ready",
             Self::Shortage(Shortage::OldWeights) => "old-weights",
-            Self::Overload(_) => "overload",
+            Self::Overload { .. } => "overload",
             Self::TurnedAway => "turned-away",
             Self::TimeOut => "time-out",
         }
     }
 
+    /// How long the request would wait, where that decided.
+    fn wait(self) -> Duration {
+        match self {
+            Self::Overload { wait, .. } => wait,
+            _ => Duration::ZERO,
+        }
+    }
+
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NoRoute | Self::NoKey | Self::NoId => None,
             Self::Starting => Some(STARTING_RETRY_AFTER),
             Self::Leaving => Some(Duration::ZERO),
-            Self::Overload(after) => Some(after),
+            Self::Overload { after, .. } => Some(after),
             Self::Shortage(_) | Self::TurnedAway | Self::TimeOut => Some(RETRY_AFTER),
         }
     }
@@ -290,7 +303,8 @@
         };
         match chosen {
             Ok(choice) if admission.refuses(&choice) => {
-                self.give_up(place, Refusal::Overload(admission.retry_after(&choice)));
+                let (after, wait) = (admission.retry_after(&choice), choice.wait());
+                self.give_up(place, Refusal::Overload { after, wait });
             }
             Ok(choice) => self.send(place, &choice),
             Err(shortage) => self.wait_or_refuse(place, shortage),
@@ -458,6 +472,7 @@
             .text("request", ask.id.as_deref().unwrap_or_default())
             .text("reason", refusal.reason())
             .number("status", refusal.status())
+            .ms("wait_ms", refusal.wait())
             .number("configuration", version)
             .ms("after_ms", self.now.since(arrived));
         self.stats.refused(refusal.reason());
