--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -15,7 +15,7 @@
 const AT_ONCE: f64 = 0.193;
 /// Servers that may finish their requests before loading, for each that loads. Finishing takes as
 /// long as loading.
-const FINISHING: usize = 1;
+const FINISHING: f64 = 0.5;
 /// Time between the word that a server is about to load and the order: requests that wait there
 /// begin, and streams that can go on elsewhere leave.
 const DRAIN: Duration = Duration::from_millis(120);
@@ -116,7 +116,7 @@
             let serving = |it: &&(pool::Id, &pool::Server)| it.1.version(model).is_some();
             let servers: Vec<_> = pool.listed().filter(|it| serving(&it)).collect();
             let loading = ((servers.len() as f64 * AT_ONCE).round() as usize).max(1);
-            let most = loading * (1 + FINISHING);
+            let most = (loading as f64 * (1.0 + FINISHING)).round() as usize;
             let mut old: Vec<_> = servers
                 .into_iter()
                 .filter(|it| it.1.presence == Presence::Ready)
