--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -1,5 +1,6 @@
 //! The instance: one thread that owns all connections and all decisions.
 
+mod answer;
 mod attempt;
 mod backend;
 mod cache;
@@ -7,9 +8,12 @@
 mod duties;
 mod errand;
 mod exchange;
+mod knowledge;
 mod pages;
 mod peers;
 mod probe;
+mod refusal;
+mod state;
 mod stats;
 mod storage;
 
--- /dev/null
+++ b/crates/gateway/src/core/answer.rs
@@ -0,0 +1,232 @@
+//! What a backend server answers, on its way to the caller.
+
+use crate::{
+    core::{Core, attempt::Attempt, exchange::Exchange},
+    dialect::Answer,
+    events::{self, Cut},
+    http::{head::Response, write},
+    placement::Choice,
+};
+
+/// Bytes that a slow caller may leave unread here before its server is held up.
+const MAX_UNSENT: usize = 64 * 1024;
+/// Longest answer that is held until it is complete, so that a broken one can be asked for again.
+const MAX_WHOLE: usize = 512 * 1024;
+
+impl Core {
+    /// The head of the answer came.
+    pub(crate) fn attempt_head(&mut self, place: usize, head: &Response, answer: &Answer) {
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get_mut(place) else { return };
+        let Some(attempt) = &mut exchange.attempt else { return };
+        let server = self.pool.get_mut(attempt.server);
+        if let Some(load) = answer.load {
+            server.load = Some((load, now));
+            self.peers.loaded(now, attempt.server, load);
+        }
+        if let (Some(version), Some(model)) = (answer.weights, &exchange.ask.model) {
+            server.loaded(now, model, version);
+        }
+        attempt.has_head = true;
+        attempt.answer = Some(head.clone());
+        if head.status < 500 && !answer.is_not_run {
+            server.health.succeeded();
+        }
+        if 500 <= head.status && !answer.is_not_run && server.health.erred(now) {
+            let server = attempt.server;
+            self.log_left_out(server, "errors");
+        }
+    }
+
+    /// Part of the answer's body came; `done`: the last one. Says whether the attempt goes on.
+    pub(crate) fn take_body(&mut self, place: usize, body: &[u8], done: bool) -> bool {
+        let Some(exchange) = self.exchanges.get_mut(place) else { return false };
+        let Some(attempt) = &exchange.attempt else { return false };
+        if is_stream(attempt, exchange) {
+            return self.relay(place, body, done);
+        }
+        exchange.delivery.pending.extend_from_slice(body);
+        // Guards against taking a refusal for the rest of a stream: a stream that goes on at another
+        // server may be turned away there, while its caller already has a head and some events. It
+        // shows as streams that are broken off right after a 503. Only an answer that is being passed
+        // on itself is passed on further.
+        if attempt.is_passed_on || MAX_WHOLE < exchange.delivery.pending.len() {
+            return self.pass_on(place);
+        }
+        if !done {
+            return true;
+        }
+        self.judge(place)
+    }
+
+    /// A whole answer came: passes it on, or finds that the request wasn't run or may run again.
+    /// Says whether the exchange is to be finished with it.
+    fn judge(&mut self, place: usize) -> bool {
+        let Some(exchange) = self.exchanges.get(place) else { return false };
+        let Some(attempt) = &exchange.attempt else { return false };
+        let Some(head) = attempt.answer.clone() else { return false };
+        let answer = self.dialect.answer(&head);
+        if answer.is_not_run {
+            self.turned_away(place, &head, &answer);
+            return false;
+        }
+        if (200..300).contains(&head.status) && !answer.is_signed {
+            self.attempt_broken(place, "unsigned");
+            return false;
+        }
+        if exchange.delivery.has_begun {
+            // The caller has another answer's head already.
+            self.attempt_broken(place, "server-error");
+            return false;
+        }
+        let may_repeat = 500 <= head.status && exchange.is_repeatable();
+        if may_repeat && self.try_again(place, "server-error") {
+            return false;
+        }
+        let Some(exchange) = self.exchanges.get_mut(place) else { return false };
+        let body = std::mem::take(&mut exchange.delivery.pending);
+        let keeps = exchange.head.keeps_alive() && self.leaving_since.is_none();
+        let mut bytes = Vec::with_capacity(512 + body.len());
+        write::status_line(&mut bytes, head.status);
+        self.dialect.give_back(&head.fields, &mut bytes);
+        write::number(&mut bytes, "Content-Length", body.len() as u64);
+        if !keeps {
+            write::field(&mut bytes, "Connection", b"close");
+        }
+        write::end(&mut bytes);
+        bytes.extend_from_slice(&body);
+        exchange.delivery.first_piece.get_or_insert(self.now);
+        let caller = exchange.caller;
+        self.net.send(caller, &bytes);
+        true
+    }
+
+    /// Passes on a long answer as it comes.
+    fn pass_on(&mut self, place: usize) -> bool {
+        let Some(exchange) = self.exchanges.get(place) else { return false };
+        let Some(head) = exchange.attempt.as_ref().and_then(|it| it.answer.clone()) else {
+            return false;
+        };
+        let answer = self.dialect.answer(&head);
+        if answer.is_not_run || ((200..300).contains(&head.status) && !answer.is_signed) {
+            self.attempt_broken(place, "unsigned");
+            return false;
+        }
+        self.begin_stream(place, &head);
+        let Some(exchange) = self.exchanges.get_mut(place) else { return false };
+        if let Some(attempt) = &mut exchange.attempt {
+            attempt.is_passed_on = true;
+        }
+        let body = std::mem::take(&mut exchange.delivery.pending);
+        let caller = exchange.caller;
+        let mut bytes = Vec::with_capacity(body.len() + 16);
+        write::chunk(&mut bytes, &body);
+        self.net.send(caller, &bytes);
+        true
+    }
+
+    /// Passes on the events of a stream that are complete.
+    fn relay(&mut self, place: usize, body: &[u8], done: bool) -> bool {
+        let Some(exchange) = self.exchanges.get_mut(place) else { return false };
+        let Some(attempt) = &exchange.attempt else { return false };
+        let Some(head) = attempt.answer.clone() else { return false };
+        let delivery = &mut exchange.delivery;
+        delivery.pending.extend_from_slice(body);
+        let cut = events::cut(&mut delivery.pending, delivery.last_event, done);
+        let Cut { bytes, last_event, weights } = match cut {
+            Ok(it) => it,
+            Err(events::Gap) => {
+                self.attempt_broken(place, "events-out-of-order");
+                return false;
+            }
+        };
+        let server = attempt.server;
+        delivery.last_event = last_event;
+        if let (Some(version), Some(model)) = (weights, &exchange.ask.model) {
+            self.pool.get_mut(server).loaded(self.now, model, version);
+        }
+        if !exchange.delivery.has_begun {
+            let answer = self.dialect.answer(&head);
+            if bytes.is_empty() && !done {
+                return true;
+            }
+            let waited = Choice::waited(attempt.unread, self.now.since(attempt.sent));
+            self.pool.get_mut(server).has_waited(self.now, waited.as_millis() as u32);
+            if !answer.is_signed {
+                self.attempt_broken(place, "unsigned");
+                return false;
+            }
+            self.begin_stream(place, &head);
+        }
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get_mut(place) else { return false };
+        exchange.delivery.last_piece = now;
+        let caller = exchange.caller;
+        let mut out = Vec::with_capacity(bytes.len() + 24);
+        write::chunk(&mut out, &bytes);
+        self.net.send(caller, &out);
+        true
+    }
+
+    fn begin_stream(&mut self, place: usize, head: &Response) {
+        let keeps = self.leaving_since.is_none();
+        let Some(exchange) = self.exchanges.get_mut(place) else { return };
+        if exchange.delivery.has_begun {
+            return;
+        }
+        exchange.delivery.has_begun = true;
+        exchange.delivery.first_piece = Some(self.now);
+        let mut bytes = Vec::with_capacity(512);
+        write::status_line(&mut bytes, head.status);
+        self.dialect.give_back(&head.fields, &mut bytes);
+        write::field(&mut bytes, "Transfer-Encoding", b"chunked");
+        if !keeps || !exchange.head.keeps_alive() {
+            write::field(&mut bytes, "Connection", b"close");
+        }
+        write::end(&mut bytes);
+        let caller = exchange.caller;
+        self.net.send(caller, &bytes);
+    }
+
+    /// The answer is complete.
+    pub(crate) fn finish(&mut self, place: usize) {
+        self.release_attempt(place, false);
+        let Some(exchange) = self.exchanges.try_remove(place) else { return };
+        if exchange.delivery.has_begun {
+            self.net.send(exchange.caller, write::LAST_CHUNK);
+        }
+        let now = self.now;
+        let first = exchange.delivery.first_piece.unwrap_or(now).since(exchange.arrived);
+        self.journal
+            .line(now, "answered")
+            .text("request", exchange.id())
+            .text("route", &exchange.route.name)
+            .number("tries", exchange.sends)
+            .ms("first_ms", first)
+            .ms("after_ms", now.since(exchange.arrived));
+        self.stats.answered(&exchange.route, first, now.since(exchange.arrived));
+        let keeps = exchange.head.keeps_alive() && self.leaving_since.is_none();
+        self.caller_answered(exchange.caller, keeps);
+    }
+
+    /// The caller has taken what it was sent: reads on what its server sent meanwhile.
+    pub(crate) fn relay_on(&mut self, place: usize) {
+        let Some(exchange) = self.exchanges.get(place) else { return };
+        if let Some(key) = exchange.attempt.as_ref().map(|it| it.connection) {
+            self.net.resume(key);
+            self.backend_readable(key);
+        }
+    }
+
+    /// Whether the caller reads so slowly that its server must wait.
+    pub(crate) fn is_choked(&mut self, place: usize) -> bool {
+        let Some(caller) = self.exchanges.get(place).map(|it| it.caller) else { return false };
+        self.net.get_mut(caller).is_some_and(|it| MAX_UNSENT < it.unsent())
+    }
+}
+
+/// Whether the answer is a stream of events that is passed on as it comes.
+fn is_stream(attempt: &Attempt, exchange: &Exchange) -> bool {
+    let head = attempt.answer.as_ref();
+    exchange.route.is_stream && head.is_some_and(|it| (200..300).contains(&it.status))
+}
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     admission::Admission,
-    catalog::{Denial, Organisation, Repeat, Route},
-    core::{Core, Timer, attempt::Attempt},
+    catalog::{Organisation, Repeat, Route},
+    core::{Core, Timer, attempt::Attempt, refusal::Refusal},
     dialect::Ask,
     http::{head::Request, write},
     net::Key,
@@ -15,10 +15,6 @@
     pool,
 };
 
-/// When a caller that was refused for want of a server should come back.
-const RETRY_AFTER: Duration = Duration::from_millis(300);
-/// When a caller that came before any configuration was known should come back.
-const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Part of the aim for which a request may wait for a server before it is refused; a refusal that
 /// comes later than that helps its caller less.
 const WAIT_PART: u32 = 8;
@@ -86,84 +82,6 @@
     pub(crate) first_piece: Option<Time>,
 }
 
-/// Why a request ends without a backend server's answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Refusal {
-    /// No configuration is known yet.
-    Starting,
-    /// The instance is shutting down.
-    Leaving,
-    /// No route matches.
-    NoRoute,
-    /// It carries no known key.
-    NoKey,
-    /// It carries no id.
-    NoId,
-    /// No server can take it.
-    Shortage(Shortage),
-    /// Every server would begin with it too late.
-    Overload {
-        /// When it may come back.
-        after: Duration,
-        /// How long it would wait at the best server.
-        wait: Duration,
-    },
-    /// Servers turned it away, and no try is left.
-    TurnedAway,
-    /// Its time ran out before it was sent.
-    TimeOut,
-}
-
-impl Refusal {
-    fn status(self) -> u16 {
-        match self {
-            Self::NoRoute => 404,
-            Self::NoKey => 401,
-            Self::NoId => 400,
-            Self::Starting
-            | Self::Leaving
-            | Self::Shortage(_)
-            | Self::Overload { .. }
-            | Self::TurnedAway
-            | Self::TimeOut => 503,
-        }
-    }
-
-    fn reason(self) -> &'static str {
-        match self {
-            Self::Starting => "starting",
-            Self::Leaving => "leaving",
-            Self::NoRoute => "no-route",
-            Self::NoKey => "no-key",
-            Self::NoId => "no-id",
-            Self::Shortage(Shortage::NoServer) => "no-server",
-            Self::Shortage(Shortage::NoneReady) => "none-ready",
-            Self::Shortage(Shortage::OldWeights) => "old-weights",
-            Self::Overload { .. } => "overload",
-            Self::TurnedAway => "turned-away",
-            Self::TimeOut => "time-out",
-        }
-    }
-
-    /// How long the request would wait, where that decided.
-    fn wait(self) -> Duration {
-        match self {
-            Self::Overload { wait, .. } => wait,
-            _ => Duration::ZERO,
-        }
-    }
-
-    fn retry_after(self) -> Option<Duration> {
-        match self {
-            Self::NoRoute | Self::NoKey | Self::NoId => None,
-            Self::Starting => Some(STARTING_RETRY_AFTER),
-            Self::Leaving => Some(Duration::ZERO),
-            Self::Overload { after, .. } => Some(after),
-            Self::Shortage(_) | Self::TurnedAway | Self::TimeOut => Some(RETRY_AFTER),
-        }
-    }
-}
-
 impl Admission {
     fn of(exchange: &Exchange, shortest_aim: Option<Duration>) -> Self {
         Self {
@@ -178,15 +96,6 @@
     }
 }
 
-impl From<Denial> for Refusal {
-    fn from(it: Denial) -> Self {
-        match it {
-            Denial::NoRoute => Self::NoRoute,
-            Denial::NoKey => Self::NoKey,
-        }
-    }
-}
-
 impl Exchange {
     /// Whether it may run more than once.
     pub(crate) fn is_repeatable(&self) -> bool {
--- a/crates/gateway/src/core/pages.rs
+++ b/crates/gateway/src/core/pages.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::{
-    core::{Core, peers::STATE_PATH},
+    core::{Core, state::STATE_PATH},
     http::{head::Request, write},
     net::{Door, Key},
 };
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -16,14 +16,11 @@
 };
 
 use crate::{
-    catalog::Catalog,
     core::{
         Core,
         errand::{Purpose, Result},
     },
     dialect::{Dialect, Stored, Subject},
-    gossip::{self, Member},
-    pool::{self, Presence},
     settings::Settings,
 };
 
@@ -36,9 +33,6 @@
 const TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Pause before a kind is followed again after a failure.
 const AGAIN: Duration = Duration::from_millis(150);
-/// How long ago weights count as named that lie in the store when an instance starts, unless another
-/// one knows better.
-const NAMED_BEFORE: Duration = Duration::from_millis(1_500);
 /// Instances that share the store's rates until more is known: a herd that starts together must
 /// not call at once.
 const SHARERS: u32 = 8;
@@ -87,7 +81,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum What {
+pub(crate) enum What {
     Subject(Subject),
     Instances,
 }
@@ -365,168 +359,6 @@
             | Reply::Conflict(_) => follower.next = now + AGAIN,
         }
     }
-
-    fn take_list(&mut self, what: What, objects: &[Object], version: Version) {
-        for object in objects {
-            self.take_object(what, object);
-        }
-        if what == What::Subject(Subject::Servers) {
-            let names: Vec<Arc<str>> = objects.iter().map(|it| it.key.name.clone()).collect();
-            let missing = self.pool.listed().filter(|it| !names.contains(&it.1.name)).count();
-            self.pool.lapsed_together(self.now, missing);
-            for change in self.pool.retain(self.now, &names, version.0) {
-                self.server_changed(change, "not listed");
-            }
-        }
-    }
-
-    fn take_object(&mut self, what: What, object: &Object) {
-        match what {
-            What::Subject(Subject::Configuration) => {
-                if *object.key.name == *self.dialect.configuration_name() {
-                    self.take_configuration(&object.value, "store");
-                }
-            }
-            What::Subject(Subject::Weights) => self.take_weights(&object.value),
-            What::Subject(Subject::Servers) => {
-                let value = Some(&object.value);
-                self.take_entry(&object.key.name, object.version.0, value, Source::Store);
-            }
-            What::Instances => {
-                if let Ok(member) = serde_json::from_slice::<Member>(&object.value) {
-                    self.members.take(self.now, member);
-                }
-            }
-        }
-    }
-
-    fn take_removal(&mut self, what: What, key: &Key, version: Version) {
-        if what == What::Subject(Subject::Servers) {
-            self.take_entry(&key.name, version.0, None, Source::Store);
-        }
-    }
-
-    /// Takes a configuration, if it is newer. `source`: who told of it.
-    pub(crate) fn take_configuration(&mut self, value: &Arc<[u8]>, source: &str) {
-        let now = self.now;
-        let catalog: Catalog = match self.dialect.catalog(value) {
-            Ok(it) => it,
-            Err(err) => {
-                self.journal.line(now, "configuration_unreadable").text("error", &err.to_string());
-                return;
-            }
-        };
-        let known = self.catalog.as_ref().map_or(0, |it| it.version);
-        if catalog.version <= known {
-            return;
-        }
-        self.journal
-            .line(now, "configuration")
-            .number("version", catalog.version)
-            .number("before", known)
-            .number("routes", catalog.routes())
-            .text("source", source);
-        self.storage.configuration = Some((catalog.version, value.clone()));
-        self.catalog = Some(Arc::new(catalog));
-        self.follow_cache_stores();
-        self.tell_all();
-    }
-
-    fn take_weights(&mut self, value: &[u8]) {
-        match self.dialect.weights(value) {
-            // What lay there at the start was named at some time before.
-            Ok(it) => {
-                let is_first = self.pool.named(&it.model).is_none();
-                let at = if is_first { self.now - NAMED_BEFORE } else { self.now };
-                self.weights_named(at, &it.model, it.version, "store");
-            }
-            Err(err) => {
-                self.journal.line(self.now, "weights_unreadable").text("error", &err.to_string());
-            }
-        }
-    }
-
-    pub(crate) fn weights_named(&mut self, at: Time, model: &Arc<str>, version: u64, source: &str) {
-        if self.pool.name_weights(at, model, version) {
-            self.journal
-                .line(self.now, "weights_named")
-                .text("model", model)
-                .number("version", version)
-                .text("source", source);
-        }
-    }
-
-    /// Takes a server's entry, or that it was removed.
-    pub(crate) fn take_entry(
-        &mut self,
-        name: &Arc<str>,
-        revision: u64,
-        value: Option<&Arc<[u8]>>,
-        source: Source,
-    ) {
-        let known = self.storage.entries.get(name).map_or(0, |it| it.revision);
-        if revision <= known {
-            return;
-        }
-        self.storage.entries.insert(name.clone(), Entry { revision, value: value.cloned() });
-        if let (Source::Store, Some(value)) = (source, value) {
-            let (server, value) = (name.clone(), Some(value.to_vec()));
-            self.peers.read(gossip::Entry { server, revision, value });
-        }
-        let change = match value {
-            None => self.pool.remove(self.now, name, revision),
-            Some(value) => match self.dialect.server(value) {
-                Ok(entry) => self.pool.put(self.now, name, revision, entry),
-                Err(err) => {
-                    self.journal
-                        .line(self.now, "entry_unreadable")
-                        .text("server", name)
-                        .text("error", &err.to_string());
-                    return;
-                }
-            },
-        };
-        self.server_changed(change, "entry");
-    }
-
-    pub(crate) fn server_changed(&mut self, change: pool::Change, reason: &str) {
-        let now = self.now;
-        let (id, what) = match change {
-            pool::Change::None => return,
-            pool::Change::Joined(id) => (id, "joined"),
-            pool::Change::Leaving(id) => (id, "leaving"),
-            pool::Change::Gone(id) => {
-                self.server_gone(id, reason);
-                return;
-            }
-            pool::Change::Loaded(id) => (id, "loaded"),
-        };
-        let server = self.pool.get(id);
-        let mut line = self.journal.line(now, "server");
-        line = line.text("server", &server.name).text("change", what).text("reason", reason);
-        line.number("revision", server.revision)
-            .number("weights", server.models.first().map_or(0, |it| it.1));
-        if server.presence == Presence::Draining {
-            self.drop_idle(id);
-            self.tell_leaving(id);
-        }
-    }
-
-    /// A server has left.
-    pub(crate) fn server_gone(&mut self, id: pool::Id, reason: &str) {
-        let server = self.pool.get(id);
-        self.journal
-            .line(self.now, "server")
-            .text("server", &server.name)
-            .text("change", "gone")
-            .text("reason", reason)
-            .number("revision", server.revision);
-        let entry =
-            gossip::Entry { server: server.name.clone(), revision: server.revision, value: None };
-        self.peers.read(entry);
-        self.drop_idle(id);
-        self.tell_leaving(id);
-    }
 }
 
 fn name(outcome: &Outcome) -> &'static str {
