Go beyond the number of one's last life, and name what became of small requests

Cause, found by reading: an instance that restarts while its time of day is set back was an older life to the others, and out of the directory for half a minute.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -253,7 +253,6 @@
     fn take(&mut self, event: Event) {
         match event {
             Event::Accepted(key, door) => self.accepted(key, door),
-            Event::Connected(key) => self.connected(key),
             Event::Readable(key) => self.readable(key),
             Event::Flushed(key) => self.flushed(key),
             Event::Ended(key) => self.ended(key, None),
@@ -270,13 +269,6 @@
         self.roles.insert(key, role);
     }
 
-    fn connected(&mut self, key: Key) {
-        match self.roles.get(&key) {
-            Some(Role::Backend(_)) => self.backend_connected(key),
-            Some(Role::Errand(_) | Role::Caller(_) | Role::Page(_)) | None => {}
-        }
-    }
-
     fn readable(&mut self, key: Key) {
         match self.roles.get(&key) {
             Some(Role::Caller(_)) => self.caller_readable(key),
--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -89,10 +89,6 @@
         }
     }
 
-    pub(crate) fn backend_connected(&mut self, _key: Key) {
-        // Bytes that were handed over before are on their way now.
-    }
-
     pub(crate) fn backend_readable(&mut self, key: Key) {
         loop {
             let Some(Role::Backend(backend)) = self.roles.get_mut(&key) else { return };
--- a/crates/gateway/src/core/cache.rs
+++ b/crates/gateway/src/core/cache.rs
@@ -6,7 +6,7 @@
 
 use crate::core::{
     Core,
-    errand::{Purpose, Result},
+    errand::{Outcome, Purpose},
 };
 
 /// Pause between two calls to a store. Each call waits for events up to a second.
@@ -119,14 +119,14 @@
         self.cache_stores.follow(&addresses);
     }
 
-    pub(crate) fn cache_store_answered(&mut self, address: SocketAddr, result: &Result) {
+    pub(crate) fn cache_store_answered(&mut self, address: SocketAddr, outcome: &Outcome) {
         let now = self.now;
         let Some(store) = self.cache_stores.find(address) else { return };
-        let next = match result {
-            Result::Answered { status: 200, body, .. } => self.dialect.cache_reply(body),
+        let next = match outcome {
+            Outcome::Answered { status: 200, body, .. } => self.dialect.cache_reply(body),
             // Too many instances ask at once: it lives.
-            Result::Answered { status: 429, .. } => Some(store.since),
-            Result::Answered { .. } | Result::NotSent | Result::Reset | Result::Lost => None,
+            Outcome::Answered { status: 429, .. } => Some(store.since),
+            Outcome::Answered { .. } | Outcome::NotSent | Outcome::Reset | Outcome::Lost => None,
         };
         store.is_open = false;
         store.next = now + PAUSE;
--- a/crates/gateway/src/core/duties.rs
+++ b/crates/gateway/src/core/duties.rs
@@ -5,7 +5,7 @@
 use crate::{
     core::{
         Core,
-        errand::{Purpose, Result},
+        errand::{Outcome, Purpose},
     },
     dialect::{Order, OrderReply, Report},
     pool::{self, Switch},
@@ -81,8 +81,8 @@
         self.run_errand(address, &errand, TIMEOUT, Purpose::Order(id));
     }
 
-    pub(crate) fn server_reported(&mut self, id: pool::Id, result: &Result) {
-        let report = self.take_report(id, result);
+    pub(crate) fn server_reported(&mut self, id: pool::Id, outcome: &Outcome) {
+        let report = self.take_report(id, outcome);
         if self.lease.grant(self.now).is_none() {
             return;
         }
@@ -92,8 +92,8 @@
     }
 
     /// Takes a server's word on its load and its weights.
-    pub(crate) fn take_report(&mut self, id: pool::Id, result: &Result) -> Option<Report> {
-        let Result::Answered { status: 200, body, .. } = result else { return None };
+    pub(crate) fn take_report(&mut self, id: pool::Id, outcome: &Outcome) -> Option<Report> {
+        let Outcome::Answered { status: 200, body, .. } = outcome else { return None };
         let report = self.dialect.report(body)?;
         let server = self.pool.get_mut(id);
         server.load = Some((report.load, self.now));
@@ -113,10 +113,10 @@
         Some(report)
     }
 
-    pub(crate) fn server_ordered(&mut self, id: pool::Id, result: &Result) {
-        let reply = match result {
-            Result::Answered { status, .. } => Some(self.dialect.order_reply(*status)),
-            Result::NotSent | Result::Reset | Result::Lost => None,
+    pub(crate) fn server_ordered(&mut self, id: pool::Id, outcome: &Outcome) {
+        let reply = match outcome {
+            Outcome::Answered { status, .. } => Some(self.dialect.order_reply(*status)),
+            Outcome::NotSent | Outcome::Reset | Outcome::Lost => None,
         };
         self.journal
             .line(self.now, "order_answered")
--- a/crates/gateway/src/core/errand.rs
+++ b/crates/gateway/src/core/errand.rs
@@ -56,7 +56,7 @@
 }
 
 /// What became of a request.
-pub(crate) enum Result {
+pub(crate) enum Outcome {
     /// It was answered.
     Answered { status: u16, fields: Fields, body: Vec<u8> },
     /// No connection came about: it had no effect.
@@ -88,7 +88,7 @@
         purpose: Purpose,
     ) {
         let Some(connection) = self.errand_connection(address) else {
-            self.errand_done(purpose, Result::NotSent);
+            self.errand_done(purpose, Outcome::NotSent);
             return;
         };
         let mut bytes = Vec::with_capacity(256 + errand.body.len());
@@ -172,8 +172,8 @@
             self.drop_connection(key);
         }
         let task = self.errands.remove(place);
-        let result = Result::Answered { status: head.status, fields: head.fields, body };
-        self.errand_done(task.purpose, result);
+        let outcome = Outcome::Answered { status: head.status, fields: head.fields, body };
+        self.errand_done(task.purpose, outcome);
     }
 
     /// The connection ended.
@@ -194,12 +194,12 @@
         self.drop_connection(key);
         if let Some(place) = task {
             let task = self.errands.remove(place);
-            let result = match end {
-                _ if never_sent => Result::NotSent,
-                End::Reset => Result::Reset,
-                End::Closed | End::Silent => Result::Lost,
+            let outcome = match end {
+                _ if never_sent => Outcome::NotSent,
+                End::Reset => Outcome::Reset,
+                End::Closed | End::Silent => Outcome::Lost,
             };
-            self.errand_done(task.purpose, result);
+            self.errand_done(task.purpose, outcome);
         }
     }
 
@@ -208,16 +208,16 @@
         self.errand_ended(task.connection, End::Silent);
     }
 
-    fn errand_done(&mut self, purpose: Purpose, result: Result) {
+    fn errand_done(&mut self, purpose: Purpose, outcome: Outcome) {
         match purpose {
             Purpose::Store { sent, call, pages, timeout } => {
-                self.store_answered(sent, call, pages, timeout, result);
+                self.store_answered(sent, call, pages, timeout, outcome);
             }
-            Purpose::Report(id) => self.server_reported(id, &result),
-            Purpose::Probe(id) => self.server_probed(id, &result),
-            Purpose::CacheStore(address) => self.cache_store_answered(address, &result),
-            Purpose::Order(id) => self.server_ordered(id, &result),
-            Purpose::State => self.state_came(&result),
+            Purpose::Report(id) => self.server_reported(id, &outcome),
+            Purpose::Probe(id) => self.server_probed(id, &outcome),
+            Purpose::CacheStore(address) => self.cache_store_answered(address, &outcome),
+            Purpose::Order(id) => self.server_ordered(id, &outcome),
+            Purpose::State => self.state_came(&outcome),
         }
     }
 
--- a/crates/gateway/src/core/probe.rs
+++ b/crates/gateway/src/core/probe.rs
@@ -5,7 +5,7 @@
 use crate::{
     core::{
         Core,
-        errand::{Purpose, Result},
+        errand::{Outcome, Purpose},
     },
     pool,
 };
@@ -44,16 +44,16 @@
         self.run_errand(address, &errand, PROBE, Purpose::Probe(id));
     }
 
-    pub(crate) fn server_probed(&mut self, id: pool::Id, result: &Result) {
-        let is_well = match result {
+    pub(crate) fn server_probed(&mut self, id: pool::Id, outcome: &Outcome) {
+        let is_well = match outcome {
             // A server that is full breaks connections beyond those that it takes.
-            Result::Answered { .. } | Result::Reset => true,
-            Result::NotSent => false,
+            Outcome::Answered { .. } | Outcome::Reset => true,
+            Outcome::NotSent => false,
             // Engines answer without a slot. On other servers a probe waits for one like a request,
             // so that silence behind an open connection tells nothing.
-            Result::Lost => !self.is_engine(id),
+            Outcome::Lost => !self.is_engine(id),
         };
-        self.take_report(id, result);
+        self.take_report(id, outcome);
         let server = self.pool.get_mut(id);
         if server.health.is_in() {
             if !is_well {
--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -8,7 +8,7 @@
 use crate::{
     core::{
         Core,
-        errand::{Purpose, Result},
+        errand::{Outcome, Purpose},
         storage::Source,
     },
     dialect::Errand,
@@ -84,9 +84,9 @@
         postcard::to_stdvec(&state).unwrap_or_default()
     }
 
-    pub(crate) fn state_came(&mut self, result: &Result) {
+    pub(crate) fn state_came(&mut self, outcome: &Outcome) {
         self.peers.behind = None;
-        let Result::Answered { status: 200, body, .. } = result else { return };
+        let Outcome::Answered { status: 200, body, .. } = outcome else { return };
         let Ok(state) = postcard::from_bytes::<State>(body) else {
             log::warn!("another instance's knowledge could not be read");
             return;
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -18,7 +18,7 @@
 use crate::{
     core::{
         Core,
-        errand::{Purpose, Result},
+        errand::{self, Purpose},
     },
     dialect::{Dialect, Stored, Subject},
     settings::Settings,
@@ -236,12 +236,12 @@
         call: Call,
         mut pages: Vec<Object>,
         timeout: Duration,
-        result: Result,
+        answer: errand::Outcome,
     ) {
-        let outcome = match result {
-            Result::NotSent => Outcome::Unavailable { retry_after: None },
-            Result::Reset | Result::Lost => Outcome::Lost,
-            Result::Answered { status, fields, body } => {
+        let outcome = match answer {
+            errand::Outcome::NotSent => Outcome::Unavailable { retry_after: None },
+            errand::Outcome::Reset | errand::Outcome::Lost => Outcome::Lost,
+            errand::Outcome::Answered { status, fields, body } => {
                 match self.dialect.store_reply(&call, status, &fields, &body) {
                     Stored::Page(objects, last) => {
                         pages.extend(objects);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -179,6 +179,12 @@
     /// Takes what was told of a member. Says whether it is news.
     pub fn take(&mut self, now: Time, member: Member) -> bool {
         if member.name == self.me.name {
+            // Guards against a clock that was set back between two starts: the others would take this
+            // life for an older one than the last, and it would stay dead to them. It holds since they
+            // repeat what they know, and a higher number is news to all.
+            if self.me.incarnation < member.incarnation {
+                self.me.incarnation = member.incarnation + 1;
+            }
             return false;
         }
         let age = |it: &Member| (it.incarnation, it.beat);
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -68,8 +68,6 @@
 pub(crate) enum Event {
     /// A connection came in.
     Accepted(Key, Door),
-    /// A connection that this instance opened can be written to.
-    Connected(Key),
     /// Bytes were appended to the input.
     Readable(Key),
     /// All output was taken by the kernel.
--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -75,7 +75,6 @@
                 return false;
             }
             self.is_connecting = false;
-            events.push(Event::Connected(key));
         }
         if self.unsent() == 0 {
             return true;
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -39,6 +39,18 @@
     assert!(members.take(at(31_000), member("b", 2, 0)), "another life of it is news");
 }
 
+// The time of day is set back while an instance restarts: its number is lower than that of its last
+// life. The others would never list it again; it hears of the last life from them and goes beyond.
+#[test]
+fn restart_with_a_clock_set_back_is_noticed() {
+    let mut restarted = Members::open(member("b", 5, 0));
+    let mut other = Members::open(member("a", 1, 0));
+    other.take(at(0), member("b", 9, 70));
+    assert!(!other.take(at(100), restarted.me().clone()));
+    restarted.take(at(100), member("b", 9, 70));
+    assert!(other.take(at(200), restarted.me().clone()));
+}
+
 // A rolling restart comes to the instances that have run longest: the youngest keeps a lease longest.
 #[test]
 fn youngest_instance_ranks_first() {
