Refuse as not run only what certainly hasn't run

Cause, found by reading: an idempotent request that had broken at one server and was turned away by the others was answered 503, a promise that it hadn't run. And one whose connection never came about counted as run.

--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -293,15 +293,19 @@
         let Some(exchange) = self.exchanges.get(place) else { return };
         let attempt = exchange.attempt.as_ref().map(|it| it.connection);
         let never_left = attempt.is_none_or(|it| self.is_connecting(it));
-        let Some(exchange) = self.exchanges.get(place) else { return };
-        if never_left && exchange.runs == 0 {
+        let Some(exchange) = self.exchanges.get_mut(place) else { return };
+        // An attempt whose connection never came about counts as a run until it is released.
+        let is_open = exchange.attempt.is_some();
+        let earlier = exchange.runs - u8::from(is_open);
+        if never_left && earlier == 0 {
+            exchange.runs = 0;
             self.give_up(place, Refusal::TimeOut);
         } else {
             self.fail(place, 504, "time-out");
         }
     }
 
-    /// Ends a request that certainly hasn't run, and says so.
+    /// Ends a request that no server takes: as not run if that is certain, else as failed.
     pub(crate) fn give_up(&mut self, place: usize, refusal: Refusal) {
         self.release_attempt(place, true);
         let Some(exchange) = self.exchanges.get(place) else { return };
@@ -309,7 +313,8 @@
             self.break_off(place, refusal.reason());
             return;
         }
-        if 0 < exchange.runs && !exchange.is_repeatable() {
+        // The caller takes a refusal for a promise that it hasn't run, also where running twice does no harm.
+        if 0 < exchange.runs {
             self.fail(place, 502, refusal.reason());
             return;
         }
