Match also the word that nothing was run by its id

Cause, found by reading: a late 503 for another request counted as the answer to the one under way, which would have been sent again while it ran.

--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -147,7 +147,13 @@
     fn take_head(&mut self, key: Key, place: usize, head: Response) {
         let answer = self.dialect.answer(&head);
         let Some(exchange) = self.exchanges.get(place) else { return };
-        let is_foreign = answer.id.as_deref() != exchange.ask.id.as_deref() && !answer.is_not_run;
+        // Guards against the answer of an earlier request, which may come late on the same connection:
+        // it would reach the wrong caller, or have a request sent again that is running. It shows by
+        // its id. Only a server that turns a request away before reading it may leave the id out.
+        let is_foreign = match &answer.id {
+            Some(id) => exchange.ask.id.as_ref() != Some(id),
+            None => !answer.is_not_run,
+        };
         let Some(Role::Backend(backend)) = self.roles.get_mut(&key) else { return };
         if let Some(it) = answer.keep_alive {
             backend.keep_alive = it;
