--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -101,10 +101,11 @@
                 // Read on once the caller has taken what it was sent.
                 return;
             }
+            let to_head = self.exchanges.get(place).is_some_and(|it| &*it.head.method == "HEAD");
             let Some(Role::Backend(backend)) = self.roles.get_mut(&key) else { return };
             let Some(socket) = self.net.get_mut(key) else { return };
             let Some(reading) = &mut backend.reading else {
-                match Response::take(&mut socket.input, MAX_HEAD, false) {
+                match Response::take(&mut socket.input, MAX_HEAD, to_head) {
                     Ok(None) => return,
                     Ok(Some(head)) => self.take_head(key, place, head),
                     Err(error) => {
