--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -50,11 +50,17 @@
                 let value = Some(&object.value);
                 self.take_entry(&object.key.name, object.version.0, value, Source::Store);
             }
-            What::Instances => {
-                if let Ok(member) = serde_json::from_slice::<Member>(&object.value) {
+            What::Instances => match serde_json::from_slice::<Member>(&object.value) {
+                Ok(member) => {
                     self.members.take(self.now, member);
                 }
-            }
+                Err(err) => {
+                    self.journal
+                        .line(self.now, "instance_unreadable")
+                        .text("instance_name", &object.key.name)
+                        .text("error", &err.to_string());
+                }
+            },
         }
     }
 
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -216,7 +216,12 @@
                     self.take_entry(&it.server, it.revision, value.as_ref(), Source::Instance);
                 }
             }
-            Err(err) => log::warn!("a datagram of {} bytes could not be read: {err}", bytes.len()),
+            Err(err) => {
+                self.journal
+                    .line(self.now, "datagram_unreadable")
+                    .number("bytes", bytes.len())
+                    .text("error", &err.to_string());
+            }
         }
     }
 
--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -88,7 +88,7 @@
         self.peers.behind = None;
         let Outcome::Answered { status: 200, body, .. } = outcome else { return };
         let Ok(state) = postcard::from_bytes::<State>(body) else {
-            log::warn!("another instance's knowledge could not be read");
+            self.journal.line(self.now, "state_unreadable").number("bytes", body.len());
             return;
         };
         if let Some(value) = state.configuration {
--- a/crates/shallotlead/src/command/gateway.rs
+++ b/crates/shallotlead/src/command/gateway.rs
@@ -1,6 +1,6 @@
 //! `shallotlead gateway`: one instance on the users' platform.
 
-use std::{env, path::PathBuf};
+use std::{env, io, path::PathBuf};
 
 use gumdrop::Options;
 use shallotlead_adapter::Platform;
@@ -33,6 +33,10 @@
         println!("{}: valid", path.display());
         return Ok(());
     }
+    // What can't happen in the order of events, such as a socket that the kernel refuses, goes to
+    // standard error; the lines about requests and beliefs go to standard output.
+    let errors = fern::Dispatch::new().level(log::LevelFilter::Warn).chain(io::stderr());
+    errors.apply().map_err(failed)?;
     shallotlead_gateway::run(settings, Box::new(Platform)).map_err(failed)
 }
 
