Keep an answer's head once, as it was read

Each piece of a stream copied the head of its answer, with all of its fields, and each whole answer was decoded a second time. The attempt now keeps the head together with what the dialect read from it; whether a head came follows from that. The two places that wrote the head for the caller are one. Behaviour is the same. Cost wasn't measured: it is a copy of a dozen fields for each piece.

--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -3,8 +3,7 @@
 use shallotlead_base::time::Time;
 
 use crate::{
-    core::{Core, attempt::Attempt, exchange::Exchange},
-    dialect::Answer,
+    core::{Core, attempt::Reply, exchange::Exchange},
     events::{self, Cut},
     http::{head::Response, write},
     placement::Choice,
@@ -17,10 +16,11 @@
 
 impl Core {
     /// The head of the answer came.
-    pub(crate) fn attempt_head(&mut self, place: usize, head: &Response, answer: &Answer) {
+    pub(crate) fn attempt_head(&mut self, place: usize, reply: Reply) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(place) else { return };
         let Some(attempt) = &mut exchange.attempt else { return };
+        let Reply { head, answer } = &reply;
         let server = self.pool.get_mut(attempt.server);
         if let Some(load) = answer.load {
             server.load = Some((load, now));
@@ -29,14 +29,14 @@
         if let (Some(version), Some(model)) = (answer.weights, &exchange.ask.model) {
             server.loaded(now, model, version);
         }
-        attempt.has_head = true;
-        attempt.answer = Some(head.clone());
         if head.status < 500 && !answer.is_not_run {
             server.health.succeeded();
         }
-        if 500 <= head.status && !answer.is_not_run && server.health.erred(now) {
-            let server = attempt.server;
-            self.log_left_out(server, "errors");
+        let id = attempt.server;
+        let is_left_out = 500 <= head.status && !answer.is_not_run && server.health.erred(now);
+        attempt.reply = Some(reply);
+        if is_left_out {
+            self.log_left_out(id, "errors");
         }
     }
 
@@ -44,7 +44,7 @@
     pub(crate) fn take_body(&mut self, place: usize, body: &[u8], done: bool) -> bool {
         let Some(exchange) = self.exchanges.get_mut(place) else { return false };
         let Some(attempt) = &exchange.attempt else { return false };
-        if is_stream(attempt, exchange) {
+        if is_stream(exchange) {
             return self.relay(place, body, done);
         }
         exchange.delivery.pending.extend_from_slice(body);
@@ -65,14 +65,12 @@
     /// Says whether the exchange is to be finished with it.
     fn judge(&mut self, place: usize) -> bool {
         let Some(exchange) = self.exchanges.get(place) else { return false };
-        let Some(attempt) = &exchange.attempt else { return false };
-        let Some(head) = attempt.answer.clone() else { return false };
-        let answer = self.dialect.answer(&head);
-        if answer.is_not_run {
-            self.turned_away(place, &head, &answer);
+        let Some(reply) = exchange.reply() else { return false };
+        if reply.answer.is_not_run {
+            self.turned_away(place);
             return false;
         }
-        if (200..300).contains(&head.status) && !answer.is_signed {
+        if reply.is_unsigned() {
             self.attempt_broken(place, "unsigned");
             return false;
         }
@@ -81,24 +79,20 @@
             self.attempt_broken(place, "server-error");
             return false;
         }
-        let may_repeat = 500 <= head.status && exchange.is_repeatable();
+        let may_repeat = 500 <= reply.head.status && exchange.is_repeatable();
         if may_repeat && self.try_again(place, "server-error") {
             return false;
         }
-        let Some(exchange) = self.exchanges.get_mut(place) else { return false };
-        let body = std::mem::take(&mut exchange.delivery.pending);
-        let keeps = exchange.head.keeps_alive() && self.leaving_since.is_none();
-        let mut bytes = Vec::with_capacity(512 + body.len());
-        write::status_line(&mut bytes, head.status);
-        self.dialect.give_back(&head.fields, &mut bytes);
-        write::number(&mut bytes, "Content-Length", body.len() as u64);
-        if !keeps {
-            write::field(&mut bytes, "Connection", b"close");
-        }
-        write::end(&mut bytes);
-        bytes.extend_from_slice(&body);
-        exchange.delivery.first_piece.get_or_insert(self.now);
+        let Some(exchange) = self.exchanges.get(place) else { return false };
+        let Some(reply) = exchange.reply() else { return false };
+        let body = &exchange.delivery.pending;
+        let mut bytes = self.head_back(exchange, &reply.head, Some(body.len()));
+        bytes.extend_from_slice(body);
         let caller = exchange.caller;
+        if let Some(exchange) = self.exchanges.get_mut(place) {
+            exchange.delivery.pending.clear();
+            exchange.delivery.first_piece.get_or_insert(self.now);
+        }
         self.net.send(caller, &bytes);
         true
     }
@@ -106,15 +100,12 @@
     /// Passes on a long answer as it comes.
     fn pass_on(&mut self, place: usize) -> bool {
         let Some(exchange) = self.exchanges.get(place) else { return false };
-        let Some(head) = exchange.attempt.as_ref().and_then(|it| it.answer.clone()) else {
-            return false;
-        };
-        let answer = self.dialect.answer(&head);
-        if answer.is_not_run || ((200..300).contains(&head.status) && !answer.is_signed) {
+        let Some(reply) = exchange.reply() else { return false };
+        if reply.answer.is_not_run || reply.is_unsigned() {
             self.attempt_broken(place, "unsigned");
             return false;
         }
-        self.begin_stream(place, &head);
+        self.begin_stream(place);
         let Some(exchange) = self.exchanges.get_mut(place) else { return false };
         if let Some(attempt) = &mut exchange.attempt {
             attempt.is_passed_on = true;
@@ -131,7 +122,6 @@
     fn relay(&mut self, place: usize, body: &[u8], done: bool) -> bool {
         let Some(exchange) = self.exchanges.get_mut(place) else { return false };
         let Some(attempt) = &exchange.attempt else { return false };
-        let Some(head) = attempt.answer.clone() else { return false };
         let delivery = &mut exchange.delivery;
         delivery.pending.extend_from_slice(body);
         let cut = events::cut(&mut delivery.pending, delivery.last_event, done);
@@ -148,17 +138,17 @@
             self.pool.get_mut(server).loaded(self.now, model, version);
         }
         if !exchange.delivery.has_begun {
-            let answer = self.dialect.answer(&head);
             if bytes.is_empty() && !done {
                 return true;
             }
+            let is_unsigned = attempt.reply.as_ref().is_none_or(Reply::is_unsigned);
             let waited = Choice::waited(attempt.unread, self.now.since(attempt.sent));
             self.pool.get_mut(server).has_waited(self.now, waited.as_millis() as u32);
-            if !answer.is_signed {
+            if is_unsigned {
                 self.attempt_broken(place, "unsigned");
                 return false;
             }
-            self.begin_stream(place, &head);
+            self.begin_stream(place);
         }
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(place) else { return false };
@@ -174,24 +164,39 @@
         true
     }
 
-    fn begin_stream(&mut self, place: usize, head: &Response) {
-        let keeps = self.leaving_since.is_none();
-        let Some(exchange) = self.exchanges.get_mut(place) else { return };
+    fn begin_stream(&mut self, place: usize) {
+        let Some(exchange) = self.exchanges.get(place) else { return };
+        let Some(reply) = exchange.reply() else { return };
         if exchange.delivery.has_begun {
             return;
         }
-        exchange.delivery.has_begun = true;
-        exchange.delivery.first_piece = Some(self.now);
-        let mut bytes = Vec::with_capacity(512);
+        let bytes = self.head_back(exchange, &reply.head, None);
+        self.net.send(exchange.caller, &bytes);
+        if let Some(exchange) = self.exchanges.get_mut(place) {
+            exchange.delivery.has_begun = true;
+            exchange.delivery.first_piece = Some(self.now);
+        }
+    }
+
+    /// The head that goes back to the caller. `len`: the body's length; without one it goes in chunks.
+    fn head_back(&self, exchange: &Exchange, head: &Response, len: Option<usize>) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(512 + len.unwrap_or(0));
         write::status_line(&mut bytes, head.status);
         self.dialect.give_back(&head.fields, &mut bytes);
-        write::field(&mut bytes, "Transfer-Encoding", b"chunked");
-        if !keeps || !exchange.head.keeps_alive() {
+        match len {
+            Some(len) => write::number(&mut bytes, "Content-Length", len as u64),
+            None => write::field(&mut bytes, "Transfer-Encoding", b"chunked"),
+        }
+        if !self.keeps(exchange) {
             write::field(&mut bytes, "Connection", b"close");
         }
         write::end(&mut bytes);
-        let caller = exchange.caller;
-        self.net.send(caller, &bytes);
+        bytes
+    }
+
+    /// Whether the caller's connection takes another request after this one.
+    fn keeps(&self, exchange: &Exchange) -> bool {
+        exchange.head.keeps_alive() && self.leaving_since.is_none()
     }
 
     /// The answer is complete.
@@ -214,7 +219,7 @@
         if exchange.route.is_stream {
             self.stats.paused(exchange.delivery.longest_pause);
         }
-        let keeps = exchange.head.keeps_alive() && self.leaving_since.is_none();
+        let keeps = self.keeps(&exchange);
         self.caller_answered(exchange.caller, keeps);
     }
 
@@ -235,7 +240,6 @@
 }
 
 /// Whether the answer is a stream of events that is passed on as it comes.
-fn is_stream(attempt: &Attempt, exchange: &Exchange) -> bool {
-    let head = attempt.answer.as_ref();
-    exchange.route.is_stream && head.is_some_and(|it| (200..300).contains(&it.status))
+fn is_stream(exchange: &Exchange) -> bool {
+    exchange.route.is_stream && exchange.reply().is_some_and(Reply::is_success)
 }
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -33,6 +33,23 @@
 /// them comes before.
 const OTHER_WEIGHTS: Duration = Duration::from_millis(400);
 
+/// The head of an answer, as it came and as the dialect reads it.
+pub(crate) struct Reply {
+    pub(crate) head: Response,
+    pub(crate) answer: Answer,
+}
+
+impl Reply {
+    pub(crate) fn is_success(&self) -> bool {
+        (200..300).contains(&self.head.status)
+    }
+
+    /// Whether it claims success without the server's signature: whoever sent it, it was not the server.
+    pub(crate) fn is_unsigned(&self) -> bool {
+        self.is_success() && !self.answer.is_signed
+    }
+}
+
 /// One try of a request.
 pub(crate) struct Attempt {
     pub(crate) server: pool::Id,
@@ -41,12 +58,11 @@
     pub(crate) connect_until: Time,
     /// When the head of the answer should have come; a server that is later is looked at.
     pub(crate) expected: Time,
-    /// The head of the answer came.
-    pub(crate) has_head: bool,
     weights: Option<u64>,
     /// Prompt tokens that the server had to read.
     pub(crate) unread: u32,
-    pub(crate) answer: Option<Response>,
+    /// The head of the answer, once it came.
+    pub(crate) reply: Option<Reply>,
     /// The answer is long and passed on as it comes.
     pub(crate) is_passed_on: bool,
 }
@@ -92,16 +108,15 @@
             sent: now,
             connect_until: now + CONNECT,
             expected: now + expected,
-            has_head: false,
             weights: choice.weights,
             unread: choice.unread,
-            answer: None,
+            reply: None,
             is_passed_on: false,
         });
         let load_age = server.load.map_or(Duration::ZERO, |it| now.since(it.1));
         self.journal
             .line(now, "sent")
-            .text("request", exchange.ask.id.as_deref().unwrap_or_default())
+            .text("request", exchange.id())
             .text("route", &exchange.route.name)
             .number("try", exchange.sends)
             .text("server", &server.name)
@@ -148,10 +163,11 @@
     }
 
     /// The server says that it didn't run the request.
-    pub(crate) fn turned_away(&mut self, place: usize, head: &Response, answer: &Answer) {
+    pub(crate) fn turned_away(&mut self, place: usize) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(place) else { return };
         let Some(attempt) = &exchange.attempt else { return };
+        let Some(Reply { head, answer }) = &attempt.reply else { return };
         exchange.delivery.pending.clear();
         let server = attempt.server;
         let weights = attempt.weights;
@@ -171,7 +187,7 @@
         }
         self.journal
             .line(now, "turned_away")
-            .text("request", exchange.ask.id.as_deref().unwrap_or_default())
+            .text("request", exchange.id())
             .text("server", &self.pool.get(server).name)
             .text("reason", reason)
             .number("status", head.status)
@@ -194,7 +210,7 @@
             exchange.sends -= 1;
             self.journal
                 .line(self.now, "not_sent")
-                .text("request", exchange.ask.id.as_deref().unwrap_or_default())
+                .text("request", exchange.id())
                 .text("server", &self.pool.get(attempt.server).name)
                 .text("reason", reason);
             if self.pool.get_mut(attempt.server).health.failed(self.now) {
@@ -232,7 +248,7 @@
         exchange.delivery.pending.clear();
         self.journal
             .line(self.now, "broken")
-            .text("request", exchange.ask.id.as_deref().unwrap_or_default())
+            .text("request", exchange.id())
             .text("server", &self.pool.get(server).name)
             .text("reason", reason)
             .number("last_event", exchange.delivery.last_event.unwrap_or(0))
@@ -279,7 +295,7 @@
     pub(crate) fn move_streams(&mut self, server: pool::Id) {
         let is_moved = |it: &Exchange| {
             let at_server =
-                it.attempt.as_ref().is_some_and(|it| it.server == server && it.has_head);
+                it.attempt.as_ref().is_some_and(|it| it.server == server && it.reply.is_some());
             at_server && it.delivery.has_begun && it.is_repeatable()
         };
         let places = self.exchanges.iter().filter(|it| is_moved(it.1)).map(|it| it.0);
--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -5,7 +5,7 @@
 use shallotlead_base::time::Time;
 
 use crate::{
-    core::{Core, Role},
+    core::{Core, Role, attempt::Reply},
     http::{body::Framing, head::Response},
     net::Key,
     pool,
@@ -32,7 +32,8 @@
 }
 
 struct Reading {
-    head: Response,
+    /// The connection can't carry another exchange after it.
+    closes: bool,
     framing: Framing,
     /// It answers another request and is read only to get past it.
     is_foreign: bool,
@@ -159,7 +160,6 @@
         if let Some(it) = answer.keep_alive {
             backend.keep_alive = it;
         }
-        let framing = head.framing;
         if is_foreign {
             let name = &self.pool.get(backend.server).name;
             self.journal
@@ -168,9 +168,10 @@
                 .text("server", name)
                 .text("answers", answer.id.as_deref().unwrap_or_default());
         }
-        backend.reading = Some(Reading { head: head.clone(), framing, is_foreign });
+        backend.reading =
+            Some(Reading { closes: head.closes, framing: head.framing, is_foreign });
         if !is_foreign {
-            self.attempt_head(place, &head, &answer);
+            self.attempt_head(place, Reply { head, answer });
         }
     }
 
@@ -179,7 +180,7 @@
         let now = self.now;
         let unsent = self.net.get_mut(key).is_none_or(|it| 0 < it.unsent() || !it.input.is_empty());
         let Some(Role::Backend(backend)) = self.roles.get_mut(&key) else { return };
-        let closes = backend.reading.take().is_none_or(|it| it.head.closes);
+        let closes = backend.reading.take().is_none_or(|it| it.closes);
         backend.exchange = None;
         backend.idle_until = now + backend.keep_alive.mul_f64(IDLE_PART);
         if closes || unsent || backend.keep_alive.is_zero() {
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -7,7 +7,11 @@
 use crate::{
     admission::Admission,
     catalog::{Organisation, Repeat, Route},
-    core::{Core, Timer, attempt::Attempt, refusal::Refusal},
+    core::{
+        Core, Timer,
+        attempt::{Attempt, Reply},
+        refusal::Refusal,
+    },
     dialect::Ask,
     http::{head::Request, write},
     net::Key,
@@ -115,6 +119,11 @@
         self.organisation.as_ref().filter(|it| it.is_isolated).map(|it| &*it.name)
     }
 
+    /// The head of the answer that the attempt under way brings, once it came.
+    pub(crate) fn reply(&self) -> Option<&Reply> {
+        self.attempt.as_ref()?.reply.as_ref()
+    }
+
     pub(crate) fn id(&self) -> &str {
         self.ask.id.as_deref().unwrap_or_default()
     }
@@ -255,14 +264,14 @@
             return;
         };
         let repeatable = exchange.is_repeatable() && exchange.runs < exchange.route.attempts;
-        let silent = !attempt.has_head && attempt.sent + exchange.silence() <= now;
+        let silent = attempt.reply.is_none() && attempt.sent + exchange.silence() <= now;
         let connects_late = attempt.connect_until <= now;
-        let awaits_head = !attempt.has_head && repeatable;
+        let awaits_head = attempt.reply.is_none() && repeatable;
         let load = self.pool.get(attempt.server).load;
         let has_queue = load.is_some_and(|it| now.since(it.1) < QUEUE_KNOWN && 0 < it.0.waiting);
         let silent = silent && !has_queue;
         let silent_at = (attempt.sent + exchange.silence()).max(now + QUEUE_LOOK);
-        let is_late = !attempt.has_head && attempt.expected <= now;
+        let is_late = attempt.reply.is_none() && attempt.expected <= now;
         let waited = Choice::waited(attempt.unread, now.since(attempt.sent));
         let is_prompt = exchange.ask.model.is_some();
         let server = attempt.server;
