Let instances tell each other of entries in one shape

The page with an instance's knowledge had its own triple for a server's entry beside the one that datagrams carry, and each was taken in by its own loop. Both now use gossip::Entry, which has the same bytes on the wire. Who told of something is the one type Source, not also two words.

--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -168,8 +168,7 @@
                 .text("server", name)
                 .text("answers", answer.id.as_deref().unwrap_or_default());
         }
-        backend.reading =
-            Some(Reading { closes: head.closes, framing: head.framing, is_foreign });
+        backend.reading = Some(Reading { closes: head.closes, framing: head.framing, is_foreign });
         if !is_foreign {
             self.attempt_head(place, Reply { head, answer });
         }
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -42,7 +42,7 @@
         match what {
             What::Subject(Subject::Configuration) => {
                 if *object.key.name == *self.dialect.configuration_name() {
-                    self.take_configuration(&object.value, "store");
+                    self.take_configuration(&object.value, Source::Store);
                 }
             }
             What::Subject(Subject::Weights) => self.take_weights(&object.value),
@@ -70,8 +70,8 @@
         }
     }
 
-    /// Takes a configuration, if it is newer. `source`: who told of it.
-    pub(crate) fn take_configuration(&mut self, value: &Arc<[u8]>, source: &str) {
+    /// Takes a configuration, if it is newer.
+    pub(crate) fn take_configuration(&mut self, value: &Arc<[u8]>, source: Source) {
         let now = self.now;
         let catalog: Catalog = match self.dialect.catalog(value) {
             Ok(it) => it,
@@ -89,7 +89,7 @@
             .number("version", catalog.version)
             .number("before", known)
             .number("routes", catalog.routes())
-            .text("source", source);
+            .text("source", source.name());
         self.storage.configuration = Some((catalog.version, value.clone()));
         self.catalog = Some(Arc::new(catalog));
         self.follow_cache_stores();
@@ -102,7 +102,7 @@
             Ok(it) => {
                 let is_first = self.pool.named(&it.model).is_none();
                 let at = if is_first { self.now - NAMED_BEFORE } else { self.now };
-                self.weights_named(at, &it.model, it.version, "store");
+                self.weights_named(at, &it.model, it.version, Source::Store);
             }
             Err(err) => {
                 self.journal.line(self.now, "weights_unreadable").text("error", &err.to_string());
@@ -110,13 +110,27 @@
         }
     }
 
-    pub(crate) fn weights_named(&mut self, at: Time, model: &Arc<str>, version: u64, source: &str) {
+    pub(crate) fn weights_named(
+        &mut self,
+        at: Time,
+        model: &Arc<str>,
+        version: u64,
+        source: Source,
+    ) {
         if self.pool.name_weights(at, model, version) {
             self.journal
                 .line(self.now, "weights_named")
                 .text("model", model)
                 .number("version", version)
-                .text("source", source);
+                .text("source", source.name());
+        }
+    }
+
+    /// Takes servers' entries from another instance.
+    pub(crate) fn take_entries(&mut self, entries: Vec<gossip::Entry>) {
+        for it in entries {
+            let value = it.value.map(Arc::from);
+            self.take_entry(&it.server, it.revision, value.as_ref(), Source::Instance);
         }
     }
 
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -210,12 +210,7 @@
                     }
                 }
             }
-            Ok(Datagram::Entries(entries)) => {
-                for it in entries {
-                    let value = it.value.map(Arc::from);
-                    self.take_entry(&it.server, it.revision, value.as_ref(), Source::Instance);
-                }
-            }
+            Ok(Datagram::Entries(entries)) => self.take_entries(entries),
             Err(err) => {
                 self.journal
                     .line(self.now, "datagram_unreadable")
@@ -237,7 +232,7 @@
     pub(crate) fn take_namings(&mut self, namings: &[Naming]) {
         for it in namings {
             let at = self.now - Duration::from_millis(it.age_ms);
-            self.weights_named(at, &it.model, it.version, "instance");
+            self.weights_named(at, &it.model, it.version, Source::Instance);
         }
     }
 
--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -9,10 +9,10 @@
     core::{
         Core,
         errand::{Outcome, Purpose},
-        storage::Source,
+        storage::{self, Source},
     },
     dialect::Errand,
-    gossip::Naming,
+    gossip::{Entry, Naming},
     pool::Presence,
 };
 
@@ -31,8 +31,8 @@
 pub(crate) struct State {
     /// The configuration as it lies there.
     configuration: Option<Vec<u8>>,
-    /// Servers' entries as they lie there; without a value: removed.
-    entries: Vec<(Arc<str>, u64, Option<Vec<u8>>)>,
+    /// Servers' entries.
+    entries: Vec<Entry>,
     /// The named weights.
     weights: Vec<Naming>,
 }
@@ -76,9 +76,7 @@
         let entries = entries.filter(|it| it.1.value.is_some() || is_told(it.0));
         let state = State {
             configuration: newer.map(|it| it.1.to_vec()),
-            entries: entries
-                .map(|it| (it.0.clone(), it.1.revision, it.1.value.as_ref().map(|it| it.to_vec())))
-                .collect(),
+            entries: entries.map(told).collect(),
             weights: self.namings(),
         };
         postcard::to_stdvec(&state).unwrap_or_default()
@@ -92,12 +90,14 @@
             return;
         };
         if let Some(value) = state.configuration {
-            self.take_configuration(&Arc::from(value), "instance");
-        }
-        for (name, revision, value) in state.entries {
-            let value = value.map(Arc::from);
-            self.take_entry(&name, revision, value.as_ref(), Source::Instance);
+            self.take_configuration(&Arc::from(value), Source::Instance);
         }
+        self.take_entries(state.entries);
         self.take_namings(&state.weights);
     }
 }
+
+fn told((name, entry): (&Arc<str>, &storage::Entry)) -> Entry {
+    let value = entry.value.as_ref().map(|it| it.to_vec());
+    Entry { server: name.clone(), revision: entry.revision, value }
+}
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -72,6 +72,16 @@
     Instance,
 }
 
+impl Source {
+    /// Its name in logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Instance => "instance",
+        }
+    }
+}
+
 /// What an answer is for.
 #[derive(Clone, Copy, Debug)]
 enum Want {
