--- a/crates/gateway/src/core/pages.rs
+++ b/crates/gateway/src/core/pages.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::{
-    core::{Core, state::STATE_PATH},
+    core::{Core, Role, state::STATE_PATH},
     http::{head::Request, write},
     net::{Door, Key},
 };
@@ -19,7 +19,7 @@
 impl Core {
     pub(crate) fn page_readable(&mut self, key: Key) {
         loop {
-            let Some(crate::core::Role::Page(door)) = self.roles.get(&key) else { return };
+            let Some(Role::Page(door)) = self.roles.get(&key) else { return };
             let door = *door;
             let Some(socket) = self.net.get_mut(key) else { return };
             let head = match Request::take(&mut socket.input, MAX_HEAD) {
@@ -64,7 +64,8 @@
                 (200, TEXT, self.stats.render().into_bytes())
             }
             Door::Peers if head.path() == STATE_PATH => {
-                let number = |name: &str| query(head.query(), name).unwrap_or(0);
+                let number =
+                    |name| head.parameter(name).and_then(|it| it.parse().ok()).unwrap_or(0);
                 (200, BYTES, self.state(number("configuration"), number("entries")))
             }
             Door::Peers | Door::Ready | Door::Callers => (404, JSON, b"{}".to_vec()),
@@ -86,8 +87,3 @@
         near.iter().map(|it| it.callers).take(MOST_ADDRESSES).collect()
     }
 }
-
-fn query(query: &str, name: &str) -> Option<u64> {
-    let pairs = query.split('&').filter_map(|it| it.split_once('='));
-    pairs.filter(|it| it.0 == name).find_map(|it| it.1.parse().ok())
-}
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -143,6 +143,12 @@
     pub fn query(&self) -> &str {
         self.target.split_once('?').map_or("", |it| it.1)
     }
+
+    /// The first value of `name` in the query, as it came.
+    pub fn parameter(&self, name: &str) -> Option<&str> {
+        let mut pairs = self.query().split('&').filter_map(|it| it.split_once('='));
+        pairs.find(|it| it.0 == name).map(|it| it.1)
+    }
 }
 
 impl Response {
