Do the gateway's repeated work once

Gauges were worked out four times a second and once more for each reading of the page, which alone shows them: only the last is left. Each batch of datagrams took a new buffer of 64 KB. Each placement added up the prompt's tokens once for every server. A list of servers was compared with the pool twice. Reading a socket's state no longer needs it mutable, so that exchange_due and time_out lose the copies they made for that. Further twins that are one now: idle connections to servers that are dropped, the question for a server's state, the service of a name, neighbours' addresses, the body of an own error. That an entry is missing is a flag: its time was never read. Behaviour is the same.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -1,11 +1,9 @@
 //! The retry budget that all instances share.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use shallotlead_base::{hash::Map, time::Time};
 
-use std::sync::Arc;
-
 /// Width of the buckets in which the window is counted.
 const BUCKET: Duration = Duration::from_millis(500);
 /// Part of the allowed retries that is used, so that requests which cross a window's edge, or
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -356,7 +356,6 @@
             self.members.me_mut().is_watching = is_watching;
             self.journal.line(self.now, "watching").number("is_watching", is_watching);
         }
-        self.refresh_gauges();
     }
 
     /// How long nothing is due.
@@ -392,7 +391,7 @@
         self.leaving_since.is_some_and(|it| ACCEPTING <= self.now.since(it))
     }
 
-    fn is_over(&mut self) -> bool {
+    fn is_over(&self) -> bool {
         if self.orders.end.load(Ordering::Relaxed) {
             return true;
         }
@@ -402,9 +401,8 @@
         force <= passed || (STAYING <= passed && self.exchanges.is_empty() && self.has_sent_all())
     }
 
-    fn has_sent_all(&mut self) -> bool {
-        let keys: Vec<Key> = self.roles.keys().copied().collect();
-        keys.into_iter().all(|it| self.net.get_mut(it).is_none_or(|it| it.unsent() == 0))
+    fn has_sent_all(&self) -> bool {
+        self.roles.keys().all(|it| self.net.get(*it).is_none_or(|it| it.unsent() == 0))
     }
 
     fn serial(&mut self) -> u64 {
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -233,9 +233,9 @@
     }
 
     /// Whether the caller reads so slowly that its server must wait.
-    pub(crate) fn is_choked(&mut self, place: usize) -> bool {
+    pub(crate) fn is_choked(&self, place: usize) -> bool {
         let Some(caller) = self.exchanges.get(place).map(|it| it.caller) else { return false };
-        self.net.get_mut(caller).is_some_and(|it| MAX_UNSENT < it.unsent())
+        self.net.get(caller).is_some_and(|it| MAX_UNSENT < it.unsent())
     }
 }
 
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -143,7 +143,7 @@
             self.peers.placed(placement);
         }
         let serial = exchange.serial;
-        let is_connecting = self.net.get_mut(connection).is_some_and(|it| it.is_connecting());
+        let is_connecting = self.is_connecting(connection);
         self.net.send(connection, &bytes);
         if is_connecting {
             self.at(now + CONNECT, Timer::Exchange(place, serial));
--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -59,8 +59,7 @@
             return Some(key);
         }
         let row = self.pool.get(server);
-        let service = self.catalog.as_ref().and_then(|it| it.services.get(&row.service));
-        let most = service.map_or(u32::MAX, |it| it.max_connections);
+        let most = self.service(&row.service).map_or(u32::MAX, |it| it.max_connections);
         let share = (most / self.members.sharers().max(1)).max(1);
         if share <= row.connections {
             return None;
@@ -177,7 +176,7 @@
     /// The response was read to its end: the connection may carry another request.
     fn complete(&mut self, key: Key, place: usize) {
         let now = self.now;
-        let unsent = self.net.get_mut(key).is_none_or(|it| 0 < it.unsent() || !it.input.is_empty());
+        let unsent = self.net.get(key).is_none_or(|it| 0 < it.unsent() || !it.input.is_empty());
         let Some(Role::Backend(backend)) = self.roles.get_mut(&key) else { return };
         let closes = backend.reading.take().is_none_or(|it| it.closes);
         backend.exchange = None;
@@ -204,7 +203,7 @@
             }
             return;
         }
-        let connecting = self.net.get_mut(key).is_none_or(|it| it.is_connecting());
+        let connecting = self.net.get(key).is_none_or(|it| it.is_connecting());
         match (connecting, kind) {
             (true, _) => self.attempt_not_run(place, "connect-failed", true),
             (false, None) => self.attempt_broken(place, "closed"),
@@ -225,18 +224,19 @@
     /// Closes idle connections before their servers do.
     pub(crate) fn sweep_backends(&mut self) {
         let now = self.now;
-        let is_over = |it: &Role| matches!(it, Role::Backend(it) if it.exchange.is_none() && it.idle_until <= now);
-        let over: Vec<Key> = self.roles.iter().filter(|it| is_over(it.1)).map(|it| *it.0).collect();
-        for key in over {
-            self.drop_backend(key);
-        }
+        self.drop_idle_where(|it| it.idle_until <= now);
     }
 
     /// A server is gone: its idle connections are of no use.
     pub(crate) fn drop_idle(&mut self, server: pool::Id) {
-        let is_idle = |it: &Role| matches!(it, Role::Backend(it) if it.server == server && it.exchange.is_none());
-        let idle: Vec<Key> = self.roles.iter().filter(|it| is_idle(it.1)).map(|it| *it.0).collect();
-        for key in idle {
+        self.drop_idle_where(|it| it.server == server);
+    }
+
+    fn drop_idle_where(&mut self, is_chosen: impl Fn(&Backend) -> bool) {
+        let is_over =
+            |it: &Role| matches!(it, Role::Backend(it) if it.exchange.is_none() && is_chosen(it));
+        let over: Vec<Key> = self.roles.iter().filter(|it| is_over(it.1)).map(|it| *it.0).collect();
+        for key in over {
             self.drop_backend(key);
         }
     }
--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     catalog::Limits,
-    core::{Core, KEEPING_IDLE, Role},
+    core::{Core, KEEPING_IDLE, Role, exchange::error_body},
     http::{Error, body::Framing, head::Request, write},
     net::Key,
 };
@@ -154,7 +154,7 @@
             caller.state = State::Idle;
             // The next request may be there already.
             self.net.resume(key);
-            if self.net.get_mut(key).is_some_and(|it| !it.input.is_empty()) {
+            if self.net.get(key).is_some_and(|it| !it.input.is_empty()) {
                 self.caller_readable(key);
             }
             return;
@@ -168,7 +168,7 @@
         match caller.state {
             State::Closing => {
                 let is_clean =
-                    self.net.get_mut(key).is_some_and(|it| it.unsent() == 0 && it.input.is_empty());
+                    self.net.get(key).is_some_and(|it| it.unsent() == 0 && it.input.is_empty());
                 if is_clean {
                     self.drop_connection(key);
                 }
@@ -190,9 +190,8 @@
     fn reject(&mut self, key: Key, status: u16, reason: &str) {
         self.journal.line(self.now, "rejected").number("status", status).text("reason", reason);
         self.stats.refused("bad-input");
-        let body = format!("{{\"error\":\"{reason}\"}}");
         let extra = [("Connection", "close".to_owned())];
-        let bytes = write::response(status, "application/json", body.as_bytes(), &extra);
+        let bytes = write::response(status, "application/json", &error_body(reason), &extra);
         self.net.send(key, &bytes);
         let Self { net, roles, now, .. } = self;
         if let Some(Role::Caller(caller)) = roles.get_mut(&key) {
--- a/crates/gateway/src/core/duties.rs
+++ b/crates/gateway/src/core/duties.rs
@@ -35,11 +35,7 @@
 
     fn carry_out(&mut self, step: Step) {
         match step {
-            Step::Ask(id) => {
-                let errand = self.dialect.report_call();
-                let address = self.pool.get(id).address;
-                self.run_errand(address, &errand, TIMEOUT, Purpose::Report(id));
-            }
+            Step::Ask(id) => self.ask_server(id, TIMEOUT, Purpose::Report(id)),
             Step::Announce(id, model, version) => {
                 let until = self.now + ANNOUNCED;
                 self.pool.get_mut(id).switch = Some(Switch { version, until });
--- a/crates/gateway/src/core/errand.rs
+++ b/crates/gateway/src/core/errand.rs
@@ -145,7 +145,10 @@
         let Some(socket) = self.net.get_mut(key) else { return };
         if conn.reading.is_none() {
             match Response::take(&mut socket.input, MAX_HEAD, false) {
-                Ok(Some(head)) => conn.reading = Some((head.clone(), head.framing, Vec::new())),
+                Ok(Some(head)) => {
+                    let framing = head.framing;
+                    conn.reading = Some((head, framing, Vec::new()));
+                }
                 Ok(None) => return,
                 Err(_) => {
                     self.errand_ended(key, End::Reset);
@@ -163,7 +166,7 @@
 
     fn errand_complete(&mut self, key: Key) {
         let now = self.now;
-        let is_clean = self.net.get_mut(key).is_some_and(|it| it.input.is_empty());
+        let is_clean = self.net.get(key).is_some_and(|it| it.input.is_empty());
         let Some(Role::Errand(conn)) = self.roles.get_mut(&key) else { return };
         let Some((head, _, body)) = conn.reading.take() else { return };
         let Some(place) = conn.task.take() else { return };
@@ -186,7 +189,7 @@
             self.errand_complete(key);
             return;
         }
-        let never_sent = self.net.get_mut(key).is_some_and(|it| it.is_connecting());
+        let never_sent = self.is_connecting(key);
         let task = match self.roles.get(&key) {
             Some(Role::Errand(conn)) => conn.task,
             _ => None,
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -263,49 +263,53 @@
             self.dispatch(place);
             return;
         };
-        let repeatable = exchange.is_repeatable() && exchange.runs < exchange.route.attempts;
-        let silent = attempt.reply.is_none() && attempt.sent + exchange.silence() <= now;
-        let connects_late = attempt.connect_until <= now;
-        let awaits_head = attempt.reply.is_none() && repeatable;
-        let load = self.pool.get(attempt.server).load;
-        let has_queue = load.is_some_and(|it| now.since(it.1) < QUEUE_KNOWN && 0 < it.0.waiting);
-        let silent = silent && !has_queue;
-        let silent_at = (attempt.sent + exchange.silence()).max(now + QUEUE_LOOK);
-        let is_late = attempt.reply.is_none() && attempt.expected <= now;
-        let waited = Choice::waited(attempt.unread, now.since(attempt.sent));
-        let is_prompt = exchange.ask.model.is_some();
-        let server = attempt.server;
-        let connection = attempt.connection;
-        if connects_late && self.is_connecting(connection) {
+        if attempt.connect_until <= now && self.is_connecting(attempt.connection) {
             self.attempt_not_run(place, "connect-timeout", true);
-        } else if silent && repeatable {
+            return;
+        }
+        if attempt.reply.is_some() {
+            return;
+        }
+        let server = attempt.server;
+        let repeatable = exchange.is_repeatable() && exchange.runs < exchange.route.attempts;
+        let silent_at = attempt.sent + exchange.silence();
+        if repeatable && silent_at <= now && !self.has_queue(server) {
             self.attempt_broken(place, "silent");
-        } else {
-            if awaits_head {
-                self.at(silent_at, Timer::Exchange(place, serial));
-            }
-            if is_late {
-                if is_prompt {
-                    self.pool.get_mut(server).has_waited(now, waited.as_millis() as u32);
-                }
-                self.look_at(server);
-            }
+            return;
+        }
+        let is_late = attempt.expected <= now;
+        let is_prompt = exchange.ask.model.is_some();
+        let waited = Choice::waited(attempt.unread, now.since(attempt.sent));
+        if repeatable {
+            self.at(silent_at.max(now + QUEUE_LOOK), Timer::Exchange(place, serial));
+        }
+        if is_late && is_prompt {
+            self.pool.get_mut(server).has_waited(now, waited.as_millis() as u32);
         }
+        if is_late {
+            self.look_at(server);
+        }
+    }
+
+    /// Whether the server has said lately that requests wait there.
+    fn has_queue(&self, server: pool::Id) -> bool {
+        let load = self.pool.get(server).load;
+        load.is_some_and(|it| self.now.since(it.1) < QUEUE_KNOWN && 0 < it.0.waiting)
     }
 
-    fn is_connecting(&mut self, key: Key) -> bool {
-        self.net.get_mut(key).is_some_and(|it| it.is_connecting())
+    /// Whether the connection never came about so far.
+    pub(crate) fn is_connecting(&self, key: Key) -> bool {
+        self.net.get(key).is_some_and(|it| it.is_connecting())
     }
 
     /// The request's time is over.
     fn time_out(&mut self, place: usize) {
         let Some(exchange) = self.exchanges.get(place) else { return };
-        let attempt = exchange.attempt.as_ref().map(|it| it.connection);
-        let never_left = attempt.is_none_or(|it| self.is_connecting(it));
-        let Some(exchange) = self.exchanges.get_mut(place) else { return };
+        let connection = exchange.attempt.as_ref().map(|it| it.connection);
+        let never_left = connection.is_none_or(|it| self.is_connecting(it));
         // An attempt whose connection never came about counts as a run until it is released.
-        let is_open = exchange.attempt.is_some();
-        let earlier = exchange.runs - u8::from(is_open);
+        let earlier = exchange.runs - u8::from(connection.is_some());
+        let Some(exchange) = self.exchanges.get_mut(place) else { return };
         if never_left && earlier == 0 {
             exchange.runs = 0;
             self.give_up(place, Refusal::TimeOut);
@@ -351,7 +355,7 @@
             .number("runs", exchange.runs)
             .number("sends", exchange.sends)
             .ms("after_ms", self.now.since(exchange.arrived));
-        self.stats.ended(&exchange.route, status, self.now.since(exchange.arrived));
+        self.stats.failed(&exchange.route);
         let keeps = exchange.head.keeps_alive();
         self.answer_caller(exchange.caller, status, &body, &extra, keeps);
     }
@@ -366,7 +370,7 @@
             .text("reason", reason)
             .number("last_event", exchange.delivery.last_event.unwrap_or(0))
             .ms("after_ms", self.now.since(exchange.arrived));
-        self.stats.ended(&exchange.route, 0, self.now.since(exchange.arrived));
+        self.stats.failed(&exchange.route);
         self.drop_connection(exchange.caller);
     }
 
@@ -425,6 +429,7 @@
     }
 }
 
-fn error_body(reason: &str) -> Vec<u8> {
+/// The body of an answer that this instance gives itself.
+pub(crate) fn error_body(reason: &str) -> Vec<u8> {
     format!("{{\"error\":\"{reason}\"}}").into_bytes()
 }
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    catalog::Catalog,
+    catalog::{Catalog, Service},
     core::{
         Core,
         storage::{Entry, Source, What},
@@ -30,8 +30,6 @@
         }
         if what == What::Subject(Subject::Servers) {
             let names: Vec<Arc<str>> = objects.iter().map(|it| it.key.name.clone()).collect();
-            let missing = self.pool.listed().filter(|it| !names.contains(&it.1.name)).count();
-            self.pool.lapsed_together(self.now, missing);
             for change in self.pool.retain(self.now, &names, version.0) {
                 self.server_changed(change, "not listed");
             }
@@ -126,6 +124,11 @@
         }
     }
 
+    /// The service `name` of the configuration in force.
+    pub(crate) fn service(&self, name: &str) -> Option<&Service> {
+        self.catalog.as_ref()?.services.get(name)
+    }
+
     /// Takes servers' entries from another instance.
     pub(crate) fn take_entries(&mut self, entries: Vec<gossip::Entry>) {
         for it in entries {
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -92,8 +92,7 @@
         if entries.is_empty() || !self.members.is_large() {
             return;
         }
-        let targets: Vec<SocketAddr> =
-            self.members.neighbours(self.now).map(|it| it.peers).collect();
+        let targets = self.nearby();
         for chunk in entries.chunks(ENTRIES) {
             self.send_to(&targets, &Datagram::Entries(chunk.to_vec()));
         }
@@ -107,19 +106,14 @@
             return;
         }
         let placed = std::mem::take(&mut self.peers.placed);
-        let targets: Vec<SocketAddr> =
-            self.members.neighbours(self.now).map(|it| it.peers).collect();
+        let targets = self.nearby();
         let now = self.now;
         let loads = std::mem::take(&mut self.peers.loads).into_iter();
-        let told = loads.map(|(id, (load, at))| Told {
-            server: self.pool.get(id).name.clone(),
-            load,
-            age_ms: now.since(at).as_millis() as u32,
-            waited_ms: self
-                .pool
-                .get(id)
-                .waited
-                .map(|it| (it.0, now.since(it.1).as_millis() as u32)),
+        let age_ms = |at: Time| now.since(at).as_millis() as u32;
+        let told = loads.map(|(id, (load, at))| {
+            let server = self.pool.get(id);
+            let waited_ms = server.waited.map(|it| (it.0, age_ms(it.1)));
+            Told { server: server.name.clone(), load, age_ms: age_ms(at), waited_ms }
         });
         let told = told.filter(|it| it.age_ms < OLDEST_LOAD_MS).collect();
         self.send_to(&targets, &Datagram::Placed(placed, told));
@@ -130,6 +124,11 @@
         self.peers.has_news = true;
     }
 
+    /// Where the instances are that hear of each prompt.
+    fn nearby(&self) -> Vec<SocketAddr> {
+        self.members.neighbours(self.now).map(|it| it.peers).collect()
+    }
+
     fn told_at_once(&mut self) -> Vec<SocketAddr> {
         let mut targets: Vec<SocketAddr> =
             self.members.alive(self.now).map(|it| it.peers).collect();
--- a/crates/gateway/src/core/probe.rs
+++ b/crates/gateway/src/core/probe.rs
@@ -39,9 +39,14 @@
     }
 
     fn probe(&mut self, id: pool::Id) {
+        self.ask_server(id, PROBE, Purpose::Probe(id));
+    }
+
+    /// Asks a server for its state.
+    pub(crate) fn ask_server(&mut self, id: pool::Id, timeout: Duration, purpose: Purpose) {
         let errand = self.dialect.report_call();
         let address = self.pool.get(id).address;
-        self.run_errand(address, &errand, PROBE, Purpose::Probe(id));
+        self.run_errand(address, &errand, timeout, purpose);
     }
 
     pub(crate) fn server_probed(&mut self, id: pool::Id, outcome: &Outcome) {
@@ -70,8 +75,6 @@
     }
 
     fn is_engine(&self, id: pool::Id) -> bool {
-        let service = &self.pool.get(id).service;
-        let service = self.catalog.as_ref().and_then(|it| it.services.get(service));
-        service.is_some_and(|it| it.engine.is_some())
+        self.service(&self.pool.get(id).service).is_some_and(|it| it.engine.is_some())
     }
 }
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -1,13 +1,11 @@
 //! Counters and histograms on the metrics address.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use metrics::{Counter, Gauge, Histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use shallotlead_base::hash::Map;
 
-use std::sync::Arc;
-
 use crate::{catalog::Route, core::Core, pool};
 
 /// Bounds of the latency histograms, in seconds.
@@ -98,7 +96,7 @@
         route.answered.increment(1);
     }
 
-    pub(crate) fn ended(&mut self, route: &Route, _status: u16, _after: Duration) {
+    pub(crate) fn failed(&mut self, route: &Route) {
         self.route(route).failed.increment(1);
     }
 
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -95,6 +95,8 @@
     /// Streams that have unread bytes in the kernel though no new edge will tell.
     unfinished: Vec<Key>,
     chunk: Box<[u8]>,
+    /// Where a datagram is read to.
+    datagram: Box<[u8]>,
 }
 
 impl Net {
@@ -108,6 +110,7 @@
             next_serial: 0,
             unfinished: Vec::new(),
             chunk: vec![0; READ_CHUNK].into(),
+            datagram: vec![0; MAX_DATAGRAM].into(),
         })
     }
 
@@ -151,6 +154,14 @@
         Ok(key)
     }
 
+    /// The stream `key`, while it is open.
+    pub(crate) fn get(&self, key: Key) -> Option<&Socket> {
+        match self.slots.get(key.index) {
+            Some((serial, Slot::Stream(socket))) if *serial == key.serial => Some(socket),
+            _ => None,
+        }
+    }
+
     /// The stream `key`, while it is open.
     pub(crate) fn get_mut(&mut self, key: Key) -> Option<&mut Socket> {
         match self.slots.get_mut(key.index) {
@@ -286,9 +297,8 @@
 
     fn receive(&mut self, events: &mut Vec<Event>) {
         let Some(socket) = &self.datagrams else { return };
-        let mut buf = vec![0; MAX_DATAGRAM];
-        while let Ok((len, _)) = socket.recv_from(&mut buf) {
-            events.push(Event::Datagram(buf[..len].into()));
+        while let Ok((len, _)) = socket.recv_from(&mut self.datagram) {
+            events.push(Event::Datagram(self.datagram[..len].into()));
         }
     }
 
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -238,12 +238,26 @@
             None => shortage = Shortage::OldWeights,
         }
     }
-    let home = home(wish, &ready);
-    let weighed = ready.iter().map(|it| weigh(now, wish, it, &ready, home, random));
+    let prompt = Prompt {
+        all: wish.parts.iter().map(|it| it.tokens).sum(),
+        shared: shared(wish.parts).iter().map(|it| it.tokens).sum(),
+        home: home(wish, &ready),
+    };
+    let weighed = ready.iter().map(|it| weigh(now, wish, &prompt, it, &ready, random));
     let best = weighed.min_by(|a, b| a.score.total_cmp(&b.score));
     best.map(|it| Choice { candidates: ready.len() as u32, ..it }).ok_or(shortage)
 }
 
+/// What is the same for all servers.
+struct Prompt {
+    /// Its tokens.
+    all: u32,
+    /// Those that other requests share.
+    shared: u32,
+    /// The server that reads parts which nobody holds.
+    home: Option<pool::Id>,
+}
+
 /// A server that could run the request.
 struct Place<'a> {
     id: pool::Id,
@@ -292,13 +306,13 @@
 fn weigh(
     now: Time,
     wish: &Wish<'_>,
+    prompt: &Prompt,
     place: &Place<'_>,
     ready: &[Place<'_>],
-    home: Option<pool::Id>,
     random: u64,
 ) -> Choice {
+    let Prompt { all, shared, home } = *prompt;
     let Place { id, server, weights, age_ms, held } = *place;
-    let all: u32 = wish.parts.iter().map(|it| it.tokens).sum();
     let wait_ms = wait(now, server);
     // Parts that are still being read elsewhere can't be fetched yet.
     let others = ready.iter().filter(|it| it.id != id && it.weights == weights);
@@ -314,19 +328,19 @@
     let again = known.saturating_sub(held.tokens + fetched);
     let mut shared_ms =
         factor * wish.fetch_ms * f64::from(fetched) + READ_AGAIN * f64::from(again) / TOKENS_PER_MS;
-    if known <= held.tokens && home != Some(id) && !wish.parts.is_empty() {
-        shared_ms += if held.tokens < known.max(1) { NOT_HOME_MS } else { 0.0 };
+    let is_held = 0 < known.max(held.tokens);
+    if !is_held && home != Some(id) && !wish.parts.is_empty() {
+        shared_ms += NOT_HOME_MS;
     }
     let kilobytes = OVERHEAD_KB + TOKEN_KB * f64::from(all);
     let away = if *server.centre == *wish.centre { 0.0 } else { OTHER_CENTRE_MS * kilobytes };
     let tie = (random.rotate_left(id as u32 % 64) & 0xff) as f64 / 256.0;
     let score = wait_ms + f64::from(unread) / TOKENS_PER_MS + shared_ms + age_ms + away + tie;
-    let common: u32 = shared(wish.parts).iter().map(|it| it.tokens).sum();
     // What is believed to be held may have been evicted: asking the store costs a millisecond, reading
     // the parts again a hundred.
-    let store = wish.store.filter(|_| LEAST_STORED <= common);
+    let store = wish.store.filter(|_| LEAST_STORED <= shared);
     let fetch_from = source.map(|it| it.server.address).or(store);
-    let save_to = store.filter(|_| known.max(held.tokens) < common);
+    let save_to = store.filter(|_| known.max(held.tokens) < shared);
     let added = all - held.tokens;
     Choice {
         server: id,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -162,7 +162,7 @@
             return Change::None;
         }
         server.revision = revision;
-        server.missing_since = None;
+        server.is_missing = false;
         let was = server.presence;
         let loaded = server.take(now, entry);
         match (was, server.presence) {
@@ -189,7 +189,7 @@
         }
         server.revision = revision;
         if lenient && server.presence == Presence::Ready {
-            server.missing_since.get_or_insert(now);
+            server.is_missing = true;
             return Change::None;
         }
         server.presence = Presence::Gone;
@@ -200,6 +200,7 @@
     pub fn retain(&mut self, now: Time, names: &[Arc<str>], revision: u64) -> Vec<Change> {
         let missing = self.listed().filter(|it| !names.contains(&it.1.name));
         let missing: Vec<Arc<str>> = missing.map(|it| it.1.name.clone()).collect();
+        self.lapsed_together(now, missing.len());
         missing.iter().map(|it| self.remove(now, it, revision)).collect()
     }
 
@@ -210,7 +211,7 @@
         }
         let mut gone = Vec::new();
         for (id, server) in self.servers.iter_mut().enumerate() {
-            if server.missing_since.take().is_some() {
+            if std::mem::take(&mut server.is_missing) {
                 server.presence = Presence::Gone;
                 gone.push(id);
             }
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -50,8 +50,8 @@
     pub loaded_at: Time,
     /// The store's revision of what is known of it.
     pub revision: u64,
-    /// Since when its entry is missing though it may come back.
-    pub missing_since: Option<Time>,
+    /// Its entry is missing, and may come back.
+    pub is_missing: bool,
     /// Weights that it is loading.
     pub switch: Option<Switch>,
     /// Whether it answers as it should.
@@ -85,7 +85,7 @@
             models,
             loaded_at: Time::ZERO,
             revision,
-            missing_since: None,
+            is_missing: false,
             switch: None,
             health: Health::default(),
             load: None,
