Drop what the gateway reads and never uses

The most tokens of a prompt, a server's slots, the time at which it got its weights and a service's list of models were decoded and kept, but decide nothing. An entry or configuration in which just these are malformed is now readable.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -77,8 +77,6 @@
     pub capacity: u32,
     /// Time that one token's cache takes on the way from another engine in the same data centre, ms.
     pub fetch_ms: f64,
-    /// The models that they serve.
-    pub models: Vec<Arc<str>>,
 }
 
 /// One organisation whose callers are known by their keys.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -77,8 +77,6 @@
     pub model: Option<Arc<str>>,
     /// The parts of the prompt in order. The last one belongs to the request or its session.
     pub parts: Vec<Part>,
-    /// Most tokens to generate.
-    pub max_tokens: u32,
     /// The number of the last event that the caller has.
     pub last_event: Option<u64>,
 }
@@ -234,8 +232,6 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub centre: Arc<str>,
-    /// Requests that it runs at once.
-    pub slots: u32,
     /// Whether it is leaving.
     pub is_draining: bool,
     /// Models and the versions of their weights.
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -40,14 +40,10 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub centre: Arc<str>,
-    /// Requests that it runs at once.
-    pub slots: u32,
     /// Whether it takes new requests.
     pub presence: Presence,
     /// Models and the versions of their weights, as far as known.
     pub models: Vec<(Arc<str>, u64)>,
-    /// When it got the weights that it has; long ago for those that it started with.
-    pub loaded_at: Time,
     /// The store's revision of what is known of it.
     pub revision: u64,
     /// Its entry is missing, and may come back.
@@ -74,16 +70,14 @@
 
 impl Server {
     pub(super) fn new(name: Arc<str>, revision: u64, entry: ServerEntry) -> Self {
-        let ServerEntry { service, address, centre, slots, is_draining, models } = entry;
+        let ServerEntry { service, address, centre, is_draining, models } = entry;
         Self {
             name,
             service,
             address,
             centre,
-            slots,
             presence: if is_draining { Presence::Draining } else { Presence::Ready },
             models,
-            loaded_at: Time::ZERO,
             revision,
             is_missing: false,
             switch: None,
@@ -102,7 +96,6 @@
     pub(super) fn take(&mut self, now: Time, entry: ServerEntry) -> bool {
         self.presence = if entry.is_draining { Presence::Draining } else { Presence::Ready };
         self.address = entry.address;
-        self.slots = entry.slots;
         let mut loaded = false;
         for (model, version) in entry.models {
             loaded |= self.loaded(now, &model, version);
@@ -123,7 +116,6 @@
         match self.models.iter_mut().find(|it| it.0 == *model) {
             Some(it) if it.1 < version => {
                 it.1 = version;
-                self.loaded_at = now;
                 self.busy_until = now;
                 self.waited = None;
                 true
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -26,7 +26,6 @@
             .parse()
             .expect("the stand-ins speak well-formed HTTP and JSON"),
         centre: Arc::from(centre),
-        slots: 128,
         is_draining: false,
         models: vec![(Arc::from(MODEL), version)],
     }
