Keep one store in memory for the tests of all crates

Six test files and a simulation each carried out conditional writes by themselves, in the same twenty lines. base::store::memory has them once; what each adds, such as faults, hooks and counters, stays with it. The admin tests' store now checks a removal's version too, as the platform does.

--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -2,7 +2,6 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use std::{
-    collections::BTreeMap,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
@@ -21,7 +20,7 @@
 use shallotlead_base::{
     code::Code,
     id::{self, Version},
-    store::{Call, Failure, Key, Object, Reply, Store},
+    store::{Call, Failure, Reply, Store, memory::Memory},
 };
 use shallotlead_table::{
     cell::Cell,
@@ -33,15 +32,14 @@
 };
 
 #[derive(Default)]
-struct Memory {
-    objects: Mutex<BTreeMap<Key, Object>>,
-    version: AtomicU64,
+struct Objects {
+    memory: Mutex<Memory>,
     down: Mutex<bool>,
     lose: Mutex<u32>,
 }
 
-/// A connection to [`Memory`].
-struct Connection<'a>(&'a Memory);
+/// A connection to [`Objects`].
+struct Connection<'a>(&'a Objects);
 
 impl Store for Connection<'_> {
     fn call(&mut self, call: Call) -> Reply {
@@ -49,39 +47,20 @@
             let retry_after = Duration::from_secs(2);
             return Reply::Failed(Failure::NotApplied { retry_after });
         }
-        let mut objects = self.0.objects.lock().unwrap();
-        match call {
-            Call::Get(key) => Reply::Got(objects.get(&key).cloned()),
-            Call::Put { key, expected, value } => {
-                let found = objects.get(&key).cloned();
-                if found.as_ref().map_or(Version(0), |it| it.version) != expected {
-                    return Reply::Conflict(found);
-                }
-                let version = Version(self.0.version.fetch_add(1, Ordering::SeqCst) + 1);
-                objects.insert(key.clone(), Object { key, version, value });
-                let mut lose = self.0.lose.lock().unwrap();
-                if 0 < *lose {
-                    *lose -= 1;
-                    return Reply::Failed(Failure::Unknown);
-                }
-                Reply::Done(version)
-            }
-            Call::Delete { key, .. } => {
-                objects.remove(&key);
-                Reply::Done(Version(self.0.version.fetch_add(1, Ordering::SeqCst) + 1))
-            }
-            Call::List { kind } => {
-                let objects = objects.values().filter(|it| it.key.kind == kind).cloned().collect();
-                Reply::Listed { objects, version: Version(0) }
-            }
-            Call::Watch { .. } => Reply::Failed(Failure::Unknown),
+        let is_put = matches!(call, Call::Put { .. });
+        let reply = self.0.memory.lock().unwrap().call(call);
+        let mut lose = self.0.lose.lock().unwrap();
+        if is_put && matches!(reply, Reply::Done(_)) && 0 < *lose {
+            *lose -= 1;
+            return Reply::Failed(Failure::Unknown);
         }
+        reply
     }
 }
 
 struct Daemon {
     operators: Vec<Operator>,
-    memory: Memory,
+    objects: Objects,
     ids: AtomicU64,
     accepted: Mutex<Vec<Version>>,
 }
@@ -92,7 +71,7 @@
     }
 
     fn table(&self) -> Arc<Snapshot> {
-        Committer::default().read(&mut Connection(&self.memory)).unwrap_or_default()
+        Committer::default().read(&mut Connection(&self.objects)).unwrap_or_default()
     }
 
     fn wait(&self, _version: Version, _wait: Duration) -> Arc<Snapshot> {
@@ -100,7 +79,7 @@
     }
 
     fn store(&self) -> Box<dyn Store + '_> {
-        Box::new(Connection(&self.memory))
+        Box::new(Connection(&self.objects))
     }
 
     fn accepted(&self, change: &Change) {
@@ -155,7 +134,7 @@
             operator("tom", Role::Tuner),
             operator("mia", Role::Manager),
         ],
-        memory: Memory::default(),
+        objects: Objects::default(),
         ids: AtomicU64::new(1),
         accepted: Mutex::default(),
     });
@@ -254,7 +233,7 @@
 #[test]
 fn lost_answer_of_the_platform_is_settled() {
     let served = serve();
-    *served.daemon.memory.lose.lock().unwrap() = 1;
+    *served.daemon.objects.lose.lock().unwrap() = 1;
     let client = served.client("tom");
     let outcome = client.change(&request(vec![weight(Some("1"), "3")]), "a").unwrap();
     assert!(outcome.accepted);
@@ -264,12 +243,12 @@
 #[test]
 fn platform_outage_is_said_and_nothing_changes() {
     let served = serve();
-    *served.daemon.memory.down.lock().unwrap() = true;
+    *served.daemon.objects.down.lock().unwrap() = true;
     let client = served.client("tom");
     let error = client.change(&request(vec![weight(Some("1"), "3")]), "a").unwrap_err();
     assert_eq!(code(&error), Code::PlatformUnavailable);
     assert!(error.to_string().contains("nothing was changed"), "{error}");
-    *served.daemon.memory.down.lock().unwrap() = false;
+    *served.daemon.objects.down.lock().unwrap() = false;
     assert_eq!(read_weight(&client), "1");
 }
 
--- a/crates/base/src/store.rs
+++ b/crates/base/src/store.rs
@@ -7,6 +7,8 @@
 
 use crate::id::Version;
 
+pub mod memory;
+
 /// Key of an object: a kind (`table`, `lease`, `intent`, `instance`, …) and a name within it.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Key {
--- a/crates/fleet/src/credential/tests.rs
+++ b/crates/fleet/src/credential/tests.rs
@@ -1,11 +1,11 @@
 //! Publishing and learning of certificates.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use proptest::prelude::*;
 use shallotlead_base::{
-    id::{Incarnation, Version},
-    store::{Call, Failure, Key, Object, Reply},
+    id::Incarnation,
+    store::{Call, Failure, Reply, Store as _, memory::Memory},
     time::Time,
 };
 
@@ -17,8 +17,7 @@
 
 #[derive(Default)]
 struct Store {
-    objects: BTreeMap<Key, Object>,
-    version: u64,
+    memory: Memory,
     is_out: bool,
     calls: u32,
 }
@@ -30,28 +29,9 @@
             let retry_after = Duration::from_secs(1);
             return Reply::Failed(Failure::NotApplied { retry_after });
         }
-        let (key, expected, value) = match call {
-            Call::List { .. } => {
-                let objects = self.objects.values().cloned().collect();
-                return Reply::Listed { objects, version: Version(self.version) };
-            }
-            Call::Put { key, expected, value } => (key, expected, Some(value)),
-            Call::Delete { key, expected } => (key, expected, None),
-            other => panic!("unexpected {other:?}"),
-        };
-        let found = self.objects.get(&key);
-        if found.map_or(Version(0), |it| it.version) != expected {
-            return Reply::Conflict(found.cloned());
-        }
-        self.version += 1;
-        let version = Version(self.version);
-        match value {
-            Some(value) => {
-                self.objects.insert(key.clone(), Object { key, version, value });
-            }
-            None => drop(self.objects.remove(&key)),
-        }
-        Reply::Done(version)
+        let is_known = !matches!(call, Call::Get(_) | Call::Watch { .. });
+        assert!(is_known, "unexpected {call:?}");
+        self.memory.call(call)
     }
 }
 
@@ -173,7 +153,7 @@
     old.run(&mut store, &mut at_old, seconds(500));
     new.run(&mut store, &mut at_new, seconds(500));
     assert!(old.shadowed && !new.shadowed);
-    let stored = store.objects.values().next().expect("published");
+    let stored = store.memory.objects.values().next().expect("published");
     let record = Record::decode(&stored.value).expect("a record");
     assert_eq!(record.incarnation, Incarnation(2));
 }
@@ -189,9 +169,9 @@
     }
     a.credential.set_members(vec!["a".into(), "b".into()]);
     a.run(&mut store, &mut at_a, Time::ZERO + ABSENCE);
-    assert_eq!(store.objects.len(), 4);
+    assert_eq!(store.memory.objects.len(), 4);
     a.run(&mut store, &mut at_a, Time::ZERO + ABSENCE + PERIOD * 5);
-    let names: Vec<&str> = store.objects.keys().map(|it| &*it.name).collect();
+    let names: Vec<&str> = store.memory.objects.keys().map(|it| &*it.name).collect();
     assert_eq!(names, ["a", "b"]);
 }
 
--- a/crates/fleet/src/intent/tests.rs
+++ b/crates/fleet/src/intent/tests.rs
@@ -231,7 +231,7 @@
     rig.pass(RETAIN / 2);
     keep_all(&mut rig, 1_000, &young);
     rig.pass(RETAIN / 4);
-    assert!(4 <= rig.store.objects.len(), "{} objects", rig.store.objects.len());
+    assert!(4 <= rig.store.memory.objects.len(), "{} objects", rig.store.memory.objects.len());
     rig.restart(0);
     for (request, key) in (2_000..).zip(&young) {
         assert_eq!(ask(&mut rig, 0, request, key), Answer::Ran(kept("ran")), "key {key}");
@@ -243,7 +243,7 @@
     rig.pass(RETAIN);
     keep_all(&mut rig, 5_000, &newer);
     rig.pass(Duration::from_secs(60));
-    let total = rig.store.objects.values().map(|it| it.value.len()).sum::<usize>();
+    let total = rig.store.memory.objects.values().map(|it| it.value.len()).sum::<usize>();
     assert!(total <= newer.len() * 2 * 160, "{total} bytes are stored");
     assert_eq!(ask(&mut rig, 0, 6_000, &young[0]), Answer::Recorded);
 }
@@ -269,7 +269,7 @@
     assert_eq!(ask(&mut rig, 0, 1, "k"), Answer::Recorded);
     let shard = Key { organisation: "umex".into(), key: Arc::from("k") }.shard();
     let key: ObjectKey = head::head_key(shard);
-    let expected = rig.store.objects[&key].version;
+    let expected = rig.store.memory.objects[&key].version;
     let value = Arc::from([0xff; 30]);
     assert!(matches!(rig.store.apply(Call::Put { key, expected, value }), Reply::Done(_)));
     rig.restart(0);
--- a/crates/fleet/src/lease/tests.rs
+++ b/crates/fleet/src/lease/tests.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use shallotlead_base::{
-    id::{Fence, Version},
+    id::Fence,
     name,
     store::{Call, Key, Reply},
     time::Time,
@@ -112,10 +112,10 @@
     let mut rig = rig(1, 3);
     rig.pass(LENGTH);
     rig.faults.reply = 1.;
-    let empty = rig.store.objects[&key()].version;
+    let empty = rig.store.memory.objects[&key()].version;
     let until = rig.now + Duration::from_secs(60);
-    assert!(rig.run(until, |rig| rig.store.objects[&key()].version != empty));
-    let version = rig.store.objects[&key()].version;
+    assert!(rig.run(until, |rig| rig.store.memory.objects[&key()].version != empty));
+    let version = rig.store.memory.objects[&key()].version;
     rig.faults.reply = 0.;
     let (_, fence) = settle(&mut rig);
     assert_eq!(fence, Fence(version.0), "a second write was made");
@@ -129,11 +129,11 @@
     let mut rig = rig(3, 4);
     let (index, fence) = settle(&mut rig);
     // The holder can't tell that the record is gone: it goes on until its term ends.
-    let expected = rig.store.objects[&key()].version;
+    let expected = rig.store.memory.objects[&key()].version;
     rig.nodes[index].paused = rig.now + Duration::from_secs(60);
     assert_eq!(
         rig.store.apply(Call::Delete { key: key(), expected }),
-        Reply::Done(Version(rig.store.version))
+        Reply::Done(rig.store.memory.version)
     );
     let deleted = rig.now;
     rig.run(deleted + Duration::from_secs(60), |rig| !holders(rig).is_empty());
@@ -258,7 +258,7 @@
                 }
                 Blow::Restart(index) => rig.restart(index),
                 Blow::Delete => {
-                    if let Some(it) = rig.store.objects.get(&key()) {
+                    if let Some(it) = rig.store.memory.objects.get(&key()) {
                         let expected = it.version;
                         rig.store.apply(Call::Delete { key: key(), expected });
                     }
--- a/crates/fleet/src/rig.rs
+++ b/crates/fleet/src/rig.rs
@@ -9,9 +9,9 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use shallotlead_base::{
-    id::{Incarnation, Version},
+    id::Incarnation,
     name,
-    store::{Call, Failure, Key, Object, Reply},
+    store::{Call, Failure, Reply, Store as _, memory::Memory},
     time::Time,
 };
 use shallotlead_table::snapshot::Snapshot;
@@ -25,11 +25,10 @@
     view::{Entry, Member, State, View},
 };
 
-/// A fake of the platform's object store.
+/// A fake of the platform's object store that counts calls.
 #[derive(Debug, Default)]
 pub(crate) struct Store {
-    pub(crate) objects: BTreeMap<Key, Object>,
-    pub(crate) version: u64,
+    pub(crate) memory: Memory,
     pub(crate) reads: u64,
     pub(crate) writes: u64,
 }
@@ -37,39 +36,11 @@
 impl Store {
     pub(crate) fn apply(&mut self, call: Call) -> Reply {
         match call {
-            Call::Get(key) => {
-                self.reads += 1;
-                Reply::Got(self.objects.get(&key).cloned())
-            }
-            Call::Put { key, expected, value } => self.write(key, expected, Some(value)),
-            Call::Delete { key, expected } => self.write(key, expected, None),
-            Call::List { kind } => {
-                self.reads += 1;
-                let objects =
-                    self.objects.values().filter(|it| it.key.kind == kind).cloned().collect();
-                Reply::Listed { objects, version: Version(self.version) }
-            }
+            Call::Get(_) | Call::List { .. } => self.reads += 1,
+            Call::Put { .. } | Call::Delete { .. } => self.writes += 1,
             Call::Watch { .. } => unreachable!("no part watches"),
         }
-    }
-
-    fn write(&mut self, key: Key, expected: Version, value: Option<Arc<[u8]>>) -> Reply {
-        self.writes += 1;
-        let current = self.objects.get(&key).cloned();
-        if current.as_ref().map_or(Version(0), |it| it.version) != expected {
-            return Reply::Conflict(current);
-        }
-        self.version += 1;
-        let version = Version(self.version);
-        match value {
-            Some(value) => {
-                self.objects.insert(key.clone(), Object { key, version, value });
-            }
-            None => {
-                self.objects.remove(&key);
-            }
-        }
-        Reply::Done(version)
+        self.memory.call(call)
     }
 }
 
--- a/crates/fleet/tests/support/platform.rs
+++ b/crates/fleet/tests/support/platform.rs
@@ -1,10 +1,10 @@
 //! A small stand-in of the platform's object API for nodes in virtual time.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use shallotlead_base::{
     id::Version,
-    store::{Call, Change, Failure, Key, Object, Reply, Store},
+    store::{Call, Change, Failure, Key, Object, Reply, Store, memory::Memory},
     time::Time,
 };
 
@@ -22,8 +22,7 @@
 /// Objects with versions, conditional writes and watches.
 #[derive(Default)]
 pub(crate) struct Platform {
-    objects: BTreeMap<Key, Object>,
-    version: Version,
+    memory: Memory,
     watches: Vec<Watch>,
     /// Calls so far, a waiting watch counted as one.
     pub(crate) calls: u64,
@@ -55,7 +54,7 @@
                 self.watches.push(Watch { node, id, kind, after, until: now + wait });
                 return None;
             }
-            return Some(self.count(Reply::Changed { changes, version: self.version }));
+            return Some(self.count(Reply::Changed { changes, version: self.memory.version }));
         }
         let reply = self.apply(call);
         Some(self.count(reply))
@@ -73,7 +72,7 @@
             let reply = if self.down {
                 Reply::Failed(Failure::Unknown)
             } else {
-                Reply::Changed { changes, version: self.version }
+                Reply::Changed { changes, version: self.memory.version }
             };
             let reply = self.count(reply);
             ended.push((watch.node, watch.id, reply));
@@ -83,7 +82,7 @@
 
     /// The object as it is now.
     pub(crate) fn get(&self, key: &Key) -> Option<Object> {
-        self.objects.get(key).cloned()
+        self.memory.objects.get(key).cloned()
     }
 
     /// Instances that wait for a change.
@@ -105,7 +104,7 @@
     }
 
     fn changes(&self, kind: &str, after: Version) -> Vec<Change> {
-        let objects = self.objects.values();
+        let objects = self.memory.objects.values();
         let newer = objects.filter(|it| *it.key.kind == *kind && after < it.version);
         newer.cloned().map(Change::Put).collect()
     }
@@ -128,33 +127,11 @@
     }
 
     fn apply(&mut self, call: Call) -> Reply {
-        match call {
-            Call::Get(key) => Reply::Got(self.objects.get(&key).cloned()),
-            Call::List { kind } => {
-                let objects = self.objects.values().filter(|it| it.key.kind == kind);
-                Reply::Listed { objects: objects.cloned().collect(), version: self.version }
-            }
-            Call::Put { key, expected, value } => self.write(key, expected, Some(value)),
-            Call::Delete { key, expected } => self.write(key, expected, None),
-            Call::Watch { .. } => Reply::Changed { changes: Vec::new(), version: self.version },
-        }
-    }
-
-    fn write(&mut self, key: Key, expected: Version, value: Option<Arc<[u8]>>) -> Reply {
-        let found = self.objects.get(&key).cloned();
-        if found.as_ref().map_or(Version(0), |it| it.version) != expected {
-            return Reply::Conflict(found);
-        }
-        self.version.0 += 1;
-        let version = self.version;
-        match value {
-            Some(value) => self.objects.insert(key.clone(), Object { key, version, value }),
-            None => self.objects.remove(&key),
-        };
-        if std::mem::take(&mut self.lose_next_answer) {
+        let reply = self.memory.call(call);
+        if matches!(reply, Reply::Done(_)) && std::mem::take(&mut self.lose_next_answer) {
             return Reply::Failed(Failure::Unknown);
         }
-        Reply::Done(version)
+        reply
     }
 }
 
--- a/crates/gateway/tests/lease.rs
+++ b/crates/gateway/tests/lease.rs
@@ -6,8 +6,7 @@
 
 use proptest::prelude::*;
 use shallotlead_base::{
-    id::Version,
-    store::{Call, Failure, Object, Reply},
+    store::{Call, Failure, Reply, Store, memory::Memory},
     time::Time,
 };
 use shallotlead_gateway::lease::Lease;
@@ -15,46 +14,26 @@
 
 const GAP: Duration = Duration::from_millis(3_000);
 
-/// A store with one record.
-#[derive(Default)]
-struct Store {
-    revision: u64,
-    object: Option<Object>,
-}
-
-impl Store {
-    fn answer(&mut self, call: &Call) -> Reply {
-        match call {
-            Call::Get(_) => Reply::Got(self.object.clone()),
-            Call::Put { key, expected, value } => {
-                let found = self.object.as_ref().map_or(Version(0), |it| it.version);
-                if found != *expected {
-                    return Reply::Conflict(self.object.clone());
-                }
-                self.revision += 1;
-                let version = Version(self.revision);
-                self.object = Some(Object { key: key.clone(), version, value: value.clone() });
-                Reply::Done(version)
-            }
-            other => panic!("{other:?}"),
-        }
-    }
-}
-
 fn open(name: &str) -> Lease {
     Lease::open("weights", Arc::from(name), GAP)
 }
 
+/// Carries out a call of a lease, which reads and writes only.
+fn answer(store: &mut Memory, call: &Call) -> Reply {
+    assert!(matches!(call, Call::Get(_) | Call::Put { .. }), "{call:?}");
+    store.call(call.clone())
+}
+
 /// Runs one step of `lease` with an answer at once.
-fn step(lease: &mut Lease, store: &mut Store, now: Time, rank: usize) {
+fn step(lease: &mut Lease, store: &mut Memory, now: Time, rank: usize) {
     if let Some(call) = lease.tick(now, rank) {
-        let reply = store.answer(&call);
+        let reply = answer(store, &call);
         lease.reply(now, rank, &reply);
     }
 }
 
 /// Runs `lease` alone until it may give orders.
-fn take(lease: &mut Lease, store: &mut Store, from: u64) -> u64 {
+fn take(lease: &mut Lease, store: &mut Memory, from: u64) -> u64 {
     for ms in (from..from + 30_000).step_by(20) {
         step(lease, store, at(ms), 0);
         if lease.grant(at(ms)).is_some() {
@@ -68,7 +47,7 @@
 // its own clock, which went on, its right is over before it can give another order.
 #[test]
 fn suspended_holder_has_no_right_left() {
-    let (mut store, mut lease) = (Store::default(), open("a"));
+    let (mut store, mut lease) = (Memory::default(), open("a"));
     let ms = take(&mut lease, &mut store, 0);
     assert!(lease.order(at(ms + 1_000), &Arc::from("e1")).is_some());
     assert!(lease.order(at(ms + 4_000), &Arc::from("e1")).is_none());
@@ -78,7 +57,7 @@
 // can have given.
 #[test]
 fn successor_waits_for_the_last_orders() {
-    let (mut store, mut first, mut second) = (Store::default(), open("a"), open("b"));
+    let (mut store, mut first, mut second) = (Memory::default(), open("a"), open("b"));
     let start = take(&mut first, &mut store, 0);
     let mut last = start;
     for ms in (start..start + 2_000).step_by(20) {
@@ -97,7 +76,7 @@
 // that the one before has not ordered lately, else weights would never load.
 #[test]
 fn lease_that_is_given_back_is_taken_at_once() {
-    let (mut store, mut first, mut second) = (Store::default(), open("a"), open("b"));
+    let (mut store, mut first, mut second) = (Memory::default(), open("a"), open("b"));
     let start = take(&mut first, &mut store, 0);
     let (ordered, other): (Arc<str>, Arc<str>) = (Arc::from("e1"), Arc::from("e2"));
     assert!(first.order(at(start), &ordered).is_some());
@@ -128,7 +107,7 @@
 // as it has read or written it; waiting like a stranger cost the weights four seconds.
 #[test]
 fn holder_takes_its_own_record_back_at_once() {
-    let (mut store, mut lease) = (Store::default(), open("a"));
+    let (mut store, mut lease) = (Memory::default(), open("a"));
     let ms = take(&mut lease, &mut store, 0);
     let mut late = None;
     for now in (ms + 600..ms + 5_000).step_by(20) {
@@ -137,7 +116,7 @@
     let call = late.expect("a renewal was sent");
     assert!(lease.tick(at(ms + 4_990), 0).is_none(), "the call is still under way");
     assert!(lease.grant(at(ms + 5_000)).is_none());
-    let reply = store.answer(&call);
+    let reply = answer(&mut store, &call);
     lease.reply(at(ms + 5_000), 0, &reply);
     step(&mut lease, &mut store, at(ms + 5_020), 0);
     assert!(lease.grant(at(ms + 5_040)).is_some());
@@ -148,7 +127,7 @@
     // the same server at the same time, and tokens only grow.
     #[test]
     fn one_holder_at_a_time(events in proptest::collection::vec((0usize..3, 0u8..12), 50..400)) {
-        let mut store = Store::default();
+        let mut store = Memory::default();
         let mut leases: Vec<Lease> = ["a", "b", "c"].map(open).into();
         let mut asleep = [0u64; 3];
         let mut fences = Vec::new();
@@ -168,10 +147,10 @@
                     // The scheduler has settled what was lost, or given up.
                     (2, _) => Reply::Failed(Failure::NotApplied { retry_after: Duration::ZERO }),
                     (3, Call::Put { .. }) => {
-                        store.answer(&call);
+                        answer(&mut store, &call);
                         Reply::Failed(Failure::Unknown)
                     }
-                    _ => store.answer(&call),
+                    _ => answer(&mut store, &call),
                 };
                 lease.reply(at(ms), rank, &reply);
             }
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -3,11 +3,11 @@
 // Each test file uses its part.
 #![allow(dead_code)]
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use shallotlead_base::{
     id::Version,
-    store::{Call, Key, Object, Reply},
+    store::{Call, Key, Reply, Store, memory::Memory},
     time::Time,
 };
 use shallotlead_platform::{
@@ -18,49 +18,21 @@
 
 pub(crate) const ALONE: Sharers = Sharers { instances: 1, watchers: 1 };
 
-/// Versions, conditional writes and nothing else.
+/// A store in memory that remembers what was written.
 #[derive(Default)]
 pub(crate) struct Fake {
-    pub(crate) objects: BTreeMap<Key, Object>,
-    pub(crate) version: u64,
+    pub(crate) memory: Memory,
     /// Values written, in order.
     pub(crate) written: Vec<Arc<[u8]>>,
 }
 
 impl Fake {
     pub(crate) fn apply(&mut self, call: &Call) -> Reply {
-        match call {
-            Call::Get(key) => Reply::Got(self.objects.get(key).cloned()),
-            Call::Put { key, expected, value } => self.write(key, *expected, Some(value)),
-            Call::Delete { key, expected } => self.write(key, *expected, None),
-            Call::List { kind } => Reply::Listed {
-                objects: self.objects.values().filter(|it| it.key.kind == *kind).cloned().collect(),
-                version: Version(self.version),
-            },
-            Call::Watch { .. } => {
-                Reply::Changed { changes: Vec::new(), version: Version(self.version) }
-            }
+        let reply = self.memory.call(call.clone());
+        if let (Call::Put { value, .. }, Reply::Done(_)) = (call, &reply) {
+            self.written.push(Arc::clone(value));
         }
-    }
-
-    fn write(&mut self, key: &Key, expected: Version, value: Option<&Arc<[u8]>>) -> Reply {
-        let found = self.objects.get(key);
-        if found.map_or(Version(0), |it| it.version) != expected {
-            return Reply::Conflict(found.cloned());
-        }
-        self.version += 1;
-        let version = Version(self.version);
-        match value {
-            Some(value) => {
-                self.written.push(Arc::clone(value));
-                let object = Object { key: key.clone(), version, value: Arc::clone(value) };
-                self.objects.insert(key.clone(), object);
-            }
-            None => {
-                self.objects.remove(key);
-            }
-        }
-        Reply::Done(version)
+        reply
     }
 }
 
--- a/crates/platform/tests/pacing.rs
+++ b/crates/platform/tests/pacing.rs
@@ -158,7 +158,7 @@
     assert!(0 < probes);
     let done_at = done_at.expect("all calls are answered in the end");
     assert!(done_at <= outage_end + Duration::from_secs(15), "{done_at:?}");
-    assert_eq!(fake.objects.len(), INSTANCES as usize);
+    assert_eq!(fake.memory.objects.len(), INSTANCES as usize);
 }
 
 // The fleet is at rest, and all instances hear of something at the same moment: each reads twice and
--- a/crates/platform/tests/settling.rs
+++ b/crates/platform/tests/settling.rs
@@ -78,7 +78,7 @@
             fake.apply(&call);
         }
         client.answered(id, Outcome::Lost, now);
-        fake.apply(&put("loader", fake.version, "e2 fence 5"));
+        fake.apply(&put("loader", fake.memory.version.0, "e2 fence 5"));
 
         serve(&mut client, &mut fake, &mut now);
         assert_eq!(replied(&mut client, &mut now), Reply::Failed(Failure::Unknown));
@@ -150,7 +150,7 @@
                 };
                 for (_, name) in others.iter().filter(|(at, _)| *at == tries) {
                     let name = name.to_string();
-                    let version = fake.objects.get(&key(&name)).map_or(0, |it| it.version.0);
+                    let version = fake.memory.objects.get(&key(&name)).map_or(0, |it| it.version.0);
                     fake.apply(&put(&name, version, &format!("other {tries}")));
                 }
                 let fate = fates.get(tries).copied().unwrap_or(Fate::Answered);
--- a/crates/table/tests/commit.rs
+++ b/crates/table/tests/commit.rs
@@ -124,7 +124,7 @@
     let history = committer.history(&mut store).unwrap();
     let versions = history.iter().map(|it| it.version.0).collect::<Vec<_>>();
     assert_eq!(versions, (1..=401).collect::<Vec<_>>());
-    let segments = store.objects.keys().filter(|it| &*it.kind == layout::SEGMENT_KIND).count();
+    let segments = store.kept.objects.keys().filter(|it| &*it.kind == layout::SEGMENT_KIND).count();
     assert!(segments <= 3, "old segments stay behind: {segments}");
 }
 
@@ -135,8 +135,8 @@
 }
 
 fn segments_are_stored(store: &Memory) -> bool {
-    let head = Head::decode(&store.objects[&layout::head_key()].value).unwrap();
-    head.segment_keys().all(|it| store.objects.contains_key(&it))
+    let head = Head::decode(&store.kept.objects[&layout::head_key()].value).unwrap();
+    head.segment_keys().all(|it| store.kept.objects.contains_key(&it))
 }
 
 // Nobody can read the table any more. A sheet was imported; its change alone made the log long, also
@@ -186,7 +186,7 @@
     let mut store = store();
     Committer::default().commit(&mut store, &sheet(2, "sheet")).unwrap();
     Committer::default().compact(&mut store).unwrap();
-    store.objects.retain(|it, _| &*it.kind != layout::SEGMENT_KIND);
+    store.kept.objects.retain(|it, _| &*it.kind != layout::SEGMENT_KIND);
     let found = Committer::default().read(&mut store);
     assert!(matches!(found, Err(Error::Stored { .. })), "{found:?}");
 }
--- a/crates/table/tests/support/mod.rs
+++ b/crates/table/tests/support/mod.rs
@@ -2,16 +2,9 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use shallotlead_base::{
-    id::Version,
-    store::{Call, Failure, Key, Object, Reply, Store},
-};
+use shallotlead_base::store::{Call, Failure, Reply, Store, memory};
 use shallotlead_table::{
     cell::Cell,
     change::{Edit, Entry, Proposal},
@@ -38,44 +31,25 @@
 /// The store.
 #[derive(Default)]
 pub(crate) struct Memory {
-    pub(crate) objects: BTreeMap<Key, Object>,
+    pub(crate) kept: memory::Memory,
     pub(crate) faults: VecDeque<Fault>,
     pub(crate) hook: Option<Hook>,
     pub(crate) calls: usize,
-    version: u64,
 }
 
 impl Memory {
-    fn write(&mut self, key: Key, expected: Version, value: Option<Arc<[u8]>>) -> Reply {
-        let found = self.objects.get(&key).cloned();
-        if found.as_ref().map_or(Version(0), |it| it.version) != expected {
-            return Reply::Conflict(found);
-        }
-        self.version += 1;
-        let version = Version(self.version);
-        match value {
-            Some(value) => {
-                self.objects.insert(key.clone(), Object { key, version, value });
-            }
-            None => {
-                self.objects.remove(&key);
-            }
-        }
-        Reply::Done(version)
-    }
-
-    fn faulty(&mut self, write: impl FnOnce(&mut Self) -> Reply) -> Reply {
+    fn write(&mut self, call: Call) -> Reply {
         if let Some(hook) = self.hook.take() {
             hook(self);
         }
         match self.faults.pop_front().unwrap_or(Fault::None) {
-            Fault::None => write(self),
+            Fault::None => self.kept.call(call),
             Fault::Refused => {
                 Reply::Failed(Failure::NotApplied { retry_after: Duration::from_millis(250) })
             }
             Fault::LostBefore => Reply::Failed(Failure::Unknown),
             Fault::LostAfter => {
-                write(self);
+                self.kept.call(call);
                 Reply::Failed(Failure::Unknown)
             }
         }
@@ -86,18 +60,8 @@
     fn call(&mut self, call: Call) -> Reply {
         self.calls += 1;
         match call {
-            Call::Get(key) => Reply::Got(self.objects.get(&key).cloned()),
-            Call::Put { key, expected, value } => {
-                self.faulty(|it| it.write(key, expected, Some(value)))
-            }
-            Call::Delete { key, expected } => self.faulty(|it| it.write(key, expected, None)),
-            Call::List { kind } => {
-                let objects = self.objects.values().filter(|it| it.key.kind == kind).cloned();
-                Reply::Listed { objects: objects.collect(), version: Version(self.version) }
-            }
-            Call::Watch { .. } => {
-                Reply::Changed { changes: Vec::new(), version: Version(self.version) }
-            }
+            Call::Put { .. } | Call::Delete { .. } => self.write(call),
+            Call::Get(_) | Call::List { .. } | Call::Watch { .. } => self.kept.call(call),
         }
     }
 }
