Merge twins in placement's beliefs, load reports, entry's callers and benches

A prompt sent here and one told of by others are believed in by one function; rows and columns of the load grid get their datagrams from one; both kinds of work pass one entrance; three benches end by one comparison, which now also refuses a malformed bound as the capacity bench did; tests share their identity and their scripted engine.

--- a/crates/entry/src/caller/route.rs
+++ b/crates/entry/src/caller/route.rs
@@ -109,10 +109,8 @@
     body: Incoming,
 ) -> Result<Response<Body>, Failure> {
     let arrival = Instant::now();
-    let headers = Headers::read(&parts.headers)?;
     let table = ctx.shell.table();
-    let organisation = authenticate(ctx, &table, parts)?;
-    refuse_when_draining(ctx)?;
+    let (headers, organisation) = enter(ctx, &table, parts)?;
     let (body, share) = read(ctx, body).await?;
     let path = parts.uri.path();
     let chat = path.ends_with("/chat/completions");
@@ -154,10 +152,8 @@
     body: Incoming,
 ) -> Result<Response<Body>, Failure> {
     let arrival = Instant::now();
-    let headers = Headers::read(&parts.headers)?;
     let table = ctx.shell.table();
-    let organisation = authenticate(ctx, &table, parts)?;
-    refuse_when_draining(ctx)?;
+    let (headers, organisation) = enter(ctx, &table, parts)?;
     let (service, path) = split_service(rest, parts.uri.query())?;
     check_model(&table, organisation, &service, Kind::Service)?;
     if headers.last_event_id.is_some() {
@@ -205,6 +201,18 @@
     Err(Failure::new(Code::MethodNotAllowed, message))
 }
 
+/// What every request for work passes before its body is read.
+fn enter<'a>(
+    ctx: &Context,
+    table: &'a Arc<Snapshot>,
+    parts: &Parts,
+) -> Result<(Headers, &'a Organisation), Failure> {
+    let headers = Headers::read(&parts.headers)?;
+    let organisation = authenticate(ctx, table, parts)?;
+    refuse_when_draining(ctx)?;
+    Ok((headers, organisation))
+}
+
 fn authenticate<'a>(
     ctx: &Context,
     table: &'a Arc<Snapshot>,
--- a/crates/entry/src/shell/tests.rs
+++ b/crates/entry/src/shell/tests.rs
@@ -38,6 +38,16 @@
 const PROMPT: [u8; 2_000] = [b'x'; 2_000];
 const LIFE: Incarnation = Incarnation(7);
 
+fn identity() -> Identity {
+    Identity {
+        instance: "e1".into(),
+        incarnation: Incarnation(1),
+        centre: "cluj-a".into(),
+        region: "ro-nord".into(),
+        address: address(1),
+    }
+}
+
 /// A running shell before two fake servers.
 struct Bench {
     handle: Handle,
@@ -47,14 +57,7 @@
 impl Bench {
     fn open(steps: Vec<Step>) -> Self {
         let fake = Arc::new(Fake::new(steps));
-        let identity = Identity {
-            instance: "e1".into(),
-            incarnation: Incarnation(1),
-            centre: "cluj-a".into(),
-            region: "ro-nord".into(),
-            address: address(1),
-        };
-        let config = Config { identity, seed: 1, explained: 64, backend: fake.clone() };
+        let config = Config { identity: identity(), seed: 1, explained: 64, backend: fake.clone() };
         let handle = spawn(config).unwrap();
         handle.set_table(Arc::new(table()));
         while handle.table().version != Version(1) {
--- a/crates/entry/src/shell/tests/path.rs
+++ b/crates/entry/src/shell/tests/path.rs
@@ -26,12 +26,12 @@
 };
 use tokio::sync::mpsc;
 
-use super::{Received, address, fake};
+use super::{Received, address, fake, identity};
 use crate::{
     backend::http::Http,
     exchange::{Exchange, Operation, PIECES, Piece},
     peers,
-    shell::{Config, Handle, Identity, spawn},
+    shell::{Config, Handle, spawn},
 };
 
 /// Longest wait for something that must happen.
@@ -178,13 +178,7 @@
 }
 
 fn open_shell() -> Handle {
-    let identity = Identity {
-        instance: "e1".into(),
-        incarnation: Incarnation(1),
-        centre: "cluj-a".into(),
-        region: "ro-nord".into(),
-        address: address(1),
-    };
+    let identity = identity();
     spawn(Config { identity, seed: 1, explained: 64, backend: Arc::new(Http::new()) }).unwrap()
 }
 
--- a/crates/entry/tests/callers/answers.rs
+++ b/crates/entry/tests/callers/answers.rs
@@ -6,7 +6,7 @@
 use shallotlead_standin::{engine, service};
 
 use crate::{
-    bench::{self, Bench, KEY, PATIENCE, SMALL_KEY, wait_for},
+    bench::{Bench, KEY, PATIENCE, SMALL_KEY, wait_for},
     client::{self, Connection},
     scripted,
 };
@@ -19,11 +19,8 @@
 // event only after the caller has the first.
 #[test]
 fn the_first_event_reaches_the_caller_before_the_second_exists() {
-    let (engine, taken) = scripted::bind();
-    let platform = bench::platform(engine, engine, engine);
-    let instance = bench::instance("e1", "", &platform);
-    let address = instance.address();
-    scripted::wait_until_up(address, &taken, "m");
+    let bench = scripted::open("", "m");
+    let (address, taken) = (bench.address, &bench.taken);
     let caller = thread::spawn(move || {
         let mut connection = Connection::open(address);
         connection.request("POST", "/v1/completions", KEY, &[], STREAM.as_bytes());
@@ -47,11 +44,8 @@
 #[test]
 fn a_slow_reader_holds_back_its_own_stream_only() {
     const BOUND: usize = 64 << 20;
-    let (engine, taken) = scripted::bind();
-    let platform = bench::platform(engine, engine, engine);
-    let instance = bench::instance("e1", "", &platform);
-    let address = instance.address();
-    scripted::wait_until_up(address, &taken, "m");
+    let bench = scripted::open("", "m");
+    let (address, taken) = (bench.address, &bench.taken);
     let mut slow = Connection::open(address);
     slow.request("POST", "/v1/completions", KEY, &[], STREAM.as_bytes());
     let mut unread = taken.recv_timeout(PATIENCE).unwrap();
@@ -73,11 +67,8 @@
 // its connection open, so that no close tells of it.
 #[test]
 fn a_caller_that_stops_reading_is_cut() {
-    let (engine, taken) = scripted::bind();
-    let platform = bench::platform(engine, engine, engine);
-    let instance = bench::instance("e1", "stall_timeout_ms = 500", &platform);
-    let address = instance.address();
-    scripted::wait_until_up(address, &taken, "m");
+    let bench = scripted::open("stall_timeout_ms = 500", "m");
+    let (address, taken) = (bench.address, &bench.taken);
     let mut slow = Connection::open(address);
     slow.request("POST", "/v1/completions", KEY, &[], STREAM.as_bytes());
     let mut unread = taken.recv_timeout(PATIENCE).unwrap();
@@ -88,11 +79,8 @@
 
 #[test]
 fn priority_is_capped_at_the_organisations_highest() {
-    let (engine, taken) = scripted::bind();
-    let platform = bench::platform(engine, engine, engine);
-    let instance = bench::instance("e1", "", &platform);
-    let address = instance.address();
-    scripted::wait_until_up(address, &taken, "other");
+    let bench = scripted::open("", "other");
+    let (address, taken) = (bench.address, &bench.taken);
     let body = r#"{"model":"other","prompt":"x","stream":true}"#;
     for (key, asked, given) in [(KEY, "8", "8"), (SMALL_KEY, "8", "3"), (SMALL_KEY, "1", "1")] {
         let mut connection = Connection::open(address);
@@ -109,11 +97,8 @@
 
 #[test]
 fn a_long_prompt_and_its_block_hashes_reach_the_engine() {
-    let (engine, taken) = scripted::bind();
-    let platform = bench::platform(engine, engine, engine);
-    let instance = bench::instance("e1", "", &platform);
-    let address = instance.address();
-    scripted::wait_until_up(address, &taken, "m");
+    let bench = scripted::open("", "m");
+    let (address, taken) = (bench.address, &bench.taken);
     for (blocks, bytes) in [(100, 100 << 8), (3_000, 1 << 20)] {
         let body = json!({"model": "m", "prompt": "x".repeat(bytes), "stream": true}).to_string();
         let mut connection = Connection::open(address);
--- a/crates/entry/tests/callers/scripted.rs
+++ b/crates/entry/tests/callers/scripted.rs
@@ -8,8 +8,11 @@
     time::Duration,
 };
 
+use shallotlead_entry::daemon;
+use shallotlead_standin::platform;
+
 use crate::{
-    bench::{KEY, PATIENCE, wait_for},
+    bench::{self, KEY, PATIENCE, wait_for},
     client,
 };
 
@@ -36,6 +39,25 @@
     (address, rx)
 }
 
+/// An instance, with more lines in `[callers]`, before a scripted engine for every model; requests for
+/// `model` reach it.
+pub(crate) fn open(callers: &str, model: &str) -> Bench {
+    let (engine, taken) = bind();
+    let platform = bench::platform(engine, engine, engine);
+    let instance = bench::instance("e1", callers, &platform);
+    let address = instance.address();
+    wait_until_up(address, &taken, model);
+    Bench { instance, platform, address, taken }
+}
+
+/// One instance before a scripted engine.
+pub(crate) struct Bench {
+    pub(crate) instance: daemon::Handle,
+    pub(crate) platform: platform::Handle,
+    pub(crate) address: SocketAddr,
+    pub(crate) taken: mpsc::Receiver<Taken>,
+}
+
 /// Waits until requests reach the engine; they are refused until its first health check.
 pub(crate) fn wait_until_up(address: SocketAddr, taken: &mpsc::Receiver<Taken>, model: &str) {
     let body = format!(r#"{{"model":"{model}","prompt":"x","stream":true}}"#);
--- a/crates/entry/tests/callers/shutdown.rs
+++ b/crates/entry/tests/callers/shutdown.rs
@@ -3,7 +3,7 @@
 use std::thread;
 
 use crate::{
-    bench::{self, Bench, KEY, PATIENCE, wait_for},
+    bench::{Bench, KEY, PATIENCE, wait_for},
     client::{self, Connection},
     scripted,
 };
@@ -58,11 +58,8 @@
 // wait for any more, and ended while most of the answer still waited for the caller to read.
 #[test]
 fn a_graceful_shutdown_waits_for_a_slow_reader() {
-    let (engine, taken) = scripted::bind();
-    let platform = bench::platform(engine, engine, engine);
-    let instance = bench::instance("e1", "", &platform);
-    let (address, operators) = (instance.address(), instance.operators_address());
-    scripted::wait_until_up(address, &taken, "m");
+    let scripted::Bench { instance, platform: _platform, address, taken } = scripted::open("", "m");
+    let operators = instance.operators_address();
     let body = r#"{"model":"m","prompt":"long","stream":true}"#;
     let mut slow = Connection::open(address);
     slow.request("POST", "/v1/completions", KEY, &[], body.as_bytes());
--- a/crates/fleet/benches/duty/main.rs
+++ b/crates/fleet/benches/duty/main.rs
@@ -7,6 +7,8 @@
 //! fails when one is over its bound. Time on this machine's processor is printed, never bounded.
 //! `--json` adds all figures as one last line. A number as argument runs that size alone.
 
+#[path = "../common/bounds.rs"]
+mod bounds;
 #[path = "../common/centres.rs"]
 mod centres;
 #[path = "../common/figures.rs"]
@@ -38,7 +40,8 @@
 };
 use shallotlead_table::{change::Edit, column::Column, row};
 
-use figures::{Figures, compare, quantile};
+use bounds::{Figures, finish};
+use figures::quantile;
 use support::net::Net;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -87,11 +90,7 @@
         println!("{} instances, {} servers", size.name, size.servers);
         measure(size, &mut figures);
     }
-    let failed = compare(&figures, BOUNDS);
-    if args.iter().any(|it| it == "--json") {
-        println!("{}", serde_json::json!(figures));
-    }
-    if failed { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+    finish(&figures, BOUNDS)
 }
 
 fn note(figures: &mut Figures, name: &str, value: f64) {
--- a/crates/fleet/benches/fleet/main.rs
+++ b/crates/fleet/benches/fleet/main.rs
@@ -9,6 +9,8 @@
 //! fails when one is over its bound. Processor time and memory of this machine are printed, never bounded.
 //! `--json` adds all figures as one last line. A number as argument runs that size alone.
 
+#[path = "../common/bounds.rs"]
+mod bounds;
 #[path = "../common/centres.rs"]
 mod centres;
 #[path = "../common/figures.rs"]
@@ -20,7 +22,8 @@
 
 use shallotlead_base::{id::Version, time::Time};
 
-use figures::{Figures, compare, quantile};
+use bounds::{Figures, finish};
+use figures::quantile;
 use support::net::{Net, PACKET_OVERHEAD};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -86,11 +89,7 @@
         println!("{} instances, {} servers", size.name, size.servers);
         measure(size, &mut figures);
     }
-    let failed = compare(&figures, BOUNDS);
-    if args.iter().any(|it| it == "--json") {
-        println!("{}", serde_json::json!(figures));
-    }
-    if failed { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+    finish(&figures, BOUNDS)
 }
 
 fn measure(size: &Size, figures: &mut Figures) {
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -168,13 +168,9 @@
         self.row_sums.extend(sums.iter().map(|(name, it)| (name.clone(), it.clone())));
         let Some(grid) = Grid::new(ctx) else { return };
         let Some(numbers) = self.numbers.first() else { return };
-        let digest = numbers.digest;
-        let sums = sums.values().map(|it| Sum::pack(it, numbers)).collect::<Vec<_>>();
-        let pieces = pieces(ctx.now, own.values(), numbers, &sums);
-        for (index, reports) in pieces.into_iter().enumerate() {
+        for Piece { digest, reports, sums } in pieces(ctx.now, own.values(), numbers, &sums) {
             for to in grid.row() {
-                let reports = reports.clone();
-                let sums = if index == 0 { sums.clone() } else { Vec::new() };
+                let (reports, sums) = (reports.clone(), sums.clone());
                 out.send(to, Message::Row { digest, reports, sums }, Class::Datagram);
             }
         }
@@ -185,13 +181,9 @@
         let sums = mem::take(&mut self.row_sums);
         let Some(grid) = Grid::new(ctx) else { return };
         let Some(numbers) = self.numbers.first() else { return };
-        let digest = numbers.digest;
-        let sums = sums.values().map(|it| Sum::pack(it, numbers)).collect::<Vec<_>>();
-        let pieces = pieces(ctx.now, row.values(), numbers, &sums);
-        for (index, reports) in pieces.into_iter().enumerate() {
+        for Piece { digest, reports, sums } in pieces(ctx.now, row.values(), numbers, &sums) {
             for to in grid.column() {
-                let reports = reports.clone();
-                let sums = if index == 0 { sums.clone() } else { Vec::new() };
+                let (reports, sums) = (reports.clone(), sums.clone());
                 out.send(to, Message::Column { digest, reports, sums }, Class::Datagram);
             }
         }
@@ -248,35 +240,45 @@
     ctx.view.homes_in(centre, status_key(centre), 1).into_iter().next()
 }
 
-/// The reports as sent, in datagrams of bounded size, the first of which has room for `sums`.
+/// What goes into one datagram.
+struct Piece {
+    digest: u32,
+    reports: Vec<Packed>,
+    sums: Vec<Sum>,
+}
+
+/// Reports and sums as sent, in datagrams of bounded size, the first of which has the sums.
 fn pieces<'a>(
     now: Time,
     reports: impl Iterator<Item = &'a Known>,
     numbers: &Numbers,
-    sums: &[Sum],
-) -> Vec<Vec<Packed>> {
+    sums: &BTreeMap<name::Centre, Summary>,
+) -> Vec<Piece> {
+    let digest = numbers.digest;
+    let mut sums = sums.values().map(|it| Sum::pack(it, numbers)).collect::<Vec<_>>();
     let fresh = reports.filter(|it| now.since(it.at) < STALE);
     let numbered = fresh.filter_map(|it| Some((numbers.server_number(&it.report.server)?, it)));
     let mut numbered = numbered.collect::<Vec<_>>();
     numbered.sort_unstable_by_key(|(number, _)| *number);
     let mut pieces = Vec::new();
-    let mut piece = Vec::new();
+    let mut reports = Vec::new();
     let mut before = 0;
     let mut room = DATAGRAM.saturating_sub(sums.iter().map(size).sum());
     for (number, known) in numbered {
         let age = now.since(known.at);
         let mut packed = Packed::pack(&known.report, age, number, before);
         if room < size(&packed) {
-            pieces.push(mem::take(&mut piece));
+            let (reports, sums) = (mem::take(&mut reports), mem::take(&mut sums));
+            pieces.push(Piece { digest, reports, sums });
             room = DATAGRAM;
             packed = Packed::pack(&known.report, age, number, 0);
         }
         room -= size(&packed);
         before = number;
-        piece.push(packed);
+        reports.push(packed);
     }
-    if !piece.is_empty() || !sums.is_empty() {
-        pieces.push(piece);
+    if !reports.is_empty() || !sums.is_empty() {
+        pieces.push(Piece { digest, reports, sums });
     }
     pieces
 }
--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -120,16 +120,9 @@
         server: &name::Server,
         incarnation: Incarnation,
     ) {
-        let slot = self.slot(server);
-        if !self.live(slot, incarnation) {
-            return;
+        if self.expect(now, &chain.blocks, server, incarnation) {
+            self.memory.link(&chain.blocks);
         }
-        let epoch = self.servers[slot.index()].epoch;
-        let holder = Holder { server: slot, epoch, used: now, source: Source::Sent };
-        for block in chain.blocks.iter() {
-            self.memory.hold(*block, holder);
-        }
-        self.memory.link(&chain.blocks);
     }
 
     /// Another instance sent an attempt whose prompt has these blocks, among others.
@@ -140,15 +133,27 @@
         server: &name::Server,
         incarnation: Incarnation,
     ) {
+        self.expect(at, anchors, server, incarnation);
+    }
+
+    /// The server will hold these blocks. Says whether it still lives this life.
+    fn expect(
+        &mut self,
+        at: Time,
+        blocks: &[Block],
+        server: &name::Server,
+        incarnation: Incarnation,
+    ) -> bool {
         let slot = self.slot(server);
         if !self.live(slot, incarnation) {
-            return;
+            return false;
         }
         let epoch = self.servers[slot.index()].epoch;
         let holder = Holder { server: slot, epoch, used: at, source: Source::Sent };
-        for block in anchors {
+        for block in blocks {
             self.memory.hold(*block, holder);
         }
+        true
     }
 
     /// An attempt with this prompt answered; `cached_tokens` of it came from the server's cache. Now
--- a/crates/shallotlead/benches/capacity/main.rs
+++ b/crates/shallotlead/benches/capacity/main.rs
@@ -9,6 +9,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a bench ends by a panic")]
 
+#[path = "../../../fleet/benches/common/bounds.rs"]
+mod bounds;
 mod counted;
 mod gauge;
 mod memory;
@@ -19,11 +21,12 @@
 mod timed;
 
 use std::{
-    collections::BTreeMap,
     env,
     process::{Command, ExitCode},
 };
 
+use bounds::{Figures, finish};
+
 const BOUNDS: &str = include_str!("bounds.txt");
 /// Argument of the process that measures one kind of item.
 const ONE: &str = "--one";
@@ -42,9 +45,6 @@
     ("timed", timed::measure),
 ];
 
-/// Figures by name; the last word of a name is its unit.
-type Figures = BTreeMap<String, f64>;
-
 fn main() -> ExitCode {
     let args = env::args().collect::<Vec<_>>();
     if let Some(name) = args.iter().skip_while(|it| *it != ONE).nth(1) {
@@ -60,11 +60,7 @@
             run(&mut |name, value| note(&mut figures, name, value));
         }
     }
-    let failed = compare(&figures);
-    if args.iter().any(|it| it == "--json") {
-        println!("{}", serde_json::json!(figures));
-    }
-    if failed { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+    finish(&figures, BOUNDS)
 }
 
 /// Each kind twice; the larger figure counts, with the spread.
@@ -76,6 +72,7 @@
     }
 }
 
+/// Notes a figure; the last word of its name is its unit.
 fn note(figures: &mut Figures, name: &str, value: f64) {
     println!("  {name:<56} {value:>12.3}");
     figures.insert(name.to_owned(), value);
@@ -89,22 +86,3 @@
     let text = String::from_utf8(output.stdout).unwrap();
     text.lines().last().unwrap().trim().parse().unwrap()
 }
-
-/// Prints the figures that are over their bounds.
-fn compare(figures: &Figures) -> bool {
-    let mut failed = false;
-    for line in BOUNDS.lines().filter(|it| !it.starts_with('#') && !it.trim().is_empty()) {
-        let (name, bound) = line.split_once(' ').unwrap();
-        let bound = bound.trim().parse::<f64>().unwrap();
-        let Some(value) = figures.get(name) else {
-            // Only some parts were run.
-            continue;
-        };
-        if bound < *value {
-            println!("over its bound: {name} is {value:.3}, at most {bound}");
-            failed = true;
-        }
-    }
-    println!("bounds: {}", if failed { "FAILED" } else { "held" });
-    failed
-}
