Compare instances' ages without copying their names

Each turn of the reactor orders all members twice, for the lease and for the stores of cached prompts, and copied a shared name for each.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -281,6 +281,6 @@
 }
 
 /// Orders instances from the youngest to the oldest.
-fn age_key(member: &Member) -> (Reverse<u64>, Arc<str>) {
-    (Reverse(member.incarnation), member.name.clone())
+fn age_key(member: &Member) -> (Reverse<u64>, &str) {
+    (Reverse(member.incarnation), &member.name)
 }
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -160,36 +160,28 @@
 
     /// A request starts to run.
     pub(crate) fn start(&mut self, scopes: &[Scope]) {
-        for scope in scopes {
-            if let Some(account) = self.accounts.get_mut(scope) {
-                account.running += 1;
-            }
-        }
+        self.each(scopes, |it| it.running += 1);
     }
 
     /// A request no longer runs.
     pub(crate) fn stop(&mut self, scopes: &[Scope]) {
-        for scope in scopes {
-            if let Some(account) = self.accounts.get_mut(scope) {
-                account.running = account.running.saturating_sub(1);
-            }
-        }
+        self.each(scopes, |it| it.running = it.running.saturating_sub(1));
     }
 
     /// A request begins to wait.
     pub(crate) fn wait(&mut self, scopes: &[Scope]) {
-        for scope in scopes {
-            if let Some(account) = self.accounts.get_mut(scope) {
-                account.waiting += 1;
-            }
-        }
+        self.each(scopes, |it| it.waiting += 1);
     }
 
     /// A request no longer waits.
     pub(crate) fn leave(&mut self, scopes: &[Scope]) {
+        self.each(scopes, |it| it.waiting = it.waiting.saturating_sub(1));
+    }
+
+    fn each(&mut self, scopes: &[Scope], change: impl Fn(&mut Account)) {
         for scope in scopes {
             if let Some(account) = self.accounts.get_mut(scope) {
-                account.waiting = account.waiting.saturating_sub(1);
+                change(account);
             }
         }
     }
--- a/crates/shallotlead/src/command.rs
+++ b/crates/shallotlead/src/command.rs
@@ -90,6 +90,14 @@
     Standin(standin::Arguments),
 }
 
+/// Checks a rate of requests.
+fn check_rate(rate: f64) -> Result<(), Failure> {
+    if rate.is_finite() && 0.0 < rate {
+        return Ok(());
+    }
+    Err(Failure::Usage("--rate must be above 0".to_owned()))
+}
+
 /// Why a subcommand failed.
 #[derive(Debug, Error)]
 pub(crate) enum Failure {
--- a/crates/shallotlead/src/command/demo.rs
+++ b/crates/shallotlead/src/command/demo.rs
@@ -5,7 +5,7 @@
 use gumdrop::Options;
 
 use crate::{
-    command::Failure,
+    command::{self, Failure},
     demo::{self, Report, Settings},
     traffic::deployment::{Named, UMEZEALA},
 };
@@ -35,9 +35,7 @@
     if arguments.seconds < SHORTEST {
         return Err(Failure::Usage(format!("--seconds must be {SHORTEST} or more")));
     }
-    if !(arguments.rate.is_finite() && 0.0 < arguments.rate) {
-        return Err(Failure::Usage("--rate must be above 0".to_owned()));
-    }
+    command::check_rate(arguments.rate)?;
     let settings = Settings {
         deployment: arguments.deployment.map_or(&UMEZEALA, |it| it.0),
         duration: Duration::from_secs(arguments.seconds),
--- a/crates/shallotlead/src/command/load.rs
+++ b/crates/shallotlead/src/command/load.rs
@@ -9,7 +9,7 @@
 use gumdrop::Options;
 
 use crate::{
-    command::Failure,
+    command::{self, Failure},
     load::{self, Settings, report::Report},
     traffic::deployment::{Named, UMEZEALA},
 };
@@ -41,9 +41,7 @@
 
 /// Sends traffic and says what became of it; fails when requests were lost.
 pub(crate) fn run(arguments: Arguments) -> Result<(), Failure> {
-    if !(arguments.rate.is_finite() && 0.0 < arguments.rate) {
-        return Err(Failure::Usage("--rate must be above 0".to_owned()));
-    }
+    command::check_rate(arguments.rate)?;
     if arguments.callers == 0 {
         return Err(Failure::Usage("--callers must be above 0".to_owned()));
     }
