Look for shared parts only at servers that hold some

Each placement compared every server with every other. Only those that are believed to hold a part of the prompt can matter.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -243,7 +243,8 @@
         shared: shared(wish.parts).iter().map(|it| it.tokens).sum(),
         home: home(wish, &ready),
     };
-    let weighed = ready.iter().map(|it| weigh(now, wish, &prompt, it, &ready, random));
+    let holders: Vec<&Place<'_>> = ready.iter().filter(|it| 0 < it.held.tokens).collect();
+    let weighed = ready.iter().map(|it| weigh(now, wish, &prompt, it, &holders, random));
     let best = weighed.min_by(|a, b| a.score.total_cmp(&b.score));
     best.map(|it| Choice { candidates: ready.len() as u32, ..it }).ok_or(shortage)
 }
@@ -308,14 +309,14 @@
     wish: &Wish<'_>,
     prompt: &Prompt,
     place: &Place<'_>,
-    ready: &[Place<'_>],
+    holders: &[&Place<'_>],
     random: u64,
 ) -> Choice {
     let Prompt { all, shared, home } = *prompt;
     let Place { id, server, weights, age_ms, held } = *place;
     let wait_ms = wait(now, server);
     // Parts that are still being read elsewhere can't be fetched yet.
-    let others = ready.iter().filter(|it| it.id != id && it.weights == weights);
+    let others = holders.iter().filter(|it| it.id != id && it.weights == weights);
     let known = others.clone().map(|it| it.held.tokens).max().unwrap_or(0);
     let source = others
         .filter(|it| held.tokens + LEAST_FETCHED <= it.held.tokens && it.held.ready <= now)
