--- a/crates/fleet/src/directory/table.rs
+++ b/crates/fleet/src/directory/table.rs
@@ -243,7 +243,7 @@
             server: server.name.clone(),
             incarnation: server.incarnation,
             age_ms: u32::try_from(now.since(holder.at).as_millis()).unwrap_or(u32::MAX),
-            confirmed: holder.source.into(),
+            confirmed: holder.source == Source::Confirmed,
         })
     }
 
--- a/crates/policy/benches/policy/world.rs
+++ b/crates/policy/benches/policy/world.rs
@@ -1,18 +1,15 @@
 //! Runs one workload against one policy: engines, instances and fixed delays in virtual time.
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
-    net::{Ipv4Addr, SocketAddr},
-    sync::Arc,
-    time::Duration,
-};
+mod failures;
+mod table;
+
+use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc, time::Duration};
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use shallotlead_base::{
     code::Code,
     hash::{self, Map, Set},
-    id::{Attempt, Incarnation, Request as Id, Version, Weights},
+    id::{Attempt, Incarnation, Request as Id},
     name,
     time::Time,
 };
@@ -24,13 +21,7 @@
     load::Report,
     request::{Arrival, Hint, Repeat},
 };
-use shallotlead_table::{
-    limit::Limits,
-    model::{Kind as ModelKind, Model},
-    organisation::Organisation,
-    server::{Role, Server},
-    snapshot::Snapshot,
-};
+use shallotlead_table::snapshot::Snapshot;
 
 use crate::{
     baseline::{Instance, Kind},
@@ -163,7 +154,7 @@
             index: names.iter().enumerate().map(|(i, it)| (it.clone(), i)).collect(),
             entries,
             flights: Map::default(),
-            table: Arc::new(table(deployment, &names)),
+            table: Arc::new(table::table(deployment, &names)),
             last_used: Map::default(),
             kept: Set::default(),
             sent: Map::default(),
@@ -656,148 +647,4 @@
             self.after(delay, Happening::Told(instance, life, input));
         }
     }
-
-    fn crash(&mut self, server: usize) {
-        for attempt in self.engines[server].crash() {
-            let delivered = u32::from(
-                self.flights
-                    .get(&attempt)
-                    .is_some_and(|it| self.samples[it.request].first.is_some()),
-            );
-            self.outcome(attempt, Outcome::Broken { delivered }, self.deployment.hop);
-        }
-        self.announce(server, State::Down, HEALTH_DELAY);
-    }
-
-    fn slow(&mut self, times: f64) {
-        let usual = self.deployment.engine;
-        for engine in &mut self.engines {
-            engine.spec.prefill = usual.prefill * times;
-            engine.spec.step = usual.step * times;
-            engine.spec.decode = usual.decode * times;
-        }
-    }
-
-    fn restart(&mut self, server: usize) {
-        self.engines[server].up = true;
-        let state = State::Up(self.engines[server].incarnation);
-        self.announce(server, state, HEALTH_DELAY);
-    }
-
-    fn restart_all(&mut self) {
-        for index in 0..self.entries.len() {
-            let entry = &mut self.entries[index];
-            entry.life += 1;
-            entry.instance = Instance::open(self.kind, self.deployment, index, entry.life);
-            entry.home = belief::Table::open(HOME_BOUND);
-            entry.next_tick = Time::MAX;
-            self.brief(index);
-        }
-        for server in 0..self.engines.len() {
-            self.resync(server);
-        }
-    }
-
-    /// Gives a new instance what it learns at once: the table and which servers are up.
-    fn brief(&mut self, index: usize) {
-        let now = self.now;
-        let live = self.live().len() as u32;
-        let table = self.table.clone();
-        let states: BTreeMap<usize, State> = (0..self.engines.len())
-            .map(|it| {
-                let engine = &self.engines[it];
-                (it, if engine.up { State::Up(engine.incarnation) } else { State::Down })
-            })
-            .collect();
-        let entry = &mut self.entries[index];
-        entry.instance.handle(now, Input::Table(table));
-        entry.instance.handle(now, Input::Instances(live));
-        for (server, state) in states {
-            let server = self.names[server].clone();
-            entry.home.server(now, &server, state);
-            entry.instance.handle(now, Input::Server { server, state });
-        }
-    }
-
-    fn lose_centre(&mut self, centre: usize) {
-        let centres = self.deployment.centres.len();
-        for instance in (0..self.entries.len()).filter(|it| it % centres == centre) {
-            self.entries[instance].up = false;
-            self.entries[instance].life += 1;
-        }
-        let lost: Vec<usize> =
-            (0..self.engines.len()).filter(|it| it % centres == centre).collect();
-        for server in lost {
-            self.crash(server);
-        }
-        let live = self.live();
-        for instance in live.iter().copied() {
-            let life = self.entries[instance].life;
-            let input = Input::Instances(live.len() as u32);
-            self.after(HEALTH_DELAY, Happening::Told(instance, life, input));
-        }
-        // Callers of a lost instance come again through another one.
-        let waiting: Vec<usize> = (0..self.requests.len())
-            .filter(|it| {
-                let sample = &self.samples[*it];
-                sample.arrived.is_some()
-                    && sample.first.is_none()
-                    && !sample.refused
-                    && !self.entries[sample.instance].up
-            })
-            .collect();
-        for request in waiting {
-            self.after(HEALTH_DELAY, Happening::Arrive(request));
-        }
-    }
-}
-
-fn table(deployment: &Deployment, names: &[name::Server]) -> Snapshot {
-    let organisations = (0..deployment.shares.len())
-        .map(|it| {
-            let name = workload::organisation(it);
-            let row = Organisation {
-                name: name.clone(),
-                weight: deployment.shares[it] * 10.0,
-                limits: Limits::default(),
-                max_priority: 9,
-                models: Vec::new(),
-                key_hashes: Vec::new(),
-            };
-            (name, row)
-        })
-        .collect();
-    let model = Model {
-        name: name::Model::from("m"),
-        kind: ModelKind::Engine,
-        weights: Weights(1),
-        limits: Limits::default(),
-        recompute_price: deployment.price,
-        first_token_target_ms: 460,
-        min_replicas: 1,
-        load_concurrency: 2,
-    };
-    let servers = names
-        .iter()
-        .enumerate()
-        .map(|(index, name)| {
-            let row = Server {
-                name: name.clone(),
-                address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9_000 + index as u16)),
-                centre: name::Centre::from(deployment.centres[index % deployment.centres.len()]),
-                model: model.name.clone(),
-                role: Role::Mixed,
-                weight: 1.0,
-                limits: Limits::default(),
-                checks_fence: true,
-            };
-            (name.clone(), row)
-        })
-        .collect();
-    Snapshot {
-        version: Version(1),
-        organisations,
-        models: [(model.name.clone(), model)].into(),
-        servers,
-    }
 }
