Count attempts by backend server, and show watch ages, expected waits and the retry budget

Cause: the metrics page told nothing of single servers, of how long ago the store was heard, of queues and of the retries that are left; and a second instance in one process rendered an empty page, as its handle belonged to a recorder that was never set.

Servers are counted by address, 128 at most. The followers of the store's kinds move to a file of their own.

--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -201,13 +201,19 @@
 
     /// The answer is complete.
     pub(crate) fn finish(&mut self, place: usize) {
-        self.release_attempt(place, false);
+        let attempt = self.release_attempt(place, false);
         let Some(exchange) = self.exchanges.try_remove(place) else { return };
         if exchange.delivery.has_begun {
             self.net.send(exchange.caller, write::LAST_CHUNK);
         }
         let now = self.now;
-        let first = exchange.delivery.first_piece.unwrap_or(now).since(exchange.arrived);
+        let first_piece = exchange.delivery.first_piece.unwrap_or(now);
+        let first = first_piece.since(exchange.arrived);
+        if let Some(attempt) = attempt {
+            let address = self.pool.get(attempt.server).address;
+            let own = (attempt.sent <= first_piece).then(|| first_piece.since(attempt.sent));
+            self.stats.servers.at(address).answered(own);
+        }
         self.journal
             .line(now, "answered")
             .text("request", exchange.id())
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -138,7 +138,7 @@
                 unread: choice.unread,
             };
             let tokens = exchange.ask.parts.iter().map(|it| it.tokens).sum();
-            self.stats.prompt(tokens, choice.unread);
+            self.stats.prompt(tokens, choice.unread, choice.wait());
             self.memory.placed(now, &mut self.pool, choice.server, &placement);
             self.peers.placed(placement);
         }
@@ -206,6 +206,7 @@
         let Some(exchange) = self.exchanges.get_mut(place) else { return };
         exchange.runs -= 1;
         exchange.excluded.push(attempt.server);
+        self.stats.servers.at(self.pool.get(attempt.server).address).not_run();
         if is_failure {
             exchange.sends -= 1;
             self.journal
@@ -257,6 +258,7 @@
             self.log_left_out(server, reason);
         }
         self.stats.broken(reason);
+        self.stats.servers.at(self.pool.get(server).address).broken();
         if !self.try_again(place, reason) {
             self.fail(place, 502, reason);
         }
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -185,6 +185,9 @@
         let server = self.pool.get(id);
         let mut line = self.journal.line(now, "server");
         line = line.text("server", &server.name).text("change", what).text("reason", reason);
+        if what == "joined" {
+            line = line.text("address", &server.address.to_string());
+        }
         line.number("revision", server.revision)
             .number("weights", server.models.first().map_or(0, |it| it.1));
         if server.presence == Presence::Draining {
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -1,12 +1,19 @@
 //! Counters and histograms on the metrics address.
 
-use std::{sync::Arc, time::Duration};
+mod server;
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use metrics::{Counter, Gauge, Histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use shallotlead_base::hash::Map;
 
-use crate::{catalog::Route, core::Core, pool};
+use crate::{budget::Purpose, catalog::Route, core::Core, pool};
+
+use server::Servers;
 
 /// Bounds of the latency histograms, in seconds.
 const BOUNDS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0];
@@ -18,19 +25,23 @@
     handle: PrometheusHandle,
     routes: Map<Arc<str>, RouteStats>,
     others: RouteStats,
+    /// By backend server.
+    pub(crate) servers: Servers,
     abandoned: Counter,
     connections: Counter,
     dropped_lines: Gauge,
     configuration: Gauge,
-    servers: Gauge,
+    listed: Gauge,
     instances: Gauge,
     open: Gauge,
     is_store_away: Gauge,
     left_out: Gauge,
     current: Gauge,
+    is_watching: Gauge,
     lease: Gauge,
     prompt_tokens: Counter,
     unread_tokens: Counter,
+    expected_wait: Histogram,
     pause: Histogram,
 }
 
@@ -54,29 +65,46 @@
     }
 }
 
+/// The process's recorder. A second instance in one process, as in tests, goes on with the first
+/// one's: the library knows one for the whole process.
+fn recorder() -> Result<PrometheusHandle, BuildError> {
+    static RECORDER: Mutex<Option<PrometheusHandle>> = Mutex::new(None);
+    let mut known = RECORDER.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(handle) = &*known {
+        return Ok(handle.clone());
+    }
+    let recorder = PrometheusBuilder::new().set_buckets(&BOUNDS)?.build_recorder();
+    let handle = recorder.handle();
+    if let Err(err) = metrics::set_global_recorder(recorder) {
+        log::warn!("metrics are counted elsewhere: {err}");
+    }
+    *known = Some(handle.clone());
+    Ok(handle)
+}
+
 impl Stats {
     pub(crate) fn open() -> Result<Self, BuildError> {
-        let recorder = PrometheusBuilder::new().set_buckets(&BOUNDS)?.build_recorder();
-        let handle = recorder.handle();
-        // A second instance in one process, as in tests, goes on with the first one's recorder.
-        let _ = metrics::set_global_recorder(recorder);
+        let handle = recorder()?;
         Ok(Self {
             handle,
             routes: Map::default(),
             others: RouteStats::open("other"),
+            servers: Servers::open(),
             abandoned: metrics::counter!("shallotlead_abandoned_total"),
             connections: metrics::counter!("shallotlead_server_connections_total"),
             dropped_lines: metrics::gauge!("shallotlead_log_lines_dropped"),
             configuration: metrics::gauge!("shallotlead_configuration_version"),
-            servers: metrics::gauge!("shallotlead_servers_ready"),
+            listed: metrics::gauge!("shallotlead_servers_ready"),
             instances: metrics::gauge!("shallotlead_instances_alive"),
             open: metrics::gauge!("shallotlead_requests_open"),
             is_store_away: metrics::gauge!("shallotlead_store_away"),
             left_out: metrics::gauge!("shallotlead_servers_left_out"),
             current: metrics::gauge!("shallotlead_servers_current"),
+            is_watching: metrics::gauge!("shallotlead_watching"),
             lease: metrics::gauge!("shallotlead_lease_held"),
             prompt_tokens: metrics::counter!("shallotlead_prompt_tokens_total"),
             unread_tokens: metrics::counter!("shallotlead_unread_tokens_total"),
+            expected_wait: metrics::histogram!("shallotlead_expected_wait_seconds"),
             pause: metrics::histogram!("shallotlead_pause_seconds"),
         })
     }
@@ -127,8 +155,10 @@
         metrics::counter!("shallotlead_resends_total", "reason" => reason).increment(1);
     }
 
-    /// A prompt was sent; its server is expected to read `unread` of its tokens.
-    pub(crate) fn prompt(&mut self, tokens: u32, unread: u32) {
+    /// A prompt was sent; its server is expected to begin with it after `wait` and to read `unread` of
+    /// its tokens.
+    pub(crate) fn prompt(&mut self, tokens: u32, unread: u32, wait: Duration) {
+        self.expected_wait.record(wait.as_secs_f64());
         self.prompt_tokens.increment(u64::from(tokens));
         self.unread_tokens.increment(u64::from(unread));
     }
@@ -155,15 +185,36 @@
             it.models.iter().all(|it| self.pool.named(&it.0).is_none_or(|n| n.newest() <= it.1))
         };
         let current = self.pool.listed().filter(|it| is_current(it.1)).count();
-        let stats = &self.stats;
+        for (kind, age) in self.storage.watch_ages(self.now) {
+            metrics::gauge!("shallotlead_watch_age_seconds", "kind" => kind.to_string())
+                .set(age.as_secs_f64());
+        }
+        for (model, named) in self.pool.all_named() {
+            metrics::gauge!("shallotlead_weights_named", "model" => model.to_string())
+                .set(named.newest() as f64);
+        }
+        self.refresh_budget();
+        let open = self.pool.listed().map(|it| (it.1.address, it.1.inflight));
+        let stats = &mut self.stats;
+        stats.servers.set_open(open);
+        stats.is_watching.set(f64::from(u8::from(self.members.me().is_watching)));
         stats.left_out.set(out as f64);
         stats.current.set(current as f64);
         stats.lease.set(f64::from(u8::from(self.lease.is_held(self.now))));
         stats.dropped_lines.set(self.journal.dropped() as f64);
         stats.configuration.set(version as f64);
-        stats.servers.set(servers as f64);
+        stats.listed.set(servers as f64);
         stats.instances.set(alive as f64);
         stats.open.set(self.exchanges.len() as f64);
         stats.is_store_away.set(f64::from(u8::from(self.storage.is_away())));
     }
+    fn refresh_budget(&mut self) {
+        let Some(catalog) = self.catalog.clone() else { return };
+        let instances = self.members.sharers();
+        for service in catalog.services.keys() {
+            let left = self.budget.left(self.now, service, instances, Purpose::Request);
+            metrics::gauge!("shallotlead_retry_budget_left", "service" => service.to_string())
+                .set(left.max(0.0));
+        }
+    }
 }
--- /dev/null
+++ b/crates/gateway/src/core/stats/server.rs
@@ -0,0 +1,88 @@
+//! What is counted of each backend server.
+
+use std::{net::SocketAddr, time::Duration};
+
+use metrics::{Counter, Gauge, Histogram};
+use shallotlead_base::hash::Map;
+
+/// Servers that get counters of their own; a fleet may have thousands.
+const MAX_SERVERS: usize = 128;
+
+/// The counters of all servers, by address: names change with each restart, and would add up.
+pub(crate) struct Servers {
+    known: Map<SocketAddr, Server>,
+    others: Server,
+}
+
+/// The counters of one server.
+pub(crate) struct Server {
+    first: Histogram,
+    answered: Counter,
+    broken: Counter,
+    not_run: Counter,
+    open: Gauge,
+}
+
+impl Server {
+    fn open(server: &str) -> Self {
+        let attempts = |result: &'static str| {
+            let server = server.to_owned();
+            metrics::counter!("shallotlead_server_attempts_total", "server" => server, "result" => result)
+        };
+        let label = server.to_owned();
+        Self {
+            first: metrics::histogram!("shallotlead_server_first_piece_seconds", "server" => label.clone()),
+            answered: attempts("answered"),
+            broken: attempts("broken"),
+            not_run: attempts("not-run"),
+            open: metrics::gauge!("shallotlead_server_requests_open", "server" => label),
+        }
+    }
+
+    /// An attempt ended with a whole answer. `first`: when its first piece came, unless it was another
+    /// attempt's.
+    pub(crate) fn answered(&self, first: Option<Duration>) {
+        self.answered.increment(1);
+        if let Some(first) = first {
+            self.first.record(first.as_secs_f64());
+        }
+    }
+
+    /// An attempt that may have run brought no whole answer.
+    pub(crate) fn broken(&self) {
+        self.broken.increment(1);
+    }
+
+    /// An attempt certainly did not run.
+    pub(crate) fn not_run(&self) {
+        self.not_run.increment(1);
+    }
+}
+
+impl Servers {
+    pub(crate) fn open() -> Self {
+        Self { known: Map::default(), others: Server::open("other") }
+    }
+
+    /// The counters of the server at `address`.
+    pub(crate) fn at(&mut self, address: SocketAddr) -> &Server {
+        if self.known.contains_key(&address) || self.known.len() < MAX_SERVERS {
+            let open = || Server::open(&address.to_string());
+            return self.known.entry(address).or_insert_with(open);
+        }
+        &self.others
+    }
+
+    /// Sets how many requests of this instance are under way at each server.
+    pub(crate) fn set_open(&mut self, open: impl Iterator<Item = (SocketAddr, u32)>) {
+        self.known.values().for_each(|it| it.open.set(0.0));
+        let mut others = 0;
+        for (address, requests) in open {
+            match self.known.get(&address) {
+                Some(it) => it.open.set(f64::from(requests)),
+                None => others += requests,
+            }
+        }
+        self.others.open.set(f64::from(others));
+    }
+}
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -1,6 +1,8 @@
 //! What is followed in the platform's store: configuration, backend servers, named weights, and the
 //! instances' own records.
 
+mod follower;
+
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use shallotlead_base::{
@@ -24,11 +26,11 @@
     settings::Settings,
 };
 
+use follower::Follower;
+pub(crate) use follower::What;
+
 /// Kind of the instances' own records.
 const INSTANCE: &str = "instance";
-/// How long a watch may wait for a change. The platform takes 30 s at most; a connection that went
-/// silent is found earlier, by probes.
-const WATCH: Duration = Duration::from_secs(20);
 /// How long a call may take. The store answers in 4 ms, and in 250 ms when it is slow.
 const TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Pause before a kind is followed again after a failure.
@@ -90,21 +92,6 @@
     Register,
 }
 
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum What {
-    Subject(Subject),
-    Instances,
-}
-
-/// One kind that is followed by a watch.
-struct Follower {
-    kind: Arc<str>,
-    what: What,
-    revision: Option<Version>,
-    is_open: bool,
-    next: Time,
-}
-
 /// This instance's own record.
 enum Register {
     /// To be written over this version.
@@ -145,6 +132,12 @@
         self.away_since
     }
 
+    /// Time since the store last answered for each kind that is followed, after the first time.
+    pub(crate) fn watch_ages(&self, now: Time) -> impl Iterator<Item = (&str, Duration)> {
+        let heard = self.followed.iter().filter(|it| it.heard != Time::ZERO);
+        heard.map(move |it| (&*it.kind, now.since(it.heard)))
+    }
+
     /// When something is due.
     pub(crate) fn next(&mut self, now: Time, is_watcher: bool) -> Option<Time> {
         let is_due = |it: &&Follower| !it.is_open && (is_watcher || it.revision.is_none());
@@ -165,20 +158,6 @@
     }
 }
 
-impl Follower {
-    fn open(kind: &str, what: What, now: Time) -> Self {
-        Self { kind: Arc::from(kind), what, revision: None, is_open: false, next: now }
-    }
-
-    fn call(&self) -> Call {
-        let kind = self.kind.clone();
-        match self.revision {
-            None => Call::List { kind },
-            Some(after) => Call::Watch { kind, after, wait: WATCH },
-        }
-    }
-}
-
 impl Core {
     pub(crate) fn tick_storage(&mut self) {
         let now = self.now;
@@ -337,6 +316,9 @@
         follower.is_open = false;
         follower.next = now;
         let what = follower.what;
+        if matches!(reply, Reply::Listed { .. } | Reply::Changed { .. }) {
+            follower.heard = now;
+        }
         match reply {
             Reply::Listed { objects, version } => {
                 follower.revision = Some(*version);
