Bench the gateway's placement in virtual time against simpler ways

Cause: the policy bench holds only the older router's placement by blocks; the gateway's, by parts with sizes, memory in tokens, weights named every few seconds and a store of cached prompts behind a link, could be measured on the users' bench alone.

--- /dev/null
+++ b/crates/gateway/benches/policy/world.rs
@@ -0,0 +1,502 @@
+//! A deployment in virtual time: callers, instances, engines, the store of cached prompts, and weights
+//! that are named every few seconds.
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use shallotlead_base::{hash::Map, time::Time};
+use shallotlead_gateway::{
+    dialect::{Load, OrderReply, Part, Report, ServerEntry},
+    gossip::Placement,
+    placement::{self, Choice, Reach, Wish},
+    pool::{self, Switch},
+    rollout::{Rollout, Step},
+};
+
+use crate::{
+    cache::Cache,
+    engine::{Done, Engine, Job},
+    site::{LOAD_MS, Prompt, Site},
+    tally::{Row, Tally},
+    way::{Chosen, Instance, Way},
+};
+
+const MODEL: &str = "model";
+const SERVICE: &str = "engines";
+const STORE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+const FIRST_PORT: u16 = 1_000;
+/// Time from an instance to an engine or back, with the caller's way.
+const WIRE: Duration = Duration::from_millis(1);
+/// Time until other instances know of a placement, and the part of these messages that is lost.
+const TELLING: Duration = Duration::from_millis(2);
+const LOST: f64 = 0.03;
+/// Time between an engine's reports to an instance, and their age when they come.
+const REPORTS: Duration = Duration::from_millis(400);
+const REPORT_LAG: Duration = Duration::from_millis(200);
+/// How often roll-outs are looked at.
+const TICK: Duration = Duration::from_millis(20);
+/// How long engines count as about to load, and as loading.
+const ANNOUNCED: Duration = Duration::from_millis(700);
+const LOADING: Duration = Duration::from_secs(4);
+/// Pause before an instance looks for a server again, and how long it does.
+const AGAIN: Duration = Duration::from_millis(20);
+const PATIENCE: Duration = Duration::from_secs(2);
+/// A transfer that would wait longer isn't started.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+/// A part that is read again later than this costs nothing.
+const AGAIN_WINDOW: Duration = Duration::from_secs(10);
+
+#[derive(Debug)]
+enum Event {
+    Arrival,
+    Dispatch { number: usize, instance: usize, prompt: Prompt, excluded: Vec<pool::Id> },
+    AtEngine { instance: usize, excluded: Vec<pool::Id>, choice: Choice, job: Job },
+    StepEnd(usize),
+    Ready(usize),
+    Told { instance: usize, server: pool::Id, placement: Placement },
+    Sample { instance: usize, server: pool::Id },
+    Reported { instance: usize, server: pool::Id, load: Load, at: Time },
+    Naming,
+    Tick,
+    Loaded { engine: usize, version: u64 },
+}
+
+/// Runs one day of `site`.
+pub(crate) fn run(site: &Site, way: Way, seed: u64, length: Duration) -> Tally {
+    let mut world = World::new(site, way, seed);
+    let end = Time::ZERO + length;
+    world.plan(Time::ZERO, Event::Arrival);
+    world.plan(Time::ZERO, Event::Tick);
+    world.plan(Time::ZERO + site.naming, Event::Naming);
+    while let Some(Reverse((at, _, place))) = world.due.pop() {
+        world.now = at;
+        let Some(event) = world.events.remove(&place) else { continue };
+        let is_endless =
+            matches!(event, Event::Arrival | Event::Sample { .. } | Event::Tick | Event::Naming);
+        if end <= at && is_endless {
+            continue;
+        }
+        world.carry(event);
+    }
+    world.tally
+}
+
+struct World<'a> {
+    site: &'a Site,
+    way: Way,
+    now: Time,
+    random: SmallRng,
+    due: BinaryHeap<Reverse<(Time, u64, u64)>>,
+    events: Map<u64, Event>,
+    planned: u64,
+    instances: Vec<Instance>,
+    engines: Vec<Engine>,
+    store: Cache,
+    store_free: Time,
+    rollout: Rollout,
+    version: u64,
+    model: Arc<str>,
+    /// When parts were last used, by their identity and weights.
+    used: Map<(u64, u64), Time>,
+    tally: Tally,
+}
+
+impl<'a> World<'a> {
+    fn new(site: &'a Site, way: Way, seed: u64) -> Self {
+        let model: Arc<str> = Arc::from(MODEL);
+        let instance = |_| {
+            let mut instance = Instance::default();
+            instance.pool.name_weights(Time::ZERO, &model, 1);
+            for engine in 0..site.engines {
+                let entry = ServerEntry {
+                    service: Arc::from(SERVICE),
+                    address: address(engine),
+                    centre: centre(engine % site.centres),
+                    is_draining: false,
+                    models: vec![(model.clone(), 1)],
+                };
+                instance.pool.put(Time::ZERO, &Arc::from(format!("e{engine}")), 1, entry);
+            }
+            instance
+        };
+        let mut world = Self {
+            site,
+            way,
+            now: Time::ZERO,
+            random: SmallRng::seed_from_u64(seed),
+            due: BinaryHeap::new(),
+            events: Map::default(),
+            planned: 0,
+            instances: (0..site.instances).map(instance).collect(),
+            engines: (0..site.engines).map(|_| Engine::new(site.memory)).collect(),
+            store: Cache::default(),
+            store_free: Time::ZERO,
+            rollout: Rollout::default(),
+            version: 1,
+            model: model.clone(),
+            used: Map::default(),
+            tally: Tally::default(),
+        };
+        for instance in 0..site.instances {
+            for server in 0..site.engines {
+                let first = REPORTS.mul_f64(world.random.random());
+                world.plan(Time::ZERO + first, Event::Sample { instance, server });
+            }
+        }
+        world
+    }
+
+    fn plan(&mut self, at: Time, event: Event) {
+        self.planned += 1;
+        self.due.push(Reverse((at, self.planned, self.planned)));
+        self.events.insert(self.planned, event);
+    }
+
+    fn carry(&mut self, event: Event) {
+        match event {
+            Event::Arrival => self.arrival(),
+            Event::Dispatch { number, instance, prompt, excluded } => {
+                self.dispatch(number, instance, prompt, excluded);
+            }
+            Event::AtEngine { instance, excluded, choice, job } => {
+                self.at_engine(instance, excluded, &choice, job);
+            }
+            Event::StepEnd(engine) => self.step_end(engine),
+            Event::Ready(engine) => self.begin_step(engine),
+            Event::Told { instance, server, placement } => {
+                let it = &mut self.instances[instance];
+                it.memory.placed(self.now, &mut it.pool, server, &placement);
+            }
+            Event::Sample { instance, server } => self.sample(instance, server),
+            Event::Reported { instance, server, load, at } => {
+                self.instances[instance].pool.get_mut(server).load = Some((load, at));
+            }
+            Event::Naming => self.naming(),
+            Event::Tick => self.tick(),
+            Event::Loaded { engine, version } => self.loaded(engine, version),
+        }
+    }
+
+    fn arrival(&mut self) {
+        let uniform: f64 = self.random.random_range(f64::EPSILON..1.0);
+        let pause = Duration::from_secs_f64(-uniform.ln() / self.site.rate());
+        self.plan(self.now + pause, Event::Arrival);
+        let number = self.tally.rows.len();
+        let prompt = self.site.prompt(number as u64, &mut self.random);
+        self.tally.tokens += prompt.parts.iter().map(|it| u64::from(it.tokens)).sum::<u64>();
+        self.tally.rows.push(Row {
+            arrived: self.now,
+            aim: prompt.aim,
+            is_long: prompt.is_long,
+            first: None,
+            is_refused: false,
+        });
+        let instance = self.random.random_range(0..self.site.instances);
+        self.dispatch(number, instance, prompt, Vec::new());
+    }
+
+    fn dispatch(
+        &mut self,
+        number: usize,
+        instance: usize,
+        prompt: Prompt,
+        excluded: Vec<pool::Id>,
+    ) {
+        let own = centre(instance % self.site.centres);
+        let wish = Wish {
+            service: SERVICE,
+            model: Some(MODEL),
+            parts: &prompt.parts,
+            wall: None,
+            centre: &own,
+            reach: Reach::All,
+            fetch_ms: 1.0 / self.site.link_per_ms,
+            capacity: self.site.memory as f64,
+            store: Some(STORE),
+            excluded: &excluded,
+        };
+        let shortest = self.site.long.aim.min(self.site.short.aim);
+        let random = self.random.random();
+        let it = &mut self.instances[instance];
+        let choice = match it.choose(self.way, self.now, &wish, &prompt, shortest, random) {
+            Chosen::Server(choice) => choice,
+            Chosen::Refused => {
+                self.tally.rows[number].is_refused = true;
+                return;
+            }
+            Chosen::Later => {
+                let is_patient = self.now.since(self.tally.rows[number].arrived) < PATIENCE;
+                self.tally.rows[number].is_refused = !is_patient;
+                if is_patient {
+                    let excluded = Vec::new();
+                    let event = Event::Dispatch { number, instance, prompt, excluded };
+                    self.plan(self.now + AGAIN, event);
+                }
+                return;
+            }
+        };
+        it.pool.get_mut(choice.server).inflight += 1;
+        self.tell(instance, &choice, &prompt);
+        let job = Job::new(number, prompt, self.now, choice.save_to.is_some());
+        self.plan(self.now + WIRE, Event::AtEngine { instance, excluded, choice, job });
+    }
+
+    /// Notes a placement, and tells the other instances of it.
+    fn tell(&mut self, instance: usize, choice: &Choice, prompt: &Prompt) {
+        let it = &mut self.instances[instance];
+        let shared = &prompt.parts[..prompt.parts.len() - 1];
+        let placement = Placement {
+            server: it.pool.get(choice.server).name.clone(),
+            scope: placement::scope(choice.weights, None),
+            parts: shared.to_vec(),
+            added: choice.added,
+            unread: choice.unread,
+        };
+        it.memory.placed(self.now, &mut it.pool, choice.server, &placement);
+        for other in 0..self.site.instances {
+            if other != instance && !self.random.random_bool(LOST) {
+                let (server, placement) = (choice.server, placement.clone());
+                self.plan(self.now + TELLING, Event::Told { instance: other, server, placement });
+            }
+        }
+    }
+
+    fn at_engine(
+        &mut self,
+        instance: usize,
+        mut excluded: Vec<pool::Id>,
+        choice: &Choice,
+        mut job: Job,
+    ) {
+        let engine = choice.server;
+        let is_current = choice.weights == Some(self.engines[engine].weights);
+        if is_current && let Some(source) = choice.fetch_from {
+            job.ready = self.fetch(engine, source, &job.prompt);
+            if self.now < job.ready {
+                self.plan(job.ready, Event::Ready(engine));
+            }
+        }
+        let turned_away = match is_current {
+            true => self.engines[engine].take(job).err(),
+            false => Some(job),
+        };
+        let Some(job) = turned_away else {
+            self.begin_step(engine);
+            return;
+        };
+        self.instances[instance].pool.get_mut(engine).inflight -= 1;
+        excluded.push(engine);
+        let Job { number, prompt, .. } = job;
+        self.plan(self.now + WIRE, Event::Dispatch { number, instance, prompt, excluded });
+    }
+
+    /// Brings cached parts from another engine or the store; says when they are there.
+    fn fetch(&mut self, engine: usize, source: SocketAddr, prompt: &Prompt) -> Time {
+        let shared = &prompt.parts[..prompt.parts.len() - 1];
+        let weights = self.engines[engine].weights;
+        let own = self.engines[engine].cache.look(shared, weights);
+        let from = (source != STORE).then(|| usize::from(source.port() - FIRST_PORT));
+        let cache = match from {
+            Some(from) => &mut self.engines[from].cache,
+            None => &mut self.store,
+        };
+        let kept = cache.take(shared, weights);
+        if kept <= own {
+            return self.now;
+        }
+        let Some(ready) = self.transfer(engine, from, kept - own) else { return self.now };
+        let mut tokens = 0;
+        let parts: Vec<_> = shared
+            .iter()
+            .copied()
+            .take_while(|it| {
+                tokens += it.tokens;
+                tokens <= kept
+            })
+            .collect();
+        let engine = &mut self.engines[engine];
+        let room = engine.room();
+        engine.cache.put(&parts, weights, room);
+        ready
+    }
+
+    /// The end of a transfer between an engine and another one, or the store.
+    fn transfer(&mut self, engine: usize, other: Option<usize>, tokens: u32) -> Option<Time> {
+        let other_free = other.map_or(self.store_free, |it| self.engines[it].link_free);
+        let begin = self.now.max(self.engines[engine].link_free).max(other_free);
+        if LONGEST_WAIT < begin.since(self.now) {
+            return None;
+        }
+        // The store is in the first data centre.
+        let centres = self.site.centres;
+        let is_near = engine % centres == other.map_or(0, |it| it % centres);
+        let factor = if is_near { 1.0 } else { 2.0 };
+        let store_rate = self.site.store_link_per_ms;
+        let rate = other.map_or(store_rate, |_| self.site.link_per_ms);
+        let ms = factor * f64::from(tokens) / rate;
+        let end = begin + Duration::from_secs_f64(ms / 1e3);
+        self.engines[engine].link_free = end;
+        match other {
+            Some(other) => self.engines[other].link_free = end,
+            None => self.store_free = end,
+        }
+        self.tally.moved += u64::from(tokens);
+        Some(end)
+    }
+
+    fn begin_step(&mut self, engine: usize) {
+        let it = &mut self.engines[engine];
+        let was = it.step_ends;
+        it.begin(self.now);
+        self.plan_step(engine, was);
+    }
+
+    fn plan_step(&mut self, engine: usize, was: Option<Time>) {
+        if let Some(end) = self.engines[engine].step_ends.filter(|it| was != Some(*it)) {
+            self.plan(end, Event::StepEnd(engine));
+        } else if let Some(ready) = self.engines[engine].next_ready().filter(|it| self.now < *it) {
+            self.plan(ready, Event::Ready(engine));
+        }
+    }
+
+    fn step_end(&mut self, engine: usize) {
+        if self.engines[engine].step_ends != Some(self.now) {
+            return;
+        }
+        for done in self.engines[engine].end_step(self.now) {
+            match done {
+                Done::Began { cached, parts } => self.began(engine, cached, &parts),
+                Done::First { number, prompt, is_saved } => {
+                    self.first_token(engine, number, &prompt, is_saved);
+                }
+            }
+        }
+        self.plan_step(engine, None);
+        self.begin_loading(engine);
+    }
+
+    /// An engine begins to read a prompt, `cached` of whose tokens it has.
+    fn began(&mut self, engine: usize, cached: u32, parts: &[Part]) {
+        let weights = self.engines[engine].weights;
+        self.tally.cached += u64::from(cached);
+        let mut before = 0;
+        for part in &parts[..parts.len() - 1] {
+            before += part.tokens;
+            let last = self.used.insert((part.id, weights), self.now);
+            let is_again = last.is_some_and(|it| self.now.since(it) < AGAIN_WINDOW);
+            if cached < before && is_again {
+                self.tally.again += u64::from(part.tokens);
+            }
+        }
+    }
+
+    fn first_token(&mut self, engine: usize, number: usize, prompt: &Prompt, is_saved: bool) {
+        self.tally.rows[number].first = Some(self.now + WIRE);
+        for instance in &mut self.instances {
+            let server = instance.pool.get_mut(engine);
+            server.inflight = server.inflight.saturating_sub(1);
+        }
+        let shared = &prompt.parts[..prompt.parts.len() - 1];
+        let weights = self.engines[engine].weights;
+        let all: u32 = shared.iter().map(|it| it.tokens).sum();
+        let kept = self.store.look(shared, weights);
+        if is_saved && kept < all && self.transfer(engine, None, all - kept).is_some() {
+            self.store.put(shared, weights, self.site.store_memory);
+        }
+    }
+
+    /// An engine tells an instance its load; it is old by the time it comes.
+    fn sample(&mut self, instance: usize, server: pool::Id) {
+        let it = &self.engines[server];
+        let load = Load { running: it.running() as u32, waiting: it.waiting() as u32 };
+        let at = self.now;
+        self.plan(at + REPORT_LAG, Event::Reported { instance, server, load, at });
+        self.plan(at + REPORTS, Event::Sample { instance, server });
+    }
+
+    fn naming(&mut self) {
+        self.version += 1;
+        for it in &mut self.instances {
+            it.pool.name_weights(self.now, &self.model, self.version);
+        }
+        self.plan(self.now + self.site.naming, Event::Naming);
+    }
+
+    fn tick(&mut self) {
+        for step in self.rollout.tick(self.now, &self.instances[0].pool) {
+            self.carry_out(step);
+        }
+        self.plan(self.now + TICK, Event::Tick);
+    }
+
+    fn carry_out(&mut self, step: Step) {
+        match step {
+            Step::Announce(id, _, version) => self.switch(id, version, ANNOUNCED),
+            Step::Ask(id) => {
+                let it = &self.engines[id];
+                let report = Report {
+                    models: vec![(self.model.clone(), it.weights)],
+                    is_busy: it.order.is_some(),
+                    orders: it.orders,
+                    load: Load { running: it.running() as u32, waiting: it.waiting() as u32 },
+                };
+                let pool = &self.instances[0].pool;
+                let next = self.rollout.reported(self.now, pool, id, Some(&report));
+                next.into_iter().for_each(|it| self.carry_out(it));
+            }
+            Step::Order(id, _, version, _) => {
+                self.switch(id, version, LOADING);
+                self.engines[id].orders += 1;
+                self.engines[id].order = Some((version, None));
+                self.rollout.ordered(self.now, id, Some(OrderReply::Accepted));
+                self.begin_loading(id);
+            }
+        }
+    }
+
+    fn switch(&mut self, id: pool::Id, version: u64, length: Duration) {
+        let until = self.now + length;
+        for it in &mut self.instances {
+            it.pool.get_mut(id).switch = Some(Switch { version, until });
+        }
+    }
+
+    /// An engine begins to load once its last run has ended.
+    fn begin_loading(&mut self, engine: usize) {
+        let it = &self.engines[engine];
+        let Some((version, None)) = it.order else { return };
+        if !it.is_empty() {
+            return;
+        }
+        let is_loading = |it: &&Engine| matches!(it.order, Some((_, Some(_))));
+        let loading = self.engines.iter().filter(is_loading).count() + 1;
+        let factor = (loading as f64 / self.site.loading as f64).max(1.0);
+        let end = self.now + Duration::from_secs_f64(LOAD_MS * factor / 1e3);
+        self.engines[engine].order = Some((version, Some(end)));
+        self.plan(end, Event::Loaded { engine, version });
+    }
+
+    fn loaded(&mut self, engine: usize, version: u64) {
+        let it = &mut self.engines[engine];
+        it.weights = version;
+        it.order = None;
+        it.cache.clear();
+        for instance in &mut self.instances {
+            instance.pool.get_mut(engine).loaded(self.now, &self.model, version);
+        }
+    }
+}
+
+fn address(engine: usize) -> SocketAddr {
+    SocketAddr::new(Ipv4Addr::LOCALHOST.into(), FIRST_PORT + engine as u16)
+}
+
+fn centre(number: usize) -> Arc<str> {
+    Arc::from(format!("c{number}"))
+}
