--- a/crates/gateway/benches/policy/world.rs
+++ b/crates/gateway/benches/policy/world.rs
@@ -1,6 +1,9 @@
 //! A deployment in virtual time: callers, instances, engines, the store of cached prompts, and weights
 //! that are named every few seconds.
 
+mod links;
+mod weights;
+
 use std::{
     cmp::Reverse,
     collections::BinaryHeap,
@@ -12,17 +15,17 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use shallotlead_base::{hash::Map, time::Time};
 use shallotlead_gateway::{
-    dialect::{Load, OrderReply, Part, Report, ServerEntry},
+    dialect::{Load, Part, ServerEntry},
     gossip::Placement,
     placement::{self, Choice, Reach, Wish},
-    pool::{self, Switch},
-    rollout::{Rollout, Step},
+    pool,
+    rollout::Rollout,
 };
 
 use crate::{
     cache::Cache,
     engine::{Done, Engine, Job},
-    site::{LOAD_MS, Prompt, Site},
+    site::{Prompt, Site},
     tally::{Row, Tally},
     way::{Chosen, Instance, Way},
 };
@@ -39,16 +42,9 @@
 /// Time between an engine's reports to an instance, and their age when they come.
 const REPORTS: Duration = Duration::from_millis(400);
 const REPORT_LAG: Duration = Duration::from_millis(200);
-/// How often roll-outs are looked at.
-const TICK: Duration = Duration::from_millis(20);
-/// How long engines count as about to load, and as loading.
-const ANNOUNCED: Duration = Duration::from_millis(700);
-const LOADING: Duration = Duration::from_secs(4);
 /// Pause before an instance looks for a server again, and how long it does.
 const AGAIN: Duration = Duration::from_millis(20);
 const PATIENCE: Duration = Duration::from_secs(2);
-/// A transfer that would wait longer isn't started.
-const LONGEST_WAIT: Duration = Duration::from_secs(2);
 /// A part that is read again later than this costs nothing.
 const AGAIN_WINDOW: Duration = Duration::from_secs(10);
 
@@ -296,60 +292,6 @@
         self.plan(self.now + WIRE, Event::Dispatch { number, instance, prompt, excluded });
     }
 
-    /// Brings cached parts from another engine or the store; says when they are there.
-    fn fetch(&mut self, engine: usize, source: SocketAddr, prompt: &Prompt) -> Time {
-        let shared = &prompt.parts[..prompt.parts.len() - 1];
-        let weights = self.engines[engine].weights;
-        let own = self.engines[engine].cache.look(shared, weights);
-        let from = (source != STORE).then(|| usize::from(source.port() - FIRST_PORT));
-        let cache = match from {
-            Some(from) => &mut self.engines[from].cache,
-            None => &mut self.store,
-        };
-        let kept = cache.take(shared, weights);
-        if kept <= own {
-            return self.now;
-        }
-        let Some(ready) = self.transfer(engine, from, kept - own) else { return self.now };
-        let mut tokens = 0;
-        let parts: Vec<_> = shared
-            .iter()
-            .copied()
-            .take_while(|it| {
-                tokens += it.tokens;
-                tokens <= kept
-            })
-            .collect();
-        let engine = &mut self.engines[engine];
-        let room = engine.room();
-        engine.cache.put(&parts, weights, room);
-        ready
-    }
-
-    /// The end of a transfer between an engine and another one, or the store.
-    fn transfer(&mut self, engine: usize, other: Option<usize>, tokens: u32) -> Option<Time> {
-        let other_free = other.map_or(self.store_free, |it| self.engines[it].link_free);
-        let begin = self.now.max(self.engines[engine].link_free).max(other_free);
-        if LONGEST_WAIT < begin.since(self.now) {
-            return None;
-        }
-        // The store is in the first data centre.
-        let centres = self.site.centres;
-        let is_near = engine % centres == other.map_or(0, |it| it % centres);
-        let factor = if is_near { 1.0 } else { 2.0 };
-        let store_rate = self.site.store_link_per_ms;
-        let rate = other.map_or(store_rate, |_| self.site.link_per_ms);
-        let ms = factor * f64::from(tokens) / rate;
-        let end = begin + Duration::from_secs_f64(ms / 1e3);
-        self.engines[engine].link_free = end;
-        match other {
-            Some(other) => self.engines[other].link_free = end,
-            None => self.store_free = end,
-        }
-        self.tally.moved += u64::from(tokens);
-        Some(end)
-    }
-
     fn begin_step(&mut self, engine: usize) {
         let it = &mut self.engines[engine];
         let was = it.step_ends;
@@ -419,78 +361,6 @@
         self.plan(at + REPORT_LAG, Event::Reported { instance, server, load, at });
         self.plan(at + REPORTS, Event::Sample { instance, server });
     }
-
-    fn naming(&mut self) {
-        self.version += 1;
-        for it in &mut self.instances {
-            it.pool.name_weights(self.now, &self.model, self.version);
-        }
-        self.plan(self.now + self.site.naming, Event::Naming);
-    }
-
-    fn tick(&mut self) {
-        for step in self.rollout.tick(self.now, &self.instances[0].pool) {
-            self.carry_out(step);
-        }
-        self.plan(self.now + TICK, Event::Tick);
-    }
-
-    fn carry_out(&mut self, step: Step) {
-        match step {
-            Step::Announce(id, _, version) => self.switch(id, version, ANNOUNCED),
-            Step::Ask(id) => {
-                let it = &self.engines[id];
-                let report = Report {
-                    models: vec![(self.model.clone(), it.weights)],
-                    is_busy: it.order.is_some(),
-                    orders: it.orders,
-                    load: Load { running: it.running() as u32, waiting: it.waiting() as u32 },
-                };
-                let pool = &self.instances[0].pool;
-                let next = self.rollout.reported(self.now, pool, id, Some(&report));
-                next.into_iter().for_each(|it| self.carry_out(it));
-            }
-            Step::Order(id, _, version, _) => {
-                self.switch(id, version, LOADING);
-                self.engines[id].orders += 1;
-                self.engines[id].order = Some((version, None));
-                self.rollout.ordered(self.now, id, Some(OrderReply::Accepted));
-                self.begin_loading(id);
-            }
-        }
-    }
-
-    fn switch(&mut self, id: pool::Id, version: u64, length: Duration) {
-        let until = self.now + length;
-        for it in &mut self.instances {
-            it.pool.get_mut(id).switch = Some(Switch { version, until });
-        }
-    }
-
-    /// An engine begins to load once its last run has ended.
-    fn begin_loading(&mut self, engine: usize) {
-        let it = &self.engines[engine];
-        let Some((version, None)) = it.order else { return };
-        if !it.is_empty() {
-            return;
-        }
-        let is_loading = |it: &&Engine| matches!(it.order, Some((_, Some(_))));
-        let loading = self.engines.iter().filter(is_loading).count() + 1;
-        let factor = (loading as f64 / self.site.loading as f64).max(1.0);
-        let end = self.now + Duration::from_secs_f64(LOAD_MS * factor / 1e3);
-        self.engines[engine].order = Some((version, Some(end)));
-        self.plan(end, Event::Loaded { engine, version });
-    }
-
-    fn loaded(&mut self, engine: usize, version: u64) {
-        let it = &mut self.engines[engine];
-        it.weights = version;
-        it.order = None;
-        it.cache.clear();
-        for instance in &mut self.instances {
-            instance.pool.get_mut(engine).loaded(self.now, &self.model, version);
-        }
-    }
 }
 
 fn address(engine: usize) -> SocketAddr {
--- /dev/null
+++ b/crates/gateway/benches/policy/world/links.rs
@@ -0,0 +1,74 @@
+//! Cached parts on their way between engines and the store.
+
+use std::{net::SocketAddr, time::Duration};
+
+use shallotlead_base::time::Time;
+
+use crate::{
+    site::Prompt,
+    world::{FIRST_PORT, STORE, World},
+};
+
+/// A transfer that would wait longer isn't started.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+impl World<'_> {
+    /// Brings cached parts from another engine or the store; says when they are there.
+    pub(super) fn fetch(&mut self, engine: usize, source: SocketAddr, prompt: &Prompt) -> Time {
+        let shared = &prompt.parts[..prompt.parts.len() - 1];
+        let weights = self.engines[engine].weights;
+        let own = self.engines[engine].cache.look(shared, weights);
+        let from = (source != STORE).then(|| usize::from(source.port() - FIRST_PORT));
+        let cache = match from {
+            Some(from) => &mut self.engines[from].cache,
+            None => &mut self.store,
+        };
+        let kept = cache.take(shared, weights);
+        if kept <= own {
+            return self.now;
+        }
+        let Some(ready) = self.transfer(engine, from, kept - own) else { return self.now };
+        let mut tokens = 0;
+        let parts: Vec<_> = shared
+            .iter()
+            .copied()
+            .take_while(|it| {
+                tokens += it.tokens;
+                tokens <= kept
+            })
+            .collect();
+        let engine = &mut self.engines[engine];
+        let room = engine.room();
+        engine.cache.put(&parts, weights, room);
+        ready
+    }
+
+    /// The end of a transfer between an engine and another one, or the store.
+    pub(super) fn transfer(
+        &mut self,
+        engine: usize,
+        other: Option<usize>,
+        tokens: u32,
+    ) -> Option<Time> {
+        let other_free = other.map_or(self.store_free, |it| self.engines[it].link_free);
+        let begin = self.now.max(self.engines[engine].link_free).max(other_free);
+        if LONGEST_WAIT < begin.since(self.now) {
+            return None;
+        }
+        // The store is in the first data centre.
+        let centres = self.site.centres;
+        let is_near = engine % centres == other.map_or(0, |it| it % centres);
+        let factor = if is_near { 1.0 } else { 2.0 };
+        let store_rate = self.site.store_link_per_ms;
+        let rate = other.map_or(store_rate, |_| self.site.link_per_ms);
+        let ms = factor * f64::from(tokens) / rate;
+        let end = begin + Duration::from_secs_f64(ms / 1e3);
+        self.engines[engine].link_free = end;
+        match other {
+            Some(other) => self.engines[other].link_free = end,
+            None => self.store_free = end,
+        }
+        self.tally.moved += u64::from(tokens);
+        Some(end)
+    }
+}
