--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -2,19 +2,20 @@
 //! for prompt parts that are read again, for weights that are no longer current and for bytes
 //! between data centres.
 
+mod memory;
+
 use std::{net::SocketAddr, time::Duration};
 
-use shallotlead_base::{
-    hash::{self, Map},
-    time::Time,
-};
+use shallotlead_base::{hash, time::Time};
 
 use crate::{
     dialect::Part,
-    gossip::Placement,
     pool::{self, Named, Pool, Server},
 };
 
+pub use memory::Memory;
+use memory::Prefix;
+
 /// Prompt tokens that an engine reads in a millisecond while others run there: chunks of 1,024 tokens
 /// at 91.8 a millisecond, each with a step of 3.9 ms.
 const TOKENS_PER_MS: f64 = 68.0;
@@ -23,12 +24,6 @@
 /// Time from the end of reading to the first token at the caller, ms: the median of 1,300 answers at
 /// servers without a queue.
 const FIRST_MS: f64 = 55.0;
-/// Part of an engine's memory that prompts may fill before those used longest ago count as gone. The
-/// rest holds answers and what is running.
-const CAPACITY_PART: f64 = 0.6;
-/// Part of it that may have been filled since the last use of a part that is still sure to be there.
-/// From an engine that has evicted it, it can't be fetched; the store has it then.
-const SURE_PART: f64 = 0.25;
 /// What it costs to read parts that nobody holds at another server than their home, ms: another
 /// instance may do the same at that moment.
 const NOT_HOME_MS: f64 = 10.0;
@@ -64,10 +59,6 @@
 /// counts eight seconds from the store's acknowledgement, which this instance heard of later, to the
 /// begin, which is after the wait at the server.
 const TOO_OLD_AFTER: Duration = Duration::from_millis(6_300);
-/// Age from which on parts are forgotten when there are too many.
-const KEPT: Duration = Duration::from_secs(10);
-/// Parts that are remembered; each takes about 60 bytes.
-const MAX_PARTS: usize = 20_000;
 
 /// What is asked for.
 #[derive(Clone, Copy, Debug)]
@@ -156,54 +147,6 @@
     OldWeights,
 }
 
-/// What servers are believed to hold, from what instances tell each other of their sends.
-#[derive(Debug, Default)]
-pub struct Memory {
-    held: Map<(u64, pool::Id), Held>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Held {
-    /// When the part is expected to be read.
-    ready: Time,
-    /// What its server had taken when it was last used.
-    mark: u64,
-}
-
-impl Memory {
-    /// A prompt was sent to a server: by this instance, or as another one tells.
-    pub fn placed(&mut self, now: Time, pool: &mut Pool, id: pool::Id, placement: &Placement) {
-        let server = pool.get_mut(id);
-        let read_ms = SETUP_MS + f64::from(placement.unread) / TOKENS_PER_MS;
-        server.busy_until = server.busy_until.max(now) + Duration::from_secs_f64(read_ms / 1e3);
-        server.taken += u64::from(placement.added);
-        if MAX_PARTS <= self.held.len() {
-            let oldest = now - KEPT;
-            self.held.retain(|_, it| oldest < it.ready);
-        }
-        for part in &placement.parts {
-            let key = (mix(part.id, placement.scope), id);
-            let ready = self.held.get(&key).map_or(server.busy_until, |it| it.ready);
-            self.held.insert(key, Held { ready, mark: server.taken });
-        }
-    }
-
-    /// When the server has the part, and whether that is sure, if it is believed to hold it.
-    fn held(
-        &self,
-        pool: &Pool,
-        part: u64,
-        scope: u64,
-        id: pool::Id,
-        capacity: f64,
-    ) -> Option<(Time, bool)> {
-        let held = self.held.get(&(mix(part, scope), id))?;
-        let since = pool.get(id).taken.saturating_sub(held.mark) as f64;
-        let is_sure = since < capacity * SURE_PART;
-        (since < capacity * CAPACITY_PART).then_some((held.ready, is_sure))
-    }
-}
-
 /// Chooses a server.
 ///
 /// Instances tell each other of what they send, so that each knows who holds which shared parts. A
@@ -232,7 +175,7 @@
         match age_price(now, named, weights) {
             Some(age_ms) => {
                 let scope = scope(weights, wish.wall);
-                let held = held(pool, memory, wish, scope, id);
+                let held = memory.prefix(pool, shared(wish.parts), scope, id, wish.capacity);
                 ready.push(Place { id, server, weights, age_ms, held });
             }
             None => shortage = Shortage::OldWeights,
@@ -268,29 +211,6 @@
     held: Prefix,
 }
 
-/// The shared tokens that a server holds from the prompt's start on, and when it has read them.
-#[derive(Clone, Copy, Default)]
-struct Prefix {
-    tokens: u32,
-    ready: Time,
-    /// A part of it may have been evicted.
-    is_unsure: bool,
-}
-
-fn held(pool: &Pool, memory: &Memory, wish: &Wish<'_>, scope: u64, id: pool::Id) -> Prefix {
-    let mut prefix = Prefix::default();
-    // A part is of use only behind all parts before it.
-    for part in shared(wish.parts) {
-        let Some((ready, is_sure)) = memory.held(pool, part.id, scope, id, wish.capacity) else {
-            break;
-        };
-        prefix.is_unsure |= !is_sure;
-        prefix.tokens += part.tokens;
-        prefix.ready = prefix.ready.max(ready);
-    }
-    prefix
-}
-
 /// What a prompt's shared prefix is known by: its last shared part.
 pub(crate) fn key(parts: &[Part]) -> Option<u64> {
     shared(parts).last().map(|it| it.id)
@@ -391,7 +311,3 @@
 pub fn scope(weights: Option<u64>, wall: Option<&str>) -> u64 {
     hash::seeded(wall.unwrap_or_default().as_bytes(), weights.unwrap_or_default())
 }
-
-fn mix(part: u64, scope: u64) -> u64 {
-    part ^ scope.rotate_left(17)
-}
