--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -243,54 +243,90 @@
     holders: &[&Place<'_>],
     random: u64,
 ) -> Choice {
-    let Prompt { all, shared, home } = *prompt;
+    let Prompt { all, shared, .. } = *prompt;
     let Place { id, server, weights, age_ms, held } = *place;
+    let known = known(place, holders);
+    let fetch = fetch(now, wish, place, holders);
+    let unread = all - held.tokens - fetch.tokens;
     let wait_ms = wait(now, server);
-    // Parts that are still being read elsewhere can't be fetched yet.
-    let others = holders.iter().filter(|it| it.id != id && it.weights == weights);
-    let known = others.clone().map(|it| it.held.tokens).max().unwrap_or(0);
-    let source = others
-        .filter(|it| held.tokens + LEAST_FETCHED <= it.held.tokens && it.held.ready <= now)
-        .filter(|it| !it.held.is_unsure || wish.store.is_none())
-        .max_by_key(|it| (it.held.tokens, it.server.centre == server.centre));
-    let fetched = source.map_or(0, |it| it.held.tokens - held.tokens);
-    let factor =
-        source.map_or(1.0, |it| if it.server.centre == server.centre { 1.0 } else { FAR_FETCH });
-    let unread = all - held.tokens - fetched;
-    let again = known.saturating_sub(held.tokens + fetched);
-    let read_ms = f64::from(unread) / TOKENS_PER_MS;
-    let fetch_ms = factor * wish.fetch_ms * f64::from(fetched);
-    let mut shared_ms =
-        COPIED * f64::from(fetched) / TOKENS_PER_MS + READ_AGAIN * f64::from(again) / TOKENS_PER_MS;
-    let is_held = 0 < known.max(held.tokens);
-    if !is_held && home != Some(id) && !wish.parts.is_empty() {
-        shared_ms += NOT_HOME_MS;
-    }
-    let kilobytes = OVERHEAD_KB + TOKEN_KB * f64::from(all);
-    let away = if *server.centre == *wish.centre { 0.0 } else { OTHER_CENTRE_MS * kilobytes };
-    let begins_ms = wait_ms + fetch_ms + read_ms;
+    let begins_ms = wait_ms + fetch.ms + reading(unread);
     let late_ms = late(begins_ms + FIRST_MS, wish.aim);
+    let shared_ms = shared_price(wish, prompt, place, known, fetch.tokens);
+    let kilobytes = OVERHEAD_KB + TOKEN_KB * f64::from(all);
+    let away_ms = if *server.centre == *wish.centre { 0.0 } else { OTHER_CENTRE_MS * kilobytes };
     let tie = (random.rotate_left(id as u32 % 64) & 0xff) as f64 / 256.0;
-    let score = begins_ms + late_ms + shared_ms + age_ms + away + tie;
     // What is believed to be held may have been evicted: asking the store costs a millisecond, reading
     // the parts again a hundred.
     let store = wish.store.filter(|_| LEAST_STORED <= shared);
-    let fetch_from = source.map(|it| it.server.address).or(store);
-    let save_to = store.filter(|_| known.max(held.tokens) < shared);
-    let added = all - held.tokens;
     Choice {
         server: id,
         weights,
         unread,
-        added,
+        added: all - held.tokens,
         wait_ms,
-        score,
-        fetch_from,
-        save_to,
+        score: begins_ms + late_ms + shared_ms + age_ms + away_ms + tie,
+        fetch_from: fetch.from.or(store),
+        save_to: store.filter(|_| known.max(held.tokens) < shared),
         candidates: 0,
     }
 }
 
+/// Time that reading takes, ms.
+fn reading(tokens: u32) -> f64 {
+    f64::from(tokens) / TOKENS_PER_MS
+}
+
+/// The other holders whose parts are of use to the server.
+fn others<'a>(
+    place: &'a Place<'_>,
+    holders: &'a [&'a Place<'a>],
+) -> impl Iterator<Item = &'a &'a Place<'a>> {
+    holders.iter().filter(|it| it.id != place.id && it.weights == place.weights)
+}
+
+/// Shared tokens that some other server holds.
+fn known(place: &Place<'_>, holders: &[&Place<'_>]) -> u32 {
+    others(place, holders).map(|it| it.held.tokens).max().unwrap_or(0)
+}
+
+/// What a server would fetch from another one.
+struct Fetch {
+    from: Option<SocketAddr>,
+    tokens: u32,
+    /// How long it takes.
+    ms: f64,
+}
+
+fn fetch(now: Time, wish: &Wish<'_>, place: &Place<'_>, holders: &[&Place<'_>]) -> Fetch {
+    let Place { server, held, .. } = place;
+    // Parts that are still being read elsewhere can't be fetched yet.
+    let source = others(place, holders)
+        .filter(|it| held.tokens + LEAST_FETCHED <= it.held.tokens && it.held.ready <= now)
+        .filter(|it| !it.held.is_unsure || wish.store.is_none())
+        .max_by_key(|it| (it.held.tokens, it.server.centre == server.centre));
+    let Some(source) = source else { return Fetch { from: None, tokens: 0, ms: 0.0 } };
+    let factor = if source.server.centre == server.centre { 1.0 } else { FAR_FETCH };
+    let tokens = source.held.tokens - held.tokens;
+    let ms = factor * wish.fetch_ms * f64::from(tokens);
+    Fetch { from: Some(source.server.address), tokens, ms }
+}
+
+/// What running the request at `place` costs other requests that share its parts, ms.
+fn shared_price(
+    wish: &Wish<'_>,
+    prompt: &Prompt,
+    place: &Place<'_>,
+    known: u32,
+    fetched: u32,
+) -> f64 {
+    let held = place.held.tokens;
+    let again = known.saturating_sub(held + fetched);
+    let is_held = 0 < known.max(held);
+    let is_astray = !is_held && prompt.home != Some(place.id) && !wish.parts.is_empty();
+    let astray_ms = if is_astray { NOT_HOME_MS } else { 0.0 };
+    COPIED * reading(fetched) + READ_AGAIN * reading(again) + astray_ms
+}
+
 /// The parts that other requests share: all but the last one.
 pub(crate) fn shared(parts: &[Part]) -> &[Part] {
     parts.split_last().map_or(&[], |it| it.1)
