Don't take a far server's queue for gone half a second after its last report

Trace: at 11.0 s a third of the servers crashed; instances of the data centre without servers turned to one elsewhere, whose queue they knew from a report 0.3 s old, which counted half (258 ms expected, 1.1 s in fact). A request waited there when its client left at 12.492; the connection was closed at once, the server looked at it at 13.027.

In a large fleet's fallback reports now fade over 1.5 s, not 0.6.

--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -209,7 +209,8 @@
         };
         let shortest = catalog.as_ref().and_then(|it| it.shortest_aim(&exchange.service));
         let admission = Admission::of(exchange, shortest);
-        let near = match members.is_large() && wish.model.is_some() {
+        let is_large = members.is_large() && wish.model.is_some();
+        let near = match is_large {
             true => placement::choose(pool, memory, *now, &wish, random).ok(),
             false => None,
         };
@@ -218,7 +219,8 @@
         let chosen = match near {
             Some(choice) => Ok(choice),
             None => {
-                let wish = Wish { reach: Reach::All, ..wish };
+                let reach = if is_large { Reach::Beyond } else { Reach::All };
+                let wish = Wish { reach, ..wish };
                 placement::choose(pool, memory, *now, &wish, random)
             }
         };
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -33,8 +33,10 @@
 /// What one more request running at a server costs each token, ms: a step takes 0.047 ms longer
 /// with each, over the first ten steps.
 const RUNNING_MS: f64 = 0.5;
-/// Age at which a server's word on its queue tells nothing any more, ms.
+/// Age at which a server's word on its queue tells nothing any more, ms: where instances tell each other
+/// what they send, and where this word is all there is. Queues of overloaded servers last over a second.
 const STALE_MS: f64 = 600.0;
+const STALE_ALONE_MS: f64 = 1_500.0;
 /// What a kilobyte to or from another data centre costs, ms: its price, with a credit of an answer
 /// taken as 100 ms of delay, as below.
 const OTHER_CENTRE_MS: f64 = 0.5;
@@ -103,6 +105,8 @@
     Near,
     /// Everywhere.
     All,
+    /// Everywhere, though what is sent to other data centres isn't known.
+    Beyond,
 }
 
 /// The chosen server.
@@ -248,7 +252,7 @@
     let known = known(place, holders);
     let fetch = fetch(now, wish, place, holders);
     let unread = all - held.tokens - fetch.tokens;
-    let wait_ms = wait(now, server);
+    let wait_ms = wait(now, server, stale_ms(wish, server));
     let begins_ms = wait_ms + fetch.ms + reading(unread);
     let late_ms = late(begins_ms + FIRST_MS, wish.aim);
     let shared_ms = shared_price(wish, prompt, place, known, fetch.tokens);
@@ -332,14 +336,24 @@
     parts.split_last().map_or(&[], |it| it.1)
 }
 
+/// Age at which the server's word on its queue tells nothing any more.
+///
+/// Guards against a crowd: instances that lost their own servers all turn to the same ones elsewhere
+/// and, a moment after the last report, take their queues for gone. It shows as queues of over a second
+/// at few servers, where requests wait whose callers have left.
+fn stale_ms(wish: &Wish<'_>, server: &Server) -> f64 {
+    let is_alone = wish.reach == Reach::Beyond && *server.centre != *wish.centre;
+    if is_alone { STALE_ALONE_MS } else { STALE_MS }
+}
+
 /// Expected time until the server begins with a request, ms: the longest of what is known to have been
 /// sent there, what it has told, and what the last prompts have waited there.
 ///
 /// The last one guards against a queue that nobody sees: prompts that are preempted, or don't fit into
 /// the memory, wait though all that was sent could have been read. It shows as answers that are late by
 /// seconds at servers that seem idle, for as long as the load lasts.
-fn wait(now: Time, server: &Server) -> f64 {
-    let fresh = |at: Time| (1.0 - now.since(at).as_secs_f64() * 1e3 / STALE_MS).max(0.0);
+fn wait(now: Time, server: &Server, stale_ms: f64) -> f64 {
+    let fresh = |at: Time| (1.0 - now.since(at).as_secs_f64() * 1e3 / stale_ms).max(0.0);
     let queued = server.busy_until.since(now).as_secs_f64() * 1e3;
     let waited = server.waited.map_or(0.0, |it| f64::from(it.0) * fresh(it.1));
     let load = server.load.unwrap_or_default();
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -6,9 +6,9 @@
 
 use shallotlead_base::time::Time;
 use shallotlead_gateway::{
-    dialect::Part,
+    dialect::{Load, Part},
     gossip::Placement,
-    placement::{self, Choice, Memory, Shortage, Wish, choose},
+    placement::{self, Choice, Memory, Reach, Shortage, Wish, choose},
     pool::{Pool, Switch},
 };
 use support::{MODEL, at, entry, pool, prompt, wish};
@@ -179,3 +179,17 @@
         assert_eq!(&*pool.get(choice.server).centre, "a");
     }
 }
+
+// A large fleet loses a third of its servers, and instances turn to another data centre, whose queues
+// they know from old reports alone. Half a second later a long queue there is still one: taken for
+// gone, it grew to over a second, and servers went on with requests whose callers had left.
+#[test]
+fn reported_queue_is_not_forgotten_at_once() {
+    let mut pool = pool(2);
+    pool.get_mut(0).load = Some((Load { running: 8, waiting: 12 }, at(4_500)));
+    pool.get_mut(1).busy_until = at(5_200);
+    let parts = [Part { id: 5, tokens: 300 }];
+    let far = Wish { centre: "b", reach: Reach::Beyond, ..wish(&parts) };
+    let choice = choose(&pool, &Memory::default(), at(5_000), &far, 7).unwrap();
+    assert_eq!(choice.server, 1);
+}
