--- a/crates/gateway/benches/policy/engine.rs
+++ b/crates/gateway/benches/policy/engine.rs
@@ -31,6 +31,15 @@
     }
 }
 
+/// A running answer.
+#[derive(Debug)]
+struct Run {
+    /// Tokens still to make.
+    left: u32,
+    /// Tokens that it takes in memory, besides cached parts.
+    tokens: u64,
+}
+
 /// What a step has brought.
 #[derive(Debug)]
 pub(crate) enum Done {
@@ -52,8 +61,7 @@
     pub(crate) order: Option<(u64, Option<Time>)>,
     memory: u64,
     queue: VecDeque<Job>,
-    /// Tokens to make, and tokens in memory, of running answers.
-    running: Vec<(u32, u64)>,
+    running: Vec<Run>,
     /// The end of the step under way.
     pub(crate) step_ends: Option<Time>,
 }
@@ -83,7 +91,7 @@
 
     /// Tokens that cached parts may take.
     pub(crate) fn room(&self) -> u64 {
-        self.memory.saturating_sub(self.running.iter().map(|it| it.1).sum())
+        self.memory.saturating_sub(self.running.iter().map(|it| it.tokens).sum())
     }
 
     /// Takes a request, unless an order holds it back.
@@ -126,10 +134,10 @@
     pub(crate) fn end_step(&mut self, now: Time) -> Vec<Done> {
         self.step_ends = None;
         for run in &mut self.running {
-            run.0 -= 1;
-            run.1 += 1;
+            run.left -= 1;
+            run.tokens += 1;
         }
-        self.running.retain(|it| 0 < it.0);
+        self.running.retain(|it| 0 < it.left);
         let mut done = Vec::new();
         if let Some(at) = self.queue.iter().position(|it| it.ready <= now) {
             let weights = self.weights;
@@ -161,7 +169,7 @@
         // What runs is in memory once, as its cached parts; its answer comes on top.
         let own = prompt.parts.last().map_or(0, |it| it.tokens);
         if 1 < prompt.answer {
-            self.running.push((prompt.answer - 1, u64::from(own)));
+            self.running.push(Run { left: prompt.answer - 1, tokens: u64::from(own) });
         }
         debug_assert!(own <= tokens);
         let room = self.room();
--- a/crates/gateway/benches/policy/site.rs
+++ b/crates/gateway/benches/policy/site.rs
@@ -51,7 +51,7 @@
     own: u32,
     /// Tokens of an answer.
     pub(crate) answer: u32,
-    /// Time to the first token that is in time, ms.
+    /// Time to the first token that is in time.
     pub(crate) aim: Duration,
 }
 
--- a/crates/gateway/benches/policy/way.rs
+++ b/crates/gateway/benches/policy/way.rs
@@ -1,5 +1,7 @@
 //! Ways to choose a server: the product's, and what it is compared with.
 
+use std::time::Duration;
+
 use shallotlead_base::{hash, time::Time};
 use shallotlead_gateway::{
     admission::Admission,
@@ -10,7 +12,7 @@
 use crate::site::Prompt;
 
 /// Longest time that a caller waits.
-const TIMEOUT: std::time::Duration = std::time::Duration::from_secs(5);
+const TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A way to choose.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -62,7 +64,7 @@
         now: Time,
         wish: &Wish<'_>,
         prompt: &Prompt,
-        shortest_aim: std::time::Duration,
+        shortest_aim: Duration,
         random: u64,
     ) -> Chosen {
         if way != Way::Shallotlead {
