Make a placement's word, a prompt's shared parts and a cut keyed call in one place each

A choice makes the word for other instances itself (it stood in the gateway, its tests and the bench), the bench's prompts name their shared parts (five times before), the times for which a server counts as loading stand with the roll-out for the gateway and the bench, and two tests of the demo's check share the call that they cut.

--- a/crates/gateway/benches/policy/engine.rs
+++ b/crates/gateway/benches/policy/engine.rs
@@ -124,8 +124,9 @@
         let job = self.queue.iter().find(|it| it.ready <= now);
         job.map_or(0, |it| {
             let parts = &it.prompt.parts;
-            let all: u32 = parts.iter().map(|it| it.tokens).sum();
-            let left = it.left.unwrap_or_else(|| all - self.cache.look(parts, self.weights));
+            let left = it
+                .left
+                .unwrap_or_else(|| it.prompt.tokens() - self.cache.look(parts, self.weights));
             left.min(CHUNK)
         })
     }
@@ -142,7 +143,7 @@
         if let Some(at) = self.queue.iter().position(|it| it.ready <= now) {
             let weights = self.weights;
             let job = &mut self.queue[at];
-            let all: u32 = job.prompt.parts.iter().map(|it| it.tokens).sum();
+            let all = job.prompt.tokens();
             let left = match job.left {
                 Some(left) => left,
                 None => {
@@ -173,8 +174,7 @@
         }
         debug_assert!(own <= tokens);
         let room = self.room();
-        let shared = &prompt.parts[..prompt.parts.len() - 1];
-        self.cache.put(shared, self.weights, room);
+        self.cache.put(prompt.shared(), self.weights, room);
         Done::First { number, prompt, is_saved }
     }
 
--- a/crates/gateway/benches/policy/site.rs
+++ b/crates/gateway/benches/policy/site.rs
@@ -106,6 +106,18 @@
     pub(crate) is_long: bool,
 }
 
+impl Prompt {
+    /// The parts that other requests share: all but the last one.
+    pub(crate) fn shared(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |it| it.1)
+    }
+
+    /// All tokens.
+    pub(crate) fn tokens(&self) -> u32 {
+        self.parts.iter().map(|it| it.tokens).sum()
+    }
+}
+
 impl Site {
     /// The prompt `number`.
     pub(crate) fn prompt(&self, number: u64, random: &mut SmallRng) -> Prompt {
--- a/crates/gateway/benches/policy/world.rs
+++ b/crates/gateway/benches/policy/world.rs
@@ -17,7 +17,7 @@
 use shallotlead_gateway::{
     dialect::{Load, Part, ServerEntry},
     gossip::Placement,
-    placement::{self, Choice, Reach, Wish},
+    placement::{Choice, Reach, Wish},
     pool,
     rollout::Rollout,
 };
@@ -185,7 +185,7 @@
         self.plan(self.now + pause, Event::Arrival);
         let number = self.tally.rows.len();
         let prompt = self.site.prompt(number as u64, &mut self.random);
-        self.tally.tokens += prompt.parts.iter().map(|it| u64::from(it.tokens)).sum::<u64>();
+        self.tally.tokens += u64::from(prompt.tokens());
         self.tally.rows.push(Row {
             arrived: self.now,
             aim: prompt.aim,
@@ -247,14 +247,7 @@
     /// Notes a placement, and tells the other instances of it.
     fn tell(&mut self, instance: usize, choice: &Choice, prompt: &Prompt) {
         let it = &mut self.instances[instance];
-        let shared = &prompt.parts[..prompt.parts.len() - 1];
-        let placement = Placement {
-            server: it.pool.get(choice.server).name.clone(),
-            scope: placement::scope(choice.weights, None),
-            parts: shared.to_vec(),
-            added: choice.added,
-            unread: choice.unread,
-        };
+        let placement = choice.placement(&it.pool.get(choice.server).name, &prompt.parts, None);
         it.memory.placed(self.now, &mut it.pool, choice.server, &placement);
         for other in 0..self.site.instances {
             if other != instance && !self.random.random_bool(LOST) {
@@ -345,7 +338,7 @@
             let server = instance.pool.get_mut(engine);
             server.inflight = server.inflight.saturating_sub(1);
         }
-        let shared = &prompt.parts[..prompt.parts.len() - 1];
+        let shared = prompt.shared();
         let weights = self.engines[engine].weights;
         let all: u32 = shared.iter().map(|it| it.tokens).sum();
         let kept = self.store.look(shared, weights);
--- a/crates/gateway/benches/policy/world/links.rs
+++ b/crates/gateway/benches/policy/world/links.rs
@@ -15,7 +15,7 @@
 impl World<'_> {
     /// Brings cached parts from another engine or the store; says when they are there.
     pub(super) fn fetch(&mut self, engine: usize, source: SocketAddr, prompt: &Prompt) -> Time {
-        let shared = &prompt.parts[..prompt.parts.len() - 1];
+        let shared = prompt.shared();
         let weights = self.engines[engine].weights;
         let own = self.engines[engine].cache.look(shared, weights);
         let from = (source != STORE).then(|| usize::from(source.port() - FIRST_PORT));
--- a/crates/gateway/benches/policy/world/weights.rs
+++ b/crates/gateway/benches/policy/world/weights.rs
@@ -5,7 +5,7 @@
 use shallotlead_gateway::{
     dialect::{Load, OrderReply, Report},
     pool::{self, Switch},
-    rollout::Step,
+    rollout::{ANNOUNCED, LOADING, Step},
 };
 
 use crate::{
@@ -16,9 +16,6 @@
 
 /// How often roll-outs are looked at.
 const TICK: Duration = Duration::from_millis(20);
-/// How long engines count as about to load, and as loading.
-const ANNOUNCED: Duration = Duration::from_millis(700);
-const LOADING: Duration = Duration::from_secs(4);
 
 impl World<'_> {
     pub(super) fn naming(&mut self) {
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -8,10 +8,9 @@
     budget::Purpose,
     core::{Core, Timer, exchange::Exchange, refusal::Refusal},
     dialect::{Answer, Sending},
-    gossip::Placement,
     http::{body::Framing, head::Response},
     net::Key,
-    placement::{self, Choice},
+    placement::Choice,
     pool::{self, Switch},
 };
 
@@ -130,13 +129,7 @@
             .ms("left_ms", left)
             .ms("after_ms", now.since(exchange.arrived));
         if choice.weights.is_some() {
-            let placement = Placement {
-                server: server.name.clone(),
-                scope: placement::scope(choice.weights, exchange.wall()),
-                parts: placement::shared(&exchange.ask.parts).to_vec(),
-                added: choice.added,
-                unread: choice.unread,
-            };
+            let placement = choice.placement(&server.name, &exchange.ask.parts, exchange.wall());
             let tokens = exchange.ask.parts.iter().map(|it| it.tokens).sum();
             self.stats.prompt(tokens, choice.unread, choice.wait());
             self.memory.placed(now, &mut self.pool, choice.server, &placement);
--- a/crates/gateway/src/core/duties.rs
+++ b/crates/gateway/src/core/duties.rs
@@ -9,15 +9,11 @@
     },
     dialect::{Order, OrderReply, Report},
     pool::{self, Switch},
-    rollout::Step,
+    rollout::{ANNOUNCED, LOADING, Step},
 };
 
 /// How long a server's state or its answer to an order may take.
 const TIMEOUT: Duration = Duration::from_millis(600);
-/// How long a server counts as about to load when no order follows: its holder may have ended.
-const ANNOUNCED: Duration = Duration::from_millis(700);
-/// How long a server counts as loading without further word.
-const LOADING: Duration = Duration::from_secs(4);
 
 impl Core {
     pub(crate) fn tick_duties(&mut self) {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -4,12 +4,13 @@
 
 mod memory;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use shallotlead_base::{hash, time::Time};
 
 use crate::{
     dialect::Part,
+    gossip::Placement,
     pool::{self, Named, Pool, Server},
 };
 
@@ -133,6 +134,17 @@
 }
 
 impl Choice {
+    /// What other instances are told of a prompt of `parts` that was sent to the chosen server, `name`.
+    pub fn placement(&self, name: &Arc<str>, parts: &[Part], wall: Option<&str>) -> Placement {
+        Placement {
+            server: name.clone(),
+            scope: scope(self.weights, wall),
+            parts: shared(parts).to_vec(),
+            added: self.added,
+            unread: self.unread,
+        }
+    }
+
     /// Expected time until the server begins to read.
     pub fn wait(&self) -> Duration {
         Duration::from_secs_f64(self.wait_ms / 1e3)
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -33,6 +33,11 @@
 /// Pause before a server that failed is tried again.
 const AGAIN: Duration = Duration::from_millis(500);
 
+/// How long a server counts as about to load when no order follows: its holder may have ended.
+pub const ANNOUNCED: Duration = Duration::from_millis(700);
+/// How long a server counts as loading without further word.
+pub const LOADING: Duration = Duration::from_secs(4);
+
 /// What is to be done.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Step {
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -7,7 +7,6 @@
 use shallotlead_base::time::Time;
 use shallotlead_gateway::{
     dialect::{Load, Part},
-    gossip::Placement,
     placement::{self, Choice, Memory, Reach, Shortage, Wish, choose},
     pool::{Pool, Switch},
 };
@@ -16,13 +15,7 @@
 /// Sends the prompt to the chosen server, as all instances hear of it.
 fn send(pool: &mut Pool, memory: &mut Memory, now: Time, wish: &Wish<'_>) -> Choice {
     let choice = choose(pool, memory, now, wish, 7).expect("a server is ready");
-    let placement = Placement {
-        server: pool.get(choice.server).name.clone(),
-        scope: placement::scope(choice.weights, wish.wall),
-        parts: wish.parts[..wish.parts.len() - 1].to_vec(),
-        added: choice.added,
-        unread: choice.unread,
-    };
+    let placement = choice.placement(&pool.get(choice.server).name, wish.parts, wish.wall);
     memory.placed(now, pool, choice.server, &placement);
     choice
 }
--- a/crates/shallotlead/src/demo/tests.rs
+++ b/crates/shallotlead/src/demo/tests.rs
@@ -144,6 +144,36 @@
     }
 }
 
+fn refused(code: u16, execution: Execution) -> TryEnd {
+    TryEnd::Refused(Refusal { code, execution, request: None, retry_after: None })
+}
+
+/// A call with an idempotency key whose first try broke, and what its later tries were told elsewhere.
+/// `killed`: the first try's instance was killed meanwhile.
+fn cut_keyed_call(killed: bool, later: Vec<TryEnd>) -> Seen {
+    let address = SocketAddr::new(ADDRESS.ip(), 7003);
+    let other = SocketAddr::new(ADDRESS.ip(), 7002);
+    let mut seen = Seen::sound();
+    let mut keyed = dispatch();
+    keyed.idempotency_key = Some("k".to_owned());
+    let record = &mut seen.records[2];
+    record.ask = Arc::new(keyed);
+    record.outcome.end = End::GaveUp;
+    record.outcome.tries[0].address = address;
+    record.outcome.tries[0].end = TryEnd::Broken;
+    let cut = record.outcome.tries[0].clone();
+    let later_try = |end| {
+        let request = Some("cc".to_owned());
+        Try { address: other, at: cut.until, request, end, ..cut.clone() }
+    };
+    record.outcome.tries.extend(later.into_iter().map(later_try));
+    if killed {
+        let at = seen.begin + Duration::from_millis(100);
+        seen.events.push(Event::Killed { address, at });
+    }
+    seen
+}
+
 fn health(instance: &str, incarnation: u64, table: u64) -> Health {
     Health { instance: instance.to_owned(), incarnation, table, open_requests: 0 }
 }
@@ -292,29 +322,8 @@
 // without that word, it is one.
 #[test]
 fn keyed_call_may_stay_unknown_only_when_its_instance_was_killed() {
-    let address = SocketAddr::new(ADDRESS.ip(), 7003);
-    let seen = |killed: bool, last: TryEnd| {
-        let mut seen = Seen::sound();
-        let mut keyed = dispatch();
-        keyed.idempotency_key = Some("k".to_owned());
-        let record = &mut seen.records[2];
-        record.ask = Arc::new(keyed);
-        record.outcome.end = End::GaveUp;
-        record.outcome.tries[0].address = address;
-        record.outcome.tries[0].end = TryEnd::Broken;
-        let cut = record.outcome.tries[0].clone();
-        let other = SocketAddr::new(ADDRESS.ip(), 7002);
-        let later = Try { address: other, at: cut.until, end: last, ..cut };
-        record.outcome.tries.push(later);
-        if killed {
-            let at = seen.begin + Duration::from_millis(100);
-            seen.events.push(Event::Killed { address, at });
-        }
-        seen
-    };
-    let refusal = |execution| {
-        TryEnd::Refused(Refusal { code: 4002, execution, request: None, retry_after: None })
-    };
+    let seen = |killed, last| cut_keyed_call(killed, vec![last]);
+    let refusal = |execution| refused(4002, execution);
     let unknown = seen(true, refusal(Execution::Unknown));
     assert_eq!(unknown.broken(), Vec::<&str>::new());
     let summary = summary::summarise(&unknown.records, &unknown.runs, &unknown.events);
@@ -331,47 +340,20 @@
 // the word "unknown", the call is lost, and no other refusal may stand in between.
 #[test]
 fn keyed_call_may_stay_unknown_between_words_on_single_calls() {
-    fn refusal(code: u16, execution: Execution) -> TryEnd {
-        TryEnd::Refused(Refusal { code, execution, request: None, retry_after: None })
-    }
-    let other = SocketAddr::new(ADDRESS.ip(), 7002);
-    let unrecorded = || refusal(5002, Execution::NotRun);
-    let without_table = || refusal(5001, Execution::NotRun);
-    let shutting_down = || refusal(3006, Execution::NotRun);
-    let late = || refusal(3001, Execution::NotRun);
-    let unknown = || refusal(4002, Execution::Unknown);
-    let seen = |killed: bool, later: Vec<TryEnd>| {
-        let mut seen = Seen::sound();
-        let mut keyed = dispatch();
-        keyed.idempotency_key = Some("k".to_owned());
-        let record = &mut seen.records[2];
-        record.ask = Arc::new(keyed);
-        record.outcome.end = End::GaveUp;
-        record.outcome.tries[0].end = TryEnd::Broken;
-        let cut = record.outcome.tries[0].clone();
-        let later_try = |end| {
-            let request = Some("cc".to_owned());
-            Try { address: other, request, end, ..cut.clone() }
-        };
-        let tries = later.into_iter().map(later_try);
-        record.outcome.tries.extend(tries);
-        // The cut call's shutdown is another matter.
-        seen.events.retain(|it| !matches!(it, Event::ShutDown { .. }));
-        if killed {
-            let at = seen.begin + Duration::from_millis(100);
-            seen.events.push(Event::Killed { address: ADDRESS, at });
-        }
-        seen
-    };
+    let unrecorded = || refused(5002, Execution::NotRun);
+    let without_table = || refused(5001, Execution::NotRun);
+    let shutting_down = || refused(3006, Execution::NotRun);
+    let late = || refused(3001, Execution::NotRun);
+    let unknown = || refused(4002, Execution::Unknown);
     for silent in [unrecorded, without_table, shutting_down] {
         let words = vec![silent(), unknown(), silent()];
-        assert_eq!(seen(true, words.clone()).broken(), Vec::<&str>::new());
-        seen(false, words).assert_broken("truthfully refused");
-        seen(true, vec![silent()]).assert_broken("truthfully refused");
+        assert_eq!(cut_keyed_call(true, words.clone()).broken(), Vec::<&str>::new());
+        cut_keyed_call(false, words).assert_broken("truthfully refused");
+        cut_keyed_call(true, vec![silent()]).assert_broken("truthfully refused");
     }
-    seen(true, vec![unrecorded(), TryEnd::Unreached]).assert_broken("truthfully refused");
-    seen(true, vec![late(), unknown()]).assert_broken("truthfully refused");
-    seen(true, vec![TryEnd::Broken, unknown()]).assert_broken("truthfully refused");
+    cut_keyed_call(true, vec![unrecorded(), TryEnd::Unreached]).assert_broken("truthfully refused");
+    cut_keyed_call(true, vec![late(), unknown()]).assert_broken("truthfully refused");
+    cut_keyed_call(true, vec![TryEnd::Broken, unknown()]).assert_broken("truthfully refused");
 }
 
 #[test]
