--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -152,13 +152,13 @@
 
     /// How long a prompt has waited whose first token came, or didn't, this long after it was sent.
     pub fn waited(unread: u32, after: Duration) -> Duration {
-        let read_ms = f64::from(unread) / TOKENS_PER_MS + FIRST_MS + SETUP_MS;
+        let read_ms = reading(unread) + FIRST_MS + SETUP_MS;
         after.saturating_sub(Duration::from_secs_f64(read_ms / 1e3))
     }
 
     /// Expected time until the answer begins.
     pub fn expected(&self) -> Duration {
-        let read_ms = f64::from(self.unread) / TOKENS_PER_MS;
+        let read_ms = reading(self.unread);
         Duration::from_secs_f64((self.wait_ms + read_ms + FIRST_MS) / 1e3)
     }
 }
