Tell lives of one server apart, and entries of other writers from servers' own

A server may start again under its name. Whatever an instance believes of it (parts held, queue, health, weights under way, open requests) now belongs to one life, which entries, reports and peers' datagrams name by its time of birth; late news of an earlier life change nothing. Requests that were open at the earlier life end at once instead of waiting for their deadline behind a cut.

An entry in which a promised field is missing or of another type, or whose state isn't known, names no server until a good one follows; it is logged and counted. Servers of a service that the configuration doesn't name are neither asked nor ordered anything, and can't displace a server at their address.

--- a/crates/gateway/benches/policy/world.rs
+++ b/crates/gateway/benches/policy/world.rs
@@ -116,6 +116,7 @@
                     centre: centre(engine % site.centres),
                     is_draining: false,
                     models: vec![(model.clone(), 1)],
+                    born: None,
                 };
                 instance.pool.put(Time::ZERO, &Arc::from(format!("e{engine}")), 1, entry);
             }
@@ -247,7 +248,7 @@
     /// Notes a placement, and tells the other instances of it.
     fn tell(&mut self, instance: usize, choice: &Choice, prompt: &Prompt) {
         let it = &mut self.instances[instance];
-        let placement = choice.placement(&it.pool.get(choice.server).name, &prompt.parts, None);
+        let placement = choice.placement(it.pool.get(choice.server), &prompt.parts, None);
         it.memory.placed(self.now, &mut it.pool, choice.server, &placement);
         for other in 0..self.site.instances {
             if other != instance && !self.random.random_bool(LOST) {
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -129,7 +129,7 @@
             .ms("left_ms", left)
             .ms("after_ms", now.since(exchange.arrived));
         if choice.weights.is_some() {
-            let placement = choice.placement(&server.name, &exchange.ask.parts, exchange.wall());
+            let placement = choice.placement(server, &exchange.ask.parts, exchange.wall());
             let tokens = exchange.ask.parts.iter().map(|it| it.tokens).sum();
             self.stats.prompt(tokens, choice.unread, choice.wait());
             self.memory.placed(now, &mut self.pool, choice.server, &placement);
--- a/crates/gateway/src/core/duties.rs
+++ b/crates/gateway/src/core/duties.rs
@@ -8,7 +8,7 @@
         errand::{Outcome, Purpose},
     },
     dialect::{Order, OrderReply, Report},
-    pool::{self, Switch},
+    pool::{self, Presence, Switch},
     rollout::{ANNOUNCED, LOADING, Step},
 };
 
@@ -86,7 +86,23 @@
     /// Takes a server's word on its load and its weights.
     pub(crate) fn take_report(&mut self, id: pool::Id, outcome: &Outcome) -> Option<Report> {
         let Outcome::Answered { status: 200, body, .. } = outcome else { return None };
-        let report = self.dialect.report(body)?;
+        let Some(report) = self.dialect.report(body) else {
+            let server = &self.pool.get(id).name;
+            self.journal.line(self.now, "report_unreadable").text("server", server);
+            return None;
+        };
+        let was_there = self.pool.get(id).presence != Presence::Gone;
+        if !self.pool.heard(id, report.born) {
+            self.journal
+                .line(self.now, "other_life")
+                .text("server", &self.pool.get(id).name)
+                .number("known", self.pool.get(id).born.unwrap_or(0))
+                .number("reported", report.born.unwrap_or(0));
+            if was_there && self.pool.get(id).presence == Presence::Gone {
+                self.life_ended(id);
+            }
+            return None;
+        }
         let server = self.pool.get_mut(id);
         server.load = Some((report.load, self.now));
         let mut news = Vec::new();
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -12,6 +12,7 @@
     catalog::{Catalog, Service},
     core::{
         Core,
+        exchange::Exchange,
         storage::{Entry, Source, What},
     },
     dialect::Subject,
@@ -89,6 +90,7 @@
             .number("routes", catalog.routes())
             .text("source", source.name());
         self.storage.configuration = Some((catalog.version, value.clone()));
+        self.pool.name_services(catalog.services.keys().cloned());
         self.catalog = Some(Arc::new(catalog));
         self.follow_cache_stores();
         self.tell_all();
@@ -162,8 +164,10 @@
                     self.journal
                         .line(self.now, "entry_unreadable")
                         .text("server", name)
+                        .number("revision", revision)
                         .text("error", &err.to_string());
-                    return;
+                    self.stats.unreadable();
+                    self.pool.unreadable(name, revision)
                 }
             },
         };
@@ -181,14 +185,19 @@
                 return;
             }
             pool::Change::Loaded(id) => (id, "loaded"),
+            pool::Change::Reborn(before, id) => {
+                self.life_ended(before);
+                (id, "restarted")
+            }
         };
         let server = self.pool.get(id);
         let mut line = self.journal.line(now, "server");
         line = line.text("server", &server.name).text("change", what).text("reason", reason);
-        if what == "joined" {
+        if matches!(what, "joined" | "restarted") {
             line = line.text("address", &server.address.to_string());
         }
         line.number("revision", server.revision)
+            .number("born", server.born.unwrap_or(0))
             .number("weights", server.models.first().map_or(0, |it| it.1));
         if server.presence == Presence::Draining {
             self.drop_idle(id);
@@ -196,6 +205,20 @@
         }
     }
 
+    /// A server has started again: what it had of this instance's requests is lost.
+    ///
+    /// Guards against answers that nobody will give: behind a cut no reset tells of the restart, and
+    /// callers would wait for their deadline.
+    pub(crate) fn life_ended(&mut self, id: pool::Id) {
+        self.drop_idle(id);
+        let is_there = |it: &Exchange| it.attempt.as_ref().is_some_and(|it| it.server == id);
+        let places: Vec<usize> =
+            self.exchanges.iter().filter(|it| is_there(it.1)).map(|it| it.0).collect();
+        for place in places {
+            self.attempt_broken(place, "restarted");
+        }
+    }
+
     /// A server has left.
     pub(crate) fn server_gone(&mut self, id: pool::Id, reason: &str) {
         let server = self.pool.get(id);
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -113,7 +113,13 @@
         let told = loads.map(|(id, (load, at))| {
             let server = self.pool.get(id);
             let waited_ms = server.waited.map(|it| (it.0, age_ms(it.1)));
-            Told { server: server.name.clone(), load, age_ms: age_ms(at), waited_ms }
+            Told {
+                server: server.name.clone(),
+                born: server.born,
+                load,
+                age_ms: age_ms(at),
+                waited_ms,
+            }
         });
         let told = told.filter(|it| it.age_ms < OLDEST_LOAD_MS).collect();
         self.send_to(&targets, &Datagram::Placed(placed, told));
@@ -188,10 +194,11 @@
         version: u64,
         valid: Duration,
     ) {
-        let server = self.pool.get(id).name.clone();
+        let row = self.pool.get(id);
+        let (server, born) = (row.name.clone(), row.born);
         self.peers.loading.retain(|it| it.0.server != server);
         let valid_ms = valid.as_millis() as u32;
-        let loading = Loading { server, model: model.clone(), version, valid_ms };
+        let loading = Loading { server, born, model: model.clone(), version, valid_ms };
         self.peers.loading.push((loading, self.now));
         self.tell_all();
     }
@@ -204,7 +211,7 @@
                     self.told_load(&it);
                 }
                 for placement in &placed {
-                    if let Some(id) = self.pool.find(&placement.server) {
+                    if let Some(id) = self.pool.find_life(&placement.server, placement.born) {
                         self.memory.placed(self.now, &mut self.pool, id, placement);
                     }
                 }
@@ -237,7 +244,7 @@
 
     /// A server has told another instance its load.
     fn told_load(&mut self, told: &Told) {
-        let Some(id) = self.pool.find(&told.server) else { return };
+        let Some(id) = self.pool.find_life(&told.server, told.born) else { return };
         let ago = |ms: u32| self.now - Duration::from_millis(u64::from(ms));
         let at = ago(told.age_ms);
         let waited = told.waited_ms.map(|it| (it.0, ago(it.1)));
@@ -302,7 +309,7 @@
 
     fn told_loading(&mut self, loading: &Loading) {
         let now = self.now;
-        let Some(id) = self.pool.find(&loading.server) else { return };
+        let Some(id) = self.pool.find_life(&loading.server, loading.born) else { return };
         let server = self.pool.get_mut(id);
         if loading.valid_ms == 0 {
             server.loaded(now, &loading.model, loading.version);
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -28,6 +28,7 @@
     /// By backend server.
     pub(crate) servers: Servers,
     abandoned: Counter,
+    unreadable: Counter,
     connections: Counter,
     dropped_lines: Gauge,
     configuration: Gauge,
@@ -91,6 +92,7 @@
             others: RouteStats::open("other"),
             servers: Servers::open(),
             abandoned: metrics::counter!("shallotlead_abandoned_total"),
+            unreadable: metrics::counter!("shallotlead_entries_unreadable_total"),
             connections: metrics::counter!("shallotlead_server_connections_total"),
             dropped_lines: metrics::gauge!("shallotlead_log_lines_dropped"),
             configuration: metrics::gauge!("shallotlead_configuration_version"),
@@ -136,6 +138,11 @@
         metrics::counter!("shallotlead_attempts_broken_total", "reason" => reason).increment(1);
     }
 
+    /// A server's entry in the store could not be read.
+    pub(crate) fn unreadable(&self) {
+        self.unreadable.increment(1);
+    }
+
     pub(crate) fn abandoned(&mut self) {
         self.abandoned.increment(1);
     }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -167,8 +167,14 @@
     pub orders: u64,
     /// Load.
     pub load: Load,
+    /// The life that speaks, where it says so.
+    pub born: Option<Born>,
 }
 
+/// When a server's life began: Unix milliseconds by its own clock. A server may start again under
+/// its name, and holds and knows nothing of before.
+pub type Born = u64;
+
 /// An order to load weights.
 #[derive(Clone, Copy, Debug)]
 pub struct Order<'a> {
@@ -236,6 +242,8 @@
     pub is_draining: bool,
     /// Models and the versions of their weights.
     pub models: Vec<(Arc<str>, u64)>,
+    /// Its life, where it says so.
+    pub born: Option<Born>,
 }
 
 /// The weights that servers of a model are to load.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use shallotlead_base::{hash::Map, time::Time};
 
-use crate::dialect::{Load, Part};
+use crate::dialect::{Born, Load, Part};
 
 /// How often an instance tells two others what it knows.
 pub const PERIOD: Duration = Duration::from_millis(600);
@@ -67,6 +67,8 @@
 pub struct Loading {
     /// The server.
     pub server: Arc<str>,
+    /// Its life.
+    pub born: Option<Born>,
     /// The model.
     pub model: Arc<str>,
     /// The version.
@@ -102,6 +104,8 @@
 pub struct Told {
     /// The server.
     pub server: Arc<str>,
+    /// Its life.
+    pub born: Option<Born>,
     /// Its load.
     pub load: Load,
     /// How long ago that was, ms.
@@ -115,6 +119,8 @@
 pub struct Placement {
     /// The server.
     pub server: Arc<str>,
+    /// Its life.
+    pub born: Option<Born>,
     /// The scope within which its parts are shared.
     pub scope: u64,
     /// The shared parts.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -4,7 +4,7 @@
 
 mod memory;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use shallotlead_base::{hash, time::Time};
 
@@ -134,10 +134,11 @@
 }
 
 impl Choice {
-    /// What other instances are told of a prompt of `parts` that was sent to the chosen server, `name`.
-    pub fn placement(&self, name: &Arc<str>, parts: &[Part], wall: Option<&str>) -> Placement {
+    /// What other instances are told of a prompt of `parts` that was sent to the chosen `server`.
+    pub fn placement(&self, server: &Server, parts: &[Part], wall: Option<&str>) -> Placement {
         Placement {
-            server: name.clone(),
+            server: server.name.clone(),
+            born: server.born,
             scope: scope(self.weights, wall),
             parts: shared(parts).to_vec(),
             added: self.added,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -5,9 +5,12 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use shallotlead_base::{hash::Map, time::Time};
+use shallotlead_base::{
+    hash::{Map, Set},
+    time::Time,
+};
 
-use crate::dialect::ServerEntry;
+use crate::dialect::{Born, ServerEntry};
 
 pub use health::Health;
 pub use server::{Presence, Server, Switch};
@@ -24,7 +27,8 @@
 /// How long those are kept: servers renew their entries each 1.2 s, and planned departures, which may
 /// look the same, must be heeded within two seconds.
 const UNNOTICED: Duration = Duration::from_millis(1_600);
-/// A server's place in the pool.
+
+/// One life of a server: its place in the pool.
 pub type Id = usize;
 
 /// All backend servers that are or were listed.
@@ -36,6 +40,8 @@
     lenient_until: Time,
     /// Named weights by model.
     weights: Map<Arc<str>, Named>,
+    /// The services of the configuration, once one is known.
+    services: Option<Set<Arc<str>>>,
 }
 
 /// The versions of one model's weights that were named, with the times at which this instance learnt
@@ -72,6 +78,8 @@
 pub enum Change {
     /// The server is new.
     Joined(Id),
+    /// The server started again under its name: the first life has ended, the second one is new.
+    Reborn(Id, Id),
     /// It began to leave.
     Leaving(Id),
     /// It is gone.
@@ -93,16 +101,42 @@
         &mut self.servers[id]
     }
 
-    /// The place of the server `name`.
+    /// The newest life of the server `name`.
     pub fn find(&self, name: &str) -> Option<Id> {
         self.names.get(name).copied()
     }
 
-    /// All servers that are listed.
+    /// The newest life of the server `name`, if that is the one that was `born` then.
+    ///
+    /// Guards against news of an earlier life that come late: prompts that were sent to it would count
+    /// as cached, and its queue as the new life's. It shows as parts that are read where they were
+    /// expected to be cached, right after a restart. It holds since each life has its own time of birth.
+    pub fn find_life(&self, name: &str, born: Option<Born>) -> Option<Id> {
+        self.find(name).filter(|it| self.servers[*it].born == born)
+    }
+
+    /// All servers that are listed, of services that the configuration names.
     pub fn listed(&self) -> impl Iterator<Item = (Id, &Server)> {
+        self.present().filter(|it| self.is_named(&it.1.service))
+    }
+
+    /// All servers that have an entry, also under a service that nobody knows.
+    fn present(&self) -> impl Iterator<Item = (Id, &Server)> {
         self.servers.iter().enumerate().filter(|it| it.1.presence != Presence::Gone)
     }
 
+    /// The services that the configuration names.
+    ///
+    /// Guards against entries that another writer left in the store: a server of a service that nobody
+    /// named would be probed and ordered to load weights, and could claim a live server's address.
+    pub fn name_services(&mut self, names: impl Iterator<Item = Arc<str>>) {
+        self.services = Some(names.collect());
+    }
+
+    fn is_named(&self, service: &str) -> bool {
+        self.services.as_ref().is_none_or(|it| it.contains(service))
+    }
+
     /// The weights named for `model`.
     pub fn named(&self, model: &str) -> Option<&Named> {
         self.weights.get(model)
@@ -142,7 +176,7 @@
     /// `gone` entries were removed at once. When many lapse together, the store was probably away
     /// without this instance noticing; they get a little time to come back.
     pub fn lapsed_together(&mut self, now: Time, gone: usize) {
-        let listed = self.listed().filter(|it| it.1.presence == Presence::Ready).count();
+        let listed = self.present().filter(|it| it.1.presence == Presence::Ready).count();
         if 2 <= gone && listed as f64 * TOGETHER <= gone as f64 {
             self.lenient_until = self.lenient_until.max(now + UNNOTICED);
         }
@@ -151,16 +185,16 @@
     /// Takes a server's entry.
     pub fn put(&mut self, now: Time, name: &Arc<str>, revision: u64, entry: ServerEntry) -> Change {
         let Some(id) = self.find(name) else {
-            self.take_over(entry.address);
-            let id = self.servers.len();
-            self.names.insert(name.clone(), id);
-            self.servers.push(Server::new(name.clone(), revision, entry));
-            return Change::Joined(id);
+            return Change::Joined(self.join(name, revision, entry));
         };
         let server = &mut self.servers[id];
-        if revision <= server.revision {
+        if revision <= server.revision || entry.born < server.born {
             return Change::None;
         }
+        if server.born < entry.born {
+            server.presence = Presence::Gone;
+            return Change::Reborn(id, self.join(name, revision, entry));
+        }
         server.revision = revision;
         server.is_missing = false;
         let was = server.presence;
@@ -173,6 +207,16 @@
         }
     }
 
+    fn join(&mut self, name: &Arc<str>, revision: u64, entry: ServerEntry) -> Id {
+        if self.is_named(&entry.service) {
+            self.take_over(entry.address);
+        }
+        let id = self.servers.len();
+        self.names.insert(name.clone(), id);
+        self.servers.push(Server::new(name.clone(), revision, entry));
+        id
+    }
+
     /// A new server has `address`: whoever had it before has ended, though its entry has not lapsed.
     fn take_over(&mut self, address: SocketAddr) {
         let before = self.servers.iter_mut().filter(|it| it.address == address);
@@ -196,9 +240,33 @@
         Change::Gone(id)
     }
 
+    /// A server's entry was overwritten by one that can't be read: it names no server to use, until a
+    /// good one follows.
+    pub fn unreadable(&mut self, name: &str, revision: u64) -> Change {
+        let Some(id) = self.find(name) else { return Change::None };
+        let server = &mut self.servers[id];
+        if server.presence == Presence::Gone || revision <= server.revision {
+            return Change::None;
+        }
+        server.revision = revision;
+        server.presence = Presence::Gone;
+        Change::Gone(id)
+    }
+
+    /// The server speaks as a life that was `born` then. Says whether it is the life that `id` stands for;
+    /// an older one's word comes late, and after a newer one's this life has ended.
+    pub fn heard(&mut self, id: Id, born: Option<Born>) -> bool {
+        let server = &mut self.servers[id];
+        let is_newer = born.is_some() && server.born < born;
+        if is_newer && server.born.is_some() {
+            server.presence = Presence::Gone;
+        }
+        born.is_none() || server.born.is_none() || server.born == born
+    }
+
     /// A whole list was read at `revision`: servers that aren't in `names` are missing.
     pub fn retain(&mut self, now: Time, names: &[Arc<str>], revision: u64) -> Vec<Change> {
-        let missing = self.listed().filter(|it| !names.contains(&it.1.name));
+        let missing = self.present().filter(|it| !names.contains(&it.1.name));
         let missing: Vec<Arc<str>> = missing.map(|it| it.1.name.clone()).collect();
         self.lapsed_together(now, missing.len());
         missing.iter().map(|it| self.remove(now, it, revision)).collect()
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -5,7 +5,7 @@
 use shallotlead_base::time::Time;
 
 use crate::{
-    dialect::{Load, ServerEntry},
+    dialect::{Born, Load, ServerEntry},
     pool::Health,
 };
 
@@ -29,11 +29,13 @@
     pub until: Time,
 }
 
-/// One life of a backend server: a restart has another name.
+/// One life of a backend server. A restart is another row, under the same name or another one.
 #[derive(Clone, Debug)]
 pub struct Server {
-    /// Its name, which no other life has.
+    /// Its name.
     pub name: Arc<str>,
+    /// Which life of that name it is, where servers say so.
+    pub born: Option<Born>,
     /// Its service.
     pub service: Arc<str>,
     /// Its address, which may later belong to another server.
@@ -70,9 +72,10 @@
 
 impl Server {
     pub(super) fn new(name: Arc<str>, revision: u64, entry: ServerEntry) -> Self {
-        let ServerEntry { service, address, centre, is_draining, models } = entry;
+        let ServerEntry { service, address, centre, is_draining, models, born } = entry;
         Self {
             name,
+            born,
             service,
             address,
             centre,
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -4,7 +4,8 @@
 
 use std::sync::Arc;
 
-use shallotlead_gateway::gossip::{Member, Members};
+use proptest::{collection::vec, prelude::*};
+use shallotlead_gateway::gossip::{Datagram, Member, Members};
 use support::at;
 
 fn member(name: &str, incarnation: u64, beat: u64) -> Member {
@@ -92,3 +93,16 @@
     });
     assert!(small.is_watcher(at(0)));
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+
+    // Whatever arrives at the port of the instances, reading it ends without a panic.
+    #[test]
+    fn any_datagram_is_read_or_rejected(mut bytes in vec(any::<u8>(), 0..200), kind in 0_u8..4) {
+        if let Some(first) = bytes.first_mut() {
+            *first = kind;
+        }
+        let _ = postcard::from_bytes::<Datagram>(&bytes);
+    }
+}
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -15,7 +15,7 @@
 /// Sends the prompt to the chosen server, as all instances hear of it.
 fn send(pool: &mut Pool, memory: &mut Memory, now: Time, wish: &Wish<'_>) -> Choice {
     let choice = choose(pool, memory, now, wish, 7).expect("a server is ready");
-    let placement = choice.placement(&pool.get(choice.server).name, wish.parts, wish.wall);
+    let placement = choice.placement(pool.get(choice.server), wish.parts, wish.wall);
     memory.placed(now, pool, choice.server, &placement);
     choice
 }
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -4,7 +4,11 @@
 
 use std::sync::Arc;
 
-use shallotlead_gateway::pool::{Change, Health, Presence};
+use shallotlead_base::time::Time;
+use shallotlead_gateway::{
+    dialect::ServerEntry,
+    pool::{Change, Health, Presence},
+};
 use support::{at, entry, pool};
 
 fn name(number: u8) -> Arc<str> {
@@ -55,6 +59,66 @@
     assert_eq!(pool.get(1).presence, Presence::Ready);
 }
 
+// A server crashes and starts again under its name, at its address. Prompts were sent to it before, and
+// other instances go on telling of them for a moment. The new life holds nothing of that.
+#[test]
+fn life_ends_with_all_that_was_believed_of_it() {
+    let mut pool = pool(0);
+    let born = |ms: u64| ServerEntry { born: Some(ms), ..entry(0, "a", 1) };
+    assert_eq!(pool.put(at(0), &name(0), 5, born(10)), Change::Joined(0));
+    let server = pool.get_mut(0);
+    server.taken = 9_000;
+    server.busy_until = at(4_000);
+    server.health.is_silent(at(100));
+    assert_eq!(pool.put(at(200), &name(0), 6, born(20)), Change::Reborn(0, 1));
+    let server = pool.get(1);
+    assert_eq!((server.taken, server.busy_until, server.health.is_in()), (0, Time::ZERO, true));
+    assert_eq!(pool.usable(support::SERVICE).map(|it| it.0).collect::<Vec<_>>(), [1]);
+    assert_eq!(pool.find_life("e0", Some(10)), None, "news of the first life come late");
+    assert_eq!(pool.find_life("e0", Some(20)), Some(1));
+    assert_eq!(pool.put(at(300), &name(0), 7, born(10)), Change::None, "so does its entry");
+    assert!(!pool.heard(1, Some(10)), "and its report");
+    assert_eq!(pool.get(1).presence, Presence::Ready);
+}
+
+// A server restarted behind a cut, and its own report says so before its entry does. What was believed of
+// the first life must not be used in between.
+#[test]
+fn report_of_a_newer_life_ends_the_known_one() {
+    let mut pool = pool(0);
+    let born = |ms: u64| ServerEntry { born: Some(ms), ..entry(0, "a", 1) };
+    pool.put(at(0), &name(0), 5, born(10));
+    assert!(pool.heard(0, Some(10)));
+    assert!(!pool.heard(0, Some(20)));
+    assert_eq!(pool.usable(support::SERVICE).count(), 0);
+    assert_eq!(pool.put(at(900), &name(0), 6, born(20)), Change::Reborn(0, 1));
+    assert_eq!(pool.usable(support::SERVICE).count(), 1);
+}
+
+// Another program overwrites a server's entry with something else. It names no server until the server
+// writes its own again.
+#[test]
+fn unreadable_entry_names_no_server_until_a_good_one_comes() {
+    let mut pool = pool(2);
+    assert_eq!(pool.unreadable("e0", 50), Change::Gone(0));
+    assert_eq!(pool.unreadable("nobody", 51), Change::None);
+    assert_eq!(pool.usable(support::SERVICE).map(|it| it.0).collect::<Vec<_>>(), [1]);
+    assert_eq!(pool.put(at(900), &name(0), 60, entry(0, "a", 1)), Change::Joined(0));
+    assert_eq!(pool.usable(support::SERVICE).count(), 2);
+}
+
+// An entry of a service that nobody named claims a live server's address. The server stays in use, and
+// the other one is never asked nor ordered anything.
+#[test]
+fn entry_of_an_unknown_service_displaces_nobody() {
+    let mut pool = pool(1);
+    pool.name_services([Arc::from(support::SERVICE)].into_iter());
+    let ghost = ServerEntry { service: Arc::from("ghost"), ..entry(0, "a", 1) };
+    pool.put(at(0), &Arc::from("g"), 9, ghost);
+    assert_eq!(pool.usable(support::SERVICE).count(), 1);
+    assert_eq!(pool.listed().map(|it| it.0).collect::<Vec<_>>(), [0]);
+}
+
 #[test]
 fn failures_in_a_row_take_a_server_out_until_a_probe_succeeds() {
     let mut health = Health::default();
