Hold engines in the middle of an answer in tests that kill what relays it

a_caller_resumes_at_another_instance_after_a_crash failed once: one try, not resumed, answered. Cause: the test waits for five tokens and then kills, while the engine goes on in real time; on a busy machine the whole answer has passed before. The engines now stop at the fifth token by themselves, and the test goes on once the caller has events; assertions unchanged. Its four siblings wait likewise.

--- a/crates/shallotlead/src/caller.rs
+++ b/crates/shallotlead/src/caller.rs
@@ -11,6 +11,10 @@
 use std::{
     io::{BufRead, BufReader},
     net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -44,6 +48,7 @@
     agent: Agent,
     directory: Directory,
     patience: Duration,
+    events: Arc<AtomicUsize>,
 }
 
 impl Caller {
@@ -51,12 +56,13 @@
     pub fn new(centre: &str, seeds: Vec<SocketAddr>) -> Self {
         let agent = agent();
         let directory = Directory::new(agent.clone(), centre, seeds);
-        Self { agent, directory, patience: PATIENCE }
+        Self { agent, directory, patience: PATIENCE, events: Arc::default() }
     }
 
     /// A caller that knows one address and asks for no other.
     pub fn fixed(address: SocketAddr) -> Self {
-        Self { agent: agent(), directory: Directory::fixed(address), patience: PATIENCE }
+        let directory = Directory::fixed(address);
+        Self { agent: agent(), directory, patience: PATIENCE, events: Arc::default() }
     }
 
     /// The caller, staying with one request for at most `patience`; zero allows one try.
@@ -65,10 +71,20 @@
         self
     }
 
+    /// Events of streams that the caller has received so far, for others to watch.
+    pub fn events(&self) -> Arc<AtomicUsize> {
+        Arc::clone(&self.events)
+    }
+
     /// Sends a request until it is answered, refused for good, or nothing more can be done.
     pub fn call(&mut self, ask: &Ask) -> Outcome {
-        let mut call =
-            Call { ask, begin: Instant::now(), outcome: Outcome::new(), last_event: None };
+        let mut call = Call {
+            ask,
+            begin: Instant::now(),
+            outcome: Outcome::new(),
+            last_event: None,
+            events: Arc::clone(&self.events),
+        };
         let mut avoid = Vec::new();
         while let Some(address) = self.directory.pick(&avoid) {
             let begin = Instant::now();
@@ -125,6 +141,7 @@
     outcome: Outcome,
     /// Id of the last event received.
     last_event: Option<String>,
+    events: Arc<AtomicUsize>,
 }
 
 enum Next {
@@ -229,6 +246,7 @@
         self.outcome.first_token.get_or_insert_with(|| self.begin.elapsed());
         self.outcome.tokens.push(token);
         self.last_event = Some(event.id);
+        self.events.fetch_add(1, Ordering::SeqCst);
         Ok(())
     }
 
--- a/crates/shallotlead/tests/common/mod.rs
+++ b/crates/shallotlead/tests/common/mod.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
@@ -121,6 +121,22 @@
     thread::spawn(move || caller.call(&ask))
 }
 
+/// Sends a request from a thread of its own and stops all engines in the middle of its answer, once
+/// the caller has some events. Returns the caller and the index of the engine that runs it.
+///
+/// A test that only waits for some tokens races with the rest of the answer: on a busy machine all of
+/// it may have passed before the test goes on.
+pub(crate) fn send_and_hold(world: &World, ask: Ask) -> (JoinHandle<Outcome>, usize) {
+    const HELD_AT: u32 = 5;
+    world.engines.iter().for_each(|it| it.hold_at(HELD_AT));
+    let mut caller = caller(world);
+    let events = caller.events();
+    let thread = thread::spawn(move || caller.call(&ask));
+    let engine = generating_engine(world, HELD_AT);
+    wait("events at the caller", || 0 < events.load(Ordering::SeqCst));
+    (thread, engine)
+}
+
 /// Fails unless the outcome is the whole answer to `ask`.
 pub(crate) fn assert_own_answer(ask: &Ask, outcome: &Outcome) {
     let tries: Vec<String> = outcome.tries.iter().map(|it| format!("{:?}", it.end)).collect();
--- a/crates/shallotlead/tests/engines.rs
+++ b/crates/shallotlead/tests/engines.rs
@@ -48,9 +48,9 @@
 fn an_engine_dies_in_the_middle_of_a_stream() {
     let world = common::world(REAL);
     let ask = chat("one", "middle", true);
-    let caller = send(&world, ask.clone());
-    let first = common::generating_engine(&world, 5);
+    let (caller, first) = common::send_and_hold(&world, ask.clone());
     world.engines[first].kill();
+    world.engines.iter().for_each(|it| it.release());
     let outcome = caller.join().unwrap();
     assert_own_answer(&ask, &outcome);
     assert_eq!(outcome.tries.len(), 1, "the caller saw nothing of it: {:?}", outcome.tries);
@@ -164,9 +164,9 @@
 fn two_engines_die_under_one_stream() {
     let world = common::world_of(&THREE_ENGINES, REAL);
     let ask = chat("one", "twice", true);
-    let caller = send(&world, ask.clone());
-    let first = common::generating_engine(&world, 4);
+    let (caller, first) = common::send_and_hold(&world, ask.clone());
     world.engines[first].kill();
+    world.engines.iter().for_each(|it| it.release());
     let second = common::wait_for("the resumed stream", || {
         let is_resumed = |it: &Run| 1 <= it.resumed_at && it.resumed_at + 4 <= it.generated;
         let others = (0..3).filter(|it| *it != first);
--- a/crates/shallotlead/tests/instances.rs
+++ b/crates/shallotlead/tests/instances.rs
@@ -73,10 +73,10 @@
 fn a_caller_resumes_at_another_instance_after_a_crash() {
     let mut world = common::world(REAL);
     let ask = chat("one", "resume", true);
-    let caller = send(&world, ask.clone());
-    common::generating_engine(&world, 5);
+    let (caller, _) = common::send_and_hold(&world, ask.clone());
     let entry = common::busy_entry(&world);
     world.kill_entry(entry);
+    world.engines.iter().for_each(|it| it.release());
     let outcome = caller.join().unwrap();
     assert_own_answer(&ask, &outcome);
     assert!(outcome.tries.iter().any(|it| it.resumed), "{:?}", outcome.tries);
@@ -88,11 +88,11 @@
 fn an_engine_and_an_instance_die_together() {
     let mut world = common::world(REAL);
     let ask = chat("one", "rack", true);
-    let caller = send(&world, ask.clone());
-    let engine = common::generating_engine(&world, 5);
+    let (caller, engine) = common::send_and_hold(&world, ask.clone());
     let entry = common::busy_entry(&world);
     world.engines[engine].kill();
     world.kill_entry(entry);
+    world.engines.iter().for_each(|it| it.release());
     let outcome = caller.join().unwrap();
     assert_own_answer(&ask, &outcome);
     assert!(outcome.tries.iter().any(|it| it.resumed), "{:?}", outcome.tries);
@@ -104,9 +104,9 @@
 fn all_instances_restart_at_once() {
     let mut world = common::world(REAL);
     let ask = chat("one", "herd", true);
-    let caller = send(&world, ask.clone());
-    common::generating_engine(&world, 5);
+    let (caller, _) = common::send_and_hold(&world, ask.clone());
     (0..3).for_each(|it| world.kill_entry(it));
+    world.engines.iter().for_each(|it| it.release());
     (0..3).for_each(|it| world.start_entry(it).unwrap());
     assert_own_answer(&ask, &caller.join().unwrap());
     for number in 0..6 {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -138,6 +138,7 @@
         state: Mutex::new(State::new(&settings)),
         work: Notify::new(),
         held: watch::Sender::new(false),
+        hold_at: AtomicU32::new(u32::MAX),
         report: Lagged::new(settings.load_lag),
         fault: Fault::default(),
         cuts: Mutex::default(),
@@ -221,8 +222,14 @@
         self.engine.held.send_replace(true);
     }
 
+    /// Stops computing once a request has that many tokens of its answer, until [`Handle::release`].
+    pub fn hold_at(&self, tokens: u32) {
+        self.engine.hold_at.store(tokens, Ordering::SeqCst);
+    }
+
     /// Computes again.
     pub fn release(&self) {
+        self.engine.hold_at.store(u32::MAX, Ordering::SeqCst);
         self.engine.held.send_replace(false);
     }
 
@@ -308,6 +315,8 @@
     /// Wakes the computing task when a request comes.
     work: Notify,
     held: watch::Sender<bool>,
+    /// Tokens of an answer after which the engine stops computing.
+    hold_at: AtomicU32,
     report: Lagged<Load>,
     fault: Fault,
     cuts: Mutex<VecDeque<Cut>>,
@@ -418,8 +427,11 @@
             tokio::time::sleep_until(next).await;
             let _ = held.wait_for(|held| !held).await;
             let mut state = http::lock(&self.state);
-            state.batch.end_step();
+            let longest = state.batch.end_step();
             state.publish();
+            if self.hold_at.load(Ordering::SeqCst) <= longest {
+                self.held.send_replace(true);
+            }
         }
     }
 
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -190,8 +190,10 @@
         Some(cost)
     }
 
-    /// Ends a step: gives out the tokens and keeps the blocks that it computed.
-    pub(crate) fn end_step(&mut self) {
+    /// Ends a step: gives out the tokens and keeps the blocks that it computed. Returns the length of
+    /// the longest answer that got a token.
+    pub(crate) fn end_step(&mut self) -> u32 {
+        let mut longest = 0;
         for running in self.running.iter_mut().filter(|it| it.is_due) {
             running.is_due = false;
             running.keep_prompt(&mut self.cache);
@@ -199,9 +201,11 @@
             if running.job.out.try_send(Out::Token(next)).is_ok() {
                 running.job.done = next;
                 self.runs[running.run].generated = next;
+                longest = longest.max(next);
             }
         }
         self.end_running(|it| it.job.answer <= it.job.done);
+        longest
     }
 
     /// Lets the first waiting job run, if there is room.
