Take the bound on old weights from the settings

Cause: requests weren't begun on replaced weights from 6.3 s on, the bound of the first platform less a margin. Now `[weights] oldest_ms` holds the bound, filled in from the platform's.

--- a/crates/gateway/benches/policy/world.rs
+++ b/crates/gateway/benches/policy/world.rs
@@ -47,6 +47,8 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 /// A part that is read again later than this costs nothing.
 const AGAIN_WINDOW: Duration = Duration::from_secs(10);
+/// How long requests may begin on replaced weights.
+const OLDEST_WEIGHTS: Duration = Duration::from_secs(8);
 
 #[derive(Debug)]
 enum Event {
@@ -217,6 +219,7 @@
             fetch_ms: 1.0 / self.site.link_per_ms,
             capacity: self.site.memory as f64,
             store: Some(STORE),
+            oldest_weights: OLDEST_WEIGHTS,
             excluded: &excluded,
         };
         let shortest = self.site.long.aim.min(self.site.short.aim);
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -205,6 +205,7 @@
             wall: exchange.wall(),
             centre: &settings.centre,
             reach: Reach::Near,
+            oldest_weights: settings.oldest_weights,
             excluded: &exchange.excluded,
         };
         let shortest = catalog.as_ref().and_then(|it| it.shortest_aim(&exchange.service));
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -67,10 +67,10 @@
 const OLD_AFTER: Duration = Duration::from_millis(1_300);
 /// What an answer on old weights costs, ms: a fifth of its worth.
 const OLD_MS: f64 = 60.0;
-/// From this long on after newer weights were named no request may begin on older ones. The rule
-/// counts eight seconds from the store's acknowledgement, which this instance heard of later, to the
-/// begin, which is after the wait at the server.
-const TOO_OLD_AFTER: Duration = Duration::from_millis(6_300);
+/// How long before the bound on the weights' age requests aren't sent to older ones any more. The bound
+/// counts from the store's acknowledgement, which this instance heard of later, to the begin, which is
+/// after the wait at the server.
+const BEFORE_TOO_OLD: Duration = Duration::from_millis(1_700);
 
 /// What is asked for.
 #[derive(Clone, Copy, Debug)]
@@ -95,6 +95,8 @@
     pub capacity: f64,
     /// The store that keeps cached parts of this prompt, while it lives.
     pub store: Option<SocketAddr>,
+    /// How long after newer weights were named requests may still begin on older ones.
+    pub oldest_weights: Duration,
     /// Servers that have turned it away or failed it.
     pub excluded: &'a [pool::Id],
 }
@@ -200,7 +202,7 @@
             continue;
         }
         let weights = wish.model.and_then(|it| server.version(it));
-        match age_price(now, named, weights) {
+        match age_price(now, named, weights, wish.oldest_weights) {
             Some(age_ms) => {
                 let scope = scope(weights, wish.wall);
                 let held = memory.prefix(pool, shared(wish.parts), scope, id, wish.capacity);
@@ -383,10 +385,16 @@
 }
 
 /// The price of the weights' age, or `None` when they are too old.
-fn age_price(now: Time, named: Option<&Named>, weights: Option<u64>) -> Option<f64> {
+fn age_price(
+    now: Time,
+    named: Option<&Named>,
+    weights: Option<u64>,
+    oldest: Duration,
+) -> Option<f64> {
+    let too_old = oldest.saturating_sub(BEFORE_TOO_OLD);
     let replaced = weights.and_then(|it| named?.replaced_since(it));
     match replaced.map(|it| now.since(it)) {
-        Some(age) if TOO_OLD_AFTER <= age => None,
+        Some(age) if too_old <= age => None,
         Some(age) if OLD_AFTER <= age => Some(OLD_MS),
         _ => Some(0.0),
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,8 @@
     pub retries: budget::Terms,
     /// Orders of two holders of the lease must lie this far apart.
     pub order_gap: Duration,
+    /// How long after newer weights were named requests may still begin on older ones.
+    pub oldest_weights: Duration,
     /// Time between SIGTERM and the process's end by force.
     pub grace: Duration,
     /// Log lines a second, from which on lines are dropped and counted.
@@ -112,8 +114,12 @@
     read(&Ini::load_from_str(text).map_err(failed)?)
 }
 
+/// How long requests may begin on replaced weights where no bound is set: the shortest bound that any
+/// deployment had.
+const OLDEST_WEIGHTS: Duration = Duration::from_secs(8);
+
 /// All settings, by section.
-const KNOWN: [(&str, &[&str]); 9] = [
+const KNOWN: [(&str, &[&str]); 10] = [
     ("instance", &["name", "data_centre"]),
     ("listen", &["callers", "ready", "directory", "peers", "metrics"]),
     ("store", &["address", "reads_per_second", "writes_per_second"]),
@@ -121,6 +127,7 @@
     ("directory", &["ttl_ms"]),
     ("retries", &["ratio", "window_ms", "slack"]),
     ("orders", &["gap_ms"]),
+    ("weights", &["oldest_ms"]),
     ("shutdown", &["grace_ms"]),
     ("log", &["lines_per_second"]),
 ];
@@ -165,11 +172,20 @@
             slack: number(ini, "retries", "slack", "a number")?,
         },
         order_gap: millis("orders", "gap_ms")?,
+        oldest_weights: oldest_weights(ini)?,
         grace: millis("shutdown", "grace_ms")?,
         log_rate: number(ini, "log", "lines_per_second", "a whole number")?,
     })
 }
 
+/// A platform that states no bound leaves the setting empty.
+fn oldest_weights(ini: &Ini) -> Result<Duration, Error> {
+    if ini.get_from(Some("weights"), "oldest_ms").is_none_or(str::is_empty) {
+        return Ok(OLDEST_WEIGHTS);
+    }
+    number(ini, "weights", "oldest_ms", "a number of milliseconds").map(from_ms)
+}
+
 fn from_ms(ms: f64) -> Duration {
     Duration::from_secs_f64(ms.max(0.0) / 1e3)
 }
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -141,6 +141,22 @@
     assert_eq!(result.unwrap_err(), Shortage::OldWeights);
 }
 
+// Loading takes a while at a deployment whose platform allows requests on old weights for 15 seconds. All
+// short prompts are refused for seconds after each naming: the instance kept to another platform's bound.
+#[test]
+fn old_weights_are_used_as_long_as_the_platform_allows() {
+    let mut pool = pool(1);
+    pool.name_weights(at(0), &Arc::from(MODEL), 2);
+    let parts = [Part { id: 5, tokens: 300 }];
+    let chosen = |bound: u64, now: u64| {
+        let wish = Wish { oldest_weights: Duration::from_secs(bound), ..wish(&parts) };
+        choose(&pool, &Memory::default(), at(now), &wish, 7)
+    };
+    assert_eq!(chosen(8, 7_000).unwrap_err(), Shortage::OldWeights);
+    assert!(chosen(15, 7_000).is_ok());
+    assert_eq!(chosen(15, 14_000).unwrap_err(), Shortage::OldWeights);
+}
+
 #[test]
 fn servers_that_are_out_are_passed_over() {
     let mut pool = pool(3);
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -19,6 +19,16 @@
     assert!(parse(&VALID.replace("127.0.0.2:9, 127.0.0.3:9", "")).unwrap().seeds.is_empty());
 }
 
+// A platform that states no bound on the weights' age leaves the setting empty or out.
+#[test]
+fn bound_on_weights_is_read_where_it_is_stated() {
+    let bound = |text: &str| parse(text).unwrap().oldest_weights.as_secs();
+    assert_eq!(bound(VALID), 8);
+    assert_eq!(bound(&format!("{VALID}[weights]\noldest_ms =\n")), 8);
+    assert_eq!(bound(&format!("{VALID}[weights]\noldest_ms = 15000\n")), 15);
+    assert!(parse(&format!("{VALID}[weights]\noldest_ms = soon\n")).is_err());
+}
+
 #[test]
 fn error_names_section_key_and_what_was_expected() {
     let missing = parse(&VALID.replace("name = i1\n", "")).unwrap_err();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -55,6 +55,7 @@
         fetch_ms: 0.003,
         capacity: 112_000.0,
         store: None,
+        oldest_weights: Duration::from_secs(8),
         excluded: &[],
     }
 }
