Learn what queues cost apart from what reading costs

Cause: one figure stood for both. Now the time of a token comes from long prompts by the share of their own reading, the crowding of queues by the share of their waiting, and the way back from the soonest quarter.

--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -20,10 +20,17 @@
 /// What an engine does for each prompt besides reading, as tokens: setting it up takes as long as reading
 /// 180 to 250 tokens at the engines seen so far.
 const SETUP_TOKENS: f64 = 200.0;
-/// Part of the answers that begin sooner than expected. A wait that was expected too short is dearer than
-/// one that was expected too long: the answer is late, and worth a third, where another server might have
-/// been in time.
+/// Part of the answers to long prompts that begin sooner than expected. A wait that was expected too short is
+/// dearer than one that was expected too long: the answer is late, and worth a third, where another server
+/// might have been in time.
 const SOONER: f64 = 2.0 / 3.0;
+/// The same for queues: a queue that is longer than expected grows on, as prompts are still sent there.
+const QUEUE_SOONER: f64 = 0.75;
+/// Part of all answers that come back sooner than expected. The way back is what an idle server shows; what
+/// most answers take beyond it is a queue.
+const BACK_SOONER: f64 = 0.25;
+/// How many times longer than alone a prompt may take while others are read there.
+const MOST_CROWDED: f64 = 4.0;
 /// Step of the first answer, as a part of the value, and the step that later ones come down to, with the
 /// root of their number: seven hundred answers of mixed lengths to find costs that differ three times from
 /// the prior. Twice the step follows changes sooner, and is as far off by its own swing.
@@ -40,6 +47,8 @@
 pub struct Pace {
     /// Time to read one token, ms, with all that engines do meanwhile.
     token_ms: f64,
+    /// How many times longer than alone a prompt keeps a busy server from the next one.
+    crowding: f64,
     /// Time from the end of reading to the first token at the caller, ms.
     first_ms: f64,
     /// Mean tokens that a prompt has to read.
@@ -63,6 +72,7 @@
     fn default() -> Self {
         Self {
             token_ms: PRIOR_TOKEN_MS,
+            crowding: 1.0,
             first_ms: PRIOR_FIRST_MS,
             tokens: PRIOR_TOKENS,
             answers: 0,
@@ -76,14 +86,19 @@
         self.token_ms * f64::from(tokens)
     }
 
-    /// Time for which a prompt keeps an engine from the next one, ms.
-    pub fn occupies(&self, unread: u32) -> f64 {
+    /// Time that a prompt takes at an idle engine until it is read, ms.
+    pub fn alone(&self, unread: u32) -> f64 {
         self.token_ms * (f64::from(unread) + SETUP_TOKENS)
     }
 
+    /// Time for which a prompt keeps a busy engine from the next one, ms.
+    pub fn occupies(&self, unread: u32) -> f64 {
+        self.crowding * self.token_ms * (f64::from(unread) + SETUP_TOKENS)
+    }
+
     /// The same for a prompt of which nothing is known but that it waits, ms.
     pub fn waiting(&self) -> f64 {
-        self.token_ms * (self.tokens + SETUP_TOKENS)
+        self.crowding * self.token_ms * (self.tokens + SETUP_TOKENS)
     }
 
     /// Time from the end of reading to the first token at the caller, ms.
@@ -93,25 +108,29 @@
 
     /// How long a prompt has waited whose first token came, or didn't, this long after it was sent.
     pub fn waited(&self, unread: u32, after: Duration) -> Duration {
-        let read_ms = self.occupies(unread) + self.first_ms;
+        let read_ms = self.alone(unread) + self.first_ms;
         after.saturating_sub(Duration::from_secs_f64(read_ms / 1e3))
     }
 
     /// An answer began. Returns the time at which it was expected to, ms.
     pub fn learn(&mut self, sample: &Sample) -> f64 {
         let Sample { unread, wait_ms, took } = *sample;
-        let work_ms = wait_ms + self.occupies(unread);
-        let expected_ms = work_ms + self.first_ms;
+        let alone_ms = self.alone(unread);
+        let expected_ms = wait_ms + alone_ms + self.first_ms;
         let is_later = expected_ms < took.as_secs_f64() * 1e3;
         self.answers = self.answers.saturating_add(1);
         let step = (FIRST_STEP / f64::from(self.answers).sqrt()).max(LEAST_STEP);
         self.tokens += LEAST_STEP * (f64::from(unread) - self.tokens);
-        // Each part is moved by its share: a short prompt at an idle server tells of the way back, a long
-        // one or one behind a queue of reading.
-        let change = if is_later { step * SOONER } else { step * (SOONER - 1.0) };
-        let by = |part_ms: f64| 1.0 + change * part_ms / expected_ms;
-        self.token_ms = bounded(self.token_ms * by(work_ms), PRIOR_TOKEN_MS);
-        self.first_ms = bounded(self.first_ms * by(self.first_ms), PRIOR_FIRST_MS);
+        // Each part is moved by its share of what was expected. Short prompts overtake queues, and tell
+        // nothing of how long those take to read.
+        if self.tokens <= f64::from(unread) {
+            let alone = change(is_later, step, SOONER) * alone_ms / expected_ms;
+            let queue = change(is_later, step, QUEUE_SOONER) * wait_ms / expected_ms;
+            self.token_ms = bounded(self.token_ms * (1.0 + alone), PRIOR_TOKEN_MS);
+            self.crowding = (self.crowding * (1.0 + queue)).clamp(1.0, MOST_CROWDED);
+        }
+        let change = 1.0 + change(is_later, step, BACK_SOONER) * self.first_ms / expected_ms;
+        self.first_ms = bounded(self.first_ms * change, PRIOR_FIRST_MS);
         expected_ms
     }
 
@@ -127,6 +146,11 @@
     }
 }
 
+/// One step towards what the part `sooner` of the answers stays below.
+fn change(is_later: bool, step: f64, sooner: f64) -> f64 {
+    if is_later { step * sooner } else { step * (sooner - 1.0) }
+}
+
 /// The value, within what reading can explain.
 fn bounded(value: f64, prior: f64) -> f64 {
     value.clamp(prior / FARTHEST, prior * FARTHEST)
--- a/crates/gateway/tests/pace.rs
+++ b/crates/gateway/tests/pace.rs
@@ -103,7 +103,8 @@
     let own = fresh;
     fresh.adopt(&known);
     assert_eq!(fresh, own, "what was seen here goes first");
-    let bytes = postcard::to_stdvec(&(f64::NAN, 1.0_f64, 1.0_f64, 900_u32)).expect("a pace's form");
+    let bytes = postcard::to_stdvec(&(f64::NAN, 1.0_f64, 1.0_f64, 1.0_f64, 900_u32))
+        .expect("a pace's form");
     let broken: Pace = postcard::from_bytes(&bytes).expect("a pace's form");
     let mut other = Pace::default();
     other.adopt(&broken);
