Let streams that must not be repeated go on at a copy when their server is lost

The server now copies the memory of each small run that mustn't be repeated to another one as it grows; when it is lost, the run goes on there behind the last whole event, as the same run. A server without the copy says that it ran nothing, and then nothing is run again: dispatching refuses whatever may have run once.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -77,6 +77,8 @@
     pub capacity: u32,
     /// Time that one token's cache takes on the way from another engine in the same data centre, ms.
     pub fetch_ms: f64,
+    /// Whether engines copy the memory of a run to another one as it grows.
+    pub copies_runs: bool,
 }
 
 /// One organisation whose callers are known by their keys.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,6 +5,7 @@
 mod backend;
 mod cache;
 mod caller;
+mod copy;
 mod duties;
 mod errand;
 mod exchange;
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -58,7 +58,7 @@
     pub(crate) connect_until: Time,
     /// When the head of the answer should have come; a server that is later is looked at.
     pub(crate) expected: Time,
-    weights: Option<u64>,
+    pub(crate) weights: Option<u64>,
     /// Prompt tokens that the server had to read.
     pub(crate) unread: u32,
     /// Expected time until it began to read, ms.
@@ -87,7 +87,11 @@
             return;
         };
         let now = self.now;
+        let copy = self.copy_target(place, choice);
+        let copy_to = copy.map(|it| self.pool.get(it).address);
         let Some(exchange) = self.exchanges.get_mut(place) else { return };
+        exchange.copy = copy;
+        let goes_on_from = exchange.goes_on_from.take();
         let server = self.pool.get_mut(choice.server);
         let scope = choice.weights.map(|it| cache_scope(it, exchange.wall()));
         let left = exchange.deadline.since(now);
@@ -100,7 +104,9 @@
             weights: choice.weights,
             fetch_from: choice.fetch_from,
             save_to: choice.save_to,
-            last_event: exchange.delivery.last_event,
+            copy_to,
+            goes_on_from,
+            last_event: exchange.delivery.last_event.or(goes_on_from.map(|_| 0)),
             body: (exchange.head.framing != Framing::Empty).then_some(exchange.body.len()),
         };
         let expected = choice.expected() + LATE;
@@ -137,10 +143,15 @@
             .number("unread", choice.unread)
             .number("weights", choice.weights.unwrap_or(0))
             .number("fetches", choice.fetch_from.is_some())
+            .number("is_copied", copy.is_some())
             .ms("load_age_ms", load_age)
             .ms("left_ms", left)
             .ms("after_ms", now.since(exchange.arrived));
-        if choice.weights.is_some() {
+        if copy.is_some() {
+            self.stats.copied();
+        }
+        // What goes on has been read already.
+        if choice.weights.is_some() && goes_on_from.is_none() {
             let placement = choice.placement(server, &exchange.ask.parts, exchange.wall());
             let tokens = exchange.ask.parts.iter().map(|it| it.tokens).sum();
             self.stats.prompt(tokens, choice.unread, choice.wait());
@@ -211,6 +222,7 @@
         let Some(exchange) = self.exchanges.get_mut(place) else { return };
         exchange.runs -= 1;
         exchange.excluded.push(attempt.server);
+        let is_spent = exchange.is_spent();
         self.stats.servers.at(self.pool.get(attempt.server).address).not_run();
         if is_failure {
             exchange.sends -= 1;
@@ -227,6 +239,10 @@
             self.dispatch(place);
             return;
         }
+        if is_spent {
+            self.fail(place, 502, "copy-gone");
+            return;
+        }
         self.stats.resent(reason);
         let instances = self.members.sharers();
         let service = exchange.service.clone();
@@ -264,7 +280,7 @@
         }
         self.stats.broken(reason);
         self.stats.servers.at(self.pool.get(server).address).broken();
-        if !self.try_again(place, reason) {
+        if !self.go_on(place, reason) && !self.try_again(place, reason) {
             self.fail(place, 502, reason);
         }
     }
@@ -334,11 +350,7 @@
         self.log_left_out(server, "silent");
         self.drop_idle(server);
         self.tell_silent(server);
-        let is_there = |it: &Exchange| it.attempt.as_ref().is_some_and(|it| it.server == server);
-        let places = self.exchanges.iter().filter(|it| is_there(it.1) && it.1.is_repeatable());
-        for place in places.map(|it| it.0).collect::<Vec<_>>() {
-            self.try_again(place, "silent");
-        }
+        self.leave_silent(server);
     }
 
     pub(crate) fn log_left_out(&mut self, server: pool::Id, reason: &str) {
--- /dev/null
+++ b/crates/gateway/src/core/copy.rs
@@ -0,0 +1,97 @@
+//! Answers that go on at a copy of their run's memory when their server is lost.
+
+use crate::{
+    budget::Purpose,
+    copies,
+    core::{Core, exchange::Exchange},
+    placement::Choice,
+    pool::{self, Presence},
+};
+
+/// Ends of an attempt after which its server doesn't work on it any more, as far as this instance can
+/// tell: an answer of no sense comes from one that may.
+const LOST: [&str; 5] = ["closed", "reset", "connection-lost", "silent", "restarted"];
+
+impl Core {
+    /// Where the run that begins at the chosen server gets its copy: those that may run again need none.
+    pub(crate) fn copy_target(&self, place: usize, choice: &Choice) -> Option<pool::Id> {
+        let exchange = self.exchanges.get(place)?;
+        let engine = self.service(&exchange.service)?.engine.as_ref()?;
+        if !engine.copies_runs || exchange.is_repeatable() || !exchange.route.is_stream {
+            return None;
+        }
+        copies::target(&self.pool, self.now, &self.wish(exchange), choice)
+    }
+
+    /// The server of a run that must not be repeated is lost: goes on at its copy, as the same run. Says
+    /// whether it does.
+    ///
+    /// It holds that nothing runs twice: the connection to the first server is closed before, and a
+    /// server without the copy answers that it ran nothing.
+    pub(crate) fn go_on(&mut self, place: usize, reason: &'static str) -> bool {
+        let Some((copy, weights)) = self.usable_copy(place) else { return false };
+        if !LOST.contains(&reason) {
+            return false;
+        }
+        let instances = self.members.sharers();
+        let Some(service) = self.exchanges.get(place).map(|it| it.service.clone()) else {
+            return false;
+        };
+        if !self.budget.withdraw(self.now, &service, instances, Purpose::Stream) {
+            return false;
+        }
+        let lost = self.release_attempt(place, true);
+        let Some(exchange) = self.exchanges.get_mut(place) else { return false };
+        let server = self.pool.get(copy);
+        exchange.delivery.pending.clear();
+        exchange.excluded.extend(lost.map(|it| it.server));
+        exchange.goes_on_from = Some(server.address);
+        self.journal
+            .line(self.now, "goes_on")
+            .text("request", exchange.id())
+            .text("server", &server.name)
+            .text("reason", reason)
+            .number("last_event", exchange.delivery.last_event.unwrap_or(0));
+        self.stats.went_on();
+        let expected_ms = self.pool.pace(&service).first();
+        self.send(place, &going_on(copy, weights, expected_ms));
+        true
+    }
+
+    /// The copy of the attempt's run and the version of its weights, if its server can go on with it.
+    fn usable_copy(&self, place: usize) -> Option<(pool::Id, Option<u64>)> {
+        let exchange = self.exchanges.get(place)?;
+        let (copy, weights) = (exchange.copy?, exchange.attempt.as_ref()?.weights);
+        let server = self.pool.get(copy);
+        let is_fit = server.presence == Presence::Ready
+            && copies::can_go_on(self.now, &self.wish(exchange), weights, copy, server);
+        is_fit.then_some((copy, weights))
+    }
+
+    /// Lets what runs at a server that doesn't answer go on elsewhere.
+    pub(crate) fn leave_silent(&mut self, server: pool::Id) {
+        let is_there = |it: &Exchange| it.attempt.as_ref().is_some_and(|it| it.server == server);
+        let places = self.exchanges.iter().filter(|it| is_there(it.1)).map(|it| it.0);
+        for place in places.collect::<Vec<_>>() {
+            if !self.go_on(place, "silent") {
+                self.try_again(place, "silent");
+            }
+        }
+    }
+}
+
+/// The copy's server, which has read everything.
+fn going_on(server: pool::Id, weights: Option<u64>, expected_ms: f64) -> Choice {
+    Choice {
+        server,
+        weights,
+        unread: 0,
+        added: 0,
+        wait_ms: 0.0,
+        expected_ms,
+        score: 0.0,
+        fetch_from: None,
+        save_to: None,
+        candidates: 1,
+    }
+}
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -1,6 +1,6 @@
 //! One caller's request, from its head to its final answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use shallotlead_base::time::Time;
 
@@ -60,6 +60,10 @@
     pub(crate) resends: u8,
     /// Servers that turned it away or failed it.
     pub(crate) excluded: Vec<pool::Id>,
+    /// The server that has a copy of what runs at the attempt's, to go on there if that one is lost.
+    pub(crate) copy: Option<pool::Id>,
+    /// Where the copy lies from which the next attempt goes on.
+    pub(crate) goes_on_from: Option<SocketAddr>,
     pub(crate) attempt: Option<Attempt>,
     pub(crate) delivery: Delivery,
 }
@@ -108,6 +112,11 @@
         self.route.repeat == Repeat::Idempotent
     }
 
+    /// Whether it may have run, and must not run again.
+    pub(crate) fn is_spent(&self) -> bool {
+        0 < self.runs && !self.is_repeatable()
+    }
+
     /// Rank: the organisation's goes before the route's.
     pub(crate) fn urgency(&self) -> u8 {
         let own = self.organisation.as_ref().and_then(|it| it.priority);
@@ -165,6 +174,8 @@
             sends: 0,
             resends: 0,
             excluded: Vec::new(),
+            copy: None,
+            goes_on_from: None,
             attempt: None,
             delivery: Delivery { last_event, ..Delivery::default() },
         };
@@ -188,41 +199,28 @@
 
     /// Sends the request to the best server, or finds out that none can take it now.
     pub(crate) fn dispatch(&mut self, place: usize) {
+        // Guards against a second run of what may run once, whatever brought it here: a copy that is gone, or
+        // a server that can't be reached any more.
+        if self.exchanges.get(place).is_some_and(Exchange::is_spent) {
+            self.fail(place, 502, "may-have-run");
+            return;
+        }
         let random = self.random();
-        let Self { exchanges, pool, memory, now, settings, catalog, cache_stores, members, .. } =
-            self;
-        let Some(exchange) = exchanges.get(place) else { return };
-        let service = catalog.as_ref().and_then(|it| it.services.get(&exchange.service));
-        let engine = service.and_then(|it| it.engine.as_ref());
-        let wish = Wish {
-            fetch_ms: engine.map_or(0.0, |it| it.fetch_ms),
-            store: placement::key(&exchange.ask.parts).and_then(|it| cache_stores.keeper(*now, it)),
-            capacity: engine.map_or(0.0, |it| f64::from(it.capacity)),
-            service: &exchange.service,
-            model: exchange.ask.model.as_deref(),
-            aim: exchange.route.aim,
-            parts: &exchange.ask.parts,
-            wall: exchange.wall(),
-            centre: &settings.centre,
-            reach: Reach::Near,
-            oldest_weights: settings.oldest_weights,
-            excluded: &exchange.excluded,
-        };
-        let shortest = catalog.as_ref().and_then(|it| it.shortest_aim(&exchange.service));
+        let Some(exchange) = self.exchanges.get(place) else { return };
+        let wish = self.wish(exchange);
+        let shortest = self.catalog.as_ref().and_then(|it| it.shortest_aim(&exchange.service));
         let admission = Admission::of(exchange, shortest);
-        let is_large = members.is_large() && wish.model.is_some();
-        let near = match is_large {
-            true => placement::choose(pool, memory, *now, &wish, random).ok(),
-            false => None,
-        };
+        let choose =
+            |wish: &Wish<'_>| placement::choose(&self.pool, &self.memory, self.now, wish, random);
+        let is_large = self.members.is_large() && wish.model.is_some();
+        let near = if is_large { choose(&wish).ok() } else { None };
         // Servers elsewhere look idle, as nobody tells of what is sent there: they take over only where
         // none is left nearby.
         let chosen = match near {
             Some(choice) => Ok(choice),
             None => {
                 let reach = if is_large { Reach::Beyond } else { Reach::All };
-                let wish = Wish { reach, ..wish };
-                placement::choose(pool, memory, *now, &wish, random)
+                choose(&Wish { reach, ..wish })
             }
         };
         match chosen {
@@ -235,6 +233,26 @@
         }
     }
 
+    /// What the request asks of a server.
+    pub(crate) fn wish<'a>(&'a self, exchange: &'a Exchange) -> Wish<'a> {
+        let engine = self.service(&exchange.service).and_then(|it| it.engine.as_ref());
+        let prefix = placement::key(&exchange.ask.parts);
+        Wish {
+            fetch_ms: engine.map_or(0.0, |it| it.fetch_ms),
+            store: prefix.and_then(|it| self.cache_stores.keeper(self.now, it)),
+            capacity: engine.map_or(0.0, |it| f64::from(it.capacity)),
+            service: &exchange.service,
+            model: exchange.ask.model.as_deref(),
+            aim: exchange.route.aim,
+            parts: &exchange.ask.parts,
+            wall: exchange.wall(),
+            centre: &self.settings.centre,
+            reach: Reach::Near,
+            oldest_weights: self.settings.oldest_weights,
+            excluded: &exchange.excluded,
+        }
+    }
+
     fn wait_or_refuse(&mut self, place: usize, shortage: Shortage) {
         let Some(exchange) = self.exchanges.get_mut(place) else { return };
         let patience = match exchange.delivery.has_begun {
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -29,6 +29,8 @@
     pub(crate) servers: Servers,
     abandoned: Counter,
     unreadable: Counter,
+    copied: Counter,
+    went_on: Counter,
     connections: Counter,
     dropped_lines: Gauge,
     configuration: Gauge,
@@ -93,6 +95,8 @@
             others: RouteStats::open("other"),
             servers: Servers::open(),
             abandoned: metrics::counter!("shallotlead_abandoned_total"),
+            copied: metrics::counter!("shallotlead_copies_total", "step" => "begun"),
+            went_on: metrics::counter!("shallotlead_copies_total", "step" => "used"),
             unreadable: metrics::counter!("shallotlead_entries_unreadable_total"),
             connections: metrics::counter!("shallotlead_server_connections_total"),
             dropped_lines: metrics::gauge!("shallotlead_log_lines_dropped"),
@@ -145,6 +149,16 @@
         self.first_error.record((expected_ms / 1e3 - took.as_secs_f64()).abs());
     }
 
+    /// A run gets a copy at another server.
+    pub(crate) fn copied(&self) {
+        self.copied.increment(1);
+    }
+
+    /// A run goes on at its copy.
+    pub(crate) fn went_on(&self) {
+        self.went_on.increment(1);
+    }
+
     /// A server's entry in the store could not be read.
     pub(crate) fn unreadable(&self) {
         self.unreadable.increment(1);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -109,6 +109,10 @@
     pub fetch_from: Option<SocketAddr>,
     /// Where to save the parts of the prompt that the server reads.
     pub save_to: Option<SocketAddr>,
+    /// Where the server copies the run's memory as it grows.
+    pub copy_to: Option<SocketAddr>,
+    /// Where the copy of this run's memory lies from which it goes on; it counts as the same run.
+    pub goes_on_from: Option<SocketAddr>,
     /// The last event that the caller has, to go on behind it.
     pub last_event: Option<u64>,
     /// Length of the body, if the request has one.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod budget;
 pub mod catalog;
+pub mod copies;
 mod clock;
 mod core;
 pub mod dialect;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -181,8 +181,7 @@
         if wish.reach == Reach::Near && *server.centre != *wish.centre {
             continue;
         }
-        let is_ready = server.health.is_in() && !server.is_switching(now);
-        if !is_ready || wish.excluded.contains(&id) {
+        if !server.takes_requests(now) || wish.excluded.contains(&id) {
             shortage = Shortage::NoneReady;
             continue;
         }
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -138,6 +138,11 @@
         }
     }
 
+    /// Whether it works, and isn't loading weights.
+    pub fn takes_requests(&self, now: Time) -> bool {
+        self.health.is_in() && !self.is_switching(now)
+    }
+
     /// Whether it is loading weights and would turn requests away.
     pub fn is_switching(&self, now: Time) -> bool {
         self.switch.is_some_and(|it| now < it.until)
--- /dev/null
+++ b/crates/gateway/tests/copies.rs
@@ -0,0 +1,62 @@
+//! Which runs get a copy of their memory, and where.
+
+mod support;
+
+use std::sync::Arc;
+
+use shallotlead_gateway::{
+    copies,
+    dialect::{Load, Part},
+    placement::{Choice, Memory, Wish, choose},
+    pool::{self, Pool, Presence, Switch},
+};
+use support::{MODEL, at, entry, pool, wish};
+
+/// Five servers in two data centres: `e0` to `e2` in `a`, the others in `b`.
+fn two_centres() -> Pool {
+    let mut pool = pool(3);
+    for number in 3..5 {
+        pool.put(at(0), &Arc::from(format!("e{number}")), 10, entry(number, "b", 1));
+    }
+    pool
+}
+
+fn short() -> [Part; 1] {
+    [Part { id: 5, tokens: 380 }]
+}
+
+fn at_first(pool: &Pool, wish: &Wish<'_>) -> Choice {
+    let choice = choose(pool, &Memory::default(), at(0), wish, 7).expect("a server");
+    Choice { server: 0, ..choice }
+}
+
+fn target(pool: &Pool, wish: &Wish<'_>) -> Option<pool::Id> {
+    copies::target(pool, at(0), wish, &at_first(pool, wish))
+}
+
+// Servers crash one after the other under a burst. The copy lies at another server that could go on with
+// the run right away: not at its own, and not at one that leaves, loads, fails or has other weights.
+#[test]
+fn copy_lies_where_the_run_could_go_on() {
+    let mut pool = two_centres();
+    let parts = short();
+    let wish = wish(&parts);
+    pool.get_mut(1).load = Some((Load { running: 9, waiting: 0 }, at(0)));
+    assert_eq!(target(&pool, &wish), Some(2), "the least loaded one nearby");
+    pool.get_mut(2).presence = Presence::Draining;
+    assert_eq!(target(&pool, &wish), Some(1));
+    pool.get_mut(1).switch = Some(Switch { version: 2, until: at(900) });
+    assert_eq!(target(&pool, &wish), Some(3), "none is left nearby");
+    pool.get_mut(3).health.is_silent(at(0));
+    pool.get_mut(4).loaded(at(0), &Arc::from(MODEL), 2);
+    assert_eq!(target(&pool, &wish), None);
+}
+
+// The largest prompts take a tenth of a server's memory. Copying each of them would drive out what other
+// requests share.
+#[test]
+fn large_runs_get_no_copy() {
+    let pool = two_centres();
+    assert!(target(&pool, &wish(&short())).is_some());
+    assert_eq!(target(&pool, &wish(&support::prompt(1, 1))), None);
+}
