Leave runs that mustn't be repeated to a server that is only late

Silence no longer moves what mustn't be repeated; a connection that ends, or a restart that the server tells of, does.

--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -356,7 +356,11 @@
         self.log_left_out(server, "silent");
         self.drop_idle(server);
         self.tell_silent(server);
-        self.leave_silent(server);
+        let is_there = |it: &Exchange| it.attempt.as_ref().is_some_and(|it| it.server == server);
+        let places = self.exchanges.iter().filter(|it| is_there(it.1) && it.1.is_repeatable());
+        for place in places.map(|it| it.0).collect::<Vec<_>>() {
+            self.try_again(place, "silent");
+        }
     }
 
     pub(crate) fn log_left_out(&mut self, server: pool::Id, reason: &str) {
--- a/crates/gateway/src/core/copy.rs
+++ b/crates/gateway/src/core/copy.rs
@@ -3,14 +3,15 @@
 use crate::{
     budget::Purpose,
     copies,
-    core::{Core, exchange::Exchange},
+    core::Core,
     placement::Choice,
     pool::{self, Presence},
 };
 
 /// Ends of an attempt after which its server doesn't work on it any more, as far as this instance can
-/// tell: an answer of no sense comes from one that may.
-const LOST: [&str; 5] = ["closed", "reset", "connection-lost", "silent", "restarted"];
+/// tell. An answer of no sense comes from one that may, and so does silence: a server with a long queue
+/// answers probes too late.
+const LOST: [&str; 4] = ["closed", "reset", "connection-lost", "restarted"];
 
 impl Core {
     /// Where the run that begins at the chosen server gets its copy: those that may run again need none.
@@ -68,17 +69,6 @@
             && copies::can_go_on(self.now, &self.wish(exchange), weights, copy, server);
         is_fit.then_some((copy, weights))
     }
-
-    /// Lets what runs at a server that doesn't answer go on elsewhere.
-    pub(crate) fn leave_silent(&mut self, server: pool::Id) {
-        let is_there = |it: &Exchange| it.attempt.as_ref().is_some_and(|it| it.server == server);
-        let places = self.exchanges.iter().filter(|it| is_there(it.1)).map(|it| it.0);
-        for place in places.collect::<Vec<_>>() {
-            if !self.go_on(place, "silent") {
-                self.try_again(place, "silent");
-            }
-        }
-    }
 }
 
 /// The copy's server, which has read everything.
