Tell when an instance is behind, whom it asks, and how that ends

Neither logs nor metrics showed how a newer configuration passes from instance to instance. New lines: behind, state_asked, state_told; new counters: questions by result, bytes told. No decision is changed.

--- a/crates/gateway/src/core/errand.rs
+++ b/crates/gateway/src/core/errand.rs
@@ -6,7 +6,7 @@
 use shallotlead_platform::scheduler::Sent;
 
 use crate::{
-    core::{Core, Role, Timer},
+    core::{Core, Role, Timer, state},
     dialect::Errand,
     http::{
         body::Framing,
@@ -37,7 +37,7 @@
     /// An order to a backend server.
     Order(pool::Id),
     /// Another instance's knowledge.
-    State,
+    State(state::Question),
 }
 
 /// One request under way.
@@ -220,7 +220,7 @@
             Purpose::Probe(id) => self.server_probed(id, &outcome),
             Purpose::CacheStore(address) => self.cache_store_answered(address, &outcome),
             Purpose::Order(id) => self.server_ordered(id, &outcome),
-            Purpose::State => self.state_came(&outcome),
+            Purpose::State(question) => self.state_came(&question, &outcome),
         }
     }
 
--- a/crates/gateway/src/core/pages.rs
+++ b/crates/gateway/src/core/pages.rs
@@ -5,7 +5,7 @@
 use crate::{
     core::{Core, Role, state::STATE_PATH},
     http::{head::Request, write},
-    net::{Door, Key},
+    net::{Door, Key, Socket},
 };
 
 /// Longest head of a request to a page.
@@ -72,6 +72,12 @@
         }
     }
 
+    /// Bytes of pages' answers that the kernel hasn't taken yet.
+    pub(crate) fn unsent_pages(&self) -> usize {
+        let pages = self.roles.iter().filter(|it| matches!(it.1, Role::Page(_)));
+        pages.filter_map(|it| self.net.get(*it.0)).map(Socket::unsent).sum()
+    }
+
     /// The addresses that callers in `centre` should use: those nearby, if there are enough.
     fn addresses(&mut self, centre: &str) -> Vec<SocketAddr> {
         let is_ready = self.is_ready();
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -289,6 +289,13 @@
         }
         let own = self.catalog.as_ref().map_or(0, |it| it.version);
         if own < configuration {
+            if self.peers.behind.is_none() {
+                self.journal
+                    .line(now, "behind")
+                    .number("configuration", own)
+                    .number("told", configuration)
+                    .text("peer", &address.to_string());
+            }
             let since = self.peers.behind.map_or(now, |it| it.0);
             self.peers.behind = Some((since, address));
         }
--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -4,6 +4,7 @@
 
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
+use shallotlead_base::time::Time;
 
 use crate::{
     core::{
@@ -37,6 +38,36 @@
     weights: Vec<Naming>,
 }
 
+/// A question to another instance for what this one has missed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Question {
+    peer: SocketAddr,
+    reason: Reason,
+    asked: Time,
+}
+
+/// Why another instance is asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reason {
+    /// It has a newer configuration.
+    Behind,
+    /// The store doesn't answer this instance.
+    StoreAway,
+    /// News may have been lost on the way to an instance that doesn't watch the store.
+    MakeUp,
+}
+
+impl Reason {
+    /// Its name in logs.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Behind => "behind",
+            Self::StoreAway => "store-away",
+            Self::MakeUp => "make-up",
+        }
+    }
+}
+
 impl Core {
     /// Asks another instance for what this one can't read from the store.
     ///
@@ -62,11 +93,17 @@
         let target_path = format!("{STATE_PATH}?configuration={own}&entries={entries}");
         let errand =
             Errand { method: "GET", target: target_path, fields: Vec::new(), body: Vec::new() };
-        self.run_errand(target, &errand, ASK_AGAIN, Purpose::State);
+        let reason = match (behind.is_some(), is_away) {
+            (true, _) => Reason::Behind,
+            (false, true) => Reason::StoreAway,
+            (false, false) => Reason::MakeUp,
+        };
+        let question = Question { peer: target, reason, asked: now };
+        self.run_errand(target, &errand, ASK_AGAIN, Purpose::State(question));
     }
 
     /// What this instance knows beyond `configuration` and the revision `entries`.
-    pub(crate) fn state(&self, configuration: u64, entries: u64) -> Vec<u8> {
+    pub(crate) fn state(&mut self, configuration: u64, entries: u64) -> Vec<u8> {
         let newer = self.storage.configuration.as_ref().filter(|it| configuration < it.0);
         // What is missing may come back, so that it isn't told as gone before it is.
         let is_told = |name: &str| {
@@ -79,11 +116,22 @@
             entries: entries.map(told).collect(),
             weights: self.namings(),
         };
-        postcard::to_stdvec(&state).unwrap_or_default()
+        let bytes = postcard::to_stdvec(&state).unwrap_or_default();
+        self.stats.state_told(bytes.len());
+        if state.configuration.is_some() {
+            let waiting = self.unsent_pages();
+            self.journal
+                .line(self.now, "state_told")
+                .number("had", configuration)
+                .number("bytes", bytes.len())
+                .number("waiting_bytes", waiting);
+        }
+        bytes
     }
 
-    pub(crate) fn state_came(&mut self, outcome: &Outcome) {
+    pub(crate) fn state_came(&mut self, question: &Question, outcome: &Outcome) {
         self.peers.behind = None;
+        self.note_answer(question, outcome);
         let Outcome::Answered { status: 200, body, .. } = outcome else { return };
         let Ok(state) = postcard::from_bytes::<State>(body) else {
             self.journal.line(self.now, "state_unreadable").number("bytes", body.len());
@@ -95,6 +143,24 @@
         self.take_entries(state.entries);
         self.take_namings(&state.weights);
     }
+
+    fn note_answer(&mut self, question: &Question, outcome: &Outcome) {
+        let (result, bytes) = match outcome {
+            Outcome::Answered { status: 200, body, .. } => ("answered", body.len()),
+            Outcome::Answered { .. } => ("refused", 0),
+            Outcome::NotSent => ("not-sent", 0),
+            Outcome::Reset => ("reset", 0),
+            Outcome::Lost => ("lost", 0),
+        };
+        self.stats.state_asked(result);
+        self.journal
+            .line(self.now, "state_asked")
+            .text("peer", &question.peer.to_string())
+            .text("reason", question.reason.name())
+            .text("result", result)
+            .number("bytes", bytes)
+            .ms("after_ms", self.now.since(question.asked));
+    }
 }
 
 fn told((name, entry): (&Arc<str>, &storage::Entry)) -> Entry {
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -32,6 +32,7 @@
     copied: Counter,
     went_on: Counter,
     connections: Counter,
+    state_bytes: Counter,
     dropped_lines: Gauge,
     configuration: Gauge,
     listed: Gauge,
@@ -99,6 +100,7 @@
             went_on: metrics::counter!("shallotlead_copies_total", "step" => "used"),
             unreadable: metrics::counter!("shallotlead_entries_unreadable_total"),
             connections: metrics::counter!("shallotlead_server_connections_total"),
+            state_bytes: metrics::counter!("shallotlead_state_bytes_total"),
             dropped_lines: metrics::gauge!("shallotlead_log_lines_dropped"),
             configuration: metrics::gauge!("shallotlead_configuration_version"),
             listed: metrics::gauge!("shallotlead_servers_ready"),
@@ -178,6 +180,16 @@
             .increment(1);
     }
 
+    /// Another instance was asked for what this one has missed.
+    pub(crate) fn state_asked(&self, result: &'static str) {
+        metrics::counter!("shallotlead_state_asked_total", "result" => result).increment(1);
+    }
+
+    /// Another instance was told what it has missed.
+    pub(crate) fn state_told(&self, bytes: usize) {
+        self.state_bytes.increment(bytes as u64);
+    }
+
     /// A request is sent again.
     pub(crate) fn resent(&mut self, reason: &'static str) {
         metrics::counter!("shallotlead_resends_total", "reason" => reason).increment(1);
