--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -204,7 +204,7 @@
             beat: 0,
             centre: settings.centre.clone(),
             callers: listen.callers,
-            peers: listen.peers,
+            peers: settings.advertised,
             is_ready: false,
             is_leaving: false,
             is_watching: true,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -28,6 +28,8 @@
     pub store_rates: (f64, f64),
     /// Addresses at which other instances may be met before the store has named them.
     pub seeds: Vec<SocketAddr>,
+    /// Where other instances reach this one: its own address for them, or that of a proxy before it.
+    pub advertised: SocketAddr,
     /// How long callers may keep an answer of the directory.
     pub ttl: Duration,
     /// The shared retry budget.
@@ -123,7 +125,7 @@
     ("instance", &["name", "data_centre"]),
     ("listen", &["callers", "ready", "directory", "peers", "metrics"]),
     ("store", &["address", "reads_per_second", "writes_per_second"]),
-    ("peers", &["seeds"]),
+    ("peers", &["seeds", "advertised"]),
     ("directory", &["ttl_ms"]),
     ("retries", &["ratio", "window_ms", "slack"]),
     ("orders", &["gap_ms"]),
@@ -159,6 +161,10 @@
         name: Arc::from(text(ini, "instance", "name", "a name")?),
         centre: Arc::from(text(ini, "instance", "data_centre", "a name")?),
         seeds: seeds(ini, listen.peers.port())?,
+        advertised: match ini.get_from(Some("peers"), "advertised") {
+            None | Some("") => listen.peers,
+            Some(_) => address(ini, "peers", "advertised")?,
+        },
         listen,
         store: address(ini, "store", "address")?,
         store_rates: (
