Spread a configuration from many sources, packed, and give up on silence only

Cause: all that were behind asked one and the same instance, the last to announce itself. It let all answers go at once over its link, and each was given up after 400 ms in all, although it still came; what was sent was lost, and the same was asked for again. Ruled out: lost news (all know within 0.5 s), slow reading (5% of processor time).

Now: a holder at random, in the own data centre first (catchup); holders let go what their link carries in about a tenth of a second and turn the rest away at once (uplink); the configuration is packed; long answers, the store's too, are given up when they stand still for 1 s, not while they come; after 1.2 s the store itself is read.

--- /dev/null
+++ b/crates/gateway/src/catchup.rs
@@ -0,0 +1,146 @@
+//! How an instance that is behind gets a newer configuration from those that have it.
+//!
+//! In a large fleet few instances watch the store. The load pattern to bear is that of all others wanting
+//! the same large answer at the same moment, over links on which one answer takes a good part of a second.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use shallotlead_base::time::Time;
+
+/// Holders that are remembered: enough that some are free, however many announce themselves.
+const MAX_HOLDERS: usize = 32;
+/// Longest wait before the first question, chosen at random: the first instance to announce a version isn't
+/// asked by all at once, and those nearby have announced it too by then.
+const SPREAD: Duration = Duration::from_millis(60);
+/// An instance that watches the store has it from there, some milliseconds later than the others' word.
+const WATCHER_WAITS: Duration = Duration::from_millis(200);
+/// Longest pause after a holder was busy or failed, chosen at random. Holders let about one answer a tenth
+/// of a second go on a link of 10 Mbit/s.
+const PAUSE: Duration = Duration::from_millis(100);
+/// How long an instance is behind before it reads the store itself. A fleet of 420 with links of 10 Mbit/s
+/// needs the holders alone for less than that for a configuration of 300 KB, simulated.
+const TO_STORE: Duration = Duration::from_millis(1_200);
+
+/// An instance that has a newer configuration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Holder {
+    /// Where it is asked.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub centre: Arc<str>,
+    /// The version that it has.
+    pub version: u64,
+}
+
+/// How a question ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// The holder told what it has.
+    Told,
+    /// Its link is taken up by answers to others.
+    Busy,
+    /// It couldn't be reached, or its answer was lost.
+    Failed,
+}
+
+/// What an instance that is behind knows, and whom it asks next.
+///
+/// Guards against a fleet that asks one and the same instance, which then serves nobody in time. It shows as
+/// questions that are given up while that instance's link is full. It holds since each one chooses at random
+/// among all that have the version, and each one that gets it becomes a choice for the rest.
+#[derive(Debug, Default)]
+pub struct Catchup {
+    since: Option<Time>,
+    holders: Vec<Holder>,
+    next: Time,
+    is_asking: bool,
+    /// The last holder was busy, so that those of other data centres are asked too.
+    was_busy: bool,
+}
+
+impl Catchup {
+    /// Another instance has a configuration that is newer than this one's. Says whether this instance
+    /// wasn't behind before. `chance`: any random number.
+    pub fn told(&mut self, now: Time, holder: Holder, is_watcher: bool, chance: u64) -> bool {
+        let is_news = self.since.is_none();
+        if is_news {
+            self.since = Some(now);
+            let wait = if is_watcher { WATCHER_WAITS } else { Duration::ZERO };
+            self.next = now + wait + part(SPREAD, chance);
+        }
+        self.remember(holder);
+        is_news
+    }
+
+    fn remember(&mut self, holder: Holder) {
+        let known = self.holders.iter_mut().find(|it| it.address == holder.address);
+        if let Some(it) = known {
+            it.version = it.version.max(holder.version);
+            return;
+        }
+        if self.holders.len() < MAX_HOLDERS {
+            self.holders.push(holder);
+            return;
+        }
+        // One that has less gives way.
+        let oldest = self.holders.iter_mut().min_by_key(|it| it.version);
+        if let Some(it) = oldest.filter(|it| it.version < holder.version) {
+            *it = holder;
+        }
+    }
+
+    /// A configuration is in force here.
+    pub fn in_force(&mut self, version: u64) {
+        self.holders.retain(|it| version < it.version);
+        if self.holders.is_empty() {
+            self.settle();
+        }
+    }
+
+    /// The store was read: no instance has anything newer than what it said.
+    pub fn settle(&mut self) {
+        self.holders.clear();
+        self.since = None;
+        self.was_busy = false;
+    }
+
+    /// When the next question is due, if one is.
+    pub fn next(&self) -> Option<Time> {
+        (self.since.is_some() && !self.is_asking && !self.holders.is_empty()).then_some(self.next)
+    }
+
+    /// Whether the holders have failed for so long that the store is to be read.
+    pub fn needs_store(&self, now: Time) -> bool {
+        self.since.is_some_and(|it| TO_STORE <= now.since(it))
+    }
+
+    /// The holder to be asked now: one that has the newest version, of the own data centre `centre` unless
+    /// those are busy. `chance`: any random number.
+    pub fn ask(&mut self, now: Time, centre: &str, chance: u64) -> Option<Holder> {
+        if self.next().is_none_or(|it| now < it) {
+            return None;
+        }
+        let newest = self.holders.iter().map(|it| it.version).max()?;
+        let current = || self.holders.iter().filter(move |it| it.version == newest);
+        let near: Vec<&Holder> = current().filter(|it| *it.centre == *centre).collect();
+        let choice = if near.is_empty() || self.was_busy { current().collect() } else { near };
+        let holder = choice.get((chance % choice.len().max(1) as u64) as usize).copied().cloned();
+        self.is_asking = holder.is_some();
+        holder
+    }
+
+    /// The question to the holder at `address` has ended. `chance`: any random number.
+    pub fn answered(&mut self, now: Time, address: SocketAddr, answer: Answer, chance: u64) {
+        self.is_asking = false;
+        self.was_busy = answer == Answer::Busy;
+        if answer == Answer::Failed {
+            self.holders.retain(|it| it.address != address);
+        }
+        self.next = now + part(PAUSE, chance);
+    }
+}
+
+/// A random part of `whole`.
+fn part(whole: Duration, chance: u64) -> Duration {
+    whole.mul_f64((chance % 1_000) as f64 / 1e3)
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -48,6 +48,7 @@
     pool::Pool,
     rollout::Rollout,
     settings::Settings,
+    uplink::Uplink,
 };
 
 use exchange::Exchange;
@@ -146,6 +147,8 @@
     /// When SIGTERM came.
     leaving_since: Option<Time>,
     swept: Time,
+    /// What long answers to other instances may take of the link.
+    uplink: Uplink,
 }
 
 /// Serves until the instance is asked to end.
@@ -236,6 +239,7 @@
             orders,
             leaving_since: None,
             swept: now,
+            uplink: Uplink::open(settings.link_bytes_per_s),
             settings,
         })
     }
@@ -364,7 +368,8 @@
     fn pause(&mut self) -> Duration {
         let timer = self.timers.peek().map(|it| it.0.0);
         let storage = self.storage.next(self.now, self.members.me().is_watching);
-        let next = [timer, storage, self.rollout.next()].into_iter().flatten().min();
+        let catchup = self.peers.catchup.next();
+        let next = [timer, storage, self.rollout.next(), catchup].into_iter().flatten().min();
         next.map_or(IDLE, |it| it.since(self.now).min(IDLE))
     }
 
--- a/crates/gateway/src/core/errand.rs
+++ b/crates/gateway/src/core/errand.rs
@@ -40,11 +40,32 @@
     State(state::Question),
 }
 
+/// How long a long answer that has begun may pause, and how long it may take in all. A megabyte takes 0.8 s
+/// on a link of 10 Mbit/s that carries nothing else.
+///
+/// Guards against answers that are given up while they still come: what was sent is lost, and the next try
+/// finds the same link with more to carry. It shows as calls that end by their timeout again and again while
+/// the link is full. It holds since time counts against silence only, up to a bound that any link meets.
+const PAUSE: Duration = Duration::from_millis(1_000);
+const WHOLE: Duration = Duration::from_secs(10);
+
+impl Purpose {
+    /// Whether its answer may be so long that a narrow link takes a good part of a second for it.
+    fn is_long(&self) -> bool {
+        matches!(
+            self,
+            Self::State(_) | Self::Store { call: Call::List { .. } | Call::Watch { .. }, .. }
+        )
+    }
+}
+
 /// One request under way.
 pub(crate) struct Task {
     serial: u64,
     purpose: Purpose,
     connection: Key,
+    /// When its answer began, and when the last of it came.
+    came: Option<(Time, Time)>,
 }
 
 /// One connection for such requests.
@@ -104,7 +125,7 @@
         write::end(&mut bytes);
         bytes.extend_from_slice(&errand.body);
         let serial = self.serial();
-        let place = self.errands.insert(Task { serial, purpose, connection });
+        let place = self.errands.insert(Task { serial, purpose, connection, came: None });
         if let Some(Role::Errand(conn)) = self.roles.get_mut(&connection) {
             conn.task = Some(place);
         }
@@ -142,6 +163,9 @@
             self.drop_connection(key);
             return;
         }
+        if let Some(task) = conn.task.and_then(|it| self.errands.get_mut(it)) {
+            task.came = Some((task.came.map_or(self.now, |it| it.0), self.now));
+        }
         let Some(socket) = self.net.get_mut(key) else { return };
         if conn.reading.is_none() {
             match Response::take(&mut socket.input, MAX_HEAD, false) {
@@ -208,6 +232,13 @@
 
     pub(crate) fn errand_due(&mut self, place: usize, serial: u64) {
         let Some(task) = self.errands.get(place).filter(|it| it.serial == serial) else { return };
+        if let Some((began, came)) = task.came.filter(|_| task.purpose.is_long()) {
+            let until = (came + PAUSE).min(began + WHOLE);
+            if self.now < until {
+                self.at(until, Timer::Errand(place, serial));
+                return;
+            }
+        }
         self.errand_ended(task.connection, End::Silent);
     }
 
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -12,7 +12,7 @@
     catalog::{Catalog, Service},
     core::{
         Core,
-        storage::{Entry, Source, What},
+        storage::{Document, Entry, Source, What},
     },
     dialect::Subject,
     gossip::{self, Member},
@@ -40,7 +40,7 @@
         match what {
             What::Subject(Subject::Configuration) => {
                 if *object.key.name == *self.dialect.configuration_name() {
-                    self.take_configuration(&object.value, Source::Store);
+                    self.take_configuration(&object.value, None, Source::Store);
                 }
             }
             What::Subject(Subject::Weights) => self.take_weights(&object.value),
@@ -68,8 +68,13 @@
         }
     }
 
-    /// Takes a configuration, if it is newer.
-    pub(crate) fn take_configuration(&mut self, value: &Arc<[u8]>, source: Source) {
+    /// Takes a configuration, if it is newer. `packed`: as another instance told it.
+    pub(crate) fn take_configuration(
+        &mut self,
+        value: &Arc<[u8]>,
+        packed: Option<Arc<[u8]>>,
+        source: Source,
+    ) {
         let now = self.now;
         let catalog: Catalog = match self.dialect.catalog(value) {
             Ok(it) => it,
@@ -88,7 +93,8 @@
             .number("before", known)
             .number("routes", catalog.routes())
             .text("source", source.name());
-        self.storage.configuration = Some((catalog.version, value.clone()));
+        self.storage.configuration = Some(Document::open(catalog.version, value.clone(), packed));
+        self.peers.catchup.in_force(catalog.version);
         self.pool.name_services(catalog.services.keys().cloned());
         self.catalog = Some(Arc::new(catalog));
         self.follow_cache_stores();
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -6,6 +6,7 @@
 use shallotlead_base::{hash::Map, time::Time};
 
 use crate::{
+    catchup::{Catchup, Holder},
     core::{Core, storage::Source},
     dialect::Load,
     gossip::{Datagram, Entry, Loading, Message, Naming, PERIOD, Placement, Told},
@@ -27,8 +28,9 @@
     told: Time,
     leaving: Vec<(Arc<str>, u64, Time)>,
     loading: Vec<(Loading, Time)>,
-    /// Since when another instance, at this address, has a newer configuration.
-    pub(crate) behind: Option<(Time, SocketAddr)>,
+    /// Who has a newer configuration, and who of them is asked.
+    pub(crate) catchup: Catchup,
+    /// When another instance was last asked for all that was missed.
     pub(crate) asked: Time,
     /// Servers that were found silent since the others were told last.
     silent: Vec<Arc<str>>,
@@ -83,7 +85,7 @@
         }
         self.tell_placed();
         self.tell_entries();
-        self.ask_peer();
+        self.ask_peers();
     }
 
     /// Tells the instances nearby of entries that this one has read for them.
@@ -271,7 +273,8 @@
             cache_stores,
             paces,
         } = message;
-        let address = from.peers;
+        let holder =
+            Holder { address: from.peers, centre: from.centre.clone(), version: configuration };
         for (address, is_alive) in cache_stores {
             self.cache_stores.told(now, address, is_alive);
         }
@@ -287,18 +290,7 @@
         for member in members {
             self.members.take(now, member);
         }
-        let own = self.catalog.as_ref().map_or(0, |it| it.version);
-        if own < configuration {
-            if self.peers.behind.is_none() {
-                self.journal
-                    .line(now, "behind")
-                    .number("configuration", own)
-                    .number("told", configuration)
-                    .text("peer", &address.to_string());
-            }
-            let since = self.peers.behind.map_or(now, |it| it.0);
-            self.peers.behind = Some((since, address));
-        }
+        self.told_configuration(holder);
         self.take_namings(&weights);
         for (name, revision) in leaving {
             let change = self.pool.told_leaving(&name, revision);
@@ -321,6 +313,24 @@
         }
     }
 
+    /// Another instance has said which configuration it has.
+    fn told_configuration(&mut self, holder: Holder) {
+        let own = self.catalog.as_ref().map_or(0, |it| it.version);
+        if holder.version <= own {
+            return;
+        }
+        let (address, version) = (holder.address, holder.version);
+        let is_watching = self.members.me().is_watching;
+        let chance = self.random();
+        if self.peers.catchup.told(self.now, holder, is_watching, chance) {
+            self.journal
+                .line(self.now, "behind")
+                .number("configuration", own)
+                .number("told", version)
+                .text("peer", &address.to_string());
+        }
+    }
+
     fn told_loading(&mut self, loading: &Loading) {
         let now = self.now;
         let Some(id) = self.pool.find_life(&loading.server, loading.born) else { return };
--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -7,6 +7,7 @@
 use shallotlead_base::time::Time;
 
 use crate::{
+    catchup::Answer,
     core::{
         Core,
         errand::{Outcome, Purpose},
@@ -17,20 +18,24 @@
     pool::Presence,
 };
 
-/// Path of the page with an instance's knowledge.
-pub(crate) const STATE_PATH: &str = "/state";
-/// How long this instance may be behind another one's configuration, or without the store, before it
-/// asks another instance. Its own watch is usually some milliseconds behind.
-const BEHIND: Duration = Duration::from_millis(200);
+/// Path of the page with an instance's knowledge. The number tells its form apart from earlier ones, which
+/// other instances may still speak while the fleet is being replaced.
+pub(crate) const STATE_PATH: &str = "/state/2";
+/// How long this instance may be without the store before it asks another instance.
+const AWAY: Duration = Duration::from_millis(200);
 /// How often an instance that doesn't watch the store asks one that does for what it has missed.
 const MAKE_UP: Duration = Duration::from_secs(4);
-/// Time between two such questions, and how long one may take.
+/// Time between two questions of an instance without the store.
 const ASK_AGAIN: Duration = Duration::from_millis(400);
+/// How long an answer may take to begin. Whoever lets one go sends it within a tenth of a second.
+const ANSWER_BEGINS: Duration = Duration::from_millis(400);
+/// Stands for a version or revision of which there is none newer: nothing of its kind is wanted.
+const NOTHING: u64 = u64::MAX;
 
 /// What one instance knows from the store.
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct State {
-    /// The configuration as it lies there.
+    /// The configuration, packed; nothing also while the link is taken up by other answers.
     configuration: Option<Vec<u8>>,
     /// Servers' entries.
     entries: Vec<Entry>,
@@ -44,6 +49,8 @@
     peer: SocketAddr,
     reason: Reason,
     asked: Time,
+    /// The version of the configuration that is wanted, if one is.
+    version: Option<u64>,
 }
 
 /// Why another instance is asked.
@@ -69,42 +76,56 @@
 }
 
 impl Core {
-    /// Asks another instance for what this one can't read from the store.
+    /// Asks other instances for what this one has missed, or can't read from the store.
     ///
     /// Guards against an instance that the store turns away, or whose watch fell silent: it would go
     /// on with an old configuration and an old list of servers. It shows as requests handled by
     /// routes or keys that were removed. It holds as long as one reachable instance knows more.
-    pub(crate) fn ask_peer(&mut self) {
+    pub(crate) fn ask_peers(&mut self) {
+        self.ask_holder();
         let now = self.now;
-        let own = self.catalog.as_ref().map_or(0, |it| it.version);
-        let behind = self.peers.behind.filter(|it| BEHIND <= now.since(it.0)).map(|it| it.1);
-        let is_away = self.storage.away_since().is_some_and(|it| BEHIND <= now.since(it));
-        // One that doesn't watch itself makes up now and then for datagrams that got lost.
-        let is_due = !self.members.me().is_watching && MAKE_UP <= now.since(self.peers.asked);
-        if now.since(self.peers.asked) < ASK_AGAIN || (behind.is_none() && !is_away && !is_due) {
+        if now.since(self.peers.asked) < ASK_AGAIN {
             return;
         }
-        let near = self.members.neighbours(now).filter(|it| it.is_watching || !is_due);
+        let is_away = self.storage.away_since().is_some_and(|it| AWAY <= now.since(it));
+        // One that doesn't watch itself makes up now and then for datagrams that got lost.
+        let is_due = !self.members.me().is_watching && MAKE_UP <= now.since(self.peers.asked);
+        let reason = match (is_away, is_due) {
+            (true, _) => Reason::StoreAway,
+            (false, true) => Reason::MakeUp,
+            (false, false) => return,
+        };
+        let near = self.members.neighbours(now).filter(|it| it.is_watching || is_away);
         let alive: Vec<SocketAddr> = near.map(|it| it.peers).collect();
-        let Some(target) = behind.or_else(|| alive.choose(&mut self.rng).copied()) else { return };
+        let Some(peer) = alive.choose(&mut self.rng).copied() else { return };
         self.peers.asked = now;
         let revision = self.storage.entries.values().map(|it| it.revision).max().unwrap_or(0);
-        let entries = if is_away || is_due { revision } else { u64::MAX };
-        let target_path = format!("{STATE_PATH}?configuration={own}&entries={entries}");
-        let errand =
-            Errand { method: "GET", target: target_path, fields: Vec::new(), body: Vec::new() };
-        let reason = match (behind.is_some(), is_away) {
-            (true, _) => Reason::Behind,
-            (false, true) => Reason::StoreAway,
-            (false, false) => Reason::MakeUp,
+        // Newer versions are told of by all, and asked for by themselves; the first one is taken anyhow.
+        let own = if self.catalog.is_some() { NOTHING } else { 0 };
+        self.ask(Question { peer, reason, asked: now, version: None }, own, revision);
+    }
+
+    /// Asks an instance that has a newer configuration for it.
+    fn ask_holder(&mut self) {
+        let now = self.now;
+        let chance = self.random();
+        let Some(holder) = self.peers.catchup.ask(now, &self.settings.centre, chance) else {
+            return;
         };
-        let question = Question { peer: target, reason, asked: now };
-        self.run_errand(target, &errand, ASK_AGAIN, Purpose::State(question));
+        let own = self.catalog.as_ref().map_or(0, |it| it.version);
+        let (peer, version) = (holder.address, Some(holder.version));
+        self.ask(Question { peer, reason: Reason::Behind, asked: now, version }, own, NOTHING);
+    }
+
+    fn ask(&mut self, question: Question, configuration: u64, entries: u64) {
+        let target = format!("{STATE_PATH}?configuration={configuration}&entries={entries}");
+        let errand = Errand { method: "GET", target, fields: Vec::new(), body: Vec::new() };
+        self.run_errand(question.peer, &errand, ANSWER_BEGINS, Purpose::State(question));
     }
 
     /// What this instance knows beyond `configuration` and the revision `entries`.
     pub(crate) fn state(&mut self, configuration: u64, entries: u64) -> Vec<u8> {
-        let newer = self.storage.configuration.as_ref().filter(|it| configuration < it.0);
+        let packed = self.packed_configuration(configuration);
         // What is missing may come back, so that it isn't told as gone before it is.
         let is_told = |name: &str| {
             self.pool.find(name).is_none_or(|it| self.pool.get(it).presence == Presence::Gone)
@@ -112,7 +133,7 @@
         let entries = self.storage.entries.iter().filter(|it| entries < it.1.revision);
         let entries = entries.filter(|it| it.1.value.is_some() || is_told(it.0));
         let state = State {
-            configuration: newer.map(|it| it.1.to_vec()),
+            configuration: packed.map(|it| it.to_vec()),
             entries: entries.map(told).collect(),
             weights: self.namings(),
         };
@@ -129,23 +150,59 @@
         bytes
     }
 
+    /// The configuration for an instance that has version `known`, if it is newer and the link is free.
+    fn packed_configuration(&mut self, known: u64) -> Option<Arc<[u8]>> {
+        let document = self.storage.configuration.as_mut().filter(|it| known < it.version)?;
+        match document.packed() {
+            Ok(packed) => self.uplink.admit(self.now, packed.len()).then_some(packed),
+            Err(err) => {
+                let error = err.to_string();
+                self.journal.line(self.now, "configuration_unpackable").text("error", &error);
+                None
+            }
+        }
+    }
+
     pub(crate) fn state_came(&mut self, question: &Question, outcome: &Outcome) {
-        self.peers.behind = None;
-        self.note_answer(question, outcome);
-        let Outcome::Answered { status: 200, body, .. } = outcome else { return };
+        let result = self.take_state(outcome);
+        let own = self.catalog.as_ref().map_or(0, |it| it.version);
+        let result = match result {
+            Answer::Told if question.version.is_some_and(|it| own < it) => Answer::Busy,
+            it => it,
+        };
+        self.note_answer(question, result, outcome);
+        if question.reason == Reason::Behind {
+            let chance = self.random();
+            self.peers.catchup.answered(self.now, question.peer, result, chance);
+        }
+    }
+
+    fn take_state(&mut self, outcome: &Outcome) -> Answer {
+        let Outcome::Answered { status: 200, body, .. } = outcome else { return Answer::Failed };
         let Ok(state) = postcard::from_bytes::<State>(body) else {
             self.journal.line(self.now, "state_unreadable").number("bytes", body.len());
-            return;
+            return Answer::Failed;
         };
-        if let Some(value) = state.configuration {
-            self.take_configuration(&Arc::from(value), Source::Instance);
+        if let Some(packed) = state.configuration {
+            match storage::unpack(&packed) {
+                Ok(value) => {
+                    self.take_configuration(&value, Some(packed.into()), Source::Instance);
+                }
+                Err(err) => {
+                    let error = err.to_string();
+                    self.journal.line(self.now, "configuration_unreadable").text("error", &error);
+                    return Answer::Failed;
+                }
+            }
         }
         self.take_entries(state.entries);
         self.take_namings(&state.weights);
+        Answer::Told
     }
 
-    fn note_answer(&mut self, question: &Question, outcome: &Outcome) {
+    fn note_answer(&mut self, question: &Question, answer: Answer, outcome: &Outcome) {
         let (result, bytes) = match outcome {
+            Outcome::Answered { body, .. } if answer == Answer::Busy => ("busy", body.len()),
             Outcome::Answered { status: 200, body, .. } => ("answered", body.len()),
             Outcome::Answered { .. } => ("refused", 0),
             Outcome::NotSent => ("not-sent", 0),
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -1,6 +1,7 @@
 //! What is followed in the platform's store: configuration, backend servers, named weights, and the
 //! instances' own records.
 
+mod document;
 mod follower;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -26,6 +27,7 @@
     settings::Settings,
 };
 
+pub(crate) use document::{Document, unpack};
 use follower::Follower;
 pub(crate) use follower::What;
 
@@ -51,7 +53,7 @@
     /// Since when the store hasn't answered this instance.
     away_since: Option<Time>,
     /// The configuration as it lies in the store, for instances that can't reach it.
-    pub(crate) configuration: Option<(u64, Arc<[u8]>)>,
+    pub(crate) configuration: Option<Document>,
     /// Servers' entries as they lie in the store, for the same.
     pub(crate) entries: Map<Arc<str>, Entry>,
     register: Register,
@@ -162,12 +164,21 @@
     pub(crate) fn tick_storage(&mut self) {
         let now = self.now;
         let is_watcher = self.members.me().is_watching;
+        let needs_configuration = self.peers.catchup.needs_store(now);
         for index in 0..self.storage.followed.len() {
             let it = &mut self.storage.followed[index];
-            // What was read once is followed by those that watch; the others hear of it from them.
-            if it.is_open || now < it.next || (it.revision.is_some() && !is_watcher) {
+            if it.is_open || now < it.next {
                 continue;
             }
+            // What was read once is followed by those that watch; the others hear of it from them.
+            let is_needed = needs_configuration && it.what == What::Subject(Subject::Configuration);
+            if it.revision.is_some() && !is_watcher {
+                if !is_needed {
+                    continue;
+                }
+                // What came in between is of no use any more.
+                it.revision = None;
+            }
             it.is_open = true;
             let call = it.call();
             self.storage.submit(now, Want::Follow(index), call);
@@ -322,6 +333,9 @@
         match reply {
             Reply::Listed { objects, version } => {
                 follower.revision = Some(*version);
+                if what == What::Subject(Subject::Configuration) {
+                    self.peers.catchup.settle();
+                }
                 self.take_list(what, objects, *version);
             }
             Reply::Changed { changes, version } => {
--- /dev/null
+++ b/crates/gateway/src/core/storage/document.rs
@@ -0,0 +1,48 @@
+//! The configuration as it lies in the store, and in the form in which instances tell it each other.
+
+use std::{
+    io::{self, Read, Write},
+    sync::Arc,
+};
+
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
+
+/// Longest configuration that is unpacked: four times what the store's values may have.
+const MAX_LENGTH: u64 = 4 << 20;
+
+/// One version of the configuration as it lies in the store.
+pub(crate) struct Document {
+    pub(crate) version: u64,
+    value: Arc<[u8]>,
+    /// Made once someone asks for it.
+    packed: Option<Arc<[u8]>>,
+}
+
+impl Document {
+    /// `packed`: the value as it came from another instance.
+    pub(crate) fn open(version: u64, value: Arc<[u8]>, packed: Option<Arc<[u8]>>) -> Self {
+        Self { version, value, packed }
+    }
+
+    /// The value for another instance. 1,400 routes take about a tenth of their 280 KB.
+    pub(crate) fn packed(&mut self) -> io::Result<Arc<[u8]>> {
+        if let Some(packed) = &self.packed {
+            return Ok(packed.clone());
+        }
+        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+        encoder.write_all(&self.value)?;
+        let packed: Arc<[u8]> = encoder.finish()?.into();
+        self.packed = Some(packed.clone());
+        Ok(packed)
+    }
+}
+
+/// The value that another instance has packed.
+pub(crate) fn unpack(packed: &[u8]) -> io::Result<Arc<[u8]>> {
+    let mut value = Vec::new();
+    DeflateDecoder::new(packed).take(MAX_LENGTH + 1).read_to_end(&mut value)?;
+    if MAX_LENGTH < value.len() as u64 {
+        return Err(io::Error::other("the configuration is too long"));
+    }
+    Ok(value.into())
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod budget;
 pub mod catalog;
+pub mod catchup;
 pub mod copies;
 mod clock;
 mod core;
@@ -23,6 +24,7 @@
 pub mod pool;
 pub mod rollout;
 pub mod settings;
+pub mod uplink;
 
 use std::{
     io,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -30,6 +30,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Where other instances reach this one: its own address for them, or that of a proxy before it.
     pub advertised: SocketAddr,
+    /// What this instance's own link carries, bytes a second.
+    pub link_bytes_per_s: f64,
     /// How long callers may keep an answer of the directory.
     pub ttl: Duration,
     /// The shared retry budget.
@@ -120,12 +122,18 @@
 /// deployment had.
 const OLDEST_WEIGHTS: Duration = Duration::from_secs(8);
 
+/// What a link carries where nothing is set, Mbit/s: the narrowest that any deployment had.
+const LINK_MBIT: f64 = 10.0;
+/// Bytes of a megabit.
+const BYTES_PER_MBIT: f64 = 125_000.0;
+
 /// All settings, by section.
-const KNOWN: [(&str, &[&str]); 10] = [
+const KNOWN: [(&str, &[&str]); 11] = [
     ("instance", &["name", "data_centre"]),
     ("listen", &["callers", "ready", "directory", "peers", "metrics"]),
     ("store", &["address", "reads_per_second", "writes_per_second"]),
     ("peers", &["seeds", "advertised"]),
+    ("link", &["mbit_per_second"]),
     ("directory", &["ttl_ms"]),
     ("retries", &["ratio", "window_ms", "slack"]),
     ("orders", &["gap_ms"]),
@@ -171,6 +179,7 @@
             number(ini, "store", "reads_per_second", "a number")?,
             number(ini, "store", "writes_per_second", "a number")?,
         ),
+        link_bytes_per_s: link(ini)?,
         ttl: millis("directory", "ttl_ms")?,
         retries: budget::Terms {
             ratio: number(ini, "retries", "ratio", "a number")?,
@@ -192,6 +201,18 @@
     number(ini, "weights", "oldest_ms", "a number of milliseconds").map(from_ms)
 }
 
+/// A platform that states no bound leaves the setting empty.
+fn link(ini: &Ini) -> Result<f64, Error> {
+    let is_set = ini.get_from(Some("link"), "mbit_per_second").is_some_and(|it| !it.is_empty());
+    let mbit: f64 = match is_set {
+        true => number(ini, "link", "mbit_per_second", "a number")?,
+        false => LINK_MBIT,
+    };
+    // A bound of nothing would never let an answer go.
+    let mbit = if 0.0 < mbit { mbit } else { LINK_MBIT };
+    Ok(mbit * BYTES_PER_MBIT)
+}
+
 fn from_ms(ms: f64) -> Duration {
     Duration::from_secs_f64(ms.max(0.0) / 1e3)
 }
--- /dev/null
+++ b/crates/gateway/tests/catchup.rs
@@ -0,0 +1,196 @@
+//! How a newer configuration spreads through a fleet, in virtual time.
+
+mod support;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use shallotlead_base::time::Time;
+use shallotlead_gateway::{
+    catchup::{Answer, Catchup, Holder},
+    uplink::Uplink,
+};
+use support::at;
+
+/// A link of 10 Mbit/s, bytes a second, and the part of it that callers leave.
+const LINK: f64 = 1_250_000.0;
+const LEFT: f64 = 0.8;
+/// Data centres, and the instances in each that have the version from the store.
+const CENTRES: usize = 5;
+const WATCHERS: usize = 2;
+/// Instances that each one tells at once of what it has, at the most.
+const MOST_TOLD: usize = 128;
+/// How long a question, or a datagram, is on its way, ms.
+const WAY_MS: u64 = 3;
+
+struct Node {
+    centre: Arc<str>,
+    has_it: bool,
+    catchup: Catchup,
+    uplink: Uplink,
+    /// When the bytes on its link are through.
+    through: Time,
+}
+
+enum Event {
+    Told { from: usize, to: usize },
+    Answered { to: usize, from: usize, answer: Answer },
+}
+
+/// What became of a fleet.
+struct Outcome {
+    /// When the last instance had the version.
+    all_have_it: Duration,
+    answers: usize,
+    longest_queue: Duration,
+}
+
+/// `fleet` instances want an answer of `bytes`, of which two in each data centre have it at the start.
+fn spread(fleet: usize, bytes: usize, seed: u64) -> Outcome {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut nodes: Vec<Node> = (0..fleet).map(|it| node(it % CENTRES)).collect();
+    let mut events: Vec<(u64, Event)> = Vec::new();
+    for from in 0..CENTRES * WATCHERS {
+        nodes[from].has_it = true;
+        tell(&mut events, &mut rng, 0, from, fleet);
+    }
+    let (mut answers, mut longest_queue) = (0, Duration::ZERO);
+    for ms in 0..20_000 {
+        let now = at(ms);
+        let (due, later) = events.into_iter().partition(|it| it.0 <= ms);
+        events = later;
+        for (_, event) in due {
+            match event {
+                Event::Told { from, to } if !nodes[to].has_it => {
+                    let holder = holder(&nodes[from], from);
+                    nodes[to].catchup.told(now, holder, false, rng.random());
+                }
+                Event::Told { .. } => {}
+                Event::Answered { to, from, answer } => {
+                    if answer == Answer::Told {
+                        nodes[to].has_it = true;
+                        nodes[to].catchup.in_force(2);
+                        tell(&mut events, &mut rng, ms, to, fleet);
+                    }
+                    nodes[to].catchup.answered(now, address(from), answer, rng.random());
+                }
+            }
+        }
+        if nodes.iter().all(|it| it.has_it) {
+            let all_have_it = Duration::from_millis(ms);
+            return Outcome { all_have_it, answers, longest_queue };
+        }
+        for to in 0..fleet {
+            let centre = nodes[to].centre.clone();
+            let Some(asked) = nodes[to].catchup.ask(now, &centre, rng.random()) else { continue };
+            let from = usize::from(asked.address.port()) - 1;
+            let source = &mut nodes[from];
+            if !source.uplink.admit(now, bytes) {
+                let answer = Answer::Busy;
+                events.push((ms + 2 * WAY_MS, Event::Answered { to, from, answer }));
+                continue;
+            }
+            answers += 1;
+            longest_queue = longest_queue.max(source.through.since(now));
+            let takes = Duration::from_secs_f64(bytes as f64 / (LINK * LEFT));
+            source.through = source.through.max(now) + takes;
+            let through_ms = ms + source.through.since(now).as_millis() as u64;
+            let answer = Answer::Told;
+            events.push((through_ms + 2 * WAY_MS, Event::Answered { to, from, answer }));
+        }
+    }
+    panic!("{} of {fleet} never have it", nodes.iter().filter(|it| !it.has_it).count());
+}
+
+fn node(centre: usize) -> Node {
+    Node {
+        centre: Arc::from(centre.to_string()),
+        has_it: false,
+        catchup: Catchup::default(),
+        uplink: Uplink::open(LINK),
+        through: Time::ZERO,
+    }
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], index as u16 + 1))
+}
+
+fn holder(node: &Node, index: usize) -> Holder {
+    Holder { address: address(index), centre: node.centre.clone(), version: 2 }
+}
+
+fn tell(events: &mut Vec<(u64, Event)>, rng: &mut SmallRng, ms: u64, from: usize, fleet: usize) {
+    let share = (MOST_TOLD as f64 / fleet as f64).min(1.0);
+    for to in (0..fleet).filter(|it| *it != from) {
+        if rng.random_bool(share) {
+            events.push((ms + WAY_MS + rng.random_range(0..20), Event::Told { from, to }));
+        }
+    }
+}
+
+// Operators add 1,400 routes, and most of a fleet with narrow links goes on for eight seconds by the version
+// before. All asked the instance that announced it last: one answer of 281 KB takes 0.2 s there, dozens at once
+// never came through before they were given up. Here 280 KB go on unpacked, packed they are a tenth of that.
+#[test]
+fn configuration_reaches_large_fleets_in_time() {
+    for seed in 0..10 {
+        for (fleet, bytes, ms) in
+            [(73, 28_000, 500), (73, 280_000, 3_000), (420, 28_000, 1_000), (420, 100_000, 3_000)]
+        {
+            let outcome = spread(fleet, bytes, seed);
+            let took = outcome.all_have_it;
+            assert!(took < Duration::from_millis(ms), "{fleet} {bytes} {seed}: {took:?}");
+            // No answer is given up, so that none is sent twice.
+            assert_eq!(outcome.answers, fleet - CENTRES * WATCHERS);
+        }
+    }
+}
+
+// Callers' answers share the link with those for other instances. However many ask at once, what waits there
+// for others stays below what would fail a readiness check.
+#[test]
+fn answers_to_others_don_t_fill_the_link() {
+    for seed in 0..10 {
+        let outcome = spread(420, 28_000, seed);
+        let queue = outcome.longest_queue;
+        assert!(queue < Duration::from_millis(200), "{seed}: {queue:?}");
+    }
+}
+
+// All holders fail: their links are cut, or they have left. The store is read instead, and once it was, its
+// word is final, so that it isn't read over and over for a version that nobody has.
+#[test]
+fn store_is_read_when_holders_fail() {
+    let mut catchup = Catchup::default();
+    let nearby = node(0);
+    assert!(catchup.told(at(0), holder(&nearby, 1), false, 0));
+    assert!(!catchup.told(at(1), holder(&nearby, 2), false, 0));
+    for ms in [2, 500] {
+        let asked = catchup.ask(at(ms), "0", 0).expect("a holder is left");
+        assert_eq!(catchup.ask(at(ms), "0", 0), None, "one question at a time");
+        catchup.answered(at(ms + 400), asked.address, Answer::Failed, 0);
+    }
+    assert_eq!(catchup.ask(at(1_000), "0", 0), None);
+    assert!(!catchup.needs_store(at(1_000)));
+    assert!(catchup.needs_store(at(1_200)));
+    catchup.settle();
+    assert!(!catchup.needs_store(at(5_000)));
+}
+
+// A second version comes while the first still spreads. Whoever is behind asks those that have the newest.
+#[test]
+fn newest_version_is_asked_for() {
+    let mut catchup = Catchup::default();
+    let nearby = node(0);
+    catchup.told(at(0), holder(&nearby, 1), false, 0);
+    let newer = Holder { version: 3, ..holder(&node(1), 2) };
+    catchup.told(at(1), newer.clone(), false, 0);
+    assert_eq!(catchup.ask(at(100), "0", 7), Some(newer));
+    // The older one was on its way: it is in force, and the newer one is still wanted.
+    catchup.in_force(2);
+    catchup.answered(at(200), address(2), Answer::Busy, 0);
+    assert_eq!(catchup.ask(at(300), "0", 7).map(|it| it.version), Some(3));
+    catchup.in_force(3);
+    assert_eq!(catchup.next(), None);
+}
