--- a/crates/gateway/tests/catchup.rs
+++ b/crates/gateway/tests/catchup.rs
@@ -50,8 +50,8 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut nodes: Vec<Node> = (0..fleet).map(|it| node(it % CENTRES)).collect();
     let mut events: Vec<(u64, Event)> = Vec::new();
-    for from in 0..CENTRES * WATCHERS {
-        nodes[from].has_it = true;
+    for (from, node) in nodes.iter_mut().enumerate().take(CENTRES * WATCHERS) {
+        node.has_it = true;
         tell(&mut events, &mut rng, 0, from, fleet);
     }
     let (mut answers, mut longest_queue) = (0, Duration::ZERO);
--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -1,7 +1,10 @@
 //! The running client and the HTTP adapter against the platform's stand-in.
 
 use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, mpsc},
+    thread,
     time::{Duration, Instant},
 };
 
@@ -200,6 +203,52 @@
     assert!(http.members().is_err());
 }
 
+// The table has grown, and an instance on a narrow link never comes up: reading the list takes longer than a call
+// may, so that it is given up although it still comes, and read again from the start, with the same end.
+#[test]
+fn long_lists_are_read_while_they_come() {
+    const PIECES: usize = 10;
+    const PAUSE: Duration = Duration::from_millis(100);
+    let platform = platform();
+    let direct = open(&platform, TIMEOUT);
+    direct.call(put("a", 0, &[7; 4_000]));
+    let Reply::Listed { objects, .. } = direct.call(list()) else { panic!("not listed") };
+    let narrow = narrow(platform.address(), PIECES, PAUSE);
+    let http = Http::new(&format!("http://{narrow}"), PAUSE * 3);
+    let Outcome::Answered(Reply::Listed { objects: read, .. }) = http.call(&list()) else {
+        panic!("the list was given up");
+    };
+    assert_eq!(read, objects);
+}
+
+/// A link to `target` that passes one answer on in `pieces` with a pause before each.
+fn narrow(target: SocketAddr, pieces: usize, pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free address");
+    let address = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        let (mut near, _) = listener.accept().expect("a connection");
+        let mut far = TcpStream::connect(target).expect("the platform");
+        let mut request = [0; 4_096];
+        let len = near.read(&mut request).expect("a request");
+        far.write_all(&request[..len]).expect("the platform");
+        let mut answer = Vec::new();
+        let mut piece = [0; 65_536];
+        far.set_read_timeout(Some(pause)).expect("a pause");
+        while let Ok(len) = far.read(&mut piece)
+            && 0 < len
+        {
+            answer.extend_from_slice(&piece[..len]);
+        }
+        for piece in answer.chunks(answer.len().div_ceil(pieces).max(1)) {
+            thread::sleep(pause);
+            if near.write_all(piece).is_err() {
+                return;
+            }
+        }
+    });
+    address
+}
+
 struct Watched(#[allow(dead_code)] mpsc::Sender<()>);
 
 impl Store for Watched {
