Read long answers of the store as long as they come

The same cause elsewhere: calls to the store ended after their timeout in all. The product's own instances pass the table on in pieces that resume, from a random source nearby: nothing to mend there.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -25,6 +25,12 @@
 const EXPECTED: &str = "x-expected";
 /// Bound of an answer with many objects, so that a faulty one can't fill the instance's memory.
 const MAX_ANSWER: u64 = 16 << 20;
+/// How long a list or a watch's changes may take to arrive once they have begun: a whole answer takes 13 s on a
+/// link of 10 Mbit/s.
+///
+/// Guards against an instance on a narrow link that never comes up: a long list that is given up while it
+/// still comes is read again from the start, with the same end.
+const LONG_ANSWER: Duration = Duration::from_secs(15);
 
 /// Reaches the platform at one base address, such as `http://127.0.0.1:7900`.
 #[derive(Clone, Debug)]
@@ -36,7 +42,7 @@
 
 impl Http {
     /// An adapter for the platform at `base`; a call is lost after `timeout`, a watch after its wait
-    /// and `timeout`.
+    /// and `timeout`. A list and changes must have begun by then.
     pub fn new(base: &str, timeout: Duration) -> Self {
         let agent: Agent = Agent::config_builder()
             .http_status_as_error(false)
@@ -49,9 +55,18 @@
 
     fn exchange(&self, call: &Call) -> Result<Outcome, ureq::Error> {
         let (request, timeout) = self.request(call)?;
-        let response =
-            request.with_agent(&self.agent).configure().timeout_global(Some(timeout)).run()?;
-        read(call, response)
+        let configured = request.with_agent(&self.agent).configure();
+        let configured = match call {
+            Call::List { .. } | Call::Watch { .. } => configured
+                .timeout_connect(Some(self.timeout))
+                .timeout_send_request(Some(self.timeout))
+                .timeout_recv_response(Some(timeout))
+                .timeout_recv_body(Some(LONG_ANSWER)),
+            Call::Get(_) | Call::Put { .. } | Call::Delete { .. } => {
+                configured.timeout_global(Some(timeout))
+            }
+        };
+        read(call, configured.run()?)
     }
 
     fn request(&self, call: &Call) -> Result<(Request<Vec<u8>>, Duration), ureq::Error> {
