Ask another instance when a holder's configuration can't be read here

A holder whose configuration this instance can't read counted as busy and would have been asked over and over, with the whole transfer each time. It counts as failed now.

--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -164,12 +164,7 @@
     }
 
     pub(crate) fn state_came(&mut self, question: &Question, outcome: &Outcome) {
-        let result = self.take_state(outcome);
-        let own = self.catalog.as_ref().map_or(0, |it| it.version);
-        let result = match result {
-            Answer::Told if question.version.is_some_and(|it| own < it) => Answer::Busy,
-            it => it,
-        };
+        let result = self.take_state(question, outcome);
         self.note_answer(question, result, outcome);
         if question.reason == Reason::Behind {
             let chance = self.random();
@@ -177,27 +172,35 @@
         }
     }
 
-    fn take_state(&mut self, outcome: &Outcome) -> Answer {
+    fn take_state(&mut self, question: &Question, outcome: &Outcome) -> Answer {
         let Outcome::Answered { status: 200, body, .. } = outcome else { return Answer::Failed };
         let Ok(state) = postcard::from_bytes::<State>(body) else {
             self.journal.line(self.now, "state_unreadable").number("bytes", body.len());
             return Answer::Failed;
         };
+        self.take_entries(state.entries);
+        self.take_namings(&state.weights);
+        let is_busy = state.configuration.is_none();
         if let Some(packed) = state.configuration {
-            match storage::unpack(&packed) {
-                Ok(value) => {
-                    self.take_configuration(&value, Some(packed.into()), Source::Instance);
-                }
-                Err(err) => {
-                    let error = err.to_string();
-                    self.journal.line(self.now, "configuration_unreadable").text("error", &error);
-                    return Answer::Failed;
-                }
+            self.take_packed(packed);
+        }
+        let own = self.catalog.as_ref().map_or(0, |it| it.version);
+        match question.version {
+            Some(wanted) if own < wanted && is_busy => Answer::Busy,
+            // It can't be read here. Asked again, the holder would send the same.
+            Some(wanted) if own < wanted => Answer::Failed,
+            Some(_) | None => Answer::Told,
+        }
+    }
+
+    fn take_packed(&mut self, packed: Vec<u8>) {
+        match storage::unpack(&packed) {
+            Ok(value) => self.take_configuration(&value, Some(packed.into()), Source::Instance),
+            Err(err) => {
+                let error = err.to_string();
+                self.journal.line(self.now, "configuration_unreadable").text("error", &error);
             }
         }
-        self.take_entries(state.entries);
-        self.take_namings(&state.weights);
-        Answer::Told
     }
 
     fn note_answer(&mut self, question: &Question, answer: Answer, outcome: &Outcome) {
