Split the store's calls from what follows them, and what instances hear from what they tell

The calls are in core/storage/call.rs, what others tell in core/peers/heard.rs; whether a kind is read again is one step a line. No behaviour changes.

--- /dev/null
+++ b/crates/gateway/src/core/peers/heard.rs
@@ -0,0 +1,147 @@
+//! What other instances tell, and what follows from it.
+
+use std::time::Duration;
+
+use crate::{
+    catchup::Holder,
+    core::{Core, storage::Source},
+    gossip::{Datagram, Loading, Message, Naming, Told},
+    pool::{self, Switch},
+};
+
+impl Core {
+    pub(crate) fn datagram(&mut self, bytes: &[u8]) {
+        match postcard::from_bytes::<Datagram>(bytes) {
+            Ok(Datagram::News(message)) => self.take_news(*message),
+            Ok(Datagram::Placed(placed, loads)) => {
+                for it in loads {
+                    self.told_load(&it);
+                }
+                for placement in &placed {
+                    if let Some(id) = self.pool.find_life(&placement.server, placement.born) {
+                        self.memory.placed(self.now, &mut self.pool, id, placement);
+                    }
+                }
+            }
+            Ok(Datagram::Entries(entries)) => self.take_entries(entries),
+            Err(err) => {
+                self.journal
+                    .line(self.now, "datagram_unreadable")
+                    .number("bytes", bytes.len())
+                    .text("error", &err.to_string());
+            }
+        }
+    }
+
+    pub(crate) fn take_namings(&mut self, namings: &[Naming]) {
+        for it in namings {
+            let at = self.now - Duration::from_millis(it.age_ms);
+            self.weights_named(at, &it.model, it.version, Source::Instance);
+        }
+    }
+
+    /// A server has told another instance its load.
+    fn told_load(&mut self, told: &Told) {
+        let Some(id) = self.pool.find_life(&told.server, told.born) else { return };
+        let ago = |ms: u32| self.now - Duration::from_millis(u64::from(ms));
+        let at = ago(told.age_ms);
+        let waited = told.waited_ms.map(|it| (it.0, ago(it.1)));
+        let server = self.pool.get_mut(id);
+        if let Some((waited_ms, at)) = waited {
+            server.has_waited(at, waited_ms);
+        }
+        if server.load.is_none_or(|it| it.1 < at) {
+            server.load = Some((told.load, at));
+        }
+    }
+
+    fn take_news(&mut self, message: Message) {
+        let now = self.now;
+        let Message {
+            from,
+            members,
+            configuration,
+            weights,
+            leaving,
+            loading,
+            silent,
+            cache_stores,
+            paces,
+        } = message;
+        let holder =
+            Holder { address: from.peers, centre: from.centre.clone(), version: configuration };
+        for (address, is_alive) in cache_stores {
+            self.cache_stores.told(now, address, is_alive);
+        }
+        for (service, pace) in paces {
+            if self.service(&service).is_some() {
+                self.pool.pace_mut(&service).adopt(&pace);
+            }
+        }
+        if from.is_leaving {
+            self.lease.hurry(now);
+        }
+        self.members.take(now, from);
+        for member in members {
+            self.members.take(now, member);
+        }
+        self.told_configuration(holder);
+        self.take_namings(&weights);
+        for (name, revision) in leaving {
+            let change = self.pool.told_leaving(&name, revision);
+            if let pool::Change::Leaving(id) = change {
+                self.drop_idle(id);
+                self.journal
+                    .line(now, "server")
+                    .text("server", &name)
+                    .text("change", "leaving")
+                    .text("reason", "told by an instance");
+            }
+        }
+        for it in loading {
+            self.told_loading(&it);
+        }
+        for name in silent {
+            if let Some(id) = self.pool.find(&name) {
+                self.look_at(id);
+            }
+        }
+    }
+
+    /// Another instance has said which configuration it has.
+    fn told_configuration(&mut self, holder: Holder) {
+        let own = self.catalog.as_ref().map_or(0, |it| it.version);
+        if holder.version <= own {
+            return;
+        }
+        let (address, version) = (holder.address, holder.version);
+        let is_watching = self.members.me().is_watching;
+        let chance = self.random();
+        if self.peers.catchup.told(self.now, holder, is_watching, chance) {
+            self.journal
+                .line(self.now, "behind")
+                .number("configuration", own)
+                .number("told", version)
+                .text("peer", &address.to_string());
+        }
+    }
+
+    fn told_loading(&mut self, loading: &Loading) {
+        let now = self.now;
+        let Some(id) = self.pool.find_life(&loading.server, loading.born) else { return };
+        let server = self.pool.get_mut(id);
+        if loading.valid_ms == 0 {
+            server.loaded(now, &loading.model, loading.version);
+        } else if server.version(&loading.model).unwrap_or(0) < loading.version
+            && server.switch.is_none_or(|it| it.version <= loading.version)
+        {
+            // What is repeated counts from its first word, but for the time that it took.
+            let until = now + Duration::from_millis(u64::from(loading.valid_ms));
+            let is_news = server.switch.is_none();
+            server.switch = Some(Switch { version: loading.version, until });
+            if is_news {
+                self.move_streams(id);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -1,6 +1,7 @@
 //! What is followed in the platform's store: configuration, backend servers, named weights, and the
 //! instances' own records.
 
+mod call;
 mod document;
 mod follower;
 
@@ -9,21 +10,17 @@
 use shallotlead_base::{
     hash::Map,
     id::Version,
-    store::{Call, Change, Failure, Key, Object, Reply},
+    store::{Call, Change, Failure, Key, Reply},
     time::Time,
 };
 use shallotlead_platform::{
     budget::{Rates, Sharers},
-    outcome::Outcome,
-    scheduler::{Action, Scheduler, Sent, Ticket},
+    scheduler::{Action, Scheduler, Ticket},
 };
 
 use crate::{
-    core::{
-        Core,
-        errand::{self, Purpose},
-    },
-    dialect::{Dialect, Stored, Subject},
+    core::Core,
+    dialect::{Dialect, Subject},
     settings::Settings,
 };
 
@@ -33,8 +30,6 @@
 
 /// Kind of the instances' own records.
 const INSTANCE: &str = "instance";
-/// How long a call may take. The store answers in 4 ms, and in 250 ms when it is slow.
-const TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Pause before a kind is followed again after a failure.
 const AGAIN: Duration = Duration::from_millis(150);
 /// Instances that share the store's rates until more is known: a herd that starts together must
@@ -170,13 +165,14 @@
             if it.is_open || now < it.next {
                 continue;
             }
-            // What was read once is followed by those that watch; the others hear of it from them.
-            let is_needed = needs_configuration && it.what == What::Subject(Subject::Configuration);
-            if it.revision.is_some() && !is_watcher {
-                if !is_needed {
-                    continue;
-                }
-                // What came in between is of no use any more.
+            // What was read once is followed by those that watch; the others hear of it from them, and read it
+            // anew where they don't.
+            let is_followed = is_watcher || it.revision.is_none();
+            let is_missed = needs_configuration && it.what == What::Subject(Subject::Configuration);
+            if !is_followed && !is_missed {
+                continue;
+            }
+            if !is_followed {
                 it.revision = None;
             }
             it.is_open = true;
@@ -208,86 +204,6 @@
         self.storage.submit(self.now, Want::Register, call);
     }
 
-    fn send_call(&mut self, sent: Sent, call: Call) {
-        let timeout = match &call {
-            Call::Watch { wait, .. } => *wait + TIMEOUT,
-            _ => TIMEOUT,
-        };
-        self.send_page(sent, call, Vec::new(), timeout, None);
-    }
-
-    fn send_page(
-        &mut self,
-        sent: Sent,
-        call: Call,
-        pages: Vec<Object>,
-        timeout: Duration,
-        after: Option<&str>,
-    ) {
-        let errand = self.dialect.store_call(&call, after);
-        let purpose = Purpose::Store { sent, call, pages, timeout };
-        self.run_errand(self.storage.address, &errand, timeout, purpose);
-    }
-
-    pub(crate) fn store_answered(
-        &mut self,
-        sent: Sent,
-        call: Call,
-        mut pages: Vec<Object>,
-        timeout: Duration,
-        answer: errand::Outcome,
-    ) {
-        let outcome = match answer {
-            errand::Outcome::NotSent => Outcome::Unavailable { retry_after: None },
-            errand::Outcome::Reset | errand::Outcome::Lost => Outcome::Lost,
-            errand::Outcome::Answered { status, fields, body } => {
-                match self.dialect.store_reply(&call, status, &fields, &body) {
-                    Stored::Page(objects, last) => {
-                        pages.extend(objects);
-                        self.send_page(sent, call, pages, timeout, Some(&last));
-                        return;
-                    }
-                    Stored::Done(outcome) => outcome,
-                }
-            }
-        };
-        let outcome = match outcome {
-            Outcome::Answered(Reply::Listed { objects, version }) => {
-                pages.extend(objects);
-                Outcome::Answered(Reply::Listed { objects: pages, version })
-            }
-            it => it,
-        };
-        self.stats.store_call(kind(&call), name(&outcome));
-        self.note_store(&call, &outcome);
-        self.storage.scheduler.answered(sent, outcome, self.now);
-    }
-
-    /// Notes whether the store answers this instance.
-    fn note_store(&mut self, call: &Call, outcome: &Outcome) {
-        let now = self.now;
-        let is_answer = matches!(outcome, Outcome::Answered(_));
-        // The store may cut a waiting watch at any time; the next call tells whether it is well.
-        if !is_answer && matches!((call, outcome), (Call::Watch { .. }, Outcome::Lost)) {
-            return;
-        }
-        match (is_answer, self.storage.away_since) {
-            (true, Some(since)) => {
-                self.storage.away_since = None;
-                self.pool.store_returned(now);
-                self.journal.line(now, "store_regained").ms("away_ms", now.since(since));
-            }
-            (false, None) => {
-                self.storage.away_since = Some(now);
-                self.journal
-                    .line(now, "store_lost")
-                    .text("outcome", name(outcome))
-                    .text("call", kind(call));
-            }
-            (true, None) | (false, Some(_)) => {}
-        }
-    }
-
     fn store_reply(&mut self, ticket: Ticket, reply: &Reply) {
         let now = self.now;
         match self.storage.wants.remove(&ticket.0) {
@@ -367,22 +283,6 @@
     }
 }
 
-fn name(outcome: &Outcome) -> &'static str {
-    match outcome {
-        Outcome::Answered(_) => "answered",
-        Outcome::Refused { .. } => "refused",
-        Outcome::Unavailable { .. } => "unavailable",
-        Outcome::Lost => "lost",
-    }
-}
-
-fn kind(call: &Call) -> &str {
-    match call {
-        Call::Get(key) | Call::Put { key, .. } | Call::Delete { key, .. } => &key.kind,
-        Call::List { kind } | Call::Watch { kind, .. } => kind,
-    }
-}
-
 fn reply_name(reply: &Reply) -> &'static str {
     match reply {
         Reply::Got(_) => "got",
--- /dev/null
+++ b/crates/gateway/src/core/storage/call.rs
@@ -0,0 +1,115 @@
+//! One call to the platform's store: how it is sent, read page by page, and what it tells of the store.
+
+use std::time::Duration;
+
+use shallotlead_base::store::{Call, Object, Reply};
+use shallotlead_platform::{outcome::Outcome, scheduler::Sent};
+
+use crate::{
+    core::{
+        Core,
+        errand::{self, Purpose},
+    },
+    dialect::Stored,
+};
+
+/// How long a call may take. The store answers in 4 ms, and in 250 ms when it is slow.
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+
+impl Core {
+    pub(super) fn send_call(&mut self, sent: Sent, call: Call) {
+        let timeout = match &call {
+            Call::Watch { wait, .. } => *wait + TIMEOUT,
+            _ => TIMEOUT,
+        };
+        self.send_page(sent, call, Vec::new(), timeout, None);
+    }
+
+    fn send_page(
+        &mut self,
+        sent: Sent,
+        call: Call,
+        pages: Vec<Object>,
+        timeout: Duration,
+        after: Option<&str>,
+    ) {
+        let errand = self.dialect.store_call(&call, after);
+        let purpose = Purpose::Store { sent, call, pages, timeout };
+        self.run_errand(self.storage.address, &errand, timeout, purpose);
+    }
+
+    pub(crate) fn store_answered(
+        &mut self,
+        sent: Sent,
+        call: Call,
+        mut pages: Vec<Object>,
+        timeout: Duration,
+        answer: errand::Outcome,
+    ) {
+        let outcome = match answer {
+            errand::Outcome::NotSent => Outcome::Unavailable { retry_after: None },
+            errand::Outcome::Reset | errand::Outcome::Lost => Outcome::Lost,
+            errand::Outcome::Answered { status, fields, body } => {
+                match self.dialect.store_reply(&call, status, &fields, &body) {
+                    Stored::Page(objects, last) => {
+                        pages.extend(objects);
+                        self.send_page(sent, call, pages, timeout, Some(&last));
+                        return;
+                    }
+                    Stored::Done(outcome) => outcome,
+                }
+            }
+        };
+        let outcome = match outcome {
+            Outcome::Answered(Reply::Listed { objects, version }) => {
+                pages.extend(objects);
+                Outcome::Answered(Reply::Listed { objects: pages, version })
+            }
+            it => it,
+        };
+        self.stats.store_call(kind(&call), name(&outcome));
+        self.note_store(&call, &outcome);
+        self.storage.scheduler.answered(sent, outcome, self.now);
+    }
+
+    /// Notes whether the store answers this instance.
+    fn note_store(&mut self, call: &Call, outcome: &Outcome) {
+        let now = self.now;
+        let is_answer = matches!(outcome, Outcome::Answered(_));
+        // The store may cut a waiting watch at any time; the next call tells whether it is well.
+        if !is_answer && matches!((call, outcome), (Call::Watch { .. }, Outcome::Lost)) {
+            return;
+        }
+        match (is_answer, self.storage.away_since) {
+            (true, Some(since)) => {
+                self.storage.away_since = None;
+                self.pool.store_returned(now);
+                self.journal.line(now, "store_regained").ms("away_ms", now.since(since));
+            }
+            (false, None) => {
+                self.storage.away_since = Some(now);
+                self.journal
+                    .line(now, "store_lost")
+                    .text("outcome", name(outcome))
+                    .text("call", kind(call));
+            }
+            (true, None) | (false, Some(_)) => {}
+        }
+    }
+}
+
+fn name(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered(_) => "answered",
+        Outcome::Refused { .. } => "refused",
+        Outcome::Unavailable { .. } => "unavailable",
+        Outcome::Lost => "lost",
+    }
+}
+
+fn kind(call: &Call) -> &str {
+    match call {
+        Call::Get(key) | Call::Put { key, .. } | Call::Delete { key, .. } => &key.kind,
+        Call::List { kind } | Call::Watch { kind, .. } => kind,
+    }
+}
