--- a/crates/gateway/src/catchup.rs
+++ b/crates/gateway/src/catchup.rs
@@ -5,6 +5,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use serde::{Deserialize, Serialize};
 use shallotlead_base::time::Time;
 
 /// Holders that are remembered: enough that some are free, however many announce themselves.
@@ -22,7 +23,7 @@
 const TO_STORE: Duration = Duration::from_millis(1_200);
 
 /// An instance that has a newer configuration.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Holder {
     /// Where it is asked.
     pub address: SocketAddr,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -47,6 +47,7 @@
     placement::Memory,
     pool::Pool,
     rollout::Rollout,
+    rumour::{Reach, Rumour},
     settings::Settings,
     uplink::Uplink,
 };
@@ -164,6 +165,7 @@
         }
         core.tick();
     }
+    core.log_traffic(true);
     core.journal.line(core.now, "stop").number("open_requests", core.exchanges.len());
     core.journal.flush(core.now, true);
     // The writing thread gets the last lines out.
@@ -211,6 +213,7 @@
             is_ready: false,
             is_leaving: false,
             is_watching: true,
+            is_away: false,
         };
         let life = Arc::from(format!("{}#{incarnation}", settings.name));
         Ok(Self {
@@ -334,6 +337,7 @@
         if SWEEP <= self.now.since(self.swept) {
             self.swept = self.now;
             self.sweep();
+            self.log_traffic(false);
         }
         self.journal.flush(self.now, false);
     }
@@ -355,21 +359,40 @@
         if self.members.me().is_ready != is_ready {
             self.members.me_mut().is_ready = is_ready;
             self.journal.line(self.now, "ready").number("is_ready", is_ready);
-            self.tell_all();
+            self.tell_few();
         }
-        let is_watching = self.members.is_watcher(self.now);
-        if self.members.me().is_watching != is_watching {
-            self.members.me_mut().is_watching = is_watching;
-            self.journal.line(self.now, "watching").number("is_watching", is_watching);
+        self.decide_watching();
+    }
+
+    /// Decides whether this instance watches the store for others, and says so.
+    fn decide_watching(&mut self) {
+        let is_away = self.is_cut_off();
+        self.storage.is_watcher = self.members.is_watcher(self.now);
+        let is_watching = self.storage.is_watcher && !is_away;
+        let me = self.members.me_mut();
+        let is_news = me.is_away != is_away;
+        me.is_away = is_away;
+        if me.is_watching != is_watching {
+            me.is_watching = is_watching;
+            self.journal
+                .line(self.now, "watching")
+                .number("is_watching", is_watching)
+                .number("is_away", is_away);
+        }
+        // The next one of this data centre takes over at once, rather than after seconds of gossip.
+        if is_news {
+            let me = Box::new(self.members.me().clone());
+            self.peers.board.put(self.now, Rumour::Instance(me), Some(Reach::Centre));
         }
     }
 
     /// How long nothing is due.
     fn pause(&mut self) -> Duration {
         let timer = self.timers.peek().map(|it| it.0.0);
-        let storage = self.storage.next(self.now, self.members.me().is_watching);
+        let storage = self.storage.next(self.now);
         let catchup = self.peers.catchup.next();
-        let next = [timer, storage, self.rollout.next(), catchup].into_iter().flatten().min();
+        let push = self.peers.board.next();
+        let next = [timer, storage, self.rollout.next(), catchup, push].into_iter().flatten().min();
         next.map_or(IDLE, |it| it.since(self.now).min(IDLE))
     }
 
@@ -384,7 +407,7 @@
             self.lease.release();
             self.rollout.clear();
             self.journal.line(self.now, "leaving").number("open_requests", self.exchanges.len());
-            self.tell_all();
+            self.tell_all(Rumour::Instance(Box::new(self.members.me().clone())));
         }
     }
 
--- a/crates/gateway/src/core/cache.rs
+++ b/crates/gateway/src/core/cache.rs
@@ -4,9 +4,12 @@
 
 use shallotlead_base::{hash, time::Time};
 
-use crate::core::{
-    Core,
-    errand::{Outcome, Purpose},
+use crate::{
+    core::{
+        Core,
+        errand::{Outcome, Purpose},
+    },
+    rumour::Rumour,
 };
 
 /// Pause between two calls to a store. Each call waits for events up to a second.
@@ -138,7 +141,7 @@
                 .line(now, "cache_store")
                 .text("address", &address.to_string())
                 .number("is_alive", is_alive);
-            self.tell_all();
+            self.tell_all(Rumour::CacheStore(address, is_alive));
         }
     }
 }
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -17,6 +17,7 @@
     dialect::Subject,
     gossip::{self, Member},
     pool::{self, Presence},
+    rumour::Reach,
 };
 
 /// How long ago weights count as named that lie in the store when an instance starts, unless another
@@ -98,7 +99,7 @@
         self.pool.name_services(catalog.services.keys().cloned());
         self.catalog = Some(Arc::new(catalog));
         self.follow_cache_stores();
-        self.tell_all();
+        self.tell_configuration(source);
     }
 
     fn take_weights(&mut self, value: &[u8]) {
@@ -128,6 +129,9 @@
                 .text("model", model)
                 .number("version", version)
                 .text("source", source.name());
+            if source == Source::Store {
+                self.peers.board.tell_own(Reach::Fleet);
+            }
         }
     }
 
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -4,21 +4,23 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use rand::seq::SliceRandom;
 use shallotlead_base::{hash::Map, time::Time};
 
 use crate::{
-    catchup::Catchup,
-    core::Core,
+    catchup::{Catchup, Holder},
+    core::{Core, storage::Source},
     dialect::Load,
     gossip::{Datagram, Entry, Loading, Message, Naming, PERIOD, Placement, Told},
     pool,
+    rumour::{self, Board, Push, Reach, Rumour},
 };
 
-/// How long news of servers that leave or load is repeated, for datagrams that get lost.
-const REPEAT: Duration = Duration::from_secs(5);
-/// Most instances that are told of news at once; the rest hears of it from those.
-const MOST_TOLD: usize = 128;
+/// Instances nearby that an instance tells at once that it is ready, or has a configuration from another one:
+/// all of a small fleet. With each of these telling as many, a few rounds reach all of a large one, and nobody
+/// hears of it from hundreds.
+const FEW: usize = 12;
+/// How long a server that was found silent isn't told of again: all nearby look at it at the same moment.
+const SILENT_AGAIN: Duration = Duration::from_secs(1);
 /// Age from which on a load tells nothing any more, ms.
 const OLDEST_LOAD_MS: u32 = 500;
 /// Entries in one datagram: 40 of about 400 bytes stay below 16 KB.
@@ -28,17 +30,15 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     told: Time,
-    leaving: Vec<(Arc<str>, u64, Time)>,
-    loading: Vec<(Loading, Time)>,
+    /// What is told to all at once.
+    pub(crate) board: Board,
     /// Who has a newer configuration, and who of them is asked.
     pub(crate) catchup: Catchup,
     /// When another instance was last asked for all that was missed.
     pub(crate) asked: Time,
-    /// Servers that were found silent since the others were told last.
-    silent: Vec<Arc<str>>,
     /// Loads that servers have told since then.
     loads: Map<pool::Id, (Load, Time)>,
-    /// Something happened that all should hear of.
+    /// This instance has something that a few others should know of.
     has_news: bool,
     /// Entries that were read from the store since the others were told last.
     entries: Vec<Entry>,
@@ -68,23 +68,16 @@
         let now = self.now;
         if PERIOD <= now.since(self.peers.told) {
             self.peers.told = now;
-            self.peers.leaving.retain(|it| now.since(it.2) < REPEAT);
-            self.peers.loading.retain(|it| now.since(it.1) < REPEAT);
             self.members.expire(now);
             self.storage.set_sharers(self.members.sharers(), now);
-            let mut targets = self.members.addresses();
-            targets
-                .extend(self.settings.seeds.iter().filter(|it| **it != self.settings.listen.peers));
-            targets.sort_unstable();
-            targets.dedup();
-            targets.shuffle(&mut self.rng);
-            targets.truncate(self.members.fanout());
-            self.tell(&targets, true);
+            let targets = self.members.told(&self.settings.seeds, &mut self.rng);
+            self.tell_members(&targets);
         }
         if std::mem::take(&mut self.peers.has_news) {
-            let targets = self.told_at_once();
-            self.tell(&targets, false);
+            let targets = rumour::few(&self.nearby(), FEW, &mut self.rng);
+            self.tell(&targets, Vec::new(), false);
         }
+        self.push();
         self.tell_placed();
         self.tell_entries();
         self.ask_peers();
@@ -129,66 +122,109 @@
         self.send_to(&targets, &Datagram::Placed(placed, told));
     }
 
-    /// Tells all live instances at the end of the tick, of all that happened in it together.
-    pub(crate) fn tell_all(&mut self) {
+    /// Tells a few others at the end of the tick which configuration and weights this instance has.
+    pub(crate) fn tell_few(&mut self) {
         self.peers.has_news = true;
     }
 
+    /// Tells all instances of `rumour`.
+    pub(crate) fn tell_all(&mut self, rumour: Rumour) {
+        self.peers.board.put(self.now, rumour, Some(Reach::Fleet));
+    }
+
+    /// Tells that this instance has a newer configuration: one that comes from the store is news to all, one that
+    /// comes from another instance is told where others may still be behind.
+    pub(crate) fn tell_configuration(&mut self, source: Source) {
+        if source == Source::Instance {
+            self.tell_few();
+            return;
+        }
+        let me = self.members.me();
+        let version = self.catalog.as_ref().map_or(0, |it| it.version);
+        let holder = Holder { address: me.peers, centre: me.centre.clone(), version };
+        self.tell_all(Rumour::Holds(holder));
+    }
+
+    /// Sends what is to be told at once.
+    fn push(&mut self) {
+        for Push { targets, rumours, passes_on } in
+            self.peers.board.pushes(self.now, &self.members, &mut self.rng)
+        {
+            let bytes = self.tell(&targets, rumours, passes_on);
+            self.peers.board.sent(self.now, bytes, self.settings.link_bytes_per_s);
+        }
+    }
+
     /// Where the instances are that hear of each prompt.
     fn nearby(&self) -> Vec<SocketAddr> {
         self.members.neighbours(self.now).map(|it| it.peers).collect()
     }
 
-    fn told_at_once(&mut self) -> Vec<SocketAddr> {
-        let mut targets: Vec<SocketAddr> =
-            self.members.alive(self.now).map(|it| it.peers).collect();
-        if MOST_TOLD < targets.len() {
-            targets.shuffle(&mut self.rng);
-            targets.truncate(MOST_TOLD);
+    /// Returns how many bytes were sent.
+    fn send_to(&mut self, targets: &[SocketAddr], datagram: &Datagram) -> usize {
+        match postcard::to_stdvec(datagram) {
+            Ok(bytes) => {
+                self.stats.traffic.sent(datagram, targets.len(), bytes.len());
+                targets.iter().for_each(|it| self.net.send_datagram(*it, &bytes));
+                targets.len() * bytes.len()
+            }
+            Err(err) => {
+                log::error!("a message to other instances could not be written: {err}");
+                0
+            }
         }
-        targets
     }
 
-    fn send_to(&self, targets: &[SocketAddr], datagram: &Datagram) {
-        match postcard::to_stdvec(datagram) {
-            Ok(bytes) => targets.iter().for_each(|it| self.net.send_datagram(*it, &bytes)),
-            Err(err) => log::error!("a message to other instances could not be written: {err}"),
-        }
+    /// Tells who lives, and repeats rumours, as is done now and then.
+    fn tell_members(&mut self, targets: &[SocketAddr]) {
+        let rumours = self.peers.board.repeat(self.now);
+        let message = Message {
+            members: self.members.rumours(self.now),
+            paces: self.pool.paces().map(|it| (it.0.clone(), *it.1)).collect(),
+            ..self.message(rumours, false)
+        };
+        self.send_to(targets, &Datagram::News(Box::new(message)));
     }
 
-    /// `with_members`: tells also who lives, as is done now and then.
-    fn tell(&mut self, targets: &[SocketAddr], with_members: bool) {
+    /// Returns how many bytes were sent.
+    fn tell(&mut self, targets: &[SocketAddr], rumours: Vec<Rumour>, passes_on: bool) -> usize {
         if targets.is_empty() {
-            return;
+            return 0;
         }
+        let message = self.message(rumours, passes_on);
+        self.send_to(targets, &Datagram::News(Box::new(message)))
+    }
+
+    fn message(&mut self, rumours: Vec<Rumour>, passes_on: bool) -> Message {
         self.members.me_mut().beat += 1;
-        let now = self.now;
-        let message = Message {
+        Message {
             from: self.members.me().clone(),
-            members: if with_members { self.members.rumours(now) } else { Vec::new() },
+            members: Vec::new(),
             configuration: self.catalog.as_ref().map_or(0, |it| it.version),
             weights: self.namings(),
-            leaving: self.peers.leaving.iter().map(|it| (it.0.clone(), it.1)).collect(),
-            loading: self.peers.loading.iter().filter_map(|it| remaining(now, it)).collect(),
-            silent: std::mem::take(&mut self.peers.silent),
+            rumours,
+            passes_on,
             cache_stores: self.cache_stores.seen(),
-            paces: self.pool.paces().map(|it| (it.0.clone(), *it.1)).collect(),
-        };
-        self.send_to(targets, &Datagram::News(Box::new(message)));
+            paces: Vec::new(),
+        }
     }
 
-    /// A server has begun to leave: what this instance knows binds all.
+    /// A server has begun to leave: what this instance knows binds all. Whoever follows the store in another
+    /// data centre may have told it already.
     pub(crate) fn tell_leaving(&mut self, id: pool::Id) {
         let server = self.pool.get(id);
-        self.peers.leaving.push((server.name.clone(), server.revision, self.now));
-        self.tell_all();
+        let rumour = Rumour::Leaving(server.name.clone(), server.revision);
+        if !self.peers.board.has_heard(self.now, &rumour, PERIOD) {
+            self.tell_all(rumour);
+        }
     }
 
-    /// A server doesn't answer.
+    /// A server doesn't answer. Those nearby use it most.
     pub(crate) fn tell_silent(&mut self, id: pool::Id) {
-        let name = self.pool.get(id).name.clone();
-        self.peers.silent.push(name);
-        self.tell_all();
+        let rumour = Rumour::Silent(self.pool.get(id).name.clone());
+        if !self.peers.board.has_heard(self.now, &rumour, SILENT_AGAIN) {
+            self.peers.board.put(self.now, rumour, Some(Reach::Centre));
+        }
     }
 
     /// A server loads other weights, or is done with it.
@@ -201,11 +237,9 @@
     ) {
         let row = self.pool.get(id);
         let (server, born) = (row.name.clone(), row.born);
-        self.peers.loading.retain(|it| it.0.server != server);
         let valid_ms = valid.as_millis() as u32;
         let loading = Loading { server, born, model: model.clone(), version, valid_ms };
-        self.peers.loading.push((loading, self.now));
-        self.tell_all();
+        self.tell_all(Rumour::Loading(loading));
     }
 
     pub(crate) fn namings(&self) -> Vec<Naming> {
@@ -217,14 +251,3 @@
         self.pool.all_named().map(naming).collect()
     }
 }
-
-/// What is left of the time for which a server counts as loading; nothing once it is over.
-fn remaining(now: Time, told: &(Loading, Time)) -> Option<Loading> {
-    let (loading, at) = told;
-    let passed = now.since(*at).as_millis() as u32;
-    match loading.valid_ms {
-        0 => Some(loading.clone()),
-        valid if passed < valid => Some(Loading { valid_ms: valid - passed, ..loading.clone() }),
-        _ => None,
-    }
-}
--- a/crates/gateway/src/core/peers/heard.rs
+++ b/crates/gateway/src/core/peers/heard.rs
@@ -5,13 +5,18 @@
 use crate::{
     catchup::Holder,
     core::{Core, storage::Source},
-    gossip::{Datagram, Loading, Message, Naming, Told},
+    gossip::{Datagram, Loading, Member, Message, Naming, Told},
     pool::{self, Switch},
+    rumour::{Reach, Rumour},
 };
 
 impl Core {
     pub(crate) fn datagram(&mut self, bytes: &[u8]) {
-        match postcard::from_bytes::<Datagram>(bytes) {
+        let datagram = postcard::from_bytes::<Datagram>(bytes);
+        if let Ok(datagram) = &datagram {
+            self.stats.traffic.received(datagram, bytes.len());
+        }
+        match datagram {
             Ok(Datagram::News(message)) => self.take_news(*message),
             Ok(Datagram::Placed(placed, loads)) => {
                 for it in loads {
@@ -62,9 +67,8 @@
             members,
             configuration,
             weights,
-            leaving,
-            loading,
-            silent,
+            rumours,
+            passes_on,
             cache_stores,
             paces,
         } = message;
@@ -78,33 +82,59 @@
                 self.pool.pace_mut(&service).adopt(&pace);
             }
         }
-        if from.is_leaving {
-            self.lease.hurry(now);
-        }
+        self.take_leaving_instance(&from);
         self.members.take(now, from);
         for member in members {
             self.members.take(now, member);
         }
         self.told_configuration(holder);
         self.take_namings(&weights);
-        for (name, revision) in leaving {
-            let change = self.pool.told_leaving(&name, revision);
-            if let pool::Change::Leaving(id) = change {
-                self.drop_idle(id);
-                self.journal
-                    .line(now, "server")
-                    .text("server", &name)
-                    .text("change", "leaving")
-                    .text("reason", "told by an instance");
-            }
+        if passes_on && rumours.is_empty() {
+            self.peers.board.tell_own(Reach::Centre);
         }
-        for it in loading {
-            self.told_loading(&it);
+        let reach = passes_on.then_some(Reach::Centre);
+        for rumour in rumours {
+            self.take_rumour(&rumour);
+            self.peers.board.put(now, rumour, reach);
         }
-        for name in silent {
-            if let Some(id) = self.pool.find(&name) {
-                self.look_at(id);
+    }
+
+    fn take_rumour(&mut self, rumour: &Rumour) {
+        match rumour {
+            Rumour::Leaving(name, revision) => self.told_leaving(name, *revision),
+            Rumour::Loading(it) => self.told_loading(it),
+            Rumour::Silent(name) => {
+                if let Some(id) = self.pool.find(name) {
+                    self.look_at(id);
+                }
+            }
+            Rumour::Holds(holder) => self.told_configuration(holder.clone()),
+            Rumour::Instance(member) => {
+                self.take_leaving_instance(member);
+                self.members.take(self.now, Member::clone(member));
             }
+            Rumour::CacheStore(address, is_alive) => {
+                self.cache_stores.told(self.now, *address, *is_alive);
+            }
+        }
+    }
+
+    /// An instance that shuts down gives the lease back, if it holds it.
+    fn take_leaving_instance(&mut self, member: &Member) {
+        if member.is_leaving {
+            self.lease.hurry(self.now);
+        }
+    }
+
+    fn told_leaving(&mut self, name: &str, revision: u64) {
+        let change = self.pool.told_leaving(name, revision);
+        if let pool::Change::Leaving(id) = change {
+            self.drop_idle(id);
+            self.journal
+                .line(self.now, "server")
+                .text("server", name)
+                .text("change", "leaving")
+                .text("reason", "told by an instance");
         }
     }
 
--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -20,8 +20,9 @@
 
 /// Path of the page with an instance's knowledge. The number tells its form apart from earlier ones, which
 /// other instances may still speak while the fleet is being replaced.
-pub(crate) const STATE_PATH: &str = "/state/2";
-/// How long this instance may be without the store before it asks another instance.
+pub(crate) const STATE_PATH: &str = "/state/3";
+/// How long this instance may be without the store before it asks another instance, and others watch in its
+/// place.
 const AWAY: Duration = Duration::from_millis(200);
 /// How often an instance that doesn't watch the store asks one that does for what it has missed.
 const MAKE_UP: Duration = Duration::from_secs(4);
@@ -39,6 +40,8 @@
     configuration: Option<Vec<u8>>,
     /// Servers' entries.
     entries: Vec<Entry>,
+    /// All entries are told as they were at this revision, as far as they weren't known.
+    entries_until: u64,
     /// The named weights.
     weights: Vec<Naming>,
 }
@@ -51,6 +54,8 @@
     asked: Time,
     /// The version of the configuration that is wanted, if one is.
     version: Option<u64>,
+    /// The revision from which on entries are wanted.
+    entries: u64,
 }
 
 /// Why another instance is asked.
@@ -87,7 +92,7 @@
         if now.since(self.peers.asked) < ASK_AGAIN {
             return;
         }
-        let is_away = self.storage.away_since().is_some_and(|it| AWAY <= now.since(it));
+        let is_away = self.is_cut_off();
         // One that doesn't watch itself makes up now and then for datagrams that got lost.
         let is_due = !self.members.me().is_watching && MAKE_UP <= now.since(self.peers.asked);
         let reason = match (is_away, is_due) {
@@ -95,14 +100,33 @@
             (false, true) => Reason::MakeUp,
             (false, false) => return,
         };
-        let near = self.members.neighbours(now).filter(|it| it.is_watching || is_away);
-        let alive: Vec<SocketAddr> = near.map(|it| it.peers).collect();
-        let Some(peer) = alive.choose(&mut self.rng).copied() else { return };
+        let Some(peer) = self.informant(is_away) else { return };
         self.peers.asked = now;
-        let revision = self.storage.entries.values().map(|it| it.revision).max().unwrap_or(0);
+        let revision = self.storage.entries_until;
         // Newer versions are told of by all, and asked for by themselves; the first one is taken anyhow.
         let own = if self.catalog.is_some() { NOTHING } else { 0 };
-        self.ask(Question { peer, reason, asked: now, version: None }, own, revision);
+        self.ask(Question { peer, reason, asked: now, version: None, entries: revision }, own);
+    }
+
+    /// Whether the store hasn't answered this instance for a while.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.storage.away_since().is_some_and(|it| AWAY <= self.now.since(it))
+    }
+
+    /// An instance that knows what the store has: a watcher nearby or, where there is none, elsewhere. Whoever
+    /// is without the store asks any one nearby if nobody says that he watches.
+    fn informant(&mut self, is_away: bool) -> Option<SocketAddr> {
+        let now = self.now;
+        let watchers = self.members.alive(now).filter(|it| it.is_watching);
+        let (near, far): (Vec<_>, Vec<_>) =
+            watchers.partition(|it| it.centre == self.members.me().centre);
+        let all = match (near.is_empty(), far.is_empty()) {
+            (false, _) => near,
+            (true, false) => far,
+            (true, true) if is_away => self.members.neighbours(now).collect(),
+            (true, true) => return None,
+        };
+        all.choose(&mut self.rng).map(|it| it.peers)
     }
 
     /// Asks an instance that has a newer configuration for it.
@@ -114,10 +138,12 @@
         };
         let own = self.catalog.as_ref().map_or(0, |it| it.version);
         let (peer, version) = (holder.address, Some(holder.version));
-        self.ask(Question { peer, reason: Reason::Behind, asked: now, version }, own, NOTHING);
+        let reason = Reason::Behind;
+        self.ask(Question { peer, reason, asked: now, version, entries: NOTHING }, own);
     }
 
-    fn ask(&mut self, question: Question, configuration: u64, entries: u64) {
+    fn ask(&mut self, question: Question, configuration: u64) {
+        let entries = question.entries;
         let target = format!("{STATE_PATH}?configuration={configuration}&entries={entries}");
         let errand = Errand { method: "GET", target, fields: Vec::new(), body: Vec::new() };
         self.run_errand(question.peer, &errand, ANSWER_BEGINS, Purpose::State(question));
@@ -135,6 +161,7 @@
         let state = State {
             configuration: packed.map(|it| it.to_vec()),
             entries: entries.map(told).collect(),
+            entries_until: self.storage.entries_until,
             weights: self.namings(),
         };
         let bytes = postcard::to_stdvec(&state).unwrap_or_default();
@@ -179,6 +206,9 @@
             return Answer::Failed;
         };
         self.take_entries(state.entries);
+        if question.entries <= state.entries_until {
+            self.storage.entries_until = self.storage.entries_until.max(state.entries_until);
+        }
         self.take_namings(&state.weights);
         let is_busy = state.configuration.is_none();
         if let Some(packed) = state.configuration {
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms on the metrics address.
 
 mod server;
+mod traffic;
 
 use std::{
     sync::{Arc, Mutex, PoisonError},
@@ -14,6 +15,7 @@
 use crate::{budget::Purpose, catalog::Route, core::Core, pool};
 
 use server::Servers;
+use traffic::Traffic;
 
 /// Bounds of the latency histograms, in seconds.
 const BOUNDS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0];
@@ -27,6 +29,8 @@
     others: RouteStats,
     /// By backend server.
     pub(crate) servers: Servers,
+    /// To and from other instances, and to the store.
+    pub(crate) traffic: Traffic,
     abandoned: Counter,
     unreadable: Counter,
     copied: Counter,
@@ -95,6 +99,7 @@
             routes: Map::default(),
             others: RouteStats::open("other"),
             servers: Servers::open(),
+            traffic: Traffic::open(),
             abandoned: metrics::counter!("shallotlead_abandoned_total"),
             copied: metrics::counter!("shallotlead_copies_total", "step" => "begun"),
             went_on: metrics::counter!("shallotlead_copies_total", "step" => "used"),
@@ -175,6 +180,7 @@
     }
 
     pub(crate) fn store_call(&mut self, kind: &str, result: &'static str) {
+        self.traffic.called(kind);
         let kind = kind.to_owned();
         metrics::counter!("shallotlead_store_calls_total", "kind" => kind, "result" => result)
             .increment(1);
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -10,7 +10,7 @@
 use shallotlead_base::{
     hash::Map,
     id::Version,
-    store::{Call, Change, Failure, Key, Reply},
+    store::{Call, Change, Failure, Key, Object, Reply},
     time::Time,
 };
 use shallotlead_platform::{
@@ -21,6 +21,7 @@
 use crate::{
     core::Core,
     dialect::{Dialect, Subject},
+    gossip::Member,
     settings::Settings,
 };
 
@@ -32,6 +33,8 @@
 const INSTANCE: &str = "instance";
 /// Pause before a kind is followed again after a failure.
 const AGAIN: Duration = Duration::from_millis(150);
+/// Longest wait for the own record before the list of instances is read.
+const REGISTERED_BY: Duration = Duration::from_millis(500);
 /// Instances that share the store's rates until more is known: a herd that starts together must
 /// not call at once.
 const SHARERS: u32 = 8;
@@ -51,6 +54,10 @@
     pub(crate) configuration: Option<Document>,
     /// Servers' entries as they lie in the store, for the same.
     pub(crate) entries: Map<Arc<str>, Entry>,
+    /// All entries are known as they were at this revision.
+    pub(crate) entries_until: u64,
+    /// Whether this instance is to watch the store: by itself, or for others.
+    pub(crate) is_watcher: bool,
     register: Register,
 }
 
@@ -105,7 +112,8 @@
         let subjects = [Subject::Configuration, Subject::Weights, Subject::Servers];
         let followed = subjects.map(|it| Follower::open(dialect.kind(it), What::Subject(it), now));
         let mut followed = Vec::from(followed);
-        followed.push(Follower::open(INSTANCE, What::Instances, now));
+        // Read once this instance is registered: of two that start together, one knows the other.
+        followed.push(Follower::open(INSTANCE, What::Instances, now + REGISTERED_BY));
         Self {
             address: settings.store,
             scheduler: Scheduler::new(rates, sharers, seed, now),
@@ -115,6 +123,8 @@
             away_since: None,
             configuration: None,
             entries: Map::default(),
+            entries_until: 0,
+            is_watcher: true,
             register: Register::Due(Version(0), now),
         }
     }
@@ -136,12 +146,27 @@
     }
 
     /// When something is due.
-    pub(crate) fn next(&mut self, now: Time, is_watcher: bool) -> Option<Time> {
+    pub(crate) fn next(&mut self, now: Time) -> Option<Time> {
+        let is_watcher = self.is_watcher;
         let is_due = |it: &&Follower| !it.is_open && (is_watcher || it.revision.is_none());
         let followed = self.followed.iter().filter(is_due).map(|it| it.next).min();
         [self.scheduler.next(now), followed].into_iter().flatten().min()
     }
 
+    /// The fleet is small: there is no wait for others that might watch in place of this instance.
+    fn settled(&mut self, now: Time) {
+        for it in self.followed.iter_mut().filter(|it| it.revision.is_some()) {
+            it.next = it.next.min(now);
+        }
+    }
+
+    /// The own record is in the store, or can't be written for now.
+    fn registered(&mut self, now: Time) {
+        for it in self.followed.iter_mut().filter(|it| it.heard == Time::ZERO) {
+            it.next = it.next.min(now);
+        }
+    }
+
     /// How many instances share the store's rates.
     pub(crate) fn set_sharers(&mut self, instances: u32, now: Time) {
         let instances = instances.max(SHARERS);
@@ -157,8 +182,9 @@
 
 impl Core {
     pub(crate) fn tick_storage(&mut self) {
+        self.register();
         let now = self.now;
-        let is_watcher = self.members.me().is_watching;
+        let is_watcher = self.storage.is_watcher;
         let needs_configuration = self.peers.catchup.needs_store(now);
         for index in 0..self.storage.followed.len() {
             let it = &mut self.storage.followed[index];
@@ -179,7 +205,6 @@
             let call = it.call();
             self.storage.submit(now, Want::Follow(index), call);
         }
-        self.register();
         let rank = self.members.rank(now);
         if let Some(call) = self.lease.tick(now, rank) {
             self.storage.submit(now, Want::Lease, call);
@@ -226,8 +251,10 @@
     }
 
     fn registered(&mut self, reply: &Reply) {
+        self.storage.registered(self.now);
         self.storage.register = match reply {
             Reply::Done(_) => Register::Done,
+            Reply::Conflict(Some(object)) if self.is_registered(object) => Register::Done,
             Reply::Conflict(object) => {
                 Register::Due(object.as_ref().map_or(Version(0), |it| it.version), self.now)
             }
@@ -237,11 +264,22 @@
         };
     }
 
+    /// Whether the record of an earlier life leads others to this one: it is where they ask first, and hear the
+    /// rest from this instance itself.
+    fn is_registered(&self, object: &Object) -> bool {
+        let me = self.members.me();
+        let known = serde_json::from_slice::<Member>(&object.value);
+        known.is_ok_and(|it| {
+            (it.peers, it.callers, it.centre) == (me.peers, me.callers, me.centre.clone())
+        })
+    }
+
     fn followed(&mut self, index: usize, reply: &Reply) {
         let now = self.now;
+        let is_large = self.members.is_large();
         let follower = &mut self.storage.followed[index];
         follower.is_open = false;
-        follower.next = now;
+        follower.next = now + follower.pause(is_large);
         let what = follower.what;
         if matches!(reply, Reply::Listed { .. } | Reply::Changed { .. }) {
             follower.heard = now;
@@ -253,6 +291,7 @@
                     self.peers.catchup.settle();
                 }
                 self.take_list(what, objects, *version);
+                self.has_read(what, *version);
             }
             Reply::Changed { changes, version } => {
                 follower.revision = Some(*version);
@@ -267,6 +306,7 @@
                         Change::Delete(key, version) => self.take_removal(what, key, *version),
                     }
                 }
+                self.has_read(what, *version);
             }
             Reply::Failed(Failure::Compacted) => {
                 self.journal.line(now, "history_lost").text("kind", &follower.kind);
@@ -283,6 +323,23 @@
     }
 }
 
+impl Core {
+    /// The store was read up to `version`.
+    fn has_read(&mut self, what: What, version: Version) {
+        match what {
+            What::Subject(Subject::Servers) => self.storage.entries_until = version.0,
+            // A list tells how large the fleet is, and so whether this instance watches on.
+            What::Instances => {
+                self.decide_watching();
+                if !self.members.is_large() {
+                    self.storage.settled(self.now);
+                }
+            }
+            What::Subject(_) => {}
+        }
+    }
+}
+
 fn reply_name(reply: &Reply) -> &'static str {
     match reply {
         Reply::Got(_) => "got",
--- a/crates/gateway/src/core/storage/follower.rs
+++ b/crates/gateway/src/core/storage/follower.rs
@@ -10,6 +10,14 @@
 /// silent is found earlier, by probes.
 const WATCH: Duration = Duration::from_secs(20);
 
+/// Pause after the first reading of a kind: until then most instances of a large fleet know that others watch.
+const SETTLE: Duration = Duration::from_millis(500);
+/// Pause between two watches in a large fleet, so that changes that come close together are read together: of
+/// backend servers, whose entries change with each load of weights, and of instances, which tell each other
+/// of themselves. A server's leaving binds some seconds after the store has it.
+const SERVERS_PAUSE: Duration = Duration::from_millis(400);
+const INSTANCES_PAUSE: Duration = Duration::from_secs(2);
+
 /// What is followed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum What {
@@ -40,6 +48,16 @@
         }
     }
 
+    /// How long to wait after an answer before the next call.
+    pub(super) fn pause(&self, is_large: bool) -> Duration {
+        match self.what {
+            _ if self.revision.is_none() => SETTLE,
+            What::Subject(Subject::Servers) if is_large => SERVERS_PAUSE,
+            What::Instances if is_large => INSTANCES_PAUSE,
+            What::Subject(_) | What::Instances => Duration::ZERO,
+        }
+    }
+
     pub(super) fn call(&self) -> Call {
         let kind = self.kind.clone();
         match self.revision {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -2,19 +2,23 @@
 
 use std::{cmp::Reverse, net::SocketAddr, sync::Arc, time::Duration};
 
+use rand::{Rng, seq::IndexedRandom};
 use serde::{Deserialize, Serialize};
 use shallotlead_base::{hash::Map, time::Time};
 
 use crate::{
     dialect::{Born, Load, Part},
     pace::Pace,
+    rumour::Rumour,
 };
 
 /// How often an instance tells two others what it knows.
 pub const PERIOD: Duration = Duration::from_millis(600);
-/// Instances that are told each time, in a small fleet and in a large one.
+/// Instances that are told each time, in a small fleet.
 const FANOUT: usize = 2;
-const LARGE_FANOUT: usize = 3;
+/// The same in a large one: of the own data centre, and of all. Bytes between data centres are paid for.
+const LARGE_FANOUT_NEAR: usize = 2;
+const LARGE_FANOUT_ANY: usize = 1;
 /// Silence after which an instance counts as dead: about five periods, as rumours need two or three
 /// to reach all; a large fleet takes two more.
 const DEAD_AFTER: Duration = Duration::from_millis(3_200);
@@ -22,8 +26,11 @@
 /// Instances from which on a fleet is large: not all of them watch the store, and they tell of what
 /// they send within their data centre only.
 const LARGE: usize = 13;
-/// Instances of a data centre that watch the store for the others there: one may be cut off.
-const WATCHERS: usize = 2;
+/// Instances of a large fleet that watch the store for the others: one in each data centre, and so many at least.
+/// Any one may be cut off from the store, and each pays for every change.
+const WATCHERS: usize = 3;
+/// Instances of a data centre that look whether the stores of cached prompts live.
+const LOOKING_NEARBY: usize = 2;
 /// Instances of a small fleet that look whether the store of cached prompts lives.
 const LOOKING: usize = 8;
 /// How long a dead instance still counts for the shared budget.
@@ -50,8 +57,10 @@
     pub is_ready: bool,
     /// Whether it is shutting down.
     pub is_leaving: bool,
-    /// Whether it watches the store.
+    /// Whether it watches the store, and the store answers it.
     pub is_watching: bool,
+    /// Whether the store doesn't answer it.
+    pub is_away: bool,
 }
 
 /// Weights that were named.
@@ -145,13 +154,10 @@
     pub configuration: u64,
     /// The weights that it has heard of.
     pub weights: Vec<Naming>,
-    /// Servers that have begun to leave lately, with the revisions that say so.
-    pub leaving: Vec<(Arc<str>, u64)>,
-    /// Servers whose weights are being changed.
-    pub loading: Vec<Loading>,
-    /// Servers that have just been found silent. Others look for themselves: the sender may be the
-    /// one that is cut off.
-    pub silent: Vec<Arc<str>>,
+    /// What has happened to servers and instances.
+    pub rumours: Vec<Rumour>,
+    /// Whether the receiver is to pass the rumours on to its data centre.
+    pub passes_on: bool,
     /// The stores of cached prompts at which the sender looks itself, and whether they live.
     pub cache_stores: Vec<(SocketAddr, bool)>,
     /// What the sender has learnt of services' engines, for instances that have just started.
@@ -229,9 +235,19 @@
         LARGE <= self.others.len() + 1
     }
 
-    /// Instances that are told each time.
-    pub fn fanout(&self) -> usize {
-        if self.is_large() { LARGE_FANOUT } else { FANOUT }
+    /// Some instances to be told who lives, the dead and the `seeds` too: they may be back.
+    pub fn told(&self, seeds: &[SocketAddr], rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let mut all: Vec<SocketAddr> = self.others.values().map(|it| it.member.peers).collect();
+        all.extend(seeds.iter().filter(|it| **it != self.me.peers));
+        all.sort_unstable();
+        all.dedup();
+        if !self.is_large() {
+            return all.choose_multiple(rng, FANOUT).copied().collect();
+        }
+        let near = self.others.values().filter(|it| it.member.centre == self.me.centre);
+        let near: Vec<SocketAddr> = near.map(|it| it.member.peers).collect();
+        let near = near.choose_multiple(rng, LARGE_FANOUT_NEAR);
+        near.chain(all.choose_multiple(rng, LARGE_FANOUT_ANY)).copied().collect()
     }
 
     /// The live instances that hear of each prompt that is sent: all, or those of this data centre.
@@ -246,24 +262,27 @@
         if !self.is_large() {
             return self.rank(now) < LOOKING;
         }
-        self.younger_nearby(now) < WATCHERS
+        self.younger_nearby(now, |_| true) < LOOKING_NEARBY
     }
 
-    /// Ready instances of this data centre that are younger.
-    fn younger_nearby(&self, now: Time) -> usize {
+    /// Ready instances of this data centre that are younger, of those that `counts`.
+    fn younger_nearby(&self, now: Time, counts: impl Fn(&Member) -> bool) -> usize {
         let own = age_key(&self.me);
         let near = self.alive(now).filter(|it| it.centre == self.me.centre && !it.is_leaving);
-        near.filter(|it| it.is_ready && age_key(it) < own).count()
+        near.filter(|it| it.is_ready && age_key(it) < own && counts(it)).count()
     }
 
     /// Whether this instance is to watch the store: in a small fleet all do, in a large one the
-    /// youngest of each data centre, or whoever hears of none that does.
+    /// youngest of each data centre that the store answers.
     pub fn is_watcher(&self, now: Time) -> bool {
         if !self.is_large() {
             return true;
         }
-        let mut near = self.alive(now).filter(|it| it.centre == self.me.centre && !it.is_leaving);
-        self.younger_nearby(now) < WATCHERS || !near.any(|it| it.is_watching)
+        let mut centres: Vec<&Arc<str>> = self.alive(now).map(|it| &it.centre).collect();
+        centres.push(&self.me.centre);
+        centres.sort_unstable();
+        centres.dedup();
+        self.younger_nearby(now, |it| !it.is_away) < WATCHERS.div_ceil(centres.len())
     }
 
     /// All instances that count for the shared budget, this one included.
@@ -271,11 +290,6 @@
         u32::try_from(self.others.len()).unwrap_or(u32::MAX).saturating_add(1)
     }
 
-    /// Where other instances are, the dead ones too: they may be back.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.others.values().map(|it| it.member.peers).collect()
-    }
-
     /// Members to be told of: those heard of last.
     pub fn rumours(&self, now: Time) -> Vec<Member> {
         let mut known: Vec<&Known> = self.others.values().collect();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //! that instances share through the platform's store.
 //!
 //! Decisions are pure modules ([`placement`], [`budget`], [`lease`], [`rollout`], [`gossip`],
-//! [`pool`]); the reactor carries them out. What the platform calls things is known to a
+//! [`rumour`], [`pool`]); the reactor carries them out. What the platform calls things is known to a
 //! [`dialect::Dialect`] alone.
 
 pub mod admission;
@@ -23,6 +23,7 @@
 pub mod placement;
 pub mod pool;
 pub mod rollout;
+pub mod rumour;
 pub mod settings;
 pub mod uplink;
 
--- /dev/null
+++ b/crates/gateway/src/rumour.rs
@@ -0,0 +1,231 @@
+//! News that all instances should hear at once, and how it spreads through a large fleet.
+//!
+//! The load patterns to bear: one instance has dozens of things to tell within a second, as in a roll-out, and
+//! hundreds of instances have one each at the same moment, as when all start.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use rand::{
+    Rng,
+    seq::{IndexedRandom, SliceRandom},
+};
+use serde::{Deserialize, Serialize};
+use shallotlead_base::time::Time;
+
+use crate::{
+    catchup::Holder,
+    gossip::{Loading, Member, Members},
+};
+
+/// How long a rumour is repeated, for datagrams that get lost.
+const KEPT: Duration = Duration::from_secs(5);
+/// Members of each data centre to which the origin of a rumour tells it; each passes it on to all of its data
+/// centre. One may be dead without anybody knowing yet.
+const RELAYS: usize = 2;
+/// How often each instance repeats a rumour, to three others each time: one that neither relay reached hears it
+/// nine times on average from the rest.
+const REPEATS: u32 = 3;
+/// Rumours in one repeating message: 60 of about 35 bytes stay near 2 KB.
+const MOST_REPEATED: usize = 60;
+/// Least time between two pushes: what comes up within it goes together.
+const GATHER: Duration = Duration::from_millis(20);
+/// Part of the instance's link that pushes may take.
+const SHARE: f64 = 0.25;
+
+/// Something that happened to one server or instance.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Rumour {
+    /// A server has begun to leave, and the revision that says so.
+    Leaving(Arc<str>, u64),
+    /// A server's weights are being changed, or are in place.
+    Loading(Loading),
+    /// A server has just been found silent. Others look for themselves: the origin may be the one that is cut
+    /// off.
+    Silent(Arc<str>),
+    /// An instance has a newer configuration.
+    Holds(Holder),
+    /// An instance is shutting down, or has lost the store or found it again.
+    Instance(Box<Member>),
+    /// The store of cached prompts at this address lives, or doesn't.
+    CacheStore(SocketAddr, bool),
+}
+
+impl Rumour {
+    /// Whether both speak of the same thing, so that the later one replaces the earlier.
+    fn is_about_same(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Leaving(a, _), Self::Leaving(b, _)) | (Self::Silent(a), Self::Silent(b)) => {
+                a == b
+            }
+            (Self::Loading(a), Self::Loading(b)) => a.server == b.server,
+            (Self::Holds(a), Self::Holds(b)) => a.address == b.address,
+            (Self::Instance(a), Self::Instance(b)) => a.name == b.name,
+            (Self::CacheStore(a, _), Self::CacheStore(b, _)) => a == b,
+            _ => false,
+        }
+    }
+
+    /// Whether it is worth repeating: what is silent, or who holds what, is old news a moment later.
+    fn is_lasting(&self) -> bool {
+        !matches!(self, Self::Silent(_) | Self::Holds(_))
+    }
+
+    /// What is left of it after `age`; nothing once it no longer holds.
+    fn aged(&self, age: Duration) -> Option<Self> {
+        match self {
+            Self::Loading(it) if 0 < it.valid_ms => {
+                let valid_ms = it.valid_ms.checked_sub(age.as_millis() as u32)?;
+                Some(Self::Loading(Loading { valid_ms, ..it.clone() })).filter(|_| 0 < valid_ms)
+            }
+            other => Some(other.clone()),
+        }
+    }
+}
+
+/// How far a rumour is to be told.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Reach {
+    /// Within the own data centre.
+    Centre,
+    /// Everywhere.
+    Fleet,
+}
+
+#[derive(Debug)]
+struct Item {
+    rumour: Rumour,
+    at: Time,
+    repeats: u32,
+    /// Where it is still to be pushed.
+    pending: Option<Reach>,
+}
+
+/// One message that is due.
+#[derive(Debug)]
+pub struct Push {
+    /// Who gets it.
+    pub targets: Vec<SocketAddr>,
+    /// What it tells.
+    pub rumours: Vec<Rumour>,
+    /// Whether the targets pass it on to their data centres.
+    pub passes_on: bool,
+}
+
+/// The rumours that an instance has heard lately, and what of them it still has to tell.
+///
+/// Guards against an instance that chokes its own link: telling each thing to half of a fleet of 295, together
+/// with all that it had told within five seconds, the one that rolled weights out had 256 ms of datagrams to send
+/// for each load that ended, lost its lease to its own full link after 2.4 s, and 48 of 204 servers were loaded
+/// in place of all. It holds since a rumour goes from its origin to two relays in each data centre and from
+/// those to their neighbours: the origin sends as many messages as there are data centres, times two, an instance
+/// hears each rumour twice and tells it twice on average, and what is sent is paced by the link.
+#[derive(Debug, Default)]
+pub struct Board {
+    items: Vec<Item>,
+    /// The own state is to be told besides: namings and versions stand in each message.
+    own: Option<Reach>,
+    next: Time,
+}
+
+impl Board {
+    /// Takes a rumour, to be told as far as `reach`.
+    pub fn put(&mut self, now: Time, rumour: Rumour, reach: Option<Reach>) {
+        let known = self.items.iter_mut().find(|it| it.rumour.is_about_same(&rumour));
+        match known {
+            Some(it) => {
+                let pending = it.pending.max(reach);
+                *it = Item { rumour, at: now, repeats: 0, pending };
+            }
+            None => self.items.push(Item { rumour, at: now, repeats: 0, pending: reach }),
+        }
+    }
+
+    /// Whether the same was heard or told within the last `age`.
+    pub fn has_heard(&self, now: Time, rumour: &Rumour, age: Duration) -> bool {
+        let mut recent = self.items.iter().filter(|it| now.since(it.at) < age);
+        recent.any(|it| it.rumour == *rumour)
+    }
+
+    /// The own state is to be told as far as `reach`, also without a rumour.
+    pub fn tell_own(&mut self, reach: Reach) {
+        self.own = self.own.max(Some(reach));
+    }
+
+    /// When the next push is due, if there is one.
+    pub fn next(&self) -> Option<Time> {
+        let is_pending = self.own.is_some() || self.items.iter().any(|it| it.pending.is_some());
+        is_pending.then_some(self.next)
+    }
+
+    /// The messages that are due now.
+    pub fn pushes(&mut self, now: Time, members: &Members, rng: &mut impl Rng) -> Vec<Push> {
+        if self.next().is_none_or(|it| now < it) {
+            return Vec::new();
+        }
+        self.next = now + GATHER;
+        let own = self.own.take();
+        if !members.is_large() {
+            let targets = members.alive(now).map(|it| it.peers).collect();
+            let mut rumours = self.take_pending(now, Reach::Fleet);
+            rumours.extend(self.take_pending(now, Reach::Centre));
+            return vec![Push { targets, rumours, passes_on: false }];
+        }
+        let mut pushes = Vec::new();
+        let far = self.take_pending(now, Reach::Fleet);
+        if !far.is_empty() || own == Some(Reach::Fleet) {
+            pushes.push(Push { targets: relays(now, members, rng), rumours: far, passes_on: true });
+        }
+        let near = self.take_pending(now, Reach::Centre);
+        if !near.is_empty() || own == Some(Reach::Centre) {
+            let targets = members.neighbours(now).map(|it| it.peers).collect();
+            pushes.push(Push { targets, rumours: near, passes_on: false });
+        }
+        pushes
+    }
+
+    /// So many bytes were sent for the last pushes, over a link of `bytes_per_s`: the next ones wait until they
+    /// are through at the part of the link that pushes may take.
+    pub fn sent(&mut self, now: Time, bytes: usize, bytes_per_s: f64) {
+        let takes = Duration::from_secs_f64(bytes as f64 / (bytes_per_s * SHARE));
+        self.next = self.next.max(now + takes);
+    }
+
+    /// Rumours for a repeating message: those that were repeated the fewest times, and the oldest of these, which
+    /// end first.
+    pub fn repeat(&mut self, now: Time) -> Vec<Rumour> {
+        self.items.retain(|it| now.since(it.at) < KEPT || it.pending.is_some());
+        let mut due: Vec<&mut Item> = self.items.iter_mut().collect();
+        due.retain(|it| it.rumour.is_lasting() && it.repeats < REPEATS);
+        due.sort_by_key(|it| (it.repeats, it.at));
+        let due = due.into_iter().take(MOST_REPEATED);
+        due.filter_map(|it| {
+            it.repeats += 1;
+            it.rumour.aged(now.since(it.at))
+        })
+        .collect()
+    }
+
+    fn take_pending(&mut self, now: Time, reach: Reach) -> Vec<Rumour> {
+        let pending = self.items.iter_mut().filter(|it| it.pending == Some(reach));
+        pending
+            .filter_map(|it| {
+                it.pending = None;
+                it.rumour.aged(now.since(it.at))
+            })
+            .collect()
+    }
+}
+
+/// Some live members of each data centre, which pass on what they are told.
+fn relays(now: Time, members: &Members, rng: &mut impl Rng) -> Vec<SocketAddr> {
+    let mut all: Vec<&Member> = members.alive(now).filter(|it| !it.is_leaving).collect();
+    all.shuffle(rng);
+    all.sort_by(|a, b| a.centre.cmp(&b.centre));
+    let by_centre = all.chunk_by(|a, b| a.centre == b.centre);
+    by_centre.flat_map(|it| it.iter().take(RELAYS)).map(|it| it.peers).collect()
+}
+
+/// Some of `all`, chosen at random.
+pub fn few(all: &[SocketAddr], most: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
+    all.choose_multiple(rng, most).copied().collect()
+}
--- /dev/null
+++ b/crates/gateway/tests/rumour.rs
@@ -0,0 +1,256 @@
+//! How news spreads through a fleet, in virtual time.
+
+mod support;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use shallotlead_base::time::Time;
+use shallotlead_gateway::{
+    gossip::{Loading, Member, Members},
+    rumour::{Board, Push, Reach, Rumour},
+};
+use support::{MODEL, at};
+
+/// Data centres.
+const CENTRES: usize = 5;
+/// How long a datagram is on its way, ms.
+const WAY_MS: u64 = 3;
+/// A link of 20 Mbit/s, bytes a second.
+const LINK: f64 = 2_500_000.0;
+/// Bytes of a message besides its rumours, and of a rumour.
+const HEADER: usize = 150;
+const RUMOUR: usize = 40;
+/// How often each instance repeats what it has heard, ms, and to how many others.
+const PERIOD_MS: u64 = 600;
+const FANOUT: usize = 3;
+
+struct Node {
+    members: Members,
+    board: Board,
+    /// Servers of which it has heard.
+    heard: Vec<bool>,
+    is_dead: bool,
+    messages: usize,
+    bytes: usize,
+}
+
+struct Fleet {
+    nodes: Vec<Node>,
+    /// Messages under way: when they arrive, where, and what they tell.
+    under_way: Vec<(u64, usize, Vec<Rumour>, bool)>,
+    rng: SmallRng,
+    /// Part of the datagrams that gets lost.
+    loss: f64,
+}
+
+impl Fleet {
+    fn open(count: usize, servers: usize, loss: f64, seed: u64) -> Self {
+        let all: Vec<Member> = (0..count).map(member).collect();
+        let nodes = all.iter().map(|me| {
+            let mut members = Members::open(me.clone());
+            for it in all.iter().filter(|it| it.name != me.name) {
+                members.take(at(0), it.clone());
+            }
+            let heard = vec![false; servers];
+            Node { members, board: Board::default(), heard, is_dead: false, messages: 0, bytes: 0 }
+        });
+        let rng = SmallRng::seed_from_u64(seed);
+        Self { nodes: nodes.collect(), under_way: Vec::new(), rng, loss }
+    }
+
+    fn tell(&mut self, from: usize, server: usize, ms: u64) {
+        self.nodes[from].heard[server] = true;
+        self.nodes[from].board.put(at(ms), loading(server), Some(Reach::Fleet));
+    }
+
+    /// Plays `range`, in ms.
+    fn play(&mut self, range: std::ops::Range<u64>) {
+        for ms in range {
+            let (due, later) =
+                std::mem::take(&mut self.under_way).into_iter().partition(|it| it.0 <= ms);
+            self.under_way = later;
+            for (_, to, rumours, passes_on) in due {
+                self.hear(ms, to, rumours, passes_on);
+            }
+            for from in 0..self.nodes.len() {
+                self.send(ms, from);
+            }
+        }
+    }
+
+    fn hear(&mut self, ms: u64, to: usize, rumours: Vec<Rumour>, passes_on: bool) {
+        let node = &mut self.nodes[to];
+        for rumour in rumours {
+            node.heard[server(&rumour)] = true;
+            node.board.put(at(ms), rumour, passes_on.then_some(Reach::Centre));
+        }
+    }
+
+    fn send(&mut self, ms: u64, from: usize) {
+        let now = at(ms);
+        let count = self.nodes.len();
+        let node = &mut self.nodes[from];
+        if node.is_dead {
+            return;
+        }
+        let mut pushes = node.board.pushes(now, &node.members, &mut self.rng);
+        for it in &pushes {
+            let bytes = it.targets.len() * (HEADER + RUMOUR * it.rumours.len());
+            node.board.sent(now, bytes, LINK);
+        }
+        if (ms + 7 * from as u64).is_multiple_of(PERIOD_MS) {
+            let targets = (0..FANOUT).map(|_| address(self.rng.random_range(0..count))).collect();
+            pushes.push(Push { targets, rumours: node.board.repeat(now), passes_on: false });
+        }
+        for Push { targets, rumours, passes_on } in pushes {
+            self.nodes[from].messages += targets.len();
+            self.nodes[from].bytes += targets.len() * (HEADER + RUMOUR * rumours.len());
+            for to in targets {
+                let to = usize::from(to.port()) - 1;
+                if !self.nodes[to].is_dead && !self.rng.random_bool(self.loss) {
+                    self.under_way.push((ms + WAY_MS, to, rumours.clone(), passes_on));
+                }
+            }
+        }
+    }
+
+    /// Part of what live instances should have heard that they have.
+    fn coverage(&self) -> f64 {
+        let alive = self.nodes.iter().filter(|it| !it.is_dead);
+        let (heard, all) = alive.fold((0, 0), |sum, it| {
+            (sum.0 + it.heard.iter().filter(|it| **it).count(), sum.1 + it.heard.len())
+        });
+        heard as f64 / all as f64
+    }
+}
+
+fn member(index: usize) -> Member {
+    Member {
+        name: Arc::from(format!("i{index}")),
+        incarnation: 1,
+        beat: 0,
+        centre: Arc::from((index % CENTRES).to_string()),
+        callers: address(index),
+        peers: address(index),
+        is_ready: true,
+        is_leaving: false,
+        is_watching: false,
+        is_away: false,
+    }
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], index as u16 + 1))
+}
+
+fn loading(server: usize) -> Rumour {
+    let server = Arc::from(server.to_string());
+    Rumour::Loading(Loading {
+        server,
+        born: None,
+        model: Arc::from(MODEL),
+        version: 2,
+        valid_ms: 4_000,
+    })
+}
+
+fn server(rumour: &Rumour) -> usize {
+    match rumour {
+        Rumour::Loading(it) => it.server.parse().expect("servers are named by numbers"),
+        _ => panic!("nothing else is told here"),
+    }
+}
+
+// New weights are named, and callers are refused for ten seconds though most servers are idle. The instance
+// that gives the orders tells half of the fleet of each load, together with all that it told before: 48 loads
+// fill its link for two seconds, its lease runs out behind them, and the next one does the same. Here it has
+// as much to tell, and sends a few messages at a time.
+#[test]
+fn roll_out_doesn_t_choke_the_instance_that_tells_of_it() {
+    let servers = 204;
+    for seed in 0..3 {
+        let mut fleet = Fleet::open(295, servers, 0.01, seed);
+        for batch in 0..servers / 17 {
+            let ms = 100 * batch as u64;
+            (0..17).for_each(|it| fleet.tell(0, 17 * batch + it, ms));
+            fleet.play(ms..ms + 100);
+        }
+        fleet.play(1_200..1_400);
+        let coverage = fleet.coverage();
+        assert!(0.99 < coverage, "{seed}: {coverage} heard of it within 0.2 s");
+        fleet.play(1_400..5_000);
+        assert_eq!(fleet.coverage(), 1.0, "{seed}: the rest hears by repeats");
+        // All rumours told once to all others, as before, would be 204 x 128 messages.
+        let origin = fleet.nodes[0].messages;
+        assert!(origin < 1_000, "{seed}: {origin} messages of the origin");
+        let bytes = fleet.nodes.iter().map(|it| it.bytes).max().unwrap_or(0);
+        assert!((bytes as f64) < LINK, "{seed}: {bytes} bytes of one instance in five seconds");
+    }
+}
+
+// A tenth of a fleet has just died and nobody knows yet, when an instance tells of a server that loads. Where both
+// relays of a data centre are dead, its instances hear of it a moment later from others, and none keeps sending
+// requests there.
+#[test]
+fn news_reach_all_though_relays_are_dead() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::open(295, 1, 0.05, seed);
+        for index in (3..295).step_by(10) {
+            fleet.nodes[index].is_dead = true;
+        }
+        fleet.tell(0, 0, 0);
+        fleet.play(0..2_500);
+        assert_eq!(fleet.coverage(), 1.0, "seed {seed}");
+    }
+}
+
+// Hundreds of instances find something to tell at the same moment, as when a data centre falls silent. What a relay
+// passes on goes together, and no faster than its link carries beside callers' answers.
+#[test]
+fn many_origins_at_once_are_gathered() {
+    let mut fleet = Fleet::open(295, 295, 0.01, 7);
+    for origin in 0..295 {
+        fleet.tell(origin, origin, 0);
+    }
+    fleet.play(0..1_000);
+    let most = fleet.nodes.iter().map(|it| it.bytes).max().unwrap_or(0);
+    assert!((most as f64) < 0.5 * LINK, "{most} bytes of one instance in a second");
+    fleet.play(1_000..6_000);
+    let coverage = fleet.coverage();
+    assert!(0.999 < coverage, "{coverage} heard");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+
+    // Rumours come late and out of order, repeated or not. One that no longer holds is never told on, and one of a
+    // server replaces the one before it, so that the board stays as small as what it speaks of.
+    #[test]
+    fn board_is_bounded_and_tells_nothing_that_is_over(
+        told in proptest::collection::vec((0_usize..6, 0_u64..9_000, 0_u32..5_000), 1..60),
+    ) {
+        let mut board = Board::default();
+        let mut members = Members::open(member(0));
+        (1..40).for_each(|it| {
+            members.take(at(0), member(it));
+        });
+        let mut rng = SmallRng::seed_from_u64(1);
+        let mut told = told;
+        told.sort_by_key(|it| it.1);
+        for (server, ms, valid_ms) in told {
+            let Rumour::Loading(it) = loading(server) else { continue };
+            board.put(at(ms), Rumour::Loading(Loading { valid_ms, ..it }), Some(Reach::Fleet));
+            let later = at(ms) + Duration::from_millis(500);
+            let repeated = board.repeat(later);
+            prop_assert!(repeated.len() <= 6);
+            let pushed = board.pushes(later, &members, &mut rng);
+            for rumour in pushed.iter().flat_map(|it| &it.rumours).chain(&repeated) {
+                let Rumour::Loading(it) = rumour else { continue };
+                prop_assert!(it.valid_ms == 0 || it.valid_ms <= 4_500, "{} ms", it.valid_ms);
+            }
+        }
+        prop_assert!(board.repeat(Time::from_millis(1_020_000)).is_empty());
+    }
+}
