Instances that the store doesn't answer don't stand for the lease; watches outlast a rolling restart

The lease's holder and the two next candidates were among them, no other one stood, and no weights were loaded from 3 to 15 s; from 10 s on all servers' weights were too old, and up to 4,400 requests in two seconds were refused.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -47,7 +47,7 @@
     placement::Memory,
     pool::Pool,
     rollout::Rollout,
-    rumour::{Reach, Rumour},
+    rumour::Rumour,
     settings::Settings,
     uplink::Uplink,
 };
@@ -379,10 +379,9 @@
                 .number("is_watching", is_watching)
                 .number("is_away", is_away);
         }
-        // The next one of this data centre takes over at once, rather than after seconds of gossip.
+        // The next one watches, or stands for the lease, at once rather than after seconds of gossip.
         if is_news {
-            let me = Box::new(self.members.me().clone());
-            self.peers.board.put(self.now, Rumour::Instance(me), Some(Reach::Centre));
+            self.tell_all(Rumour::Instance(Box::new(self.members.me().clone())));
         }
     }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -4,7 +4,10 @@
 
 use rand::{Rng, seq::IndexedRandom};
 use serde::{Deserialize, Serialize};
-use shallotlead_base::{hash::Map, time::Time};
+use shallotlead_base::{
+    hash::{self, Map},
+    time::Time,
+};
 
 use crate::{
     dialect::{Born, Load, Part},
@@ -262,18 +265,21 @@
         if !self.is_large() {
             return self.rank(now) < LOOKING;
         }
-        self.younger_nearby(now, |_| true) < LOOKING_NEARBY
+        self.place_nearby(now, |_| true) < LOOKING_NEARBY
     }
 
-    /// Ready instances of this data centre that are younger, of those that `counts`.
-    fn younger_nearby(&self, now: Time, counts: impl Fn(&Member) -> bool) -> usize {
-        let own = age_key(&self.me);
+    /// How many ready instances of this data centre come before this one where few do something for all, of those
+    /// that `counts`. The order is one of names: by age, each instance of a rolling restart would take over from
+    /// the one before it.
+    fn place_nearby(&self, now: Time, counts: impl Fn(&Member) -> bool) -> usize {
+        let weight = |it: &Member| (hash::weight(&it.name, 0), it.name.clone());
+        let own = weight(&self.me);
         let near = self.alive(now).filter(|it| it.centre == self.me.centre && !it.is_leaving);
-        near.filter(|it| it.is_ready && age_key(it) < own && counts(it)).count()
+        near.filter(|it| it.is_ready && counts(it) && weight(it) < own).count()
     }
 
-    /// Whether this instance is to watch the store: in a small fleet all do, in a large one the
-    /// youngest of each data centre that the store answers.
+    /// Whether this instance is to watch the store: in a small fleet all do, in a large one the first
+    /// of each data centre that the store answers.
     pub fn is_watcher(&self, now: Time) -> bool {
         if !self.is_large() {
             return true;
@@ -282,7 +288,7 @@
         centres.push(&self.me.centre);
         centres.sort_unstable();
         centres.dedup();
-        self.younger_nearby(now, |it| !it.is_away) < WATCHERS.div_ceil(centres.len())
+        self.place_nearby(now, |it| !it.is_away) < WATCHERS.div_ceil(centres.len())
     }
 
     /// All instances that count for the shared budget, this one included.
@@ -297,11 +303,21 @@
         known.into_iter().take(MAX_MEMBERS).map(|it| it.member.clone()).collect()
     }
 
-    /// This instance's place among those that may hold the lease: the ready ones, the youngest first,
-    /// since a rolling restart comes to those that haven't been restarted yet.
+    /// This instance's place among those that may hold the lease, the youngest first, since a rolling restart
+    /// comes to those that haven't been restarted yet. One that isn't ready itself comes last, but the others that
+    /// aren't ready yet count: when all start at once, nobody knows for a while who is.
+    ///
+    /// Those that the store doesn't answer don't count. Guards against candidates that are all cut off from the
+    /// store while the rest of the fleet reaches it: nobody takes the lease, weights grow too old for any request,
+    /// and callers are refused for as long as the cut lasts. It shows as no order for seconds while the store is
+    /// well. It holds since whoever stands for the lease reads the store, and so knows whether it is answered.
     pub fn rank(&self, now: Time) -> usize {
+        if !self.me.is_ready {
+            return usize::MAX;
+        }
         let own = age_key(&self.me);
-        self.alive(now).filter(|it| it.is_ready && !it.is_leaving && age_key(it) < own).count()
+        let stands = |it: &&Member| !it.is_leaving && !it.is_away;
+        self.alive(now).filter(stands).filter(|it| age_key(it) < own).count()
     }
 }
 
