Few read the store for all from the first second on, and records of the gone count for a moment only

Now all that are heard of count; one that is only known from its record counts for 2.4 s, as it may be gone for good.

--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -50,9 +50,7 @@
                 self.take_entry(&object.key.name, object.version.0, value, Source::Store);
             }
             What::Instances => match serde_json::from_slice::<Member>(&object.value) {
-                Ok(member) => {
-                    self.members.take(self.now, member);
-                }
+                Ok(member) => self.members.listed(self.now, member),
                 Err(err) => {
                     self.journal
                         .line(self.now, "instance_unreadable")
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -36,6 +36,9 @@
 const LOOKING_NEARBY: usize = 2;
 /// Instances of a small fleet that look whether the store of cached prompts lives.
 const LOOKING: usize = 8;
+/// How long an instance of a large fleet counts as alive that is only known from its record, which may be that of
+/// one that is gone for good: four periods, in which the living are heard of.
+const LISTED_ALIVE: Duration = Duration::from_millis(2_400);
 /// How long a dead instance still counts for the shared budget.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Members in one message: 60 of about 60 bytes stay below 4 KB.
@@ -171,6 +174,8 @@
 struct Known {
     member: Member,
     heard: Time,
+    /// It is known from its record alone, and may be gone for good.
+    is_listed: bool,
 }
 
 /// The instances that this one knows.
@@ -211,16 +216,30 @@
         match self.others.get_mut(&member.name) {
             Some(it) if age(&member) <= age(&it.member) => false,
             Some(it) => {
-                *it = Known { member, heard: now };
+                *it = Known { member, heard: now, is_listed: false };
                 true
             }
             None => {
-                self.others.insert(member.name.clone(), Known { member, heard: now });
+                let known = Known { member, heard: now, is_listed: false };
+                self.others.insert(known.member.name.clone(), known);
                 true
             }
         }
     }
 
+    /// Takes an instance's record from a list of all.
+    ///
+    /// Guards against records of instances that are gone for good: after a restart of all, the others would wait
+    /// for them to watch the store or to take the lease. It holds since those that live are soon heard of.
+    pub fn listed(&mut self, now: Time, member: Member) {
+        if self.others.contains_key(&member.name) {
+            self.take(now, member);
+        } else if member.name != self.me.name {
+            let known = Known { member, heard: now, is_listed: true };
+            self.others.insert(known.member.name.clone(), known);
+        }
+    }
+
     /// Forgets what has been silent for long.
     pub fn expire(&mut self, now: Time) {
         self.others.retain(|_, it| now.since(it.heard) < FORGET_AFTER);
@@ -228,8 +247,13 @@
 
     /// The other instances that are alive.
     pub fn alive(&self, now: Time) -> impl Iterator<Item = &Member> {
-        let dead_after = if self.is_large() { LARGE_DEAD_AFTER } else { DEAD_AFTER };
-        let is_alive = move |it: &&Known| now.since(it.heard) < dead_after;
+        let is_large = self.is_large();
+        let dead_after = move |it: &Known| match is_large {
+            true if it.is_listed => LISTED_ALIVE,
+            true => LARGE_DEAD_AFTER,
+            false => DEAD_AFTER,
+        };
+        let is_alive = move |it: &&Known| now.since(it.heard) < dead_after(it);
         self.others.values().filter(is_alive).map(|it| &it.member)
     }
 
@@ -268,14 +292,14 @@
         self.place_nearby(now, |_| true) < LOOKING_NEARBY
     }
 
-    /// How many ready instances of this data centre come before this one where few do something for all, of those
-    /// that `counts`. The order is one of names: by age, each instance of a rolling restart would take over from
-    /// the one before it.
+    /// How many instances of this data centre come before this one where few do something for all, of those that
+    /// `counts`. The order is one of names: by age, each instance of a rolling restart would take over from the
+    /// one before it. Those that aren't ready yet count: when all start at once, none is, and all would do it.
     fn place_nearby(&self, now: Time, counts: impl Fn(&Member) -> bool) -> usize {
         let weight = |it: &Member| (hash::weight(&it.name, 0), it.name.clone());
         let own = weight(&self.me);
         let near = self.alive(now).filter(|it| it.centre == self.me.centre && !it.is_leaving);
-        near.filter(|it| it.is_ready && counts(it) && weight(it) < own).count()
+        near.filter(|it| counts(it) && weight(it) < own).count()
     }
 
     /// Whether this instance is to watch the store: in a small fleet all do, in a large one the first
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -104,6 +104,26 @@
     assert!(small.is_watcher(at(0)));
 }
 
+// All machines of a fleet start again after a loss of power, but for some that are gone for good, of which the store
+// still has the records. Nobody watches the store in a data centre whose first by name is one of those, until the
+// rest takes it for dead; and nobody may take it for dead that is heard of.
+#[test]
+fn records_of_the_gone_count_for_a_moment_only() {
+    let all = fleet(3, |it| it.is_ready = false);
+    let gone = watchers(&all, &[]);
+    let is_watcher = |me: usize, ms: u64| {
+        let mut members = Members::open(all[me].clone());
+        all.iter().for_each(|it| members.listed(at(0), it.clone()));
+        for (index, it) in all.iter().enumerate().filter(|it| !gone.contains(&it.0)) {
+            members.take(at(1_000 + index as u64), Member { beat: 1, ..it.clone() });
+        }
+        members.is_watcher(at(ms))
+    };
+    let alive = || (0..all.len()).filter(|it| !gone.contains(it));
+    assert_eq!(alive().filter(|it| is_watcher(*it, 2_000)).count(), 0);
+    assert_eq!(alive().filter(|it| is_watcher(*it, 2_500)).count(), 3);
+}
+
 // Instances are restarted one after the other. If the youngest watched, each one would take over from the one
 // before and pay for it, 59 times in a data centre of 59.
 #[test]
