Rumours by what they speak of, the version in force in one place, one reading of the lease when an instance leaves

A board of rumours no longer looks through all of them for each that is heard. Members that go on telling that they leave made candidates read the lease each 40 ms for as long as they told it; now their first word does.

--- a/crates/gateway/src/core/ending.rs
+++ b/crates/gateway/src/core/ending.rs
@@ -87,7 +87,7 @@
         refusal: Refusal,
         arrived: Time,
     ) {
-        let version = self.catalog.as_ref().map_or(0, |it| it.version);
+        let version = self.version_in_force();
         self.journal
             .line(self.now, "refused")
             .text("request", ask.id.as_deref().unwrap_or_default())
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -82,7 +82,7 @@
                 return;
             }
         };
-        let known = self.catalog.as_ref().map_or(0, |it| it.version);
+        let known = self.version_in_force();
         if catalog.version <= known {
             return;
         }
@@ -133,6 +133,11 @@
         }
     }
 
+    /// The version of the configuration in force; zero before the first one.
+    pub(crate) fn version_in_force(&self) -> u64 {
+        self.catalog.as_ref().map_or(0, |it| it.version)
+    }
+
     /// The service `name` of the configuration in force.
     pub(crate) fn service(&self, name: &str) -> Option<&Service> {
         self.catalog.as_ref()?.services.get(name)
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -140,7 +140,7 @@
             return;
         }
         let me = self.members.me();
-        let version = self.catalog.as_ref().map_or(0, |it| it.version);
+        let version = self.version_in_force();
         let holder = Holder { address: me.peers, centre: me.centre.clone(), version };
         self.tell_all(Rumour::Holds(holder));
     }
@@ -200,7 +200,7 @@
         Message {
             from: self.members.me().clone(),
             members: Vec::new(),
-            configuration: self.catalog.as_ref().map_or(0, |it| it.version),
+            configuration: self.version_in_force(),
             weights: self.namings(),
             rumours,
             passes_on,
--- a/crates/gateway/src/core/peers/heard.rs
+++ b/crates/gateway/src/core/peers/heard.rs
@@ -82,10 +82,9 @@
                 self.pool.pace_mut(&service).adopt(&pace);
             }
         }
-        self.take_leaving_instance(&from);
-        self.members.take(now, from);
+        self.take_member(from);
         for member in members {
-            self.members.take(now, member);
+            self.take_member(member);
         }
         self.told_configuration(holder);
         self.take_namings(&weights);
@@ -109,19 +108,17 @@
                 }
             }
             Rumour::Holds(holder) => self.told_configuration(holder.clone()),
-            Rumour::Instance(member) => {
-                self.take_leaving_instance(member);
-                self.members.take(self.now, Member::clone(member));
-            }
+            Rumour::Instance(member) => self.take_member(Member::clone(member)),
             Rumour::CacheStore(address, is_alive) => {
                 self.cache_stores.told(self.now, *address, *is_alive);
             }
         }
     }
 
-    /// An instance that shuts down gives the lease back, if it holds it.
-    fn take_leaving_instance(&mut self, member: &Member) {
-        if member.is_leaving {
+    /// Takes what an instance tells of itself. One that begins to leave gives the lease back, if it holds it.
+    fn take_member(&mut self, member: Member) {
+        let begins_to_leave = member.is_leaving && !self.members.is_leaving(&member.name);
+        if self.members.take(self.now, member) && begins_to_leave {
             self.lease.hurry(self.now);
         }
     }
@@ -140,7 +137,7 @@
 
     /// Another instance has said which configuration it has.
     fn told_configuration(&mut self, holder: Holder) {
-        let own = self.catalog.as_ref().map_or(0, |it| it.version);
+        let own = self.version_in_force();
         if holder.version <= own {
             return;
         }
--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -132,11 +132,14 @@
     /// Asks an instance that has a newer configuration for it.
     fn ask_holder(&mut self) {
         let now = self.now;
+        if self.peers.catchup.next().is_none_or(|it| now < it) {
+            return;
+        }
         let chance = self.random();
         let Some(holder) = self.peers.catchup.ask(now, &self.settings.centre, chance) else {
             return;
         };
-        let own = self.catalog.as_ref().map_or(0, |it| it.version);
+        let own = self.version_in_force();
         let (peer, version) = (holder.address, Some(holder.version));
         let reason = Reason::Behind;
         self.ask(Question { peer, reason, asked: now, version, entries: NOTHING }, own);
@@ -214,7 +217,7 @@
         if let Some(packed) = state.configuration {
             self.take_packed(packed);
         }
-        let own = self.catalog.as_ref().map_or(0, |it| it.version);
+        let own = self.version_in_force();
         match question.version {
             Some(wanted) if own < wanted && is_busy => Answer::Busy,
             // It can't be read here. Asked again, the holder would send the same.
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -223,7 +223,7 @@
 
 impl Core {
     pub(crate) fn refresh_gauges(&mut self) {
-        let version = self.catalog.as_ref().map_or(0, |it| it.version);
+        let version = self.version_in_force();
         let servers = self.pool.listed().count();
         let alive = self.members.alive(self.now).count() + 1;
         let out = self.pool.listed().filter(|it| !it.1.health.is_in()).count();
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -321,9 +321,7 @@
             | Reply::Conflict(_) => follower.next = now + AGAIN,
         }
     }
-}
 
-impl Core {
     /// The store was read up to `version`.
     fn has_read(&mut self, what: What, version: Version) {
         match what {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -227,6 +227,11 @@
         }
     }
 
+    /// Whether the instance `name` is known to be leaving.
+    pub fn is_leaving(&self, name: &str) -> bool {
+        self.others.get(name).is_some_and(|it| it.member.is_leaving)
+    }
+
     /// Takes an instance's record from a list of all.
     ///
     /// Guards against records of instances that are gone for good: after a restart of all, the others would wait
--- a/crates/gateway/src/rumour.rs
+++ b/crates/gateway/src/rumour.rs
@@ -10,7 +10,7 @@
     seq::{IndexedRandom, SliceRandom},
 };
 use serde::{Deserialize, Serialize};
-use shallotlead_base::time::Time;
+use shallotlead_base::{hash::Map, time::Time};
 
 use crate::{
     catchup::Holder,
@@ -51,17 +51,14 @@
 }
 
 impl Rumour {
-    /// Whether both speak of the same thing, so that the later one replaces the earlier.
-    fn is_about_same(&self, other: &Self) -> bool {
-        match (self, other) {
-            (Self::Leaving(a, _), Self::Leaving(b, _)) | (Self::Silent(a), Self::Silent(b)) => {
-                a == b
-            }
-            (Self::Loading(a), Self::Loading(b)) => a.server == b.server,
-            (Self::Holds(a), Self::Holds(b)) => a.address == b.address,
-            (Self::Instance(a), Self::Instance(b)) => a.name == b.name,
-            (Self::CacheStore(a, _), Self::CacheStore(b, _)) => a == b,
-            _ => false,
+    fn subject(&self) -> Subject {
+        match self {
+            Self::Leaving(server, _) => Subject::Leaving(server.clone()),
+            Self::Loading(it) => Subject::Loading(it.server.clone()),
+            Self::Silent(server) => Subject::Silent(server.clone()),
+            Self::Holds(it) => Subject::Holder(it.address),
+            Self::Instance(it) => Subject::Instance(it.name.clone()),
+            Self::CacheStore(address, _) => Subject::CacheStore(*address),
         }
     }
 
@@ -82,6 +79,17 @@
     }
 }
 
+/// What a rumour speaks of: a later one of the same replaces the earlier.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+enum Subject {
+    Leaving(Arc<str>),
+    Loading(Arc<str>),
+    Silent(Arc<str>),
+    Holder(SocketAddr),
+    Instance(Arc<str>),
+    CacheStore(SocketAddr),
+}
+
 /// How far a rumour is to be told.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Reach {
@@ -121,7 +129,9 @@
 /// hears each rumour twice and tells it twice on average, and what is sent is paced by the link.
 #[derive(Debug, Default)]
 pub struct Board {
-    items: Vec<Item>,
+    items: Map<Subject, Item>,
+    /// What is still to be pushed.
+    pending: Vec<Subject>,
     /// The own state is to be told besides: namings and versions stand in each message.
     own: Option<Reach>,
     next: Time,
@@ -130,20 +140,19 @@
 impl Board {
     /// Takes a rumour, to be told as far as `reach`.
     pub fn put(&mut self, now: Time, rumour: Rumour, reach: Option<Reach>) {
-        let known = self.items.iter_mut().find(|it| it.rumour.is_about_same(&rumour));
-        match known {
-            Some(it) => {
-                let pending = it.pending.max(reach);
-                *it = Item { rumour, at: now, repeats: 0, pending };
-            }
-            None => self.items.push(Item { rumour, at: now, repeats: 0, pending: reach }),
+        let subject = rumour.subject();
+        let before = self.items.get(&subject).and_then(|it| it.pending);
+        let pending = before.max(reach);
+        if before.is_none() && pending.is_some() {
+            self.pending.push(subject.clone());
         }
+        self.items.insert(subject, Item { rumour, at: now, repeats: 0, pending });
     }
 
     /// Whether the same was heard or told within the last `age`.
     pub fn has_heard(&self, now: Time, rumour: &Rumour, age: Duration) -> bool {
-        let mut recent = self.items.iter().filter(|it| now.since(it.at) < age);
-        recent.any(|it| it.rumour == *rumour)
+        let known = self.items.get(&rumour.subject());
+        known.is_some_and(|it| it.rumour == *rumour && now.since(it.at) < age)
     }
 
     /// The own state is to be told as far as `reach`, also without a rumour.
@@ -153,8 +162,7 @@
 
     /// When the next push is due, if there is one.
     pub fn next(&self) -> Option<Time> {
-        let is_pending = self.own.is_some() || self.items.iter().any(|it| it.pending.is_some());
-        is_pending.then_some(self.next)
+        (self.own.is_some() || !self.pending.is_empty()).then_some(self.next)
     }
 
     /// The messages that are due now.
@@ -164,18 +172,16 @@
         }
         self.next = now + GATHER;
         let own = self.own.take();
+        let (far, near) = self.take_pending(now);
         if !members.is_large() {
             let targets = members.alive(now).map(|it| it.peers).collect();
-            let mut rumours = self.take_pending(now, Reach::Fleet);
-            rumours.extend(self.take_pending(now, Reach::Centre));
+            let rumours = far.into_iter().chain(near).collect();
             return vec![Push { targets, rumours, passes_on: false }];
         }
         let mut pushes = Vec::new();
-        let far = self.take_pending(now, Reach::Fleet);
         if !far.is_empty() || own == Some(Reach::Fleet) {
             pushes.push(Push { targets: relays(now, members, rng), rumours: far, passes_on: true });
         }
-        let near = self.take_pending(now, Reach::Centre);
         if !near.is_empty() || own == Some(Reach::Centre) {
             let targets = members.neighbours(now).map(|it| it.peers).collect();
             pushes.push(Push { targets, rumours: near, passes_on: false });
@@ -187,14 +193,14 @@
     /// are through at the part of the link that pushes may take.
     pub fn sent(&mut self, now: Time, bytes: usize, bytes_per_s: f64) {
         let takes = Duration::from_secs_f64(bytes as f64 / (bytes_per_s * SHARE));
-        self.next = self.next.max(now + takes);
+        self.next = self.next.max(now) + takes;
     }
 
     /// Rumours for a repeating message: those that were repeated the fewest times, and the oldest of these, which
     /// end first.
     pub fn repeat(&mut self, now: Time) -> Vec<Rumour> {
-        self.items.retain(|it| now.since(it.at) < KEPT || it.pending.is_some());
-        let mut due: Vec<&mut Item> = self.items.iter_mut().collect();
+        self.items.retain(|_, it| now.since(it.at) < KEPT || it.pending.is_some());
+        let mut due: Vec<&mut Item> = self.items.values_mut().collect();
         due.retain(|it| it.rumour.is_lasting() && it.repeats < REPEATS);
         due.sort_by_key(|it| (it.repeats, it.at));
         let due = due.into_iter().take(MOST_REPEATED);
@@ -205,14 +211,20 @@
         .collect()
     }
 
-    fn take_pending(&mut self, now: Time, reach: Reach) -> Vec<Rumour> {
-        let pending = self.items.iter_mut().filter(|it| it.pending == Some(reach));
-        pending
-            .filter_map(|it| {
-                it.pending = None;
-                it.rumour.aged(now.since(it.at))
-            })
-            .collect()
+    /// What is to be told everywhere, and within the own data centre.
+    fn take_pending(&mut self, now: Time) -> (Vec<Rumour>, Vec<Rumour>) {
+        let (mut far, mut near) = (Vec::new(), Vec::new());
+        for subject in std::mem::take(&mut self.pending) {
+            let Some(item) = self.items.get_mut(&subject) else { continue };
+            let reach = item.pending.take();
+            let rumour = item.rumour.aged(now.since(item.at));
+            match reach {
+                Some(Reach::Fleet) => far.extend(rumour),
+                Some(Reach::Centre) => near.extend(rumour),
+                None => {}
+            }
+        }
+        (far, near)
     }
 }
 
