Rumours count from when their origin told them, so that they end

Found in reading: what was heard again counted as new, was repeated anew, and went round for as long as the fleet lives. The test rumours_die_out fails with that (checked by putting it back).

--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -129,7 +129,7 @@
 
     /// Tells all instances of `rumour`.
     pub(crate) fn tell_all(&mut self, rumour: Rumour) {
-        self.peers.board.put(self.now, rumour, Some(Reach::Fleet));
+        self.peers.board.put(self.now, rumour, Reach::Fleet);
     }
 
     /// Tells all instances how this one stands now.
@@ -194,7 +194,12 @@
     }
 
     /// Returns how many bytes were sent.
-    fn tell(&mut self, targets: &[SocketAddr], rumours: Vec<Rumour>, passes_on: bool) -> usize {
+    fn tell(
+        &mut self,
+        targets: &[SocketAddr],
+        rumours: Vec<rumour::Aged>,
+        passes_on: bool,
+    ) -> usize {
         if targets.is_empty() {
             return 0;
         }
@@ -202,7 +207,7 @@
         self.send_to(targets, &Datagram::News(Box::new(message)))
     }
 
-    fn message(&mut self, rumours: Vec<Rumour>, passes_on: bool) -> Message {
+    fn message(&mut self, rumours: Vec<rumour::Aged>, passes_on: bool) -> Message {
         Message {
             from: self.members.tell(),
             members: Vec::new(),
@@ -230,7 +235,7 @@
     pub(crate) fn tell_silent(&mut self, id: pool::Id) {
         let rumour = Rumour::Silent(self.pool.get(id).name.clone());
         if !self.peers.board.has_heard(self.now, &rumour, SILENT_AGAIN) {
-            self.peers.board.put(self.now, rumour, Some(Reach::Centre));
+            self.peers.board.put(self.now, rumour, Reach::Centre);
         }
     }
 
--- a/crates/gateway/src/core/peers/heard.rs
+++ b/crates/gateway/src/core/peers/heard.rs
@@ -94,9 +94,11 @@
             self.peers.board.tell_own(Reach::Centre);
         }
         let reach = passes_on.then_some(Reach::Centre);
-        for rumour in rumours {
-            self.take_rumour(&rumour);
-            self.peers.board.put(now, rumour, reach);
+        for heard in &rumours {
+            if let Some(rumour) = heard.current() {
+                self.take_rumour(&rumour);
+            }
+            self.peers.board.hear(now, heard, reach);
         }
     }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -15,7 +15,7 @@
 use crate::{
     dialect::{Born, Load, Part},
     pace::Pace,
-    rumour::Rumour,
+    rumour,
 };
 
 /// How often an instance tells two others what it knows.
@@ -168,7 +168,7 @@
     /// The weights that it has heard of.
     pub weights: Vec<Naming>,
     /// What has happened to servers and instances.
-    pub rumours: Vec<Rumour>,
+    pub rumours: Vec<rumour::Aged>,
     /// Whether the receiver is to pass the rumours on to its data centre.
     pub passes_on: bool,
     /// The stores of cached prompts at which the sender looks itself, and whether they live.
--- a/crates/gateway/src/rumour.rs
+++ b/crates/gateway/src/rumour.rs
@@ -29,6 +29,9 @@
 const MOST_REPEATED: usize = 60;
 /// Least time between two pushes: what comes up within it goes together.
 const GATHER: Duration = Duration::from_millis(20);
+/// What says the same counts as told anew when it was told so much later. Less may be one telling that came on two
+/// ways: the time that a datagram takes isn't counted in a rumour's age.
+const TOLD_AGAIN: Duration = Duration::from_secs(1);
 /// Part of the instance's link that pushes may take.
 const SHARE: f64 = 0.25;
 
@@ -67,12 +70,33 @@
         !matches!(self, Self::Silent(_) | Self::Holds(_))
     }
 
-    /// What is left of it after `age`; nothing once it no longer holds.
-    fn aged(&self, age: Duration) -> Option<Self> {
-        match self {
-            Self::Loading(it) if 0 < it.valid_ms => {
-                let valid_ms = it.valid_ms.checked_sub(age.as_millis() as u32)?;
-                Some(Self::Loading(Loading { valid_ms, ..it.clone() })).filter(|_| 0 < valid_ms)
+    /// Whether both say the same, whenever they were told.
+    fn says_same(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Instance(a), Self::Instance(b)) => {
+                **a == Member { beat: a.beat, ..Member::clone(b) }
+            }
+            _ => self == other,
+        }
+    }
+}
+
+/// A rumour and how long ago its origin told it, as far as known.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Aged {
+    /// What the origin told.
+    pub rumour: Rumour,
+    /// How long ago that was, ms.
+    pub age_ms: u32,
+}
+
+impl Aged {
+    /// What of it holds now; nothing once its time is over.
+    pub fn current(&self) -> Option<Rumour> {
+        match &self.rumour {
+            Rumour::Loading(it) if 0 < it.valid_ms => {
+                let valid_ms = it.valid_ms.checked_sub(self.age_ms).filter(|it| 0 < *it)?;
+                Some(Rumour::Loading(Loading { valid_ms, ..it.clone() }))
             }
             other => Some(other.clone()),
         }
@@ -102,19 +126,32 @@
 #[derive(Debug)]
 struct Item {
     rumour: Rumour,
+    /// When its origin told it.
     at: Time,
     repeats: u32,
     /// Where it is still to be pushed.
     pending: Option<Reach>,
 }
 
+impl Item {
+    /// Whether `other`, of the same subject, says nothing later.
+    fn is_told_by(&self, other: &Self) -> bool {
+        let slack = if self.rumour.says_same(&other.rumour) { TOLD_AGAIN } else { Duration::ZERO };
+        other.at < self.at + slack
+    }
+
+    fn aged(&self, now: Time) -> Aged {
+        Aged { rumour: self.rumour.clone(), age_ms: now.since(self.at).as_millis() as u32 }
+    }
+}
+
 /// One message that is due.
 #[derive(Debug)]
 pub struct Push {
     /// Who gets it.
     pub targets: Vec<SocketAddr>,
     /// What it tells.
-    pub rumours: Vec<Rumour>,
+    pub rumours: Vec<Aged>,
     /// Whether the targets pass it on to their data centres.
     pub passes_on: bool,
 }
@@ -138,15 +175,35 @@
 }
 
 impl Board {
-    /// Takes a rumour, to be told as far as `reach`.
-    pub fn put(&mut self, now: Time, rumour: Rumour, reach: Option<Reach>) {
+    /// Takes a rumour of which this instance is the origin, to be told as far as `reach`.
+    pub fn put(&mut self, now: Time, rumour: Rumour, reach: Reach) {
+        self.take(now, rumour, Some(reach));
+    }
+
+    /// Takes a rumour of another instance, to be told as far as `reach`.
+    ///
+    /// Guards against echoes: what is heard again would count as new, be repeated anew, and never end. It shows as
+    /// messages that are full of old rumours. It holds since a rumour counts from when its origin told it.
+    pub fn hear(&mut self, now: Time, heard: &Aged, reach: Option<Reach>) {
+        let age = Duration::from_millis(u64::from(heard.age_ms));
+        if age < KEPT {
+            self.take(now - age, heard.rumour.clone(), reach);
+        }
+    }
+
+    fn take(&mut self, at: Time, rumour: Rumour, reach: Option<Reach>) {
         let subject = rumour.subject();
-        let before = self.items.get(&subject).and_then(|it| it.pending);
-        let pending = before.max(reach);
-        if before.is_none() && pending.is_some() {
+        let item = Item { rumour, at, repeats: 0, pending: None };
+        let item = match self.items.remove(&subject) {
+            Some(it) if it.is_told_by(&item) => it,
+            Some(it) => Item { pending: it.pending, ..item },
+            None => item,
+        };
+        let pending = item.pending.max(reach);
+        if item.pending.is_none() && pending.is_some() {
             self.pending.push(subject.clone());
         }
-        self.items.insert(subject, Item { rumour, at: now, repeats: 0, pending });
+        self.items.insert(subject, Item { pending, ..item });
     }
 
     /// Whether the same was heard or told within the last `age`.
@@ -198,29 +255,29 @@
 
     /// Rumours for a repeating message: those that were repeated the fewest times, and the oldest of these, which
     /// end first.
-    pub fn repeat(&mut self, now: Time) -> Vec<Rumour> {
+    pub fn repeat(&mut self, now: Time) -> Vec<Aged> {
         self.items.retain(|_, it| now.since(it.at) < KEPT || it.pending.is_some());
         let mut due: Vec<&mut Item> = self.items.values_mut().collect();
         due.retain(|it| it.rumour.is_lasting() && it.repeats < REPEATS);
         due.sort_by_key(|it| (it.repeats, it.at));
         let due = due.into_iter().take(MOST_REPEATED);
-        due.filter_map(|it| {
+        let due = due.map(|it| {
             it.repeats += 1;
-            it.rumour.aged(now.since(it.at))
-        })
-        .collect()
+            it.aged(now)
+        });
+        due.filter(|it| it.current().is_some()).collect()
     }
 
     /// What is to be told everywhere, and within the own data centre.
-    fn take_pending(&mut self, now: Time) -> (Vec<Rumour>, Vec<Rumour>) {
+    fn take_pending(&mut self, now: Time) -> (Vec<Aged>, Vec<Aged>) {
         let (mut far, mut near) = (Vec::new(), Vec::new());
         for subject in std::mem::take(&mut self.pending) {
             let Some(item) = self.items.get_mut(&subject) else { continue };
             let reach = item.pending.take();
-            let rumour = item.rumour.aged(now.since(item.at));
+            let aged = Some(item.aged(now)).filter(|it| it.current().is_some());
             match reach {
-                Some(Reach::Fleet) => far.extend(rumour),
-                Some(Reach::Centre) => near.extend(rumour),
+                Some(Reach::Fleet) => far.extend(aged),
+                Some(Reach::Centre) => near.extend(aged),
                 None => {}
             }
         }
--- a/crates/gateway/tests/rumour.rs
+++ b/crates/gateway/tests/rumour.rs
@@ -9,7 +9,7 @@
 use shallotlead_base::time::Time;
 use shallotlead_gateway::{
     gossip::{Loading, Member, Members},
-    rumour::{Board, Push, Reach, Rumour},
+    rumour::{Aged, Board, Push, Reach, Rumour},
 };
 use support::{MODEL, at};
 
@@ -39,7 +39,7 @@
 struct Fleet {
     nodes: Vec<Node>,
     /// Messages under way: when they arrive, where, and what they tell.
-    under_way: Vec<(u64, usize, Vec<Rumour>, bool)>,
+    under_way: Vec<(u64, usize, Vec<Aged>, bool)>,
     rng: SmallRng,
     /// Part of the datagrams that gets lost.
     loss: f64,
@@ -62,7 +62,7 @@
 
     fn tell(&mut self, from: usize, server: usize, ms: u64) {
         self.nodes[from].heard[server] = true;
-        self.nodes[from].board.put(at(ms), loading(server), Some(Reach::Fleet));
+        self.nodes[from].board.put(at(ms), loading(server), Reach::Fleet);
     }
 
     /// Plays `range`, in ms.
@@ -80,11 +80,11 @@
         }
     }
 
-    fn hear(&mut self, ms: u64, to: usize, rumours: Vec<Rumour>, passes_on: bool) {
+    fn hear(&mut self, ms: u64, to: usize, rumours: Vec<Aged>, passes_on: bool) {
         let node = &mut self.nodes[to];
-        for rumour in rumours {
-            node.heard[server(&rumour)] = true;
-            node.board.put(at(ms), rumour, passes_on.then_some(Reach::Centre));
+        for heard in rumours {
+            node.heard[server(&heard.rumour)] = true;
+            node.board.hear(at(ms), &heard, passes_on.then_some(Reach::Centre));
         }
     }
 
@@ -190,6 +190,18 @@
     }
 }
 
+// Servers come and go for weeks, and each instance repeats what it hears. If what is heard again counted as new, old
+// rumours would go round for ever, fill each message, and leave no room for what has just happened.
+#[test]
+fn rumours_die_out() {
+    let mut fleet = Fleet::open(60, 40, 0.01, 1);
+    (0..40).for_each(|it| fleet.tell(it, it, 0));
+    fleet.play(0..12_000);
+    for node in &mut fleet.nodes {
+        assert_eq!(node.board.repeat(at(12_000)), []);
+    }
+}
+
 // A tenth of a fleet has just died and nobody knows yet, when an instance tells of a server that loads. Where both
 // relays of a data centre are dead, its instances hear of it a moment later from others, and none keeps sending
 // requests there.
@@ -241,13 +253,13 @@
         told.sort_by_key(|it| it.1);
         for (server, ms, valid_ms) in told {
             let Rumour::Loading(it) = loading(server) else { continue };
-            board.put(at(ms), Rumour::Loading(Loading { valid_ms, ..it }), Some(Reach::Fleet));
+            board.put(at(ms), Rumour::Loading(Loading { valid_ms, ..it }), Reach::Fleet);
             let later = at(ms) + Duration::from_millis(500);
             let repeated = board.repeat(later);
             prop_assert!(repeated.len() <= 6);
             let pushed = board.pushes(later, &members, &mut rng);
-            for rumour in pushed.iter().flat_map(|it| &it.rumours).chain(&repeated) {
-                let Rumour::Loading(it) = rumour else { continue };
+            for heard in pushed.iter().flat_map(|it| &it.rumours).chain(&repeated) {
+                let Some(Rumour::Loading(it)) = heard.current() else { continue };
                 prop_assert!(it.valid_ms == 0 || it.valid_ms <= 4_500, "{} ms", it.valid_ms);
             }
         }
