--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -128,7 +128,7 @@
                 .number("version", version)
                 .text("source", source.name());
             if source == Source::Store {
-                self.peers.board.tell_own(Reach::Fleet);
+                self.peers.board.tell_versions(Reach::Fleet);
             }
         }
     }
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -4,6 +4,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use rand::seq::IndexedRandom;
 use shallotlead_base::{hash::Map, time::Time};
 
 use crate::{
@@ -70,11 +71,12 @@
             self.peers.told = now;
             self.members.expire(now);
             self.storage.set_sharers(self.members.sharers(), now);
-            let targets = self.members.told(&self.settings.seeds, &mut self.rng);
+            let targets = self.members.targets(&self.settings.seeds, &mut self.rng);
             self.tell_members(&targets);
         }
         if std::mem::take(&mut self.peers.has_news) {
-            let targets = rumour::few(&self.nearby(), FEW, &mut self.rng);
+            let targets =
+                self.nearby().choose_multiple(&mut self.rng, FEW).copied().collect::<Vec<_>>();
             self.tell(&targets, Vec::new(), false);
         }
         self.push();
@@ -185,7 +187,7 @@
     fn tell_members(&mut self, targets: &[SocketAddr]) {
         let rumours = self.peers.board.repeat(self.now);
         let message = Message {
-            members: self.members.rumours(self.now),
+            members: self.members.records(self.now),
             beats: self.members.beats(self.now, &mut self.rng),
             paces: self.pool.paces().map(|it| (it.0.clone(), *it.1)).collect(),
             ..self.message(rumours, false)
--- a/crates/gateway/src/core/peers/heard.rs
+++ b/crates/gateway/src/core/peers/heard.rs
@@ -91,7 +91,7 @@
         self.told_configuration(holder);
         self.take_namings(&weights);
         if passes_on && rumours.is_empty() {
-            self.peers.board.tell_own(Reach::Centre);
+            self.peers.board.tell_versions(Reach::Centre);
         }
         let reach = passes_on.then_some(Reach::Centre);
         for heard in &rumours {
--- /dev/null
+++ b/crates/gateway/src/gossip/members.rs
@@ -0,0 +1,318 @@
+//! The instances that one instance knows, and what follows from who lives: whom it tells, and whether it is to do
+//! something for the others.
+
+use std::{cmp::Reverse, net::SocketAddr, sync::Arc, time::Duration};
+
+use rand::{
+    Rng,
+    seq::{IndexedRandom, SliceRandom},
+};
+use shallotlead_base::{
+    hash::{self, Map},
+    time::Time,
+};
+
+use super::{Beat, Member};
+
+/// Instances that are told each time, in a small fleet.
+const FANOUT: usize = 2;
+/// The same in a large one: of the own data centre, and of all. Bytes between data centres are paid for.
+const LARGE_FANOUT_NEAR: usize = 2;
+const LARGE_FANOUT_ANY: usize = 1;
+/// Silence after which an instance counts as dead: about five periods, as rumours need two or three
+/// to reach all; a large fleet takes two more.
+const DEAD_AFTER: Duration = Duration::from_millis(3_200);
+const LARGE_DEAD_AFTER: Duration = Duration::from_millis(4_800);
+/// Instances from which on a fleet is large: not all of them watch the store, and they tell of what
+/// they send within their data centre only.
+const LARGE: usize = 13;
+/// Instances of a large fleet that watch the store for the others: one in each data centre, and so many at least.
+/// Any one may be cut off from the store, and each pays for every change.
+const WATCHERS: usize = 3;
+/// Instances of a data centre that look whether the stores of cached prompts live.
+const LOOKING_NEARBY: usize = 2;
+/// Instances of a small fleet that look whether the store of cached prompts lives.
+const LOOKING: usize = 8;
+/// How long an instance of a large fleet counts as alive that is only known from its record, which may be that of
+/// one that is gone for good: four periods, in which the living are heard of.
+const LISTED_ALIVE: Duration = Duration::from_millis(2_400);
+/// How long a dead instance still counts for the shared budget.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// Members in one message of which all is told: 20 of about 60 bytes stay near 1 KB.
+const MAX_MEMBERS: usize = 20;
+/// Members in one message of which only the last beat is told: 512 of about 7 bytes stay below 4 KB.
+const MAX_BEATS: usize = 512;
+
+/// One of the others.
+#[derive(Debug)]
+struct Known {
+    /// What it told last of itself, with the beat at which it did.
+    member: Member,
+    /// The last beat that was heard of.
+    beat: u64,
+    heard: Time,
+    /// When something new became known of it besides a beat, and when others were told of it.
+    changed: Time,
+    told: Time,
+    /// It is known from its record alone, and may be gone for good.
+    is_listed: bool,
+}
+
+impl Known {
+    fn open(now: Time, member: Member, is_listed: bool) -> Self {
+        let beat = member.beat;
+        Self { member, beat, heard: now, changed: now, told: Time::ZERO, is_listed }
+    }
+
+    /// Takes a beat. Says whether it is a later one.
+    fn beats(&mut self, now: Time, beat: u64) -> bool {
+        let is_later = self.beat < beat;
+        if is_later {
+            (self.beat, self.heard, self.is_listed) = (beat, now, false);
+        }
+        is_later
+    }
+
+    /// Takes what the member told of itself in the same life. Says whether that is later than what is known.
+    fn tells(&mut self, now: Time, member: Member) -> bool {
+        self.beats(now, member.beat);
+        if member.beat <= self.member.beat {
+            return false;
+        }
+        let same_but_beat = Member { beat: member.beat, ..self.member.clone() };
+        if same_but_beat != member {
+            self.changed = now;
+        }
+        self.member = member;
+        true
+    }
+}
+
+/// What a member's life is known by where only its beats are told.
+fn life(member: &Member) -> u32 {
+    hash::weight(&member.name, member.incarnation) as u32
+}
+
+/// The instances that this one knows.
+#[derive(Debug)]
+pub struct Members {
+    me: Member,
+    others: Map<Arc<str>, Known>,
+    /// Their names by their lives.
+    lives: Map<u32, Arc<str>>,
+}
+
+impl Members {
+    /// Only this instance.
+    pub fn open(me: Member) -> Self {
+        Self { me, others: Map::default(), lives: Map::default() }
+    }
+
+    /// This instance.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// This instance, to be changed.
+    pub fn me_mut(&mut self) -> &mut Member {
+        &mut self.me
+    }
+
+    /// What this instance tells of itself now. It counts as later than all that it told before: others take no
+    /// change from a beat that they have heard already.
+    pub fn tell(&mut self) -> Member {
+        self.me.beat += 1;
+        self.me.clone()
+    }
+
+    /// Takes what was told of a member. Says whether it is news.
+    pub fn take(&mut self, now: Time, member: Member) -> bool {
+        if member.name == self.me.name {
+            // Guards against a clock that was set back between two starts: the others would take this
+            // life for an older one than the last, and it would stay dead to them. It holds since they
+            // repeat what they know, and a higher number is news to all.
+            if self.me.incarnation < member.incarnation {
+                self.me.incarnation = member.incarnation + 1;
+            }
+            return false;
+        }
+        match self.others.get_mut(&member.name) {
+            Some(it) if member.incarnation < it.member.incarnation => false,
+            Some(it) if member.incarnation == it.member.incarnation => it.tells(now, member),
+            Some(_) | None => {
+                self.insert(Known::open(now, member, false));
+                true
+            }
+        }
+    }
+
+    fn insert(&mut self, known: Known) {
+        self.lives.insert(life(&known.member), known.member.name.clone());
+        let before = self.others.insert(known.member.name.clone(), known);
+        if let Some(it) = before {
+            self.lives.remove(&life(&it.member));
+        }
+    }
+
+    /// Takes the beats that another instance has heard of.
+    pub fn take_beats(&mut self, now: Time, beats: &[Beat]) {
+        for Beat { life, beat } in beats {
+            let known = self.lives.get(life).and_then(|it| self.others.get_mut(it));
+            if let Some(it) = known {
+                it.beats(now, *beat);
+            }
+        }
+    }
+
+    /// The beats that this instance has heard of lately.
+    ///
+    /// Guards against members that nobody repeats: where 60 members were told of in full, the same ones were told
+    /// over and over, and one in fourteen counted as dead at some time though it lived, simulated at 295 instances
+    /// with one datagram in twenty lost. It holds since all of such a fleet fit into one message.
+    pub fn beats(&self, now: Time, rng: &mut impl Rng) -> Vec<Beat> {
+        let alive = self.others.values().filter(|it| self.is_alive(now, it));
+        let mut all: Vec<Beat> =
+            alive.map(|it| Beat { life: life(&it.member), beat: it.beat }).collect();
+        if MAX_BEATS < all.len() {
+            all.shuffle(rng);
+            all.truncate(MAX_BEATS);
+        }
+        all
+    }
+
+    /// Whether the instance `name` is known to be leaving.
+    pub fn is_leaving(&self, name: &str) -> bool {
+        self.others.get(name).is_some_and(|it| it.member.is_leaving)
+    }
+
+    /// Takes an instance's record from a list of all.
+    ///
+    /// Guards against records of instances that are gone for good: after a restart of all, the others would wait
+    /// for them to watch the store or to take the lease. It holds since those that live are soon heard of.
+    pub fn listed(&mut self, now: Time, member: Member) {
+        if self.others.contains_key(&member.name) {
+            self.take(now, member);
+        } else if member.name != self.me.name {
+            self.insert(Known::open(now, member, true));
+        }
+    }
+
+    /// Forgets what has been silent for long.
+    pub fn expire(&mut self, now: Time) {
+        self.others.retain(|_, it| now.since(it.heard) < FORGET_AFTER);
+        self.lives.retain(|_, it| self.others.contains_key(it));
+    }
+
+    /// The other instances that are alive.
+    pub fn alive(&self, now: Time) -> impl Iterator<Item = &Member> {
+        let alive = self.others.values().filter(move |it| self.is_alive(now, it));
+        alive.map(|it| &it.member)
+    }
+
+    fn is_alive(&self, now: Time, known: &Known) -> bool {
+        let dead_after = match self.is_large() {
+            true if known.is_listed => LISTED_ALIVE,
+            true => LARGE_DEAD_AFTER,
+            false => DEAD_AFTER,
+        };
+        now.since(known.heard) < dead_after
+    }
+
+    /// Whether there are many instances.
+    pub fn is_large(&self) -> bool {
+        LARGE <= self.others.len() + 1
+    }
+
+    /// Some instances to be told who lives, the dead and the `seeds` too: they may be back.
+    pub fn targets(&self, seeds: &[SocketAddr], rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let mut all: Vec<SocketAddr> = self.others.values().map(|it| it.member.peers).collect();
+        all.extend(seeds.iter().filter(|it| **it != self.me.peers));
+        all.sort_unstable();
+        all.dedup();
+        if !self.is_large() {
+            return all.choose_multiple(rng, FANOUT).copied().collect();
+        }
+        let near = self.others.values().filter(|it| it.member.centre == self.me.centre);
+        let near: Vec<SocketAddr> = near.map(|it| it.member.peers).collect();
+        let near = near.choose_multiple(rng, LARGE_FANOUT_NEAR);
+        near.chain(all.choose_multiple(rng, LARGE_FANOUT_ANY)).copied().collect()
+    }
+
+    /// The live instances that hear of each prompt that is sent: all, or those of this data centre.
+    pub fn neighbours(&self, now: Time) -> impl Iterator<Item = &Member> {
+        let is_large = self.is_large();
+        self.alive(now).filter(move |it| !is_large || it.centre == self.me.centre)
+    }
+
+    /// Whether this instance is to look itself whether the store of cached prompts lives. Such a store
+    /// takes twelve calls at once.
+    pub fn is_looking(&self, now: Time) -> bool {
+        if !self.is_large() {
+            return self.rank(now) < LOOKING;
+        }
+        self.place_nearby(now, |_| true) < LOOKING_NEARBY
+    }
+
+    /// How many instances of this data centre come before this one where few do something for all, of those that
+    /// `counts`. The order is one of names: by age, each instance of a rolling restart would take over from the
+    /// one before it. Those that aren't ready yet count: when all start at once, none is, and all would do it.
+    fn place_nearby(&self, now: Time, counts: impl Fn(&Member) -> bool) -> usize {
+        let weight = |it: &Member| (hash::weight(&it.name, 0), it.name.clone());
+        let own = weight(&self.me);
+        let near = self.alive(now).filter(|it| it.centre == self.me.centre && !it.is_leaving);
+        near.filter(|it| counts(it) && weight(it) < own).count()
+    }
+
+    /// Whether this instance is to watch the store: in a small fleet all do, in a large one the first
+    /// of each data centre that the store answers.
+    pub fn is_watcher(&self, now: Time) -> bool {
+        if !self.is_large() {
+            return true;
+        }
+        let mut centres: Vec<&Arc<str>> = self.alive(now).map(|it| &it.centre).collect();
+        centres.push(&self.me.centre);
+        centres.sort_unstable();
+        centres.dedup();
+        self.place_nearby(now, |it| !it.is_away) < WATCHERS.div_ceil(centres.len())
+    }
+
+    /// All instances that count for the shared budget, this one included.
+    pub fn sharers(&self) -> u32 {
+        u32::try_from(self.others.len()).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
+    /// Members of which all is to be told: those of which there is something new, then the ones that were told of
+    /// longest ago, for others that missed it.
+    pub fn records(&mut self, now: Time) -> Vec<Member> {
+        let mut all: Vec<&mut Known> = self.others.values_mut().collect();
+        all.sort_by_key(|it| (it.changed <= it.told, it.told));
+        let due = all.into_iter().take(MAX_MEMBERS);
+        due.map(|it| {
+            it.told = now;
+            it.member.clone()
+        })
+        .collect()
+    }
+
+    /// This instance's place among those that may hold the lease, the youngest first, since a rolling restart
+    /// comes to those that haven't been restarted yet. One that isn't ready itself comes last, but the others that
+    /// aren't ready yet count: when all start at once, nobody knows for a while who is.
+    ///
+    /// Those that the store doesn't answer don't count. Guards against candidates that are all cut off from the
+    /// store while the rest of the fleet reaches it: nobody takes the lease, weights grow too old for any request,
+    /// and callers are refused for as long as the cut lasts. It shows as no order for seconds while the store is
+    /// well. It holds since whoever stands for the lease reads the store, and so knows whether it is answered.
+    pub fn rank(&self, now: Time) -> usize {
+        if !self.me.is_ready {
+            return usize::MAX;
+        }
+        let own = age_key(&self.me);
+        let stands = |it: &&Member| !it.is_leaving && !it.is_away;
+        self.alive(now).filter(stands).filter(|it| age_key(it) < own).count()
+    }
+}
+
+/// Orders instances from the youngest to the oldest.
+fn age_key(member: &Member) -> (Reverse<u64>, &str) {
+    (Reverse(member.incarnation), &member.name)
+}
--- a/crates/gateway/src/rumour.rs
+++ b/crates/gateway/src/rumour.rs
@@ -5,10 +5,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use rand::{
-    Rng,
-    seq::{IndexedRandom, SliceRandom},
-};
+use rand::{Rng, seq::SliceRandom};
 use serde::{Deserialize, Serialize};
 use shallotlead_base::{hash::Map, time::Time};
 
@@ -135,7 +132,7 @@
 
 impl Item {
     /// Whether `other`, of the same subject, says nothing later.
-    fn is_told_by(&self, other: &Self) -> bool {
+    fn covers(&self, other: &Self) -> bool {
         let slack = if self.rumour.says_same(&other.rumour) { TOLD_AGAIN } else { Duration::ZERO };
         other.at < self.at + slack
     }
@@ -169,8 +166,8 @@
     items: Map<Subject, Item>,
     /// What is still to be pushed.
     pending: Vec<Subject>,
-    /// The own state is to be told besides: namings and versions stand in each message.
-    own: Option<Reach>,
+    /// The versions that stand in each message are to be told besides.
+    versions: Option<Reach>,
     next: Time,
 }
 
@@ -195,7 +192,7 @@
         let subject = rumour.subject();
         let item = Item { rumour, at, repeats: 0, pending: None };
         let item = match self.items.remove(&subject) {
-            Some(it) if it.is_told_by(&item) => it,
+            Some(it) if it.covers(&item) => it,
             Some(it) => Item { pending: it.pending, ..item },
             None => item,
         };
@@ -212,14 +209,14 @@
         known.is_some_and(|it| it.rumour == *rumour && now.since(it.at) < age)
     }
 
-    /// The own state is to be told as far as `reach`, also without a rumour.
-    pub fn tell_own(&mut self, reach: Reach) {
-        self.own = self.own.max(Some(reach));
+    /// The versions that stand in each message, of configuration and weights, are to be told as far as `reach`.
+    pub fn tell_versions(&mut self, reach: Reach) {
+        self.versions = self.versions.max(Some(reach));
     }
 
     /// When the next push is due, if there is one.
     pub fn next(&self) -> Option<Time> {
-        (self.own.is_some() || !self.pending.is_empty()).then_some(self.next)
+        (self.versions.is_some() || !self.pending.is_empty()).then_some(self.next)
     }
 
     /// The messages that are due now.
@@ -228,7 +225,7 @@
             return Vec::new();
         }
         self.next = now + GATHER;
-        let own = self.own.take();
+        let versions = self.versions.take();
         let (far, near) = self.take_pending(now);
         if !members.is_large() {
             let targets = members.alive(now).map(|it| it.peers).collect();
@@ -236,10 +233,10 @@
             return vec![Push { targets, rumours, passes_on: false }];
         }
         let mut pushes = Vec::new();
-        if !far.is_empty() || own == Some(Reach::Fleet) {
+        if !far.is_empty() || versions == Some(Reach::Fleet) {
             pushes.push(Push { targets: relays(now, members, rng), rumours: far, passes_on: true });
         }
-        if !near.is_empty() || own == Some(Reach::Centre) {
+        if !near.is_empty() || versions == Some(Reach::Centre) {
             let targets = members.neighbours(now).map(|it| it.peers).collect();
             pushes.push(Push { targets, rumours: near, passes_on: false });
         }
@@ -293,8 +290,3 @@
     let by_centre = all.chunk_by(|a, b| a.centre == b.centre);
     by_centre.flat_map(|it| it.iter().take(RELAYS)).map(|it| it.peers).collect()
 }
-
-/// Some of `all`, chosen at random.
-pub fn few(all: &[SocketAddr], most: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
-    all.choose_multiple(rng, most).copied().collect()
-}
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -168,10 +168,10 @@
     let mut unknown = Vec::new();
     for ms in (0..15_000).step_by(20) {
         for from in (0..fleet.len()).filter(|it| (ms + 37 * *it as u64) % 600 < 20) {
-            let mut told = fleet[from].rumours(at(ms));
+            let mut told = fleet[from].records(at(ms));
             told.push(fleet[from].tell());
             let beats = fleet[from].beats(at(ms), &mut rng);
-            for to in fleet[from].told(&[], &mut rng) {
+            for to in fleet[from].targets(&[], &mut rng) {
                 if rng.random_bool(0.05) {
                     continue;
                 }
