--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -118,7 +118,7 @@
     }
 
     /// An instance that knows what the store has: a watcher nearby or, where there is none, elsewhere. Whoever
-    /// is without the store asks any one nearby if nobody says that he watches.
+    /// is without the store asks any one nearby if none says that it watches.
     fn informant(&mut self, is_away: bool) -> Option<SocketAddr> {
         let now = self.now;
         let watchers = self.members.alive(now).filter(|it| it.is_watching);
