--- a/crates/gateway/src/catchup.rs
+++ b/crates/gateway/src/catchup.rs
@@ -110,6 +110,11 @@
         (self.since.is_some() && !self.is_asking && !self.holders.is_empty()).then_some(self.next)
     }
 
+    /// Whether a question is due now.
+    pub fn is_due(&self, now: Time) -> bool {
+        self.next().is_some_and(|it| it <= now)
+    }
+
     /// Whether the holders have failed for so long that the store is to be read.
     pub fn needs_store(&self, now: Time) -> bool {
         self.since.is_some_and(|it| TO_STORE <= now.since(it))
@@ -118,7 +123,7 @@
     /// The holder to be asked now: one that has the newest version, of the own data centre `centre` unless
     /// those are busy. `chance`: any random number.
     pub fn ask(&mut self, now: Time, centre: &str, chance: u64) -> Option<Holder> {
-        if self.next().is_none_or(|it| now < it) {
+        if !self.is_due(now) {
             return None;
         }
         let newest = self.holders.iter().map(|it| it.version).max()?;
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -8,7 +8,7 @@
 use shallotlead_base::{hash::Map, time::Time};
 
 use crate::{
-    catchup::{Catchup, Holder},
+    catchup::Catchup,
     core::{Core, storage::Source},
     dialect::Load,
     gossip::{Datagram, Entry, Loading, Message, Naming, PERIOD, Placement, Told},
@@ -37,7 +37,7 @@
     pub(crate) catchup: Catchup,
     /// When another instance was last asked for all that was missed.
     pub(crate) asked: Time,
-    /// Loads that servers have told since then.
+    /// Loads that servers have told since the others were told last.
     loads: Map<pool::Id, (Load, Time)>,
     /// This instance has something that a few others should know of.
     has_news: bool,
@@ -71,7 +71,9 @@
             self.peers.told = now;
             self.members.expire(now);
             self.storage.set_sharers(self.members.sharers(), now);
-            let targets = self.members.targets(&self.settings.seeds, &mut self.rng);
+            let own = self.settings.listen.peers;
+            let seeds = self.settings.seeds.iter().copied().filter(|it| *it != own);
+            let targets = self.members.targets(seeds, &mut self.rng);
             self.tell_members(&targets);
         }
         if std::mem::take(&mut self.peers.has_news) {
@@ -147,9 +149,7 @@
             self.tell_few();
             return;
         }
-        let me = self.members.me();
-        let version = self.version_in_force();
-        let holder = Holder { address: me.peers, centre: me.centre.clone(), version };
+        let holder = self.members.me().holder(self.version_in_force());
         self.tell_all(Rumour::Holds(holder));
     }
 
--- a/crates/gateway/src/core/peers/heard.rs
+++ b/crates/gateway/src/core/peers/heard.rs
@@ -73,8 +73,7 @@
             cache_stores,
             paces,
         } = message;
-        let holder =
-            Holder { address: from.peers, centre: from.centre.clone(), version: configuration };
+        let holder = from.holder(configuration);
         for (address, is_alive) in cache_stores {
             self.cache_stores.told(now, address, is_alive);
         }
--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -136,7 +136,7 @@
     /// Asks an instance that has a newer configuration for it.
     fn ask_holder(&mut self) {
         let now = self.now;
-        if self.peers.catchup.next().is_none_or(|it| now < it) {
+        if !self.peers.catchup.is_due(now) {
             return;
         }
         let chance = self.random();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    catchup::Holder,
     dialect::{Born, Load, Part},
     pace::Pace,
     rumour,
@@ -14,7 +15,7 @@
 
 pub use members::Members;
 
-/// How often an instance tells two others what it knows.
+/// How often an instance tells a few others what it knows.
 pub const PERIOD: Duration = Duration::from_millis(600);
 
 /// One instance's life, as it tells of itself.
@@ -42,6 +43,18 @@
     pub is_away: bool,
 }
 
+impl Member {
+    /// Whether both say the same of an instance, whenever it told them.
+    pub fn says_same(&self, other: &Self) -> bool {
+        *self == Self { beat: self.beat, ..other.clone() }
+    }
+
+    /// This instance as one that has `version` of the configuration.
+    pub fn holder(&self, version: u64) -> Holder {
+        Holder { address: self.peers, centre: self.centre.clone(), version }
+    }
+}
+
 /// Weights that were named.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Naming {
--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -64,13 +64,10 @@
         Self { member, beat, heard: now, changed: now, told: Time::ZERO, is_listed }
     }
 
-    /// Takes a beat. Says whether it is a later one.
-    fn beats(&mut self, now: Time, beat: u64) -> bool {
-        let is_later = self.beat < beat;
-        if is_later {
+    fn beats(&mut self, now: Time, beat: u64) {
+        if self.beat < beat {
             (self.beat, self.heard, self.is_listed) = (beat, now, false);
         }
-        is_later
     }
 
     /// Takes what the member told of itself in the same life. Says whether that is later than what is known.
@@ -79,8 +76,7 @@
         if member.beat <= self.member.beat {
             return false;
         }
-        let same_but_beat = Member { beat: member.beat, ..self.member.clone() };
-        if same_but_beat != member {
+        if !self.member.says_same(&member) {
             self.changed = now;
         }
         self.member = member;
@@ -224,9 +220,13 @@
     }
 
     /// Some instances to be told who lives, the dead and the `seeds` too: they may be back.
-    pub fn targets(&self, seeds: &[SocketAddr], rng: &mut impl Rng) -> Vec<SocketAddr> {
+    pub fn targets(
+        &self,
+        seeds: impl Iterator<Item = SocketAddr>,
+        rng: &mut impl Rng,
+    ) -> Vec<SocketAddr> {
         let mut all: Vec<SocketAddr> = self.others.values().map(|it| it.member.peers).collect();
-        all.extend(seeds.iter().filter(|it| **it != self.me.peers));
+        all.extend(seeds);
         all.sort_unstable();
         all.dedup();
         if !self.is_large() {
@@ -257,10 +257,9 @@
     /// `counts`. The order is one of names: by age, each instance of a rolling restart would take over from the
     /// one before it. Those that aren't ready yet count: when all start at once, none is, and all would do it.
     fn place_nearby(&self, now: Time, counts: impl Fn(&Member) -> bool) -> usize {
-        let weight = |it: &Member| (hash::weight(&it.name, 0), it.name.clone());
-        let own = weight(&self.me);
+        let own = name_key(&self.me);
         let near = self.alive(now).filter(|it| it.centre == self.me.centre && !it.is_leaving);
-        near.filter(|it| counts(it) && weight(it) < own).count()
+        near.filter(|it| counts(it) && name_key(it) < own).count()
     }
 
     /// Whether this instance is to watch the store: in a small fleet all do, in a large one the first
@@ -312,6 +311,11 @@
     }
 }
 
+/// Orders instances by a hash of their names.
+fn name_key(member: &Member) -> (u64, &str) {
+    (hash::weight(&member.name, 0), &member.name)
+}
+
 /// Orders instances from the youngest to the oldest.
 fn age_key(member: &Member) -> (Reverse<u64>, &str) {
     (Reverse(member.incarnation), &member.name)
--- a/crates/gateway/src/rumour.rs
+++ b/crates/gateway/src/rumour.rs
@@ -70,9 +70,7 @@
     /// Whether both say the same, whenever they were told.
     fn says_same(&self, other: &Self) -> bool {
         match (self, other) {
-            (Self::Instance(a), Self::Instance(b)) => {
-                **a == Member { beat: a.beat, ..Member::clone(b) }
-            }
+            (Self::Instance(a), Self::Instance(b)) => a.says_same(b),
             _ => self == other,
         }
     }
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
+use std::{collections::BTreeSet, iter, net::SocketAddr, sync::Arc};
 
 use proptest::{collection::vec, prelude::*};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -171,7 +171,7 @@
             let mut told = fleet[from].records(at(ms));
             told.push(fleet[from].tell());
             let beats = fleet[from].beats(at(ms), &mut rng);
-            for to in fleet[from].targets(&[], &mut rng) {
+            for to in fleet[from].targets(iter::empty(), &mut rng) {
                 if rng.random_bool(0.05) {
                     continue;
                 }
