--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -160,9 +160,10 @@
         }
     }
 
-    /// The own record is in the store, or can't be written for now.
-    fn registered(&mut self, now: Time) {
-        for it in self.followed.iter_mut().filter(|it| it.heard == Time::ZERO) {
+    /// The own record is in the store: there is no wait for it before the list of instances is read.
+    fn recorded(&mut self, now: Time) {
+        let instances = self.followed.iter_mut().find(|it| it.what == What::Instances);
+        if let Some(it) = instances.filter(|it| it.heard == Time::ZERO) {
             it.next = it.next.min(now);
         }
     }
@@ -251,7 +252,6 @@
     }
 
     fn registered(&mut self, reply: &Reply) {
-        self.storage.registered(self.now);
         self.storage.register = match reply {
             Reply::Done(_) => Register::Done,
             Reply::Conflict(Some(object)) if self.is_registered(object) => Register::Done,
@@ -262,6 +262,9 @@
                 Register::Due(Version(0), self.now + AGAIN)
             }
         };
+        if matches!(self.storage.register, Register::Done) {
+            self.storage.recorded(self.now);
+        }
     }
 
     /// Whether the record of an earlier life leads others to this one: it is where they ask first, and hear the
