A caller outlasts a fleet that is down for more than a second

The caller came every 50 ms while nobody could be reached, and counted these tries; after 24, 1.2 s, it gave its request up. On that machine three instances needed longer to start: its last try, the 24th, got the first answer of a started one (5001, come back in 500 ms).

After: tries that reached nobody don't count, and the pause between them doubles from 50 ms to 1 s; patience bounds them. Tries that may have reached an instance are bounded as before.

--- a/crates/shallotlead/src/caller.rs
+++ b/crates/shallotlead/src/caller.rs
@@ -32,10 +32,14 @@
 
 /// Longest that a caller stays with one request.
 pub const PATIENCE: Duration = Duration::from_secs(60);
-/// Most tries of one request.
+/// Most tries of one request that may have reached an instance. Those that reached nobody cost nobody
+/// anything, and only patience bounds them.
 const MAX_TRIES: usize = 24;
 /// Shortest pause between two tries, so that a fast failure is no tight loop.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause while nobody is reached. A fleet that is down is asked about once a second by each
+/// caller, and a fleet that is back is found as soon.
+const MAX_UNREACHED_PAUSE: Duration = Duration::from_secs(1);
 /// Longest pause that a refusal can ask for.
 const MAX_PAUSE: Duration = Duration::from_secs(5);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -113,7 +117,7 @@
                 }
                 Next::Again(_) => break,
             }
-            if MAX_TRIES <= call.outcome.tries.len() {
+            if MAX_TRIES <= call.reached() {
                 break;
             }
         }
@@ -156,13 +160,26 @@
             TryEnd::Answered => Next::End(End::Answered),
             TryEnd::Malformed(_) => Next::End(End::Malformed),
             // Nothing was sent, so that anybody may try again.
-            TryEnd::Unreached => Next::Again(PAUSE),
+            TryEnd::Unreached => Next::Again(self.unreached_pause()),
             TryEnd::Broken if self.ask.may_repeat() => Next::Again(PAUSE),
             TryEnd::Broken => Next::End(End::Unknown),
             TryEnd::Refused(refusal) => self.after_refusal(refusal),
         }
     }
 
+    /// Tries so far that may have reached an instance.
+    fn reached(&self) -> usize {
+        self.outcome.tries.iter().filter(|it| !matches!(it.end, TryEnd::Unreached)).count()
+    }
+
+    /// The pause after a try that reached nobody, which doubles with each such try before it.
+    fn unreached_pause(&self) -> Duration {
+        let tries = self.outcome.tries.iter().rev();
+        let in_a_row = tries.take_while(|it| matches!(it.end, TryEnd::Unreached)).count();
+        let factor = u32::try_from(in_a_row).map_or(u32::MAX, |it| 2_u32.saturating_pow(it));
+        PAUSE.saturating_mul(factor).min(MAX_UNREACHED_PAUSE)
+    }
+
     fn after_refusal(&self, refusal: &Refusal) -> Next {
         let pause = refusal.retry_after.map(|it| it.clamp(PAUSE, MAX_PAUSE));
         match (refusal.execution, pause) {
--- a/crates/shallotlead/tests/instances.rs
+++ b/crates/shallotlead/tests/instances.rs
@@ -115,6 +115,20 @@
     }
 }
 
+// A whole fleet is down for some seconds, on a slow machine or after a power cut. A caller that comes
+// every 50 ms had used up its 24 tries after 1.2 s, none of which had reached anybody, and gave its
+// request up; in a restart of all instances that took longer, an open stream was lost that way.
+#[test]
+fn a_caller_outlasts_a_fleet_that_is_down_for_a_while() {
+    let mut world = common::world(REAL);
+    (0..3).for_each(|it| world.kill_entry(it));
+    let ask = chat("one", "patient", true);
+    let caller = send(&world, ask.clone());
+    thread::sleep(Duration::from_secs(2));
+    (0..3).for_each(|it| world.start_entry(it).unwrap());
+    assert_own_answer(&ask, &caller.join().unwrap());
+}
+
 // An operator's dashboard asks an instance for its health all the time. The instance is restarted on
 // its addresses; the dashboard must not keep the old listener open.
 #[test]
