A stream that is lost right after it was sent is sent nowhere else

A server that loses its answers resets a stream that may run once within 3 ms; the instance asks the server of its copy, which can have got nothing by then and loses its answer as well, and the stream counts as run twice.

Now a copy is asked for only where one may have come about: some of the answer came, or 100 ms have passed since the sending (engines send parts of a copy several times a second). The same binds from a copy's server to the next copy. Users lose nothing: a copy that doesn't exist never answered anything but 503.

--- a/crates/gateway/src/core/copy.rs
+++ b/crates/gateway/src/core/copy.rs
@@ -60,12 +60,15 @@
         true
     }
 
-    /// The copy of the attempt's run and the version of its weights, if its server can go on with it.
+    /// The copy of the attempt's run and the version of its weights, if there may be one and its server can
+    /// go on with it.
     fn usable_copy(&self, place: usize) -> Option<(pool::Id, Option<u64>)> {
         let exchange = self.exchanges.get(place)?;
-        let (copy, weights) = (exchange.copy?, exchange.attempt.as_ref()?.weights);
+        let attempt = exchange.attempt.as_ref()?;
+        let (copy, weights) = (exchange.copy?, attempt.weights);
         let server = self.pool.get(copy);
-        let is_fit = server.presence == Presence::Ready
+        let is_fit = copies::may_exist(self.now.since(attempt.sent), attempt.reply.is_some())
+            && server.presence == Presence::Ready
             && copies::can_go_on(self.now, &self.wish(exchange), weights, copy, server);
         is_fit.then_some((copy, weights))
     }
--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use shallotlead_gateway::{
     copies,
@@ -60,3 +60,11 @@
     assert!(target(&pool, &wish(&short())).is_some());
     assert_eq!(target(&pool, &wish(&support::prompt(1, 1))), None);
 }
+
+// A server resets a run 1 ms after it got it. The server of its copy can have got nothing by then.
+#[test]
+fn run_that_was_lost_at_once_has_no_copy() {
+    assert!(!copies::may_exist(Duration::from_millis(1), false));
+    assert!(copies::may_exist(Duration::from_millis(1), true), "some of the answer came");
+    assert!(copies::may_exist(Duration::from_millis(400), false));
+}
