An instance that starts keeps to itself what it reads first

Test: instance_that_starts_doesn_t_tell_what_all_have_read failed first (4,816 entries told, 0 now).

--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -164,7 +164,10 @@
             return;
         }
         self.storage.entries.insert(name.clone(), Entry { revision, value: value.cloned() });
-        if let (Source::Store, Some(value)) = (source, value) {
+        // What an instance reads first is news to itself only: told to all neighbours by each of 294 instances
+        // that started together, it took 162 MB before 209 servers.
+        let is_news = source == Source::Store && self.storage.has_entries();
+        if let (true, Some(value)) = (is_news, value) {
             let (server, value) = (name.clone(), Some(value.to_vec()));
             self.peers.read(gossip::Entry { server, revision, value });
         }
--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -95,9 +95,9 @@
         let is_away = self.is_cut_off();
         // One that doesn't watch itself makes up now and then for datagrams that got lost. Before it has read the
         // entries itself it would be told them all, while it reads the same: for 300 servers 44 KB in place of none.
-        let has_read = 0 < self.storage.entries_until;
-        let is_due =
-            has_read && !self.members.me().is_watching && MAKE_UP <= now.since(self.peers.asked);
+        let is_due = self.storage.has_entries()
+            && !self.members.me().is_watching
+            && MAKE_UP <= now.since(self.peers.asked);
         let reason = match (is_away, is_due) {
             (true, _) => Reason::StoreAway,
             (false, true) => Reason::MakeUp,
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -145,6 +145,11 @@
         heard.map(move |it| (&*it.kind, now.since(it.heard)))
     }
 
+    /// Whether all entries have been read once, or were told by an instance that has read them.
+    pub(crate) fn has_entries(&self) -> bool {
+        0 < self.entries_until
+    }
+
     /// When something is due.
     pub(crate) fn next(&mut self, now: Time) -> Option<Time> {
         let is_watcher = self.is_watcher;
