Entries are packed only where they are told

In a fleet in which each instance reads the store itself, changed entries were packed and dropped. What was read and what is told are one type with one way out; a revision that goes back can't make it panic.

--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -87,12 +87,13 @@
 
     /// Tells the instances nearby of entries that this one has read for them.
     fn tell_entries(&mut self) {
-        let told: Vec<_> = self.peers.reading.take().collect();
+        let told = self.peers.reading.take();
+        // In a small fleet each reads for itself.
         if told.is_empty() || !self.members.is_large() {
             return;
         }
         let targets = self.nearby();
-        for entries in told {
+        for entries in told.packed() {
             match entries {
                 Ok(it) => {
                     self.send_to(&targets, &Datagram::Entries(it));
--- a/crates/gateway/src/core/peers/reading.rs
+++ b/crates/gateway/src/core/peers/reading.rs
@@ -1,5 +1,7 @@
 //! What an instance has read of servers' entries, and has still to tell its neighbours.
 
+use std::io;
+
 use crate::gossip::{Entries, Entry};
 
 /// Entries in one datagram: 40 of about 400 bytes are below 16 KB, and a few KB when packed.
@@ -35,23 +37,34 @@
         self.until = until;
     }
 
-    /// Takes what is to be told, a datagram each. Each says between which revisions it has all that changed, so
-    /// that whoever misses none has nothing to make up for.
-    pub(crate) fn take(&mut self) -> impl Iterator<Item = std::io::Result<Entries>> {
-        let mut entries = std::mem::take(&mut self.entries);
-        entries.sort_by_key(|it| it.revision);
-        let chunks: Vec<Vec<Entry>> = entries.chunks(ENTRIES).map(<[Entry]>::to_vec).collect();
-        let (count, end) = (chunks.len(), self.until);
-        let mut after = self.after;
-        if 0 < count {
-            self.after = end;
+    /// Takes what is to be told now.
+    pub(crate) fn take(&mut self) -> Self {
+        let taken = Self { entries: std::mem::take(&mut self.entries), ..*self };
+        if !taken.is_empty() {
+            self.after = self.until;
         }
-        chunks.into_iter().enumerate().map(move |(place, chunk)| {
-            let last = chunk.last().map_or(end, |it| it.revision);
-            let until = if place + 1 == count { end } else { last.clamp(after, end) };
-            let told = Entries::pack(&chunk, after, until);
+        taken
+    }
+
+    /// Whether there is nothing to tell.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Packs it, for a datagram each. Each says between which revisions it has all that changed, so that whoever
+    /// misses none has nothing to make up for.
+    pub(crate) fn packed(mut self) -> Vec<io::Result<Entries>> {
+        self.entries.sort_by_key(|it| it.revision);
+        let mut after = self.after;
+        let mut chunks = self.entries.chunks(ENTRIES).peekable();
+        let mut all = Vec::new();
+        while let Some(chunk) = chunks.next() {
+            let last = chunk.last().map_or(self.until, |it| it.revision);
+            let is_end = chunks.peek().is_none();
+            let until = if is_end { self.until } else { last.min(self.until).max(after) };
+            all.push(Entries::pack(chunk, after, until));
             after = until;
-            told
-        })
+        }
+        all
     }
 }
