Tell also of entries that another watcher told first

Found in reading the change: a watcher left out of its datagrams what it had heard from another watcher before it read it from the store, and said of them nevertheless that they have all that changed between two revisions. An instance that had lost the other's datagram took itself for complete, and didn't know the server until its entry changed again. Where the store brings a change that is known already, it is told all the same; lists aren't, as they make no such claim.

Besides: one way to build an entry to be told, one to look up its revision, one call for what was read; the entries test uses no word of the users' platform.

--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -4,7 +4,7 @@
 
 use shallotlead_base::{
     id::Version,
-    store::{Key, Object},
+    store::{Change, Key, Object},
     time::Time,
 };
 
@@ -161,6 +161,22 @@
         true
     }
 
+    /// Tells also of a change that this instance has heard of before it read it.
+    ///
+    /// Guards against a change that a neighbour never hears of: what is told says that it is all between two
+    /// revisions, and whoever lost the datagram of the watcher that was first would believe that nothing is missing.
+    /// It shows as a server that one instance doesn't know until its entry changes again. It holds since each
+    /// watcher tells all that a watch brought it.
+    pub(crate) fn tell_known(&mut self, change: &Change) {
+        let (name, revision, value) = match change {
+            Change::Put(it) => (&it.key.name, it.version.0, Some(&it.value)),
+            Change::Delete(key, version) => (&key.name, version.0, None),
+        };
+        if revision <= self.storage.entry_revision(name) {
+            self.peers.reading.add(gossip::Entry::new(name, revision, value));
+        }
+    }
+
     /// Takes a server's entry, or that it was removed.
     pub(crate) fn take_entry(
         &mut self,
@@ -169,17 +185,14 @@
         value: Option<&Arc<[u8]>>,
         source: Source,
     ) {
-        let known = self.storage.entries.get(name).map_or(0, |it| it.revision);
-        if revision <= known {
+        if revision <= self.storage.entry_revision(name) {
             return;
         }
         self.storage.entries.insert(name.clone(), Entry { revision, value: value.cloned() });
         // What an instance reads first is news to itself only: told to all neighbours by each of 294 instances
         // that started together, it took 162 MB before 209 servers.
-        let is_news = source == Source::Store && self.storage.has_entries();
-        if let (true, Some(value)) = (is_news, value) {
-            let (server, value) = (name.clone(), Some(value.to_vec()));
-            self.peers.reading.add(gossip::Entry { server, revision, value });
+        if source == Source::Store && value.is_some() && self.storage.has_entries() {
+            self.peers.reading.add(gossip::Entry::new(name, revision, value));
         }
         let change = match value {
             None => self.pool.remove(self.now, name, revision),
@@ -252,8 +265,7 @@
             .number("revision", server.revision);
         // All neighbours hear of it from those that watch. If each passed it on, 59 would tell each of 59.
         if self.storage.is_watcher {
-            let (server, revision) = (server.name.clone(), server.revision);
-            self.peers.reading.add(gossip::Entry { server, revision, value: None });
+            self.peers.reading.add(gossip::Entry::new(&server.name, server.revision, None));
         }
         self.drop_idle(id);
         self.tell_leaving(id);
--- a/crates/gateway/src/core/peers/reading.rs
+++ b/crates/gateway/src/core/peers/reading.rs
@@ -23,13 +23,10 @@
         self.entries.push(entry);
     }
 
-    /// All entries were read as they were at `revision`: what changed before isn't told whole.
-    pub(crate) fn listed(&mut self, revision: u64) {
-        (self.after, self.until) = (revision, revision);
-    }
-
-    /// All that changed between two revisions was read.
-    pub(crate) fn changed(&mut self, after: u64, until: u64) {
+    /// All that changed between two revisions was read. Without `after` it was a list of all, of which what changed
+    /// before isn't told whole.
+    pub(crate) fn read(&mut self, after: Option<u64>, until: u64) {
+        let after = after.unwrap_or(until);
         // Others may have told of what lies between, and been heard here only.
         if after != self.until {
             self.after = after;
--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -187,7 +187,8 @@
         };
         let newer = self.storage.entries.iter().filter(|it| known < it.1.revision);
         let newer = newer.filter(|it| it.1.value.is_some() || is_told(it.0));
-        let newer: Vec<Entry> = newer.map(told).collect();
+        let newer = newer.map(|it| Entry::new(it.0, it.1.revision, it.1.value.as_ref()));
+        let newer: Vec<Entry> = newer.collect();
         match Entries::pack(&newer, known, self.storage.entries_until) {
             Ok(packed) => {
                 let is_short = packed.bytes() <= LONG_ENTRIES;
@@ -217,11 +218,12 @@
     pub(crate) fn state_came(&mut self, question: &Question, outcome: &Outcome) {
         let result = self.take_state(question, outcome);
         self.note_answer(question, result, outcome);
-        if question.reason != Reason::Behind {
-            self.peers.awaits_state = false;
-        } else {
-            let chance = self.random();
-            self.peers.catchup.answered(self.now, question.peer, result, chance);
+        match question.reason {
+            Reason::Behind => {
+                let chance = self.random();
+                self.peers.catchup.answered(self.now, question.peer, result, chance);
+            }
+            Reason::StoreAway | Reason::MakeUp => self.peers.awaits_state = false,
         }
     }
 
@@ -276,8 +278,3 @@
             .ms("after_ms", self.now.since(question.asked));
     }
 }
-
-fn told((name, entry): (&Arc<str>, &storage::Entry)) -> Entry {
-    let value = entry.value.as_ref().map(|it| it.to_vec());
-    Entry { server: name.clone(), revision: entry.revision, value }
-}
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -145,6 +145,11 @@
         heard.map(move |it| (&*it.kind, now.since(it.heard)))
     }
 
+    /// The revision of what is known of a server's entry; zero if there was none.
+    pub(crate) fn entry_revision(&self, server: &str) -> u64 {
+        self.entries.get(server).map_or(0, |it| it.revision)
+    }
+
     /// Whether all entries have been read once, or were told by an instance that has read them.
     pub(crate) fn has_entries(&self) -> bool {
         0 < self.entries_until
@@ -300,10 +305,7 @@
                     self.peers.catchup.settle();
                 }
                 self.take_list(what, objects, *version);
-                if what == What::Subject(Subject::Servers) {
-                    self.peers.reading.listed(version.0);
-                }
-                self.has_read(what, *version);
+                self.has_read(what, before, *version);
             }
             Reply::Changed { changes, version } => {
                 follower.revision = Some(*version);
@@ -311,7 +313,7 @@
                 let removals = changes.iter().filter(is_removal).count();
                 if what == What::Subject(Subject::Servers) {
                     self.pool.lapsed_together(now, removals);
-                    self.peers.reading.changed(before.map_or(version.0, |it| it.0), version.0);
+                    changes.iter().for_each(|it| self.tell_known(it));
                 }
                 for change in changes {
                     match change {
@@ -319,7 +321,7 @@
                         Change::Delete(key, version) => self.take_removal(what, key, *version),
                     }
                 }
-                self.has_read(what, *version);
+                self.has_read(what, before, *version);
             }
             Reply::Failed(Failure::Compacted) => {
                 self.journal.line(now, "history_lost").text("kind", &follower.kind);
@@ -335,10 +337,13 @@
         }
     }
 
-    /// The store was read up to `version`.
-    fn has_read(&mut self, what: What, version: Version) {
+    /// The store was read up to `version`: what changed after `before`, or all.
+    fn has_read(&mut self, what: What, before: Option<Version>, version: Version) {
         match what {
-            What::Subject(Subject::Servers) => self.storage.entries_until = version.0,
+            What::Subject(Subject::Servers) => {
+                self.storage.entries_until = version.0;
+                self.peers.reading.read(before.map(|it| it.0), version.0);
+            }
             // A list tells how large the fleet is, and so whether this instance watches on.
             What::Instances => {
                 self.decide_watching();
--- a/crates/gateway/src/gossip/entries.rs
+++ b/crates/gateway/src/gossip/entries.rs
@@ -20,6 +20,13 @@
     pub value: Option<Vec<u8>>,
 }
 
+impl Entry {
+    /// What the store has of `server` since `revision`.
+    pub fn new(server: &Arc<str>, revision: u64, value: Option<&Arc<[u8]>>) -> Self {
+        Self { server: server.clone(), revision, value: value.map(|it| it.to_vec()) }
+    }
+}
+
 /// Entries that changed between two revisions of the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Entries {
--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -50,6 +50,7 @@
 const PEER_MARGIN: f64 = 0.03;
 /// Answers from which on what a peer knows is taken over only if it has seen `FAR_MORE` times as many.
 const ENOUGH: u32 = 30;
+/// How many times as many answers as this instance a peer must have seen for that.
 const FAR_MORE: u32 = 2;
 
 /// What a prompt costs the engines of one service.
--- a/crates/gateway/tests/entries.rs
+++ b/crates/gateway/tests/entries.rs
@@ -9,10 +9,10 @@
 /// The entry of one of a data centre's servers, as it lies in the store.
 fn entry(number: usize) -> Entry {
     let value = json!({
-        "service": "verdicts-llm", "address": format!("10.4.{}.{}:8620", number / 250, number % 250),
-        "zone": "hall-d", "version": "2.11.4", "slots": 16, "state": "ready", "coldLeftMs": 0,
-        "seq": 1, "bornMs": 1_771_606_708_000_u64 + number as u64 * 37, "stage": "idle",
-        "models": [{ "name": "m0", "version": 3, "adapters": [] }],
+        "service": "chat", "address": format!("10.4.{}.{}:8620", number / 250, number % 250),
+        "centre": "east-1", "release": "2.11.4", "places": 16, "presence": "ready", "warm": true,
+        "count": 1, "started": 1_771_606_708_000_u64 + number as u64 * 37, "work": "none",
+        "models": [{ "model": "m0", "weights": 3, "variants": [] }],
     });
     let id = (number as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 24;
     let server = Arc::from(format!("i-{id:010x}"));
