--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -352,6 +352,9 @@
         self.sweep_errands();
         self.sweep_probes();
         for id in self.pool.expire(self.now, self.storage.is_away()) {
+            if self.storage.is_watcher {
+                self.tell_gone(id);
+            }
             self.server_gone(id, "missing after the store's return");
         }
         let is_ready = self.is_ready();
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -32,6 +32,9 @@
         if what == What::Subject(Subject::Servers) {
             let names: Vec<Arc<str>> = objects.iter().map(|it| it.key.name.clone()).collect();
             for change in self.pool.retain(self.now, &names, version.0) {
+                if let pool::Change::Gone(id) = change {
+                    self.tell_gone(id);
+                }
                 self.server_changed(change, "not listed");
             }
         }
@@ -209,6 +212,9 @@
                 }
             },
         };
+        if let (Source::Store, pool::Change::Gone(id)) = (source, change) {
+            self.tell_gone(id);
+        }
         self.server_changed(change, "entry");
     }
 
@@ -254,6 +260,13 @@
         }
     }
 
+    /// Tells the neighbours that a server has left. Who heard of it from a neighbour doesn't: of 60, each would
+    /// tell 59.
+    pub(crate) fn tell_gone(&mut self, id: pool::Id) {
+        let server = self.pool.get(id);
+        self.peers.reading.add(gossip::Entry::new(&server.name, server.revision, None));
+    }
+
     /// A server has left.
     pub(crate) fn server_gone(&mut self, id: pool::Id, reason: &str) {
         let server = self.pool.get(id);
@@ -263,10 +276,6 @@
             .text("change", "gone")
             .text("reason", reason)
             .number("revision", server.revision);
-        // All neighbours hear of it from those that watch. If each passed it on, 59 would tell each of 59.
-        if self.storage.is_watcher {
-            self.peers.reading.add(gossip::Entry::new(&server.name, server.revision, None));
-        }
         self.drop_idle(id);
         self.tell_leaving(id);
     }
