Log when a lost run was last heard of, and what a copy's server says

The lines of a stream that was lost told neither whether its server had sent anything, nor whether a server that turned the run away was asked for a copy that it doesn't have; the hypotheses on a run-once stream that ran twice couldn't be told apart.

--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -124,7 +124,7 @@
     /// Passes on the events of a stream that are complete.
     fn relay(&mut self, place: usize, body: &[u8], done: bool) -> bool {
         let Some(exchange) = self.exchanges.get_mut(place) else { return false };
-        let Some(attempt) = &exchange.attempt else { return false };
+        let Some(attempt) = &mut exchange.attempt else { return false };
         let delivery = &mut exchange.delivery;
         delivery.pending.extend_from_slice(body);
         let cut = events::cut(&mut delivery.pending, delivery.last_event, done);
@@ -136,6 +136,9 @@
             }
         };
         let server = attempt.server;
+        if !bytes.is_empty() {
+            attempt.has_event(self.now);
+        }
         delivery.last_event = last_event;
         if let (Some(version), Some(model)) = (weights, &exchange.ask.model) {
             self.pool.get_mut(server).loaded(self.now, model, version);
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -66,11 +66,21 @@
     wait_ms: f64,
     /// The head of the answer, once it came.
     pub(crate) reply: Option<Reply>,
+    /// When the first event and the last one of this attempt's answer came.
+    pub(crate) events: Option<(Time, Time)>,
+    /// It goes on from a copy of the run's memory.
+    pub(crate) is_from_copy: bool,
     /// The answer is long and passed on as it comes.
     pub(crate) is_passed_on: bool,
 }
 
 impl Attempt {
+    /// Notes that an event came.
+    pub(crate) fn has_event(&mut self, now: Time) {
+        let first = self.events.map_or(now, |it| it.0);
+        self.events = Some((first, now));
+    }
+
     /// What its first token, which comes now, tells of the service.
     pub(crate) fn sample(&self, now: Time) -> Sample {
         Sample { unread: self.unread, wait_ms: self.wait_ms, took: now.since(self.sent) }
@@ -128,6 +138,8 @@
             unread: choice.unread,
             wait_ms: choice.wait_ms,
             reply: None,
+            events: None,
+            is_from_copy: goes_on_from.is_some(),
             is_passed_on: false,
         });
         let load_age = server.load.map_or(Duration::ZERO, |it| now.since(it.1));
@@ -192,6 +204,7 @@
         let reason = match head.status {
             421 if answer.server.as_deref().is_some_and(|it| it != &*row.name) => "other-server",
             421 => "other-weights",
+            _ if attempt.is_from_copy => "no-copy",
             _ => "full",
         };
         match reason {
@@ -268,6 +281,7 @@
         let Some(exchange) = self.exchanges.get_mut(place) else { return };
         let Some(attempt) = &exchange.attempt else { return };
         let server = attempt.server;
+        let (first_event, heard) = attempt.events.unwrap_or((attempt.sent, attempt.sent));
         exchange.delivery.pending.clear();
         self.journal
             .line(self.now, "broken")
@@ -275,7 +289,9 @@
             .text("server", &self.pool.get(server).name)
             .text("reason", reason)
             .number("last_event", exchange.delivery.last_event.unwrap_or(0))
-            .ms("sent_ms", self.now.since(attempt.sent));
+            .ms("sent_ms", self.now.since(attempt.sent))
+            .ms("first_event_ms", first_event.since(attempt.sent))
+            .ms("heard_ms", heard.since(attempt.sent));
         if self.pool.get_mut(server).health.failed(self.now) {
             self.log_left_out(server, reason);
         }
