A run goes on at its copy only if it is known to have run long enough to have one

Callers saw a request that may run once run at two servers (TWICE).

Cause: the server of a run loses it without a word; its instance learns of that seconds later, takes the run for seconds old, and sends it on to the server of its copy. No copy was ever made, and that server, which should say so, begins the run and loses it too. A send followed a send that may have run, on a guess: neither the time since the sending nor the first byte of an answer shows that the run lived long enough to be copied.

Now the events must have come over 350 ms or more. Engines send a copy's parts several times a second, three at least, so that the next server has one and can only go on.

--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -15,8 +15,8 @@
 /// Part of an engine's memory that one run may take for its copy. Copies of long prompts would drive out shared
 /// parts of other prompts, and their transfer would hold up fetches.
 const MOST_MEMORY: f64 = 0.02;
-/// No part of a copy is sent earlier: engines send them several times a second.
-const FIRST_PART: Duration = Duration::from_millis(100);
+/// Longest time between two parts of a copy: engines send what is new several times a second, three at least.
+const PERIOD: Duration = Duration::from_millis(350);
 
 /// The server that gets the copy of a run at the chosen server: the least loaded one with the same weights,
 /// in the run's own data centre where there is one, as a transfer to another takes twice as long.
@@ -51,12 +51,11 @@
     is_same && server.takes_requests(now) && !wish.excluded.contains(&id)
 }
 
-/// Whether a copy of a run may have come about that was lost so long after it was sent. `has_begun`: some of its
-/// answer came.
+/// Whether a run has a copy whose events came over `span`: the time in which it is known to have run.
 ///
 /// Guards against a second run: a server without the copy should answer that it ran nothing, but one that
-/// loses its answers can't, and the run counts as begun there too. It was seen when servers reset streams
-/// within 3 ms of their sending.
-pub fn may_exist(age: Duration, has_begun: bool) -> bool {
-    has_begun || FIRST_PART <= age
+/// loses its answers begins with the request. How long ago the run was sent proves nothing, as it may have
+/// been lost long before its instance learns of it.
+pub fn is_made(span: Duration) -> bool {
+    PERIOD <= span
 }
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -81,6 +81,11 @@
         self.events = Some((first, now));
     }
 
+    /// The time over which its events came.
+    pub(crate) fn span(&self) -> Duration {
+        self.events.map_or(Duration::ZERO, |it| it.1.since(it.0))
+    }
+
     /// What its first token, which comes now, tells of the service.
     pub(crate) fn sample(&self, now: Time) -> Sample {
         Sample { unread: self.unread, wait_ms: self.wait_ms, took: now.since(self.sent) }
--- a/crates/gateway/src/core/copy.rs
+++ b/crates/gateway/src/core/copy.rs
@@ -27,8 +27,8 @@
     /// The server of a run that must not be repeated is lost: goes on at its copy, as the same run. Says
     /// whether it does.
     ///
-    /// It holds that nothing runs twice: the connection to the first server is closed before, and a
-    /// server without the copy answers that it ran nothing.
+    /// It holds that nothing runs twice: the connection to the first server is closed before, and the second
+    /// one has the copy, so that it can only go on.
     pub(crate) fn go_on(&mut self, place: usize, reason: &'static str) -> bool {
         if !LOST.contains(&reason) {
             return false;
@@ -60,14 +60,14 @@
         true
     }
 
-    /// The copy of the attempt's run and the version of its weights, if there may be one and its server can
-    /// go on with it.
+    /// The copy of the attempt's run and the version of its weights, if it has one and its server can go on
+    /// with it.
     fn usable_copy(&self, place: usize) -> Option<(pool::Id, Option<u64>)> {
         let exchange = self.exchanges.get(place)?;
         let attempt = exchange.attempt.as_ref()?;
         let (copy, weights) = (exchange.copy?, attempt.weights);
         let server = self.pool.get(copy);
-        let is_fit = copies::may_exist(self.now.since(attempt.sent), attempt.reply.is_some())
+        let is_fit = copies::is_made(attempt.span())
             && server.presence == Presence::Ready
             && copies::can_go_on(self.now, &self.wish(exchange), weights, copy, server);
         is_fit.then_some((copy, weights))
--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -61,10 +61,10 @@
     assert_eq!(target(&pool, &wish(&support::prompt(1, 1))), None);
 }
 
-// A server resets a run 1 ms after it got it. The server of its copy can have got nothing by then.
+// Engines send what is new of a run several times a second: one that ran for less may have no copy.
 #[test]
-fn run_that_was_lost_at_once_has_no_copy() {
-    assert!(!copies::may_exist(Duration::from_millis(1), false));
-    assert!(copies::may_exist(Duration::from_millis(1), true), "some of the answer came");
-    assert!(copies::may_exist(Duration::from_millis(400), false));
+fn run_has_a_copy_once_it_is_known_to_have_run() {
+    assert!(!copies::is_made(Duration::ZERO));
+    assert!(!copies::is_made(Duration::from_millis(200)));
+    assert!(copies::is_made(Duration::from_millis(400)));
 }
