A nameless word that nothing was run is no proof on a kept connection

Found while looking for the cause of a run-once stream that ran twice elsewhere. A 503 that says that nothing was run may come late and mean an earlier request of the same connection; without a request's id it was taken for the one under way, which would be sent to a second server while it runs at the first. The same word with another request's id was passed over already.

Now such a word counts on a new connection only, or from another server at the address, which never ran any request. nameless_word_on_a_kept_connection_is_no_proof failed before: the request was answered by the second server.

--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -29,6 +29,8 @@
     keep_alive: Duration,
     /// Until when an idle connection may be used.
     pub(crate) idle_until: Time,
+    /// It has carried another request before.
+    is_reused: bool,
 }
 
 struct Reading {
@@ -55,6 +57,7 @@
         if let Some((_, key)) = idle.max_by_key(|it| it.0) {
             if let Some(Role::Backend(it)) = self.roles.get_mut(&key) {
                 it.exchange = Some(place);
+                it.is_reused = true;
             }
             return Some(key);
         }
@@ -74,6 +77,7 @@
                     reading: None,
                     keep_alive: IDLE,
                     idle_until: Time::ZERO,
+                    is_reused: false,
                 };
                 self.roles.insert(key, Role::Backend(backend));
                 self.stats.connected();
@@ -156,6 +160,14 @@
             None => !answer.is_not_run,
         };
         let Some(Role::Backend(backend)) = self.roles.get_mut(&key) else { return };
+        // Guards against a second run: a word that nothing was run may come late and mean an earlier request of
+        // this connection. Only another server, which never ran any, proves itself by its own name.
+        let server = &self.pool.get(backend.server).name;
+        let is_other = answer.server.as_ref().is_some_and(|it| **it != **server);
+        if answer.id.is_none() && answer.is_not_run && backend.is_reused && !is_other {
+            self.attempt_broken(place, "nameless");
+            return;
+        }
         if let Some(it) = answer.keep_alive {
             backend.keep_alive = it;
         }
