An event that comes late doesn't show that its run lasted

How long a run lasted was taken from when its events came. An event that was made right after another one may come a second later, where a link stalls or the instance stands still; the run would count as copied, and its copy's server, which has none, may begin it again.

--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -3,7 +3,7 @@
 //! Answers the load of servers that crash under streams that must not run again: without a copy each
 //! of them is lost, and no retry is allowed. Pure.
 
-use std::time::Duration;
+mod run;
 
 use shallotlead_base::time::Time;
 
@@ -12,11 +12,11 @@
     pool::{self, Pool, Server},
 };
 
+pub use run::Run;
+
 /// Part of an engine's memory that one run may take for its copy. Copies of long prompts would drive out shared
 /// parts of other prompts, and their transfer would hold up fetches.
 const MOST_MEMORY: f64 = 0.02;
-/// Longest time between two parts of a copy: engines send what is new several times a second, three at least.
-const PERIOD: Duration = Duration::from_millis(350);
 
 /// The server that gets the copy of a run at the chosen server: the least loaded one with the same weights,
 /// in the run's own data centre where there is one, as a transfer to another takes twice as long.
@@ -50,12 +50,3 @@
     let is_same = wish.model.and_then(|it| server.version(it)) == weights;
     is_same && server.takes_requests(now) && !wish.excluded.contains(&id)
 }
-
-/// Whether a run has a copy whose events came over `span`: the time in which it is known to have run.
-///
-/// Guards against a second run: a server without the copy should answer that it ran nothing, but one that
-/// loses its answers begins with the request. How long ago the run was sent proves nothing, as it may have
-/// been lost long before its instance learns of it.
-pub fn is_made(span: Duration) -> bool {
-    PERIOD <= span
-}
--- /dev/null
+++ b/crates/gateway/src/copies/run.rs
@@ -0,0 +1,52 @@
+//! How long a run is known to have lasted, from the events of its answer.
+
+use std::time::Duration;
+
+use shallotlead_base::time::Time;
+
+/// Longest time between two parts of a copy: engines send what is new several times a second, taken as three.
+const PERIOD: Duration = Duration::from_millis(350);
+/// What the pause before an event may count at most. A longer one may lie on the way: in a link that stalled, or
+/// in an instance that stood still, behind which the event came long after it was made.
+const LONGEST_PAUSE: Duration = Duration::from_millis(100);
+
+/// A run that has sent events.
+///
+/// Guards against a second run of what may run once: a server without a copy should answer that it ran nothing,
+/// but one that loses its answers begins with the request. How long ago the run was sent proves nothing, as it may
+/// have been lost long before its instance learns of it. What remains is a server that had no room for the copy,
+/// or a slow link to it: nobody tells of those.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Run {
+    first: Time,
+    last: Time,
+    lasted: Duration,
+}
+
+impl Run {
+    /// Its first event came.
+    pub fn open(now: Time) -> Self {
+        Self { first: now, last: now, lasted: Duration::ZERO }
+    }
+
+    /// Another event came.
+    pub fn event(&mut self, now: Time) {
+        self.lasted += now.since(self.last).min(LONGEST_PAUSE);
+        self.last = now;
+    }
+
+    /// When its first event came.
+    pub fn first(&self) -> Time {
+        self.first
+    }
+
+    /// When its last event came.
+    pub fn last(&self) -> Time {
+        self.last
+    }
+
+    /// Whether it lasted long enough to be copied.
+    pub fn has_copy(&self) -> bool {
+        PERIOD <= self.lasted
+    }
+}
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     budget::Purpose,
+    copies,
     core::{Core, Timer, exchange::Exchange, refusal::Refusal},
     dialect::{Answer, Sending},
     http::{body::Framing, head::Response},
@@ -66,8 +67,8 @@
     wait_ms: f64,
     /// The head of the answer, once it came.
     pub(crate) reply: Option<Reply>,
-    /// When the first event and the last one of this attempt's answer came.
-    pub(crate) events: Option<(Time, Time)>,
+    /// The run, once it has sent an event.
+    pub(crate) run: Option<copies::Run>,
     /// It goes on from a copy of the run's memory.
     pub(crate) is_from_copy: bool,
     /// The answer is long and passed on as it comes.
@@ -77,13 +78,10 @@
 impl Attempt {
     /// Notes that an event came.
     pub(crate) fn has_event(&mut self, now: Time) {
-        let first = self.events.map_or(now, |it| it.0);
-        self.events = Some((first, now));
-    }
-
-    /// The time over which its events came.
-    pub(crate) fn span(&self) -> Duration {
-        self.events.map_or(Duration::ZERO, |it| it.1.since(it.0))
+        match &mut self.run {
+            Some(run) => run.event(now),
+            None => self.run = Some(copies::Run::open(now)),
+        }
     }
 
     /// What its first token, which comes now, tells of the service.
@@ -143,7 +141,7 @@
             unread: choice.unread,
             wait_ms: choice.wait_ms,
             reply: None,
-            events: None,
+            run: None,
             is_from_copy: goes_on_from.is_some(),
             is_passed_on: false,
         });
@@ -286,7 +284,8 @@
         let Some(exchange) = self.exchanges.get_mut(place) else { return };
         let Some(attempt) = &exchange.attempt else { return };
         let server = attempt.server;
-        let (first_event, heard) = attempt.events.unwrap_or((attempt.sent, attempt.sent));
+        let first_event = attempt.run.map_or(attempt.sent, |it| it.first());
+        let heard = attempt.run.map_or(attempt.sent, |it| it.last());
         exchange.delivery.pending.clear();
         self.journal
             .line(self.now, "broken")
--- a/crates/gateway/src/core/copy.rs
+++ b/crates/gateway/src/core/copy.rs
@@ -28,7 +28,7 @@
     /// whether it does.
     ///
     /// It holds that nothing runs twice: the connection to the first server is closed before, and the second
-    /// one has the copy, so that it can only go on.
+    /// one should have the copy, so that it can only go on.
     pub(crate) fn go_on(&mut self, place: usize, reason: &'static str) -> bool {
         if !LOST.contains(&reason) {
             return false;
@@ -60,14 +60,14 @@
         true
     }
 
-    /// The copy of the attempt's run and the version of its weights, if it has one and its server can go on
-    /// with it.
+    /// The copy of the attempt's run and the version of its weights, if it should have one and its server can go
+    /// on with it.
     fn usable_copy(&self, place: usize) -> Option<(pool::Id, Option<u64>)> {
         let exchange = self.exchanges.get(place)?;
         let attempt = exchange.attempt.as_ref()?;
         let (copy, weights) = (exchange.copy?, attempt.weights);
         let server = self.pool.get(copy);
-        let is_fit = copies::is_made(attempt.span())
+        let is_fit = attempt.run.is_some_and(|it| it.has_copy())
             && server.presence == Presence::Ready
             && copies::can_go_on(self.now, &self.wish(exchange), weights, copy, server);
         is_fit.then_some((copy, weights))
--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -4,6 +4,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use shallotlead_base::time::Time;
 use shallotlead_gateway::{
     copies,
     dialect::{Load, Part},
@@ -61,10 +62,26 @@
     assert_eq!(target(&pool, &wish(&support::prompt(1, 1))), None);
 }
 
+/// A run whose events came at these times.
+fn run(events_ms: &[u64]) -> copies::Run {
+    let at = |ms: u64| Time::ZERO + Duration::from_millis(ms);
+    let mut run = copies::Run::open(at(events_ms[0]));
+    events_ms[1..].iter().for_each(|it| run.event(at(*it)));
+    run
+}
+
 // Engines send what is new of a run several times a second: one that ran for less may have no copy.
 #[test]
 fn run_has_a_copy_once_it_is_known_to_have_run() {
-    assert!(!copies::is_made(Duration::ZERO));
-    assert!(!copies::is_made(Duration::from_millis(200)));
-    assert!(copies::is_made(Duration::from_millis(400)));
+    let is_copied = |events_ms: &[u64]| run(events_ms).has_copy();
+    assert!(!is_copied(&[0]));
+    assert!(!is_copied(&[0, 80, 160, 240]));
+    assert!(!is_copied(&[0, 80, 160, 240, 320]));
+    assert!(is_copied(&[0, 80, 160, 240, 320, 400]));
+}
+
+// A link stalls, or an instance stands still: an event that was made at once is read a second later.
+#[test]
+fn stalled_event_does_not_show_that_a_run_lasted() {
+    assert!(!run(&[0, 1_000, 1_001, 1_002]).has_copy());
 }
