A run doesn't go on at a copy that is no longer kept

Engines keep the copy of a run for some seconds after its last part. A run that is heard of for half a second, then silent for longer than that, went on at a copy that is gone; a server that loses its answers begins it there again.

Now the engines' configuration says how long copies are kept; without it none are relied on. copy_that_is_no_longer_kept_is_none holds it.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -77,8 +77,9 @@
     pub capacity: u32,
     /// Time that one token's cache takes on the way from another engine in the same data centre, ms.
     pub fetch_ms: f64,
-    /// Whether engines copy the memory of a run to another one as it grows.
-    pub copies_runs: bool,
+    /// How long an engine keeps the copy of another one's run after the last part of it; nothing where engines
+    /// don't copy runs.
+    pub copies_kept: Option<Duration>,
 }
 
 /// One organisation whose callers are known by their keys.
--- a/crates/gateway/src/copies/run.rs
+++ b/crates/gateway/src/copies/run.rs
@@ -45,8 +45,8 @@
         self.last
     }
 
-    /// Whether it lasted long enough to be copied.
-    pub fn has_copy(&self) -> bool {
-        PERIOD <= self.lasted
+    /// Whether it lasted long enough to be copied, and the copy is still `kept` for so long after its last part.
+    pub fn has_copy(&self, now: Time, kept: Duration) -> bool {
+        PERIOD <= self.lasted && now.since(self.last) < kept
     }
 }
--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -62,18 +62,23 @@
     assert_eq!(target(&pool, &wish(&support::prompt(1, 1))), None);
 }
 
-/// A run whose events came at these times.
-fn run(events_ms: &[u64]) -> copies::Run {
+const KEPT: Duration = Duration::from_secs(5);
+
+/// A run whose events came at these times, and the time of the last one.
+fn run(events_ms: &[u64]) -> (copies::Run, Time) {
     let at = |ms: u64| Time::ZERO + Duration::from_millis(ms);
     let mut run = copies::Run::open(at(events_ms[0]));
     events_ms[1..].iter().for_each(|it| run.event(at(*it)));
-    run
+    (run, at(events_ms[events_ms.len() - 1]))
 }
 
 // Engines send what is new of a run several times a second: one that ran for less may have no copy.
 #[test]
 fn run_has_a_copy_once_it_is_known_to_have_run() {
-    let is_copied = |events_ms: &[u64]| run(events_ms).has_copy();
+    let is_copied = |events_ms: &[u64]| {
+        let (run, last) = run(events_ms);
+        run.has_copy(last, KEPT)
+    };
     assert!(!is_copied(&[0]));
     assert!(!is_copied(&[0, 80, 160, 240]));
     assert!(!is_copied(&[0, 80, 160, 240, 320]));
@@ -83,5 +88,14 @@
 // A link stalls, or an instance stands still: an event that was made at once is read a second later.
 #[test]
 fn stalled_event_does_not_show_that_a_run_lasted() {
-    assert!(!run(&[0, 1_000, 1_001, 1_002]).has_copy());
+    let (run, last) = run(&[0, 1_000, 1_001, 1_002]);
+    assert!(!run.has_copy(last, KEPT));
+}
+
+// A server falls silent for longer than the copy of its run is kept.
+#[test]
+fn copy_that_is_no_longer_kept_is_none() {
+    let (run, last) = run(&[0, 100, 200, 300, 400]);
+    assert!(run.has_copy(last + Duration::from_secs(4), KEPT));
+    assert!(!run.has_copy(last + KEPT, KEPT));
 }
