--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -215,7 +215,7 @@
             }
             return;
         }
-        let connecting = self.net.get(key).is_none_or(|it| it.is_connecting());
+        let connecting = self.is_connecting(key);
         match (connecting, kind) {
             (true, _) => self.attempt_not_run(place, "connect-failed", true),
             (false, None) => self.attempt_broken(place, "closed"),
