--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -290,6 +290,7 @@
         self.journal
             .line(self.now, "broken")
             .text("request", exchange.id())
+            .text("identity", &exchange.identity().to_string())
             .text("server", &self.pool.get(server).name)
             .text("reason", reason)
             .number("last_event", exchange.delivery.last_event.unwrap_or(0))
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -18,6 +18,7 @@
     net::Key,
     placement::{self, Reach, Shortage, Wish},
     pool,
+    quarantine::Identity,
 };
 
 /// Part of the aim for which a request may wait for a server before it is refused; a refusal that
@@ -138,6 +139,13 @@
         self.ask.id.as_deref().unwrap_or_default()
     }
 
+    /// What it is known by when it comes again.
+    pub(crate) fn identity(&self) -> Identity {
+        let organisation = self.organisation.as_ref().map_or("", |it| &*it.name);
+        let Self { head, ask, body, .. } = self;
+        Identity::of(organisation, &head.method, &ask.host, &head.target, body)
+    }
+
     fn silence(&self) -> Duration {
         SILENCE.max(self.route.aim * SILENCE_AIMS)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod packed;
 pub mod placement;
 pub mod pool;
+pub mod quarantine;
 pub mod rollout;
 pub mod rumour;
 pub mod settings;
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,5 @@
+//! Requests that crash the servers that run them.
+
+mod identity;
+
+pub use identity::Identity;
--- /dev/null
+++ b/crates/gateway/src/quarantine/identity.rs
@@ -0,0 +1,34 @@
+//! What a request is known by when it comes again.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use shallotlead_base::hash;
+
+/// A request by its caller, path and body. Tries that share it ask for the same.
+///
+/// The caller stands by itself, so that no body makes one organisation's request look like another's.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Identity {
+    /// Hash of the organisation.
+    pub caller: u64,
+    /// Hash of the rest.
+    pub content: u64,
+}
+
+impl Identity {
+    /// Identity of the request of `organisation`, empty for callers without one. `target`: path and query.
+    pub fn of(organisation: &str, method: &str, host: &str, target: &str, body: &[u8]) -> Self {
+        let parts = [method.as_bytes(), host.as_bytes(), target.as_bytes(), body];
+        Self {
+            caller: hash::stable(organisation.as_bytes()),
+            content: parts.iter().fold(0, |seed, it| hash::seeded(it, seed)),
+        }
+    }
+}
+
+impl fmt::Display for Identity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}{:016x}", self.caller, self.content)
+    }
+}
