A request that crashes servers is put in quarantine, at all instances

Cause: nothing outlives a try. An instance bounds the servers of one try and forgets; the next try begins anew.

Now instances remember which requests were lost with which servers, and tell each other. A lost connection counts once its server is found dead, each life counts once, and not where a quarter of all servers end together; a run that ends well clears its request. From two crashes on the request runs where the fewest others do, and goes on at no copy; from the third loss on it is sent nowhere and answered at once: 503 for a try that reached no server, 502 for one that did. After 600 s without a try it may run once more ([quarantine] crashes, keep_s).

--- a/crates/gateway/benches/policy/world.rs
+++ b/crates/gateway/benches/policy/world.rs
@@ -227,6 +227,7 @@
             parts: &prompt.parts,
             wall: None,
             centre: &own,
+            is_suspect: false,
             reach: Reach::All,
             fetch_ms: 1.0 / self.site.link_per_ms,
             capacity: self.site.memory as f64,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -14,6 +14,7 @@
 mod pages;
 mod peers;
 mod probe;
+mod quarantine;
 mod refusal;
 mod state;
 mod stats;
@@ -45,7 +46,8 @@
     lease::Lease,
     net::{Door, Event, Key, Net},
     placement::Memory,
-    pool::Pool,
+    pool::{self, Pool},
+    quarantine::Quarantine,
     rollout::Rollout,
     settings::Settings,
     uplink::Uplink,
@@ -92,6 +94,8 @@
     Exchange(usize, u64),
     /// A small request's bound.
     Errand(usize, u64),
+    /// A server has lost its runs: does it live?
+    Doubt(pool::Id),
 }
 
 /// What the instance is asked to do from outside its reactor.
@@ -135,6 +139,7 @@
     pool: Pool,
     memory: Memory,
     cache_stores: cache::Stores,
+    quarantine: Quarantine,
     budget: Budget,
     storage: storage::Storage,
     members: Members,
@@ -237,6 +242,7 @@
             pool: Pool::default(),
             memory: Memory::default(),
             cache_stores: cache::Stores::default(),
+            quarantine: Quarantine::open(settings.quarantine),
             rollout: Rollout::default(),
             orders,
             leaving_since: None,
@@ -327,6 +333,7 @@
             match timer {
                 Timer::Exchange(place, serial) => self.exchange_due(place, serial),
                 Timer::Errand(place, serial) => self.errand_due(place, serial),
+                Timer::Doubt(id) => self.ask_doubted(id),
             }
         }
         self.tick_storage();
@@ -351,6 +358,7 @@
         self.sweep_backends();
         self.sweep_errands();
         self.sweep_probes();
+        self.sweep_quarantine();
         for id in self.pool.expire(self.now, self.storage.is_away()) {
             if self.storage.is_watcher {
                 self.tell_gone(id);
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -224,6 +224,7 @@
         }
         let now = self.now;
         note_end(&mut self.pool, now, &exchange);
+        self.clear_suspicion(&exchange);
         let first_piece = exchange.delivery.first_piece.unwrap_or(now);
         let first = first_piece.since(exchange.arrived);
         if let Some(attempt) = attempt {
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -7,13 +7,14 @@
 use crate::{
     budget::Purpose,
     copies,
-    core::{Core, Timer, exchange::Exchange, refusal::Refusal},
+    core::{Core, Timer, copy, exchange::Exchange, refusal::Refusal},
     dialect::{Answer, Sending},
     http::{body::Framing, head::Response},
     net::Key,
     pace::Sample,
     placement::Choice,
     pool::{self, Switch},
+    quarantine::Verdict,
     rollout,
 };
 
@@ -302,7 +303,19 @@
         }
         self.stats.broken(reason);
         self.stats.servers.at(self.pool.get(server).address).broken();
-        if !self.go_on(place, reason) && !self.try_again(place, reason) {
+        if copy::LOST.contains(&reason) {
+            self.note_lost(place);
+        }
+        // A suspect would take the server of its copy along as well.
+        let goes_on = match self.verdict(place) {
+            Verdict::Clear => self.go_on(place, reason) || self.try_again(place, reason),
+            Verdict::Suspect => self.try_again(place, reason),
+            Verdict::Quarantined => {
+                self.fail(place, 502, "quarantined");
+                return;
+            }
+        };
+        if !goes_on {
             self.fail(place, 502, reason);
         }
     }
--- a/crates/gateway/src/core/copy.rs
+++ b/crates/gateway/src/core/copy.rs
@@ -11,7 +11,7 @@
 /// Ends of an attempt after which its server doesn't work on it any more, as far as this instance can
 /// tell. An answer of no sense comes from one that may, and so does silence: a server with a long queue
 /// answers probes too late.
-const LOST: [&str; 4] = ["closed", "reset", "connection-lost", "restarted"];
+pub(super) const LOST: [&str; 4] = ["closed", "reset", "connection-lost", "restarted"];
 
 impl Core {
     /// Where the run that begins at the chosen server gets its copy: those that may run again need none.
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -1,6 +1,6 @@
 //! One caller's request, from its head to its final answer.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{cell::OnceCell, net::SocketAddr, sync::Arc, time::Duration};
 
 use shallotlead_base::time::Time;
 
@@ -18,7 +18,7 @@
     net::Key,
     placement::{self, Reach, Shortage, Wish},
     pool,
-    quarantine::Identity,
+    quarantine::{Identity, Verdict},
 };
 
 /// Part of the aim for which a request may wait for a server before it is refused; a refusal that
@@ -62,6 +62,8 @@
     pub(crate) resends: u8,
     /// Servers that turned it away or failed it.
     pub(crate) excluded: Vec<pool::Id>,
+    /// What it is known by when it comes again, once someone has asked.
+    identity: OnceCell<Identity>,
     /// The server that has a copy of what runs at the attempt's, to go on there if that one is lost.
     pub(crate) copy: Option<pool::Id>,
     /// Where the copy lies from which the next attempt goes on.
@@ -140,10 +142,11 @@
     }
 
     /// What it is known by when it comes again.
-    pub(crate) fn identity(&self) -> Identity {
+    pub(crate) fn identity(&self) -> &Identity {
         let organisation = self.organisation.as_ref().map_or("", |it| &*it.name);
         let Self { head, ask, body, .. } = self;
-        Identity::of(organisation, &head.method, &ask.host, &head.target, body)
+        let identity = || Identity::of(organisation, &head.method, &ask.host, &head.target, body);
+        self.identity.get_or_init(identity)
     }
 
     fn silence(&self) -> Duration {
@@ -183,6 +186,7 @@
             sends: 0,
             resends: 0,
             excluded: Vec::new(),
+            identity: OnceCell::new(),
             copy: None,
             goes_on_from: None,
             attempt: None,
@@ -214,9 +218,14 @@
             self.fail(place, 502, "may-have-run");
             return;
         }
+        let verdict = self.verdict(place);
+        if verdict == Verdict::Quarantined {
+            self.give_up(place, self.refuse_quarantined());
+            return;
+        }
         let random = self.random();
         let Some(exchange) = self.exchanges.get(place) else { return };
-        let wish = self.wish(exchange);
+        let wish = Wish { is_suspect: verdict == Verdict::Suspect, ..self.wish(exchange) };
         let shortest = self.catalog.as_ref().and_then(|it| it.shortest_aim(&exchange.service));
         let admission = Admission::of(exchange, shortest);
         let choose =
@@ -257,6 +266,7 @@
             wall: exchange.wall(),
             centre: &self.settings.centre,
             reach: Reach::Near,
+            is_suspect: false,
             oldest_weights: self.settings.oldest_weights,
             excluded: &exchange.excluded,
         }
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -254,6 +254,7 @@
     /// Guards against answers that nobody will give: behind a cut no reset tells of the restart, and
     /// callers would wait for their deadline.
     pub(crate) fn life_ended(&mut self, id: pool::Id) {
+        self.note_life_ended(id);
         self.drop_idle(id);
         for place in self.exchanges_at(id).map(|it| it.0).collect::<Vec<_>>() {
             self.attempt_broken(place, "restarted");
@@ -277,6 +278,7 @@
             .text("reason", reason)
             .number("revision", server.revision);
         self.drop_idle(id);
+        self.server_crashed(id);
         self.tell_leaving(id);
     }
 }
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -194,6 +194,7 @@
             members: self.members.records(self.now),
             beats: self.members.beats(self.now, &mut self.rng),
             paces: self.pool.paces().map(|it| (it.0.clone(), *it.1)).collect(),
+            quarantine: self.told_records(),
             ..self.message(rumours, false)
         };
         self.send_to(targets, &Datagram::News(Box::new(message)));
@@ -224,6 +225,7 @@
             passes_on,
             cache_stores: self.cache_stores.seen(),
             paces: Vec::new(),
+            quarantine: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/core/peers/heard.rs
+++ b/crates/gateway/src/core/peers/heard.rs
@@ -74,6 +74,7 @@
             passes_on,
             cache_stores,
             paces,
+            quarantine,
         } = message;
         let holder = from.holder(configuration);
         for (address, is_alive) in cache_stores {
@@ -91,6 +92,7 @@
         self.members.take_beats(now, &beats);
         self.told_configuration(holder);
         self.take_namings(&weights);
+        self.adopt_records(&quarantine, "told by an instance");
         if passes_on && rumours.is_empty() {
             self.peers.board.tell_versions(Reach::Centre);
         }
@@ -117,6 +119,8 @@
             Rumour::CacheStore(address, is_alive) => {
                 self.cache_stores.told(self.now, *address, *is_alive);
             }
+            Rumour::Crashed(identity, life) => self.told_crashed(*identity, *life),
+            Rumour::Released(identity) => self.told_released(identity),
         }
     }
 
--- a/crates/gateway/src/core/probe.rs
+++ b/crates/gateway/src/core/probe.rs
@@ -38,7 +38,7 @@
         self.probe(id);
     }
 
-    fn probe(&mut self, id: pool::Id) {
+    pub(crate) fn probe(&mut self, id: pool::Id) {
         self.ask_server(id, PROBE, Purpose::Probe(id));
     }
 
@@ -59,6 +59,7 @@
             Outcome::Lost => !self.is_engine(id),
         };
         self.take_report(id, outcome);
+        self.settle_doubt(id, outcome);
         let server = self.pool.get_mut(id);
         if server.health.is_in() {
             if !is_well {
--- a/crates/gateway/src/core/refusal.rs
+++ b/crates/gateway/src/core/refusal.rs
@@ -31,6 +31,11 @@
         /// How long it would wait at the best server.
         wait: Duration,
     },
+    /// It has crashed the servers that ran it.
+    Quarantined {
+        /// How long that is held against it.
+        after: Duration,
+    },
     /// Servers turned it away, and no try is left.
     TurnedAway,
     /// Its time ran out before it was sent.
@@ -48,6 +53,7 @@
             | Self::Leaving
             | Self::Shortage(_)
             | Self::Overload { .. }
+            | Self::Quarantined { .. }
             | Self::TurnedAway
             | Self::TimeOut => 503,
         }
@@ -65,6 +71,7 @@
             Self::Shortage(Shortage::NoneReady) => "none-ready",
             Self::Shortage(Shortage::OldWeights) => "old-weights",
             Self::Overload { .. } => "overload",
+            Self::Quarantined { .. } => "quarantined",
             Self::TurnedAway => "turned-away",
             Self::TimeOut => "time-out",
         }
@@ -84,7 +91,7 @@
             Self::NoRoute | Self::NoKey | Self::NoId => None,
             Self::Starting => Some(STARTING_RETRY_AFTER),
             Self::Leaving => Some(Duration::ZERO),
-            Self::Overload { after, .. } => Some(after),
+            Self::Overload { after, .. } | Self::Quarantined { after } => Some(after),
             Self::Shortage(_) | Self::TurnedAway | Self::TimeOut => Some(RETRY_AFTER),
         }
     }
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -47,6 +47,8 @@
     current: Gauge,
     is_watching: Gauge,
     lease: Gauge,
+    quarantined: Gauge,
+    suspected: Gauge,
     prompt_tokens: Counter,
     unread_tokens: Counter,
     expected_wait: Histogram,
@@ -116,6 +118,8 @@
             current: metrics::gauge!("shallotlead_servers_current"),
             is_watching: metrics::gauge!("shallotlead_watching"),
             lease: metrics::gauge!("shallotlead_lease_held"),
+            quarantined: metrics::gauge!("shallotlead_quarantined_requests"),
+            suspected: metrics::gauge!("shallotlead_suspected_requests"),
             prompt_tokens: metrics::counter!("shallotlead_prompt_tokens_total"),
             unread_tokens: metrics::counter!("shallotlead_unread_tokens_total"),
             expected_wait: metrics::histogram!("shallotlead_expected_wait_seconds"),
@@ -201,6 +205,11 @@
         metrics::counter!("shallotlead_resends_total", "reason" => reason).increment(1);
     }
 
+    /// Something was decided on a request that crashes servers.
+    pub(crate) fn quarantine(&mut self, step: &'static str) {
+        metrics::counter!("shallotlead_quarantine_total", "step" => step).increment(1);
+    }
+
     /// A prompt was sent; its server is expected to begin with it after `wait` and to read `unread` of
     /// its tokens.
     pub(crate) fn prompt(&mut self, tokens: u32, unread: u32, wait: Duration) {
@@ -246,6 +255,9 @@
         stats.is_watching.set(f64::from(u8::from(self.members.me().is_watching)));
         stats.left_out.set(out as f64);
         stats.current.set(current as f64);
+        let (quarantined, suspected) = self.quarantine.counts();
+        stats.quarantined.set(quarantined as f64);
+        stats.suspected.set(suspected as f64);
         stats.lease.set(f64::from(u8::from(self.lease.is_held(self.now))));
         stats.dropped_lines.set(self.journal.dropped() as f64);
         stats.configuration.set(version as f64);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,7 +11,7 @@
     catchup::Holder,
     dialect::{Born, Load, Part},
     pace::Pace,
-    rumour,
+    quarantine, rumour,
 };
 
 pub use entries::{Entries, Entry};
@@ -147,6 +147,8 @@
     pub cache_stores: Vec<(SocketAddr, bool)>,
     /// What the sender has learnt of services' engines, for instances that have just started.
     pub paces: Vec<(Arc<str>, Pace)>,
+    /// Requests that the sender has in quarantine.
+    pub quarantine: Vec<quarantine::Record>,
 }
 
 /// The last beat that was heard of a member.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -24,6 +24,9 @@
 /// What one more request running at a server costs each token, ms: a step takes 0.047 ms longer
 /// with each, over the first ten steps.
 const RUNNING_MS: f64 = 0.5;
+/// What each request that runs at a server counts against sending it one that may crash it, ms: more than any
+/// wait, so that the least is lost.
+const COMPANY_MS: f64 = 10_000.0;
 /// Age at which a server's word on its queue tells nothing any more, ms: where instances tell each other
 /// what they send, and where this word is all there is. Queues of overloaded servers last over a second.
 const STALE_MS: f64 = 600.0;
@@ -82,6 +85,8 @@
     pub centre: &'a str,
     /// Where servers are looked for.
     pub reach: Reach,
+    /// It may crash the server that runs it.
+    pub is_suspect: bool,
     /// Time that a token's cache takes from one server to another in the same data centre, ms.
     pub fetch_ms: f64,
     /// Tokens that fit into a server's memory.
@@ -265,6 +270,10 @@
     let shared_ms = shared_price(wish, prompt, place, known, fetch.tokens);
     let kilobytes = OVERHEAD_KB + TOKEN_KB * f64::from(all);
     let away_ms = if *server.centre == *wish.centre { 0.0 } else { OTHER_CENTRE_MS * kilobytes };
+    let company_ms = match wish.is_suspect {
+        true => COMPANY_MS * running(now, server, stale_ms(wish, server)),
+        false => 0.0,
+    };
     let tie = (random.rotate_left(id as u32 % 64) & 0xff) as f64 / 256.0;
     // What is believed to be held may have been evicted: asking the store costs a millisecond, reading
     // the parts again a hundred.
@@ -276,7 +285,7 @@
         added: all - held.tokens,
         wait_ms,
         expected_ms,
-        score: begins_ms + late_ms + shared_ms + age_ms + away_ms + tie,
+        score: begins_ms + late_ms + shared_ms + age_ms + away_ms + company_ms + tie,
         fetch_from: fetch.from.or(store),
         save_to: store.filter(|_| known.max(held.tokens) < shared),
         candidates: 0,
@@ -362,8 +371,14 @@
     let waited = server.waited.map_or(0.0, |it| f64::from(it.0) * fresh(it.1));
     let load = server.load.unwrap_or_default();
     let waiting = f64::from(load.0.waiting) * pace.waiting() * fresh(load.1);
-    let running = (f64::from(load.0.running) * fresh(load.1)).max(f64::from(server.inflight));
-    queued.max(waiting).max(waited) + running * RUNNING_MS
+    queued.max(waiting).max(waited) + running(now, server, stale_ms) * RUNNING_MS
+}
+
+/// Requests that run at the server, as far as known.
+fn running(now: Time, server: &Server, stale_ms: f64) -> f64 {
+    let (load, at) = server.load.unwrap_or_default();
+    let fresh = (1.0 - now.since(at).as_secs_f64() * 1e3 / stale_ms).max(0.0);
+    (f64::from(load.running) * fresh).max(f64::from(server.inflight))
 }
 
 /// How long a prompt should keep off the server so that running answers get their share of its time, ms.
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -2,11 +2,12 @@
 
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
-use shallotlead_base::time::Time;
+use shallotlead_base::{hash, time::Time};
 
 use crate::{
     dialect::{Born, Load, ServerEntry},
     pool::Health,
+    quarantine::Life,
 };
 
 /// How long prompts that were sent are remembered: words on a load are of use for half a second.
@@ -79,6 +80,8 @@
     pub taken: u64,
     /// When it was last asked whether it lives, for being late.
     pub looked_at: Time,
+    /// It has lost its runs, and is about to be asked whether it lives.
+    pub(crate) is_doubted: bool,
     /// Connections that this instance has to it.
     pub connections: u32,
 }
@@ -106,6 +109,7 @@
             recent: VecDeque::new(),
             taken: 0,
             looked_at: Time::ZERO,
+            is_doubted: false,
             connections: 0,
         }
     }
@@ -121,6 +125,11 @@
         loaded
     }
 
+    /// What this life of it is known by among instances.
+    pub fn life(&self) -> Life {
+        hash::weight(&self.name, self.born.unwrap_or_default())
+    }
+
     /// The version of `model`'s weights that it has.
     pub fn version(&self, model: &str) -> Option<u64> {
         self.models.iter().find(|it| *it.0 == *model).map(|it| it.1)
--- a/crates/gateway/src/quarantine/identity.rs
+++ b/crates/gateway/src/quarantine/identity.rs
@@ -1,6 +1,6 @@
 //! What a request is known by when it comes again.
 
-use std::fmt;
+use std::{fmt, str::FromStr};
 
 use serde::{Deserialize, Serialize};
 use shallotlead_base::hash;
@@ -27,6 +27,23 @@
     }
 }
 
+/// A text that names no request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("expected an identity: 32 hexadecimal digits")]
+pub struct Malformed;
+
+impl FromStr for Identity {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Malformed> {
+        if text.len() != 32 || !text.is_ascii() {
+            return Err(Malformed);
+        }
+        let number = |text: &str| u64::from_str_radix(text, 16).map_err(|_| Malformed);
+        Ok(Self { caller: number(&text[..16])?, content: number(&text[16..])? })
+    }
+}
+
 impl fmt::Display for Identity {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}{:016x}", self.caller, self.content)
--- a/crates/gateway/src/rumour.rs
+++ b/crates/gateway/src/rumour.rs
@@ -12,6 +12,7 @@
 use crate::{
     catchup::Holder,
     gossip::{Loading, Member, Members},
+    quarantine::{Identity, Life},
 };
 
 /// How long a rumour is repeated, for datagrams that get lost.
@@ -48,6 +49,10 @@
     Instance(Box<Member>),
     /// The store of cached prompts at this address lives, or doesn't.
     CacheStore(SocketAddr, bool),
+    /// A request was lost with a server that crashed.
+    Crashed(Identity, Life),
+    /// Nothing speaks against a request any more.
+    Released(Identity),
 }
 
 impl Rumour {
@@ -59,6 +64,8 @@
             Self::Holds(it) => Subject::Holder(it.address),
             Self::Instance(it) => Subject::Instance(it.name.clone()),
             Self::CacheStore(address, _) => Subject::CacheStore(*address),
+            Self::Crashed(identity, life) => Subject::Crashed(*identity, *life),
+            Self::Released(identity) => Subject::Released(*identity),
         }
     }
 
@@ -107,6 +114,8 @@
     Holder(SocketAddr),
     Instance(Arc<str>),
     CacheStore(SocketAddr),
+    Crashed(Identity, Life),
+    Released(Identity),
 }
 
 /// How far a rumour is to be told.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{
     fs,
     net::{IpAddr, SocketAddr},
+    num::NonZeroUsize,
     path::Path,
     str::FromStr,
     sync::Arc,
@@ -11,7 +12,7 @@
 
 use ini::Ini;
 
-use crate::budget;
+use crate::{budget, quarantine};
 
 /// What one instance needs to know before it starts.
 #[derive(Clone, Debug, PartialEq)]
@@ -40,6 +41,8 @@
     pub order_gap: Duration,
     /// How long after newer weights were named requests may still begin on older ones.
     pub oldest_weights: Duration,
+    /// When requests that crash servers are put in quarantine.
+    pub quarantine: quarantine::Terms,
     /// Time between SIGTERM and the process's end by force.
     pub grace: Duration,
     /// Log lines a second, from which on lines are dropped and counted.
@@ -128,7 +131,7 @@
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
 /// All settings, by section.
-const KNOWN: [(&str, &[&str]); 11] = [
+const KNOWN: [(&str, &[&str]); 12] = [
     ("instance", &["name", "data_centre"]),
     ("listen", &["callers", "ready", "directory", "peers", "metrics"]),
     ("store", &["address", "reads_per_second", "writes_per_second"]),
@@ -138,6 +141,7 @@
     ("retries", &["ratio", "window_ms", "slack"]),
     ("orders", &["gap_ms"]),
     ("weights", &["oldest_ms"]),
+    ("quarantine", &["crashes", "keep_s"]),
     ("shutdown", &["grace_ms"]),
     ("log", &["lines_per_second"]),
 ];
@@ -188,6 +192,7 @@
         },
         order_gap: millis("orders", "gap_ms")?,
         oldest_weights: oldest_weights(ini)?,
+        quarantine: quarantine(ini)?,
         grace: millis("shutdown", "grace_ms")?,
         log_rate: number(ini, "log", "lines_per_second", "a whole number")?,
     })
@@ -201,6 +206,24 @@
     number(ini, "weights", "oldest_ms", "a number of milliseconds").map(from_ms)
 }
 
+/// When a request is put in quarantine, where nothing is set.
+const QUARANTINE: quarantine::Terms =
+    quarantine::Terms { crashes: 3, keep: Duration::from_secs(600) };
+
+fn quarantine(ini: &Ini) -> Result<quarantine::Terms, Error> {
+    let is_set = |key| ini.get_from(Some("quarantine"), key).is_some_and(|it| !it.is_empty());
+    let mut terms = QUARANTINE;
+    if is_set("crashes") {
+        let crashes: NonZeroUsize = number(ini, "quarantine", "crashes", "a number above 0")?;
+        terms.crashes = crashes.get();
+    }
+    if is_set("keep_s") {
+        let keep: u32 = number(ini, "quarantine", "keep_s", "a whole number of seconds")?;
+        terms.keep = Duration::from_secs(keep.into());
+    }
+    Ok(terms)
+}
+
 /// A platform that states no bound leaves the setting empty.
 fn link(ini: &Ini) -> Result<f64, Error> {
     let is_set = ini.get_from(Some("link"), "mbit_per_second").is_some_and(|it| !it.is_empty());
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -62,6 +62,7 @@
         parts,
         wall: None,
         centre: "a",
+        is_suspect: false,
         reach: Reach::All,
         fetch_ms: 0.003,
         capacity: 112_000.0,
