Quarantines outlast a restart of all instances

A request in quarantine was forgotten when all instances were restarted, and would end three more servers. Whoever finds the third crash now writes one record to the store; instances that watch it read the records a second after their start, the others hear of them by gossip. A record is written again once half of its time is over and the request still comes, and removed with its release or after its time.

--- a/crates/gateway/src/core/quarantine.rs
+++ b/crates/gateway/src/core/quarantine.rs
@@ -66,7 +66,9 @@
         let life = self.pool.get(id).life();
         for identity in self.quarantine.crashed(self.now, life) {
             self.tell_all(Rumour::Crashed(identity, life));
-            self.weigh_evidence(identity);
+            if self.weigh_evidence(identity) {
+                self.write_verdict(identity);
+            }
         }
     }
 
@@ -93,7 +95,12 @@
         }
         let Some(exchange) = self.exchanges.get(place) else { return Verdict::Clear };
         let servers = self.pool.listed().count();
-        self.quarantine.verdict(self.now, exchange.identity(), servers)
+        let identity = *exchange.identity();
+        let verdict = self.quarantine.verdict(self.now, &identity, servers);
+        if verdict == Verdict::Quarantined && self.quarantine.is_convicted(&identity) {
+            self.refresh_verdict(identity);
+        }
+        verdict
     }
 
     /// A request was answered: whatever servers crashed under it, it wasn't the cause.
@@ -113,6 +120,7 @@
                 .text("reason", reason);
             self.stats.quarantine("released");
             self.tell_all(Rumour::Released(identity));
+            self.remove_verdict(identity);
         }
         is_news
     }
@@ -143,14 +151,20 @@
             };
             self.journal.line(self.now, event).text("identity", &identity.to_string());
             self.stats.quarantine(event);
+            if expiry == Expiry::OnTrial {
+                self.drop_verdict(identity);
+            }
         }
     }
 
-    fn weigh_evidence(&mut self, identity: Identity) {
+    /// Says whether the request is in quarantine from now on.
+    fn weigh_evidence(&mut self, identity: Identity) -> bool {
         let servers = self.pool.listed().count();
-        if self.quarantine.judge(&identity, servers) {
+        let is_convicted = self.quarantine.judge(&identity, servers);
+        if is_convicted {
             self.quarantined(identity, "crashes");
         }
+        is_convicted
     }
 
     /// A request is in quarantine from now on: those of its runs that haven't begun go no further.
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -4,6 +4,7 @@
 mod call;
 mod document;
 mod follower;
+mod verdicts;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -22,12 +23,14 @@
     core::Core,
     dialect::{Dialect, Subject},
     gossip::Member,
+    quarantine::Identity,
     settings::Settings,
 };
 
 pub(crate) use document::{Document, unpack};
 use follower::Follower;
 pub(crate) use follower::What;
+use verdicts::Verdicts;
 
 /// Kind of the instances' own records.
 const INSTANCE: &str = "instance";
@@ -35,6 +38,9 @@
 const AGAIN: Duration = Duration::from_millis(150);
 /// Longest wait for the own record before the list of instances is read.
 const REGISTERED_BY: Duration = Duration::from_millis(500);
+/// How long after its start an instance reads which requests are in quarantine: by then those of a large fleet know
+/// which of them watch the store, and the others hear of it from these.
+const VERDICTS_AFTER: Duration = Duration::from_millis(1_000);
 /// Instances that share the store's rates until more is known: a herd that starts together must
 /// not call at once.
 const SHARERS: u32 = 8;
@@ -59,6 +65,7 @@
     /// Whether this instance is to watch the store: by itself, or for others.
     pub(crate) is_watcher: bool,
     register: Register,
+    verdicts: Verdicts,
 }
 
 /// A server's entry as it lies in the store.
@@ -94,6 +101,7 @@
     Follow(usize),
     Lease,
     Register,
+    Verdict(Identity),
 }
 
 /// This instance's own record.
@@ -114,6 +122,7 @@
         let mut followed = Vec::from(followed);
         // Read once this instance is registered: of two that start together, one knows the other.
         followed.push(Follower::open(INSTANCE, What::Instances, now + REGISTERED_BY));
+        followed.push(Follower::open(verdicts::KIND, What::Verdicts, now + VERDICTS_AFTER));
         Self {
             address: settings.store,
             scheduler: Scheduler::new(rates, sharers, seed, now),
@@ -126,6 +135,7 @@
             entries_until: 0,
             is_watcher: true,
             register: Register::Due(Version(0), now),
+            verdicts: Verdicts::default(),
         }
     }
 
@@ -158,9 +168,9 @@
     /// When something is due.
     pub(crate) fn next(&mut self, now: Time) -> Option<Time> {
         let is_watcher = self.is_watcher;
-        let is_due = |it: &&Follower| !it.is_open && (is_watcher || it.revision.is_none());
+        let is_due = |it: &&Follower| !it.is_open && it.is_followed(is_watcher);
         let followed = self.followed.iter().filter(is_due).map(|it| it.next).min();
-        [self.scheduler.next(now), followed].into_iter().flatten().min()
+        [self.scheduler.next(now), followed, self.verdicts.next()].into_iter().flatten().min()
     }
 
     /// The fleet is small: there is no wait for others that might watch in place of this instance.
@@ -202,9 +212,7 @@
             if it.is_open || now < it.next {
                 continue;
             }
-            // What was read once is followed by those that watch; the others hear of it from them, and read it
-            // anew where they don't.
-            let is_followed = is_watcher || it.revision.is_none();
+            let is_followed = it.is_followed(is_watcher);
             let is_missed = needs_configuration && it.what == What::Subject(Subject::Configuration);
             if !is_followed && !is_missed {
                 continue;
@@ -220,6 +228,7 @@
         if let Some(call) = self.lease.tick(now, rank) {
             self.storage.submit(now, Want::Lease, call);
         }
+        self.tick_verdicts();
         for action in self.storage.scheduler.tick(now) {
             match action {
                 Action::Send(sent, call) => self.send_call(sent, call),
@@ -257,6 +266,7 @@
                 }
             }
             Some(Want::Register) => self.registered(reply),
+            Some(Want::Verdict(identity)) => self.verdict_stored(identity, reply),
             None => {}
         }
     }
@@ -351,7 +361,7 @@
                     self.storage.settled(self.now);
                 }
             }
-            What::Subject(_) => {}
+            What::Subject(_) | What::Verdicts => {}
         }
     }
 }
--- a/crates/gateway/src/core/storage/follower.rs
+++ b/crates/gateway/src/core/storage/follower.rs
@@ -23,6 +23,8 @@
 pub(crate) enum What {
     Subject(Subject),
     Instances,
+    /// Requests in quarantine: read once, as instances tell each other of those that are added.
+    Verdicts,
 }
 
 /// One kind that is followed by a watch.
@@ -48,13 +50,22 @@
         }
     }
 
+    /// Whether an instance reads it now. What was read once is followed by those that watch; the others hear of it from
+    /// them, and read it anew where they don't.
+    pub(super) fn is_followed(&self, is_watcher: bool) -> bool {
+        match self.what {
+            What::Verdicts => is_watcher && self.revision.is_none(),
+            What::Subject(_) | What::Instances => is_watcher || self.revision.is_none(),
+        }
+    }
+
     /// How long to wait after an answer before the next call.
     pub(super) fn pause(&self, is_large: bool) -> Duration {
         match self.what {
             _ if self.revision.is_none() => SETTLE,
             What::Subject(Subject::Servers) if is_large => SERVERS_PAUSE,
             What::Instances if is_large => INSTANCES_PAUSE,
-            What::Subject(_) | What::Instances => Duration::ZERO,
+            What::Subject(_) | What::Instances | What::Verdicts => Duration::ZERO,
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/core/storage/verdicts.rs
@@ -0,0 +1,182 @@
+//! Requests in quarantine as they lie in the store, for a fleet that starts anew.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use serde::{Deserialize, Serialize};
+use shallotlead_base::{
+    hash::Map,
+    id::Version,
+    store::{Call, Key, Object, Reply},
+    time::Time,
+};
+
+use crate::{
+    core::{Core, storage::Want},
+    quarantine::{Identity, Life, Record},
+};
+
+/// Kind of the records; each bears the name of its request.
+pub(super) const KIND: &str = "quarantine";
+/// Pause after a write that failed.
+const AGAIN: Duration = Duration::from_secs(1);
+/// Writes that may wait: a store that is away for long must not make them pile up.
+const MOST_DUE: usize = 64;
+
+/// What lies in the store.
+#[derive(Debug, Deserialize, Serialize)]
+struct Stored {
+    /// Lives of the servers that crashed under the request.
+    lives: Vec<Life>,
+    /// When the request was known to have come last, Unix seconds.
+    seen_s: u64,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Change {
+    Write,
+    Remove,
+}
+
+/// Changes of the records in the store, one after the other.
+#[derive(Debug, Default)]
+pub(crate) struct Verdicts {
+    due: VecDeque<(Identity, Change)>,
+    is_open: bool,
+    next: Time,
+    /// The records' versions, as far as known.
+    versions: Map<Identity, Version>,
+    /// When each record was last known to be up to date.
+    current: Map<Identity, Time>,
+}
+
+impl Verdicts {
+    fn push(&mut self, identity: Identity, change: Change) {
+        self.due.retain(|it| it.0 != identity);
+        if MOST_DUE <= self.due.len() {
+            self.due.pop_front();
+        }
+        self.due.push_back((identity, change));
+    }
+
+    /// When a change is due, if there is one.
+    pub(super) fn next(&self) -> Option<Time> {
+        (!self.is_open && !self.due.is_empty()).then_some(self.next)
+    }
+}
+
+impl Core {
+    /// A request was put in quarantine: its record is to be written.
+    pub(crate) fn write_verdict(&mut self, identity: Identity) {
+        self.storage.verdicts.push(identity, Change::Write);
+        self.storage.verdicts.current.insert(identity, self.now);
+    }
+
+    /// A request in quarantine has come again: its record is written anew once half of its time is over.
+    pub(crate) fn refresh_verdict(&mut self, identity: Identity) {
+        let half = self.quarantine.keep() / 2;
+        let current = self.storage.verdicts.current.entry(identity).or_insert(self.now);
+        if half <= self.now.since(*current) {
+            self.write_verdict(identity);
+        }
+    }
+
+    /// A request was released: its record is to be removed.
+    pub(crate) fn remove_verdict(&mut self, identity: Identity) {
+        self.storage.verdicts.current.remove(&identity);
+        self.storage.verdicts.push(identity, Change::Remove);
+    }
+
+    /// A request's time in quarantine is over: whoever has written or read its record removes it.
+    pub(crate) fn drop_verdict(&mut self, identity: Identity) {
+        if self.storage.verdicts.versions.contains_key(&identity) {
+            self.remove_verdict(identity);
+        }
+    }
+
+    pub(super) fn tick_verdicts(&mut self) {
+        if self.storage.verdicts.next().is_none_or(|it| self.now < it) {
+            return;
+        }
+        let Some((identity, change)) = self.storage.verdicts.due.front().copied() else { return };
+        let key = Key::new(KIND, &identity.to_string());
+        let expected = self.storage.verdicts.versions.get(&identity).copied().unwrap_or_default();
+        let call = match change {
+            Change::Write => match self.stored(&identity) {
+                Some(value) => Call::Put { key, expected, value: value.into() },
+                None => {
+                    // It was released meanwhile.
+                    self.storage.verdicts.due.pop_front();
+                    return;
+                }
+            },
+            Change::Remove => Call::Delete { key, expected },
+        };
+        self.storage.verdicts.is_open = true;
+        self.storage.submit(self.now, Want::Verdict(identity), call);
+    }
+
+    fn stored(&self, identity: &Identity) -> Option<Vec<u8>> {
+        let records = self.quarantine.records(self.now);
+        let record = records.into_iter().find(|it| it.identity == *identity)?;
+        let seen_s = unix_s().saturating_sub(record.age_ms / 1_000);
+        serde_json::to_vec(&Stored { lives: record.lives, seen_s }).ok()
+    }
+
+    pub(super) fn verdict_stored(&mut self, identity: Identity, reply: &Reply) {
+        let verdicts = &mut self.storage.verdicts;
+        verdicts.is_open = false;
+        let change = verdicts.due.front().filter(|it| it.0 == identity).map(|it| it.1);
+        let is_done = match reply {
+            Reply::Done(version) => {
+                verdicts.versions.insert(identity, *version);
+                true
+            }
+            // Another instance has written it; to remove it, its version must be known.
+            Reply::Conflict(Some(object)) => {
+                verdicts.versions.insert(identity, object.version);
+                change != Some(Change::Remove)
+            }
+            Reply::Conflict(None) => {
+                verdicts.versions.remove(&identity);
+                change == Some(Change::Remove)
+            }
+            Reply::Failed(_) | Reply::Got(_) | Reply::Listed { .. } | Reply::Changed { .. } => {
+                verdicts.next = self.now + AGAIN;
+                false
+            }
+        };
+        if !is_done || change.is_none() {
+            return;
+        }
+        verdicts.due.pop_front();
+        if change == Some(Change::Remove) {
+            verdicts.versions.remove(&identity);
+        }
+    }
+
+    /// Takes a record from the store; one whose time is over is removed.
+    pub(crate) fn take_verdict(&mut self, object: &Object) {
+        let stored = serde_json::from_slice::<Stored>(&object.value);
+        let (Ok(identity), Ok(stored)) = (object.key.name.parse::<Identity>(), stored) else {
+            self.journal.line(self.now, "verdict_unreadable").text("name", &object.key.name);
+            return;
+        };
+        self.storage.verdicts.versions.insert(identity, object.version);
+        let age = Duration::from_secs(unix_s().saturating_sub(stored.seen_s));
+        if self.quarantine.keep() <= age {
+            self.remove_verdict(identity);
+            return;
+        }
+        self.storage.verdicts.current.insert(identity, self.now - age);
+        let record = Record { identity, lives: stored.lives, age_ms: age.as_millis() as u64 };
+        self.adopt_records(&[record], "store");
+    }
+}
+
+/// The time of day, Unix seconds.
+fn unix_s() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
+}
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -248,6 +248,11 @@
         all
     }
 
+    /// Whether the request is in quarantine, not merely held back until its last loss is explained.
+    pub fn is_convicted(&self, identity: &Identity) -> bool {
+        self.cases.get(identity).is_some_and(|it| it.is_convicted)
+    }
+
     /// Servers that are known to have crashed under the request.
     pub fn crashes(&self, identity: &Identity) -> usize {
         self.cases.get(identity).map_or(0, |it| it.crashed.len())
