Quarantine: what ran beside a crash, or in an outage, is neither blamed nor in the way

Tests: innocents_dont_drive_out_a_suspect, outages_of_many_servers_blame_no_request (its rack now has seven servers, of which the hot request's three are found dead first), outage_that_is_told_late_blames_no_request, request_that_always_comes_is_tried_again_in_the_end, release_outlives_records_of_the_verdict, all_records_are_told_in_turn, tries_at_the_same_moment_end_no_more_servers_than_they_reach.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -96,6 +96,8 @@
     Errand(usize, u64),
     /// A server has lost its runs: does it live?
     Doubt(pool::Id),
+    /// The others are to be told what ran at a server that crashed.
+    Crashed(pool::Id),
 }
 
 /// What the instance is asked to do from outside its reactor.
@@ -334,6 +336,7 @@
                 Timer::Exchange(place, serial) => self.exchange_due(place, serial),
                 Timer::Errand(place, serial) => self.errand_due(place, serial),
                 Timer::Doubt(id) => self.ask_doubted(id),
+                Timer::Crashed(id) => self.tell_crashed(id),
             }
         }
         self.tick_storage();
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -5,7 +5,7 @@
 use shallotlead_base::time::Time;
 
 use crate::{
-    core::{Core, attempt::Reply, exchange::Exchange},
+    core::{Core, attempt::Reply, exchange::Exchange, quarantine::is_proof},
     events::{self, Cut},
     http::{head::Response, write},
     pace::Sample,
@@ -217,6 +217,7 @@
 
     /// The answer is complete.
     pub(crate) fn finish(&mut self, place: usize) {
+        let is_proof = self.exchanges.get(place).is_some_and(is_proof);
         let attempt = self.release_attempt(place, false);
         let Some(exchange) = self.exchanges.try_remove(place) else { return };
         if exchange.delivery.has_begun {
@@ -224,7 +225,7 @@
         }
         let now = self.now;
         note_end(&mut self.pool, now, &exchange);
-        self.clear_suspicion(&exchange);
+        self.clear_suspicion(&exchange, is_proof);
         let first_piece = exchange.delivery.first_piece.unwrap_or(now);
         let first = first_piece.since(exchange.arrived);
         if let Some(attempt) = attempt {
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -32,6 +32,8 @@
 const RESEND_PAUSE: Duration = Duration::from_millis(80);
 /// Why a stream leaves a server that works: it may stay as well.
 const LOADING: &str = "loading";
+/// Why an attempt ends whose server says nothing.
+pub(super) const SILENT: &str = "silent";
 /// How long a server that turned away a request for its weights is left alone, unless its own word on
 /// them comes before.
 const OTHER_WEIGHTS: Duration = Duration::from_millis(400);
@@ -226,8 +228,10 @@
             .text("reason", reason)
             .number("status", head.status)
             .ms("after_ms", now.since(exchange.arrived));
-        if reason == "other-weights" {
-            self.look_at(server);
+        match reason {
+            "other-server" => self.server_crashed(server),
+            "other-weights" => self.look_at(server),
+            _ => {}
         }
         self.attempt_not_run(place, reason, false);
     }
@@ -303,14 +307,18 @@
         }
         self.stats.broken(reason);
         self.stats.servers.at(self.pool.get(server).address).broken();
-        if copy::LOST.contains(&reason) {
+        if copy::LOST.contains(&reason) || reason == SILENT {
             self.note_lost(place);
+            // It may have been ended with the other tries of the same request.
+            if !self.exchanges.contains(place) {
+                return;
+            }
         }
         // A suspect would take the server of its copy along as well.
         let goes_on = match self.verdict(place) {
             Verdict::Clear => self.go_on(place, reason) || self.try_again(place, reason),
             Verdict::Suspect => self.try_again(place, reason),
-            Verdict::Quarantined => {
+            Verdict::Held | Verdict::Quarantined => {
                 self.fail(place, 502, "quarantined");
                 return;
             }
@@ -410,7 +418,10 @@
         self.tell_silent(server);
         let places = self.exchanges_at(server).filter(|it| it.1.is_repeatable());
         for place in places.map(|it| it.0).collect::<Vec<_>>() {
-            self.try_again(place, "silent");
+            self.note_lost(place);
+            if self.exchanges.contains(place) {
+                self.try_again(place, SILENT);
+            }
         }
     }
 
--- a/crates/gateway/src/core/cache.rs
+++ b/crates/gateway/src/core/cache.rs
@@ -129,7 +129,11 @@
             Outcome::Answered { status: 200, body, .. } => self.dialect.cache_reply(body),
             // Too many instances ask at once: it lives.
             Outcome::Answered { status: 429, .. } => Some(store.since),
-            Outcome::Answered { .. } | Outcome::NotSent | Outcome::Reset | Outcome::Lost => None,
+            Outcome::Answered { .. }
+            | Outcome::NotSent
+            | Outcome::Refused
+            | Outcome::Reset
+            | Outcome::Lost => None,
         };
         store.is_open = false;
         store.next = now + PAUSE;
--- a/crates/gateway/src/core/duties.rs
+++ b/crates/gateway/src/core/duties.rs
@@ -124,7 +124,7 @@
     pub(crate) fn server_ordered(&mut self, id: pool::Id, outcome: &Outcome) {
         let reply = match outcome {
             Outcome::Answered { status, .. } => Some(self.dialect.order_reply(*status)),
-            Outcome::NotSent | Outcome::Reset | Outcome::Lost => None,
+            Outcome::NotSent | Outcome::Refused | Outcome::Reset | Outcome::Lost => None,
         };
         self.journal
             .line(self.now, "order_answered")
--- a/crates/gateway/src/core/errand.rs
+++ b/crates/gateway/src/core/errand.rs
@@ -32,6 +32,8 @@
     Report(pool::Id),
     /// Whether a backend server lives.
     Probe(pool::Id),
+    /// Whether a backend server lives that lost its runs.
+    Doubt(pool::Id),
     /// Whether the store of cached prompts at this address lives.
     CacheStore(SocketAddr),
     /// An order to a backend server.
@@ -82,6 +84,8 @@
     Answered { status: u16, fields: Fields, body: Vec<u8> },
     /// No connection came about: it had no effect.
     NotSent,
+    /// The same, as nobody listens at the address.
+    Refused,
     /// The other side broke the connection: it lives, and takes no more.
     Reset,
     /// The answer was lost.
@@ -222,6 +226,7 @@
         if let Some(place) = task {
             let task = self.errands.remove(place);
             let outcome = match end {
+                End::Reset if never_sent => Outcome::Refused,
                 _ if never_sent => Outcome::NotSent,
                 End::Reset => Outcome::Reset,
                 End::Closed | End::Silent => Outcome::Lost,
@@ -249,6 +254,7 @@
             }
             Purpose::Report(id) => self.server_reported(id, &outcome),
             Purpose::Probe(id) => self.server_probed(id, &outcome),
+            Purpose::Doubt(id) => self.settle_doubt(id, &outcome),
             Purpose::CacheStore(address) => self.cache_store_answered(address, &outcome),
             Purpose::Order(id) => self.server_ordered(id, &outcome),
             Purpose::State(question) => self.state_came(&question, &outcome),
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -10,7 +10,7 @@
     core::{
         Core, Timer,
         answer::note_end,
-        attempt::{Attempt, Reply},
+        attempt::{Attempt, Reply, SILENT},
         refusal::Refusal,
     },
     dialect::Ask,
@@ -219,8 +219,8 @@
             return;
         }
         let verdict = self.verdict(place);
-        if verdict == Verdict::Quarantined {
-            self.give_up(place, self.refuse_quarantined());
+        if matches!(verdict, Verdict::Held | Verdict::Quarantined) {
+            self.give_up(place, self.refuse_quarantined(verdict));
             return;
         }
         let random = self.random();
@@ -315,7 +315,7 @@
         let repeatable = exchange.is_repeatable() && exchange.runs < exchange.route.attempts;
         let silent_at = attempt.sent + exchange.silence();
         if repeatable && silent_at <= now && !self.has_queue(server) {
-            self.attempt_broken(place, "silent");
+            self.attempt_broken(place, SILENT);
             return;
         }
         let is_late = attempt.expected <= now;
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -223,7 +223,12 @@
         let now = self.now;
         let (id, what) = match change {
             pool::Change::None => return,
-            pool::Change::Joined(id) => (id, "joined"),
+            pool::Change::Joined(id) => {
+                for earlier in self.pool.earlier_at_address(id).collect::<Vec<_>>() {
+                    self.server_crashed(earlier);
+                }
+                (id, "joined")
+            }
             pool::Change::Leaving(id) => (id, "leaving"),
             pool::Change::Gone(id) => {
                 self.server_gone(id, reason);
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -25,6 +25,8 @@
 const FEW: usize = 12;
 /// How long a server that was found silent isn't told of again: all nearby look at it at the same moment.
 const SILENT_AGAIN: Duration = Duration::from_secs(1);
+/// Rumours in one message that pushes them: of up to 300 bytes each, so that a datagram carries them.
+const MOST_PUSHED: usize = 100;
 /// Age from which on a load tells nothing any more, ms.
 const OLDEST_LOAD_MS: u32 = 500;
 
@@ -162,7 +164,10 @@
         for Push { targets, rumours, passes_on } in
             self.peers.board.pushes(self.now, &self.members, &mut self.rng)
         {
-            let bytes = self.tell(&targets, rumours, passes_on);
+            let bytes: usize = match rumours.chunks(MOST_PUSHED) {
+                chunks if chunks.len() == 0 => self.tell(&targets, Vec::new(), passes_on),
+                chunks => chunks.map(|it| self.tell(&targets, it.to_vec(), passes_on)).sum(),
+            };
             self.peers.board.sent(self.now, bytes, self.settings.link_bytes_per_s);
         }
     }
--- a/crates/gateway/src/core/peers/heard.rs
+++ b/crates/gateway/src/core/peers/heard.rs
@@ -99,13 +99,13 @@
         let reach = passes_on.then_some(Reach::Centre);
         for heard in &rumours {
             if let Some(rumour) = heard.current() {
-                self.take_rumour(&rumour);
+                self.take_rumour(&rumour, Duration::from_millis(u64::from(heard.age_ms)));
             }
             self.peers.board.hear(now, heard, reach);
         }
     }
 
-    fn take_rumour(&mut self, rumour: &Rumour) {
+    fn take_rumour(&mut self, rumour: &Rumour, age: Duration) {
         match rumour {
             Rumour::Leaving(name, revision) => self.told_leaving(name, *revision),
             Rumour::Loading(it) => self.told_loading(it),
@@ -119,7 +119,7 @@
             Rumour::CacheStore(address, is_alive) => {
                 self.cache_stores.told(self.now, *address, *is_alive);
             }
-            Rumour::Crashed(identity, life) => self.told_crashed(*identity, *life),
+            Rumour::Crashed(life, identities) => self.told_crashed(age, *life, identities),
             Rumour::Released(identity) => self.told_released(identity),
         }
     }
--- a/crates/gateway/src/core/probe.rs
+++ b/crates/gateway/src/core/probe.rs
@@ -11,7 +11,7 @@
 };
 
 /// How long a probe of a server may take. A server that lives answers in some milliseconds.
-const PROBE: Duration = Duration::from_millis(200);
+pub(super) const PROBE: Duration = Duration::from_millis(200);
 /// Least time between two probes of a server that is late but not left out.
 const LOOK_AGAIN: Duration = Duration::from_millis(400);
 
@@ -38,7 +38,7 @@
         self.probe(id);
     }
 
-    pub(crate) fn probe(&mut self, id: pool::Id) {
+    fn probe(&mut self, id: pool::Id) {
         self.ask_server(id, PROBE, Purpose::Probe(id));
     }
 
@@ -53,13 +53,12 @@
         let is_well = match outcome {
             // A server that is full breaks connections beyond those that it takes.
             Outcome::Answered { .. } | Outcome::Reset => true,
-            Outcome::NotSent => false,
+            Outcome::NotSent | Outcome::Refused => false,
             // Engines answer without a slot. On other servers a probe waits for one like a request,
             // so that silence behind an open connection tells nothing.
             Outcome::Lost => !self.is_engine(id),
         };
         self.take_report(id, outcome);
-        self.settle_doubt(id, outcome);
         let server = self.pool.get_mut(id);
         if server.health.is_in() {
             if !is_well {
--- a/crates/gateway/src/core/quarantine.rs
+++ b/crates/gateway/src/core/quarantine.rs
@@ -1,7 +1,16 @@
 //! What follows when a request is lost with its server: was it a crash, and did the request cause it?
 
+use std::time::Duration;
+
 use crate::{
-    core::{Core, Timer, errand::Outcome, exchange::Exchange, refusal::Refusal},
+    core::{
+        Core, Timer,
+        errand::{Outcome, Purpose},
+        exchange::Exchange,
+        probe::PROBE,
+        refusal::Refusal,
+    },
+    http::body::Framing,
     pool::{self, Presence},
     quarantine::{Expiry, Identity, Life, Record, Verdict},
     rumour::Rumour,
@@ -9,9 +18,14 @@
 
 /// How long after a connection was lost its server is asked whether it lives: by then the ends of its other
 /// connections have come, so that none of these is used for the question.
-const ASK_AFTER: std::time::Duration = std::time::Duration::from_millis(5);
+const ASK_AFTER: Duration = Duration::from_millis(5);
+/// How long after a server was found dead the others are told what ran there. Where many servers end at once, which
+/// has another cause, nothing is told: of 60 engines that would be thousands of requests.
+const TELL_AFTER: Duration = Duration::from_millis(120);
 /// Requests in quarantine in one message to other instances: of about 50 bytes each.
 const MOST_TOLD: usize = 8;
+/// When a caller may come back whose request is held until what is known of its last losses has settled.
+const HELD_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 impl Core {
     /// A run was lost with the connection to its server: it may have crashed. One that was leaving has just ended.
@@ -21,8 +35,9 @@
         if self.pool.get(server).presence != Presence::Ready {
             return;
         }
-        let life = self.pool.get(server).life();
-        self.quarantine.lost(self.now, *exchange.identity(), life);
+        let (identity, life) = (*exchange.identity(), self.pool.get(server).life());
+        self.quarantine.lost(self.now, identity, life);
+        self.end_held(identity);
         let row = self.pool.get_mut(server);
         if !row.is_doubted {
             row.is_doubted = true;
@@ -43,107 +58,140 @@
     /// Asks a server that lost its runs whether it lives.
     pub(crate) fn ask_doubted(&mut self, id: pool::Id) {
         self.pool.get_mut(id).is_doubted = false;
-        self.probe(id);
+        self.ask_server(id, PROBE, Purpose::Doubt(id));
     }
 
-    /// A server that was asked whether it lives has answered, or hasn't.
+    /// A server that was asked whether it lives has answered, or hasn't. A late answer says nothing: it may be busy.
     pub(crate) fn settle_doubt(&mut self, id: pool::Id, outcome: &Outcome) {
+        self.take_report(id, outcome);
         match outcome {
-            Outcome::NotSent => self.server_crashed(id),
-            Outcome::Answered { .. } if self.pool.get(id).presence != Presence::Gone => {
+            Outcome::Refused => {
+                self.server_crashed(id);
+                self.server_silent(id);
+            }
+            Outcome::Answered { .. } | Outcome::Reset
+                if self.pool.get(id).presence != Presence::Gone =>
+            {
                 self.quarantine.lives(self.pool.get(id).life());
             }
             // Its entry will tell.
-            Outcome::Answered { .. } | Outcome::Reset | Outcome::Lost => {}
+            Outcome::Answered { .. } | Outcome::Reset | Outcome::NotSent | Outcome::Lost => {}
         }
     }
 
-    /// A server is known to have ended without having left: tells the others what ran there.
+    /// A server is known to have ended without having left.
     pub(crate) fn server_crashed(&mut self, id: pool::Id) {
         if self.quarantine.is_empty() {
             return;
         }
-        let life = self.pool.get(id).life();
-        for identity in self.quarantine.crashed(self.now, life) {
-            self.tell_all(Rumour::Crashed(identity, life));
-            if self.weigh_evidence(identity) {
-                self.write_verdict(identity);
+        let server = self.pool.get(id);
+        let (life, servers) = (server.life(), self.pool.usable(&server.service).count());
+        let blamed = self.quarantine.crashed(self.now, life, servers);
+        if blamed.is_empty() {
+            return;
+        }
+        self.at(self.now + TELL_AFTER, Timer::Crashed(id));
+        for identity in blamed {
+            self.end_held(identity);
+            let lives = self.quarantine.crashes(&identity).to_vec();
+            // What crashes a second server is told at once: a third is at stake.
+            if 1 < lives.len() {
+                lives.iter().for_each(|it| self.tell_all(Rumour::Crashed(*it, vec![identity])));
             }
         }
     }
 
-    /// Another instance tells of a request that ran at a server that crashed.
-    pub(crate) fn told_crashed(&mut self, identity: Identity, life: Life) {
-        if self.quarantine.told(self.now, identity, life) {
-            self.weigh_evidence(identity);
+    /// Tells the others what ran at a server that crashed a moment ago.
+    pub(crate) fn tell_crashed(&mut self, id: pool::Id) {
+        let life = self.pool.get(id).life();
+        let blamed = self.quarantine.blamed(life);
+        if !blamed.is_empty() {
+            self.tell_all(Rumour::Crashed(life, blamed));
+        }
+    }
+
+    /// Another instance tells of requests that ran at a server that crashed `age` ago.
+    pub(crate) fn told_crashed(&mut self, age: Duration, life: Life, identities: &[Identity]) {
+        let at = self.now - age;
+        let service = self.pool.find_by_life(life).map(|it| self.pool.get(it).service.clone());
+        let servers = service.map_or(0, |it| self.pool.usable(&it).count());
+        for identity in identities {
+            if self.quarantine.told(self.now, at, *identity, life, servers) {
+                self.end_held(*identity);
+            }
         }
     }
 
-    /// Takes the requests that another instance, or the store, has in quarantine.
+    /// Takes what another instance, or the store, knows of requests in quarantine.
     pub(crate) fn adopt_records(&mut self, records: &[Record], source: &'static str) {
         for record in records {
-            if self.quarantine.adopt(self.now, record) {
+            if !self.quarantine.adopt(self.now, record) {
+                continue;
+            }
+            if record.is_released {
+                self.log_released(&record.identity, source);
+            } else {
                 self.quarantined(record.identity, source);
             }
         }
     }
 
-    /// What is held of a request.
+    /// What is held of a request that has come.
     pub(crate) fn verdict(&mut self, place: usize) -> Verdict {
         if self.quarantine.is_empty() {
             return Verdict::Clear;
         }
         let Some(exchange) = self.exchanges.get(place) else { return Verdict::Clear };
-        let servers = self.pool.listed().count();
         let identity = *exchange.identity();
-        let verdict = self.quarantine.verdict(self.now, &identity, servers);
-        if verdict == Verdict::Quarantined && self.quarantine.is_convicted(&identity) {
+        let verdict = self.quarantine.verdict(self.now, &identity);
+        if verdict != Verdict::Clear {
+            self.quarantine.seen(self.now, &identity);
+        }
+        if verdict == Verdict::Quarantined {
             self.refresh_verdict(identity);
         }
         verdict
     }
 
-    /// A request was answered: whatever servers crashed under it, it wasn't the cause.
-    pub(crate) fn clear_suspicion(&mut self, exchange: &Exchange) {
-        if !self.quarantine.is_empty() {
+    /// A request was answered in full: whatever servers crashed under it, it wasn't the cause. An error, or an answer
+    /// that ends with its connection, doesn't show that.
+    pub(crate) fn clear_suspicion(&mut self, exchange: &Exchange, is_proof: bool) {
+        if is_proof && !self.quarantine.is_empty() {
             self.release(*exchange.identity(), "answered");
         }
     }
 
-    /// Forgets what speaks against a request. Says whether there was anything that others should know of.
+    /// Forgets what speaks against a request. Says whether the others were told.
     pub(crate) fn release(&mut self, identity: Identity, reason: &'static str) -> bool {
-        let is_news = self.quarantine.release(self.now, &identity);
-        if is_news {
-            self.journal
-                .line(self.now, "released")
-                .text("identity", &identity.to_string())
-                .text("reason", reason);
-            self.stats.quarantine("released");
+        let is_told = self.quarantine.release(self.now, &identity);
+        if is_told {
+            self.log_released(&identity, reason);
             self.tell_all(Rumour::Released(identity));
             self.remove_verdict(identity);
         }
-        is_news
+        is_told
     }
 
     /// Another instance has released a request.
     pub(crate) fn told_released(&mut self, identity: &Identity) {
         if self.quarantine.release(self.now, identity) {
-            self.journal
-                .line(self.now, "released")
-                .text("identity", &identity.to_string())
-                .text("reason", "told by an instance");
+            self.log_released(identity, "told by an instance");
         }
     }
 
-    /// Requests in quarantine that the others are told of now.
-    pub(crate) fn told_records(&self) -> Vec<Record> {
-        let mut records = self.quarantine.records(self.now);
-        records.truncate(MOST_TOLD);
-        records
+    /// What the others are told of requests in quarantine now.
+    pub(crate) fn told_records(&mut self) -> Vec<Record> {
+        self.quarantine.tell(self.now, MOST_TOLD)
     }
 
-    /// Ends the quarantines that are over.
+    /// Puts requests in quarantine, and ends the quarantines that are over.
     pub(crate) fn sweep_quarantine(&mut self) {
+        for (identity, is_own) in self.quarantine.judge(self.now) {
+            self.quarantined(identity, "crashes");
+            if is_own {
+                self.write_verdict(identity);
+            }
+        }
         for (identity, expiry) in self.quarantine.expire(self.now) {
             let event = match expiry {
                 Expiry::OnTrial => "on_trial",
@@ -157,33 +205,54 @@
         }
     }
 
-    /// Says whether the request is in quarantine from now on.
-    fn weigh_evidence(&mut self, identity: Identity) -> bool {
-        let servers = self.pool.listed().count();
-        let is_convicted = self.quarantine.judge(&identity, servers);
-        if is_convicted {
-            self.quarantined(identity, "crashes");
-        }
-        is_convicted
+    /// The refusal of a request that isn't sent to any server.
+    pub(crate) fn refuse_quarantined(&self, verdict: Verdict) -> Refusal {
+        let after = match verdict {
+            Verdict::Quarantined => self.quarantine.keep(),
+            Verdict::Clear | Verdict::Suspect | Verdict::Held => HELD_RETRY_AFTER,
+        };
+        Refusal::Quarantined { after }
     }
 
-    /// A request is in quarantine from now on: those of its runs that haven't begun go no further.
+    /// A request is in quarantine from now on.
     fn quarantined(&mut self, identity: Identity, reason: &str) {
         self.journal
             .line(self.now, "quarantined")
             .text("identity", &identity.to_string())
             .text("reason", reason)
-            .number("crashes", self.quarantine.crashes(&identity));
+            .number("crashes", self.quarantine.crashes(&identity).len());
         self.stats.quarantine("quarantined");
-        let is_its = |it: &Exchange| !it.delivery.has_begun && *it.identity() == identity;
+        self.end_held(identity);
+    }
+
+    /// Ends tries of a request that isn't sent to any server any more, unless they have begun to be answered.
+    fn end_held(&mut self, identity: Identity) {
+        let verdict = self.quarantine.verdict(self.now, &identity);
+        if !matches!(verdict, Verdict::Held | Verdict::Quarantined) {
+            return;
+        }
+        let is_its = |it: &Exchange| {
+            it.attempt.is_some() && !it.delivery.has_begun && *it.identity() == identity
+        };
         let places = self.exchanges.iter().filter(|it| is_its(it.1)).map(|it| it.0);
         for place in places.collect::<Vec<_>>() {
-            self.give_up(place, self.refuse_quarantined());
+            self.give_up(place, self.refuse_quarantined(verdict));
         }
     }
 
-    /// The refusal of a request in quarantine.
-    pub(crate) fn refuse_quarantined(&self) -> Refusal {
-        Refusal::Quarantined { after: self.quarantine.keep() }
+    fn log_released(&mut self, identity: &Identity, reason: &str) {
+        self.journal
+            .line(self.now, "released")
+            .text("identity", &identity.to_string())
+            .text("reason", reason);
+        self.stats.quarantine("released");
     }
 }
+
+/// Whether an answer shows that its request does no harm.
+pub(crate) fn is_proof(exchange: &Exchange) -> bool {
+    let reply = exchange.reply();
+    reply.is_some_and(|it| {
+        it.is_success() && !it.is_unsigned() && it.head.framing != Framing::UntilClose
+    })
+}
--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -264,7 +264,7 @@
             Outcome::Answered { body, .. } if answer == Answer::Busy => ("busy", body.len()),
             Outcome::Answered { status: 200, body, .. } => ("answered", body.len()),
             Outcome::Answered { .. } => ("refused", 0),
-            Outcome::NotSent => ("not-sent", 0),
+            Outcome::NotSent | Outcome::Refused => ("not-sent", 0),
             Outcome::Reset => ("reset", 0),
             Outcome::Lost => ("lost", 0),
         };
--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -47,7 +47,9 @@
         answer: errand::Outcome,
     ) {
         let outcome = match answer {
-            errand::Outcome::NotSent => Outcome::Unavailable { retry_after: None },
+            errand::Outcome::NotSent | errand::Outcome::Refused => {
+                Outcome::Unavailable { retry_after: None }
+            }
             errand::Outcome::Reset | errand::Outcome::Lost => Outcome::Lost,
             errand::Outcome::Answered { status, fields, body } => {
                 match self.dialect.store_reply(&call, status, &fields, &body) {
--- a/crates/gateway/src/core/storage/verdicts.rs
+++ b/crates/gateway/src/core/storage/verdicts.rs
@@ -171,7 +171,8 @@
             return;
         }
         self.storage.verdicts.current.insert(identity, self.now - age);
-        let record = Record { identity, lives: stored.lives, age_ms: age.as_millis() as u64 };
+        let age_ms = age.as_millis() as u64;
+        let record = Record { identity, lives: stored.lives, age_ms, is_released: false };
         self.adopt_records(&[record], "store");
     }
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -13,6 +13,7 @@
 use crate::{
     dialect::{Born, Load, ServerEntry},
     pace::Pace,
+    quarantine::Life,
 };
 
 pub use health::Health;
@@ -111,6 +112,18 @@
         self.names.get(name).copied()
     }
 
+    /// The server that this life is one of.
+    pub fn find_by_life(&self, life: Life) -> Option<Id> {
+        self.servers.iter().rposition(|it| it.life() == life)
+    }
+
+    /// Lives before `id` at the same address: they have ended.
+    pub fn earlier_at_address(&self, id: Id) -> impl Iterator<Item = Id> {
+        let address = self.servers[id].address;
+        let earlier = self.servers[..id].iter().enumerate();
+        earlier.filter(move |it| it.1.address == address).map(|it| it.0)
+    }
+
     /// The newest life of the server `name`, if that is the one that was `born` then.
     ///
     /// Guards against news of an earlier life that come late: prompts that were sent to it would count
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -5,30 +5,30 @@
 //! Pure: whoever uses it tells the other instances what it has found.
 
 mod case;
+mod ends;
 mod identity;
+mod record;
 
-use std::{collections::VecDeque, time::Duration};
+use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use shallotlead_base::{hash::Map, time::Time};
 
 use case::Case;
-pub use identity::Identity;
+use ends::Ends;
+pub use identity::{Identity, Malformed};
+pub use record::Record;
 
 /// Requests under suspicion or in quarantine that are remembered. A crash of an engine brings as many as it had
 /// slots; 1,024 of about 150 bytes stay far below a megabyte.
 const MOST_CASES: usize = 1_024;
 /// The same for one organisation, so that none can drive out the others' by crashing servers.
 const MOST_OF_CALLER: usize = MOST_CASES / 4;
-/// Ends of servers that are remembered.
-const MOST_ENDS: usize = 4_096;
-/// Ends that lie closer together count as one event.
-const TOGETHER: Duration = Duration::from_millis(100);
-/// Part of all servers that must end together with a suspect's to look like a common cause, and how many at least.
-const MASS: f64 = 0.25;
-const LEAST_MASS: usize = 3;
-/// How long a lost run whose server hasn't been found dead or alive speaks against its request.
-const UNSETTLED: Duration = Duration::from_secs(10);
+/// How long evidence is looked at before it puts a request in quarantine for good: others may still be found to have
+/// ended at the same moment.
+const SETTLED: Duration = Duration::from_millis(300);
+/// After so many times the usual time in quarantine a request runs on trial though it has come all the while: it
+/// may have been blamed wrongly, or the servers mended.
+const LONGEST: u32 = 6;
 
 /// One life of a server, by a hash of its name and birth.
 pub type Life = u64;
@@ -49,21 +49,12 @@
     Clear,
     /// One more crash puts it in quarantine: it should run where little else does.
     Suspect,
+    /// It isn't sent to any server until what is known of the last losses has settled.
+    Held,
     /// It isn't sent to any server.
     Quarantined,
 }
 
-/// What another instance needs to know of a request in quarantine.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Record {
-    /// The request.
-    pub identity: Identity,
-    /// Lives of the servers that crashed under it.
-    pub lives: Vec<Life>,
-    /// How long ago it came last, ms.
-    pub age_ms: u64,
-}
-
 /// What became of a request whose time in quarantine is over.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Expiry {
@@ -73,22 +64,31 @@
     Forgotten,
 }
 
+/// Lives that don't speak against a request any more.
+#[derive(Debug)]
+struct Release {
+    at: Time,
+    lives: Vec<Life>,
+    /// Others may hold them against it.
+    is_told: bool,
+}
+
 /// The requests under suspicion and in quarantine, as one instance knows them.
 #[derive(Debug)]
 pub struct Quarantine {
     terms: Terms,
     cases: Map<Identity, Case>,
-    /// When servers were found to have ended, oldest first.
-    ends: VecDeque<(Life, Time)>,
-    /// Lives that don't count any more against requests that were released.
-    released: Map<Identity, (Time, Vec<Life>)>,
+    ends: Ends,
+    released: Map<Identity, Release>,
+    /// How many records were told so far, to go on with the next ones.
+    told: usize,
 }
 
 impl Quarantine {
     /// Nothing is suspected.
     pub fn open(terms: Terms) -> Self {
         let (cases, released) = (Map::default(), Map::default());
-        Self { terms, cases, ends: VecDeque::new(), released }
+        Self { terms, cases, ends: Ends::default(), released, told: 0 }
     }
 
     /// How long a request stays in quarantine after it came last.
@@ -109,107 +109,146 @@
         let case = self.case(now, identity);
         if !case.has(life) {
             case.open.push((life, now));
+            case.seen = now;
         }
     }
 
-    /// A server is known to have crashed. Returns the requests against which that is new evidence.
-    pub fn crashed(&mut self, now: Time, life: Life) -> Vec<Identity> {
-        self.note_end(now, life);
-        let mut news = Vec::new();
-        for (identity, case) in &mut self.cases {
-            if let Some(at) = case.open.iter().position(|it| it.0 == life) {
-                case.open.swap_remove(at);
-                case.crashed.push(life);
-                news.push(*identity);
-            }
-        }
-        news
+    /// A server is known to have crashed, of a service with so many `servers`. Returns the requests against which
+    /// that is new evidence.
+    pub fn crashed(&mut self, now: Time, life: Life, servers: usize) -> Vec<Identity> {
+        self.ends.push(now, life, servers);
+        let has_lost = |it: &Case| it.open.iter().any(|it| it.0 == life);
+        let lost = self.cases.iter_mut().filter(|it| has_lost(it.1));
+        lost.map(|(identity, case)| {
+            case.proves(now, life);
+            case.is_own = true;
+            *identity
+        })
+        .collect()
     }
 
-    /// A server lives: what it lost was no crash.
+    /// A server lives: what it lost was no crash, whatever was found before.
     pub fn lives(&mut self, life: Life) {
-        for case in self.cases.values_mut() {
+        for case in self.cases.values_mut().filter(|it| it.convicted.is_none()) {
             case.open.retain(|it| it.0 != life);
+            case.crashed.retain(|it| *it != life);
         }
         self.cases.retain(|_, it| !it.is_idle());
     }
 
-    /// Another instance tells that a server crashed under a request. Says whether that is news.
-    pub fn told(&mut self, now: Time, identity: Identity, life: Life) -> bool {
-        self.note_end(now, life);
-        if self.is_released(&identity, life) {
-            return false;
-        }
-        let case = self.case(now, identity);
-        case.open.retain(|it| it.0 != life);
-        let is_news = !case.crashed.contains(&life);
-        if is_news {
-            case.crashed.push(life);
-        }
-        is_news
+    /// Another instance has found that a server crashed under a request at `at`. Says whether that is news.
+    pub fn told(
+        &mut self,
+        now: Time,
+        at: Time,
+        identity: Identity,
+        life: Life,
+        servers: usize,
+    ) -> bool {
+        self.ends.push(at, life, servers);
+        !self.is_released(&identity, life) && self.case(now, identity).proves(now, life)
     }
 
-    /// Another instance, or the store, has a request in quarantine. Says whether that is news.
+    /// Takes what another instance, or the store, has on record. Says whether the request is in quarantine from now
+    /// on, or was released by it.
     pub fn adopt(&mut self, now: Time, record: &Record) -> bool {
-        let Record { identity, lives, age_ms } = record;
-        let seen = now - Duration::from_millis(*age_ms);
-        let is_released = lives.iter().all(|it| self.is_released(identity, *it));
-        if is_released || self.terms.keep <= now.since(seen) {
+        let Record { identity, lives, age_ms, is_released } = record;
+        let at = now - Duration::from_millis(*age_ms);
+        if self.terms.keep <= now.since(at) {
+            return false;
+        }
+        if *is_released {
+            return self.release_lives(at, identity, lives, true);
+        }
+        if lives.iter().all(|it| self.is_released(identity, *it)) {
             return false;
         }
         let case = self.case(now, *identity);
-        let was_convicted = std::mem::replace(&mut case.is_convicted, true);
-        case.seen = if was_convicted { case.seen.max(seen) } else { seen };
+        let is_news = case.convicted.is_none();
+        case.convicted.get_or_insert(now);
+        case.seen = if is_news { at } else { case.seen.max(at) };
         for life in lives {
-            if !case.crashed.contains(life) {
-                case.crashed.push(*life);
-            }
+            case.proves(at, *life);
         }
-        !was_convicted
+        is_news
     }
 
-    /// Puts the request in quarantine if enough of `servers` have crashed under it. Says whether it was put there
-    /// now.
-    pub fn judge(&mut self, identity: &Identity, servers: usize) -> bool {
-        let Some(case) = self.cases.get(identity) else { return false };
-        if case.is_convicted || self.weight(case, &case.crashed, servers) < self.terms.crashes {
-            return false;
-        }
-        if let Some(case) = self.cases.get_mut(identity) {
-            case.is_convicted = true;
+    /// Puts requests in quarantine under which enough servers have crashed. Returns them, and whether this instance
+    /// has found one of the crashes itself.
+    pub fn judge(&mut self, now: Time) -> Vec<(Identity, bool)> {
+        let crashes = self.terms.crashes;
+        let is_settled = |it: &Case| it.convicted.is_none() && SETTLED <= now.since(it.proved);
+        let settled = self.cases.iter().filter(|it| is_settled(it.1));
+        let guilty =
+            settled.filter(|it| crashes <= self.weight(it.1, it.1.crashed.iter().copied()));
+        let guilty: Vec<(Identity, bool)> = guilty.map(|it| (*it.0, it.1.is_own)).collect();
+        for (identity, _) in &guilty {
+            if let Some(case) = self.cases.get_mut(identity) {
+                case.convicted = Some(now);
+            }
         }
-        true
+        guilty
     }
 
-    /// What is held of a request that has come, with `servers` in the pool. Runs whose servers may have crashed
-    /// count as well: the next one would be told too late.
-    pub fn verdict(&mut self, now: Time, identity: &Identity, servers: usize) -> Verdict {
+    /// What is held of a request. Runs whose servers may have crashed count as well: the next one would be lost
+    /// before more is known.
+    pub fn verdict(&self, now: Time, identity: &Identity) -> Verdict {
         let Some(case) = self.cases.get(identity) else { return Verdict::Clear };
-        let fresh = case.open.iter().filter(|it| now.since(it.1) < UNSETTLED).map(|it| it.0);
-        let lives: Vec<Life> = case.crashed.iter().copied().chain(fresh).collect();
-        let weight = self.weight(case, &lives, servers);
-        let is_convicted = case.is_convicted;
-        if let Some(case) = self.cases.get_mut(identity) {
-            case.seen = now;
-        }
-        match weight {
-            _ if is_convicted => Verdict::Quarantined,
-            it if self.terms.crashes <= it => Verdict::Quarantined,
+        match self.weight(case, case.lives(now)) {
+            _ if case.convicted.is_some() => Verdict::Quarantined,
+            it if self.terms.crashes <= it => Verdict::Held,
             it if self.terms.crashes <= it + 1 => Verdict::Suspect,
             _ => Verdict::Clear,
         }
     }
 
-    /// A run of it has ended well, or an operator releases it. Says whether it was under suspicion for more than
-    /// one crash, so that others should know.
+    /// A request has come.
+    pub fn seen(&mut self, now: Time, identity: &Identity) {
+        if let Some(case) = self.cases.get_mut(identity) {
+            case.seen = now;
+        }
+    }
+
+    /// A run of it has ended well, or an operator releases it. Says whether the others should know: a single crash
+    /// speaks against all that ran there, and is of no weight.
     pub fn release(&mut self, now: Time, identity: &Identity) -> bool {
-        let Some(case) = self.cases.remove(identity) else { return false };
-        let is_news = case.is_convicted || 1 < case.crashed.len();
-        let lives = case.crashed.iter().copied().chain(case.open.iter().map(|it| it.0));
-        let (at, known) = self.released.entry(*identity).or_insert((now, Vec::new()));
-        *at = now;
+        let Some(case) = self.cases.get(identity) else { return false };
+        let is_told = case.convicted.is_some() || 1 < case.crashed.len();
+        let lives: Vec<Life> = case.lives(now).collect();
+        self.release_lives(now, identity, &lives, is_told);
+        is_told
+    }
+
+    /// What crashed so far doesn't speak against the request. Says whether it was in quarantine.
+    fn release_lives(
+        &mut self,
+        at: Time,
+        identity: &Identity,
+        lives: &[Life],
+        is_told: bool,
+    ) -> bool {
+        if !self.released.contains_key(identity) && MOST_CASES <= self.released.len() {
+            let oldest = self.released.iter().min_by_key(|it| it.1.at).map(|it| *it.0);
+            oldest.and_then(|it| self.released.remove(&it));
+        }
+        let empty = || Release { at, lives: Vec::new(), is_told };
+        let release = self.released.entry(*identity).or_insert_with(empty);
+        release.at = at.max(release.at);
+        release.is_told |= is_told;
+        let known = &mut release.lives;
         known.extend(lives);
-        is_news
+        known.sort_unstable();
+        known.dedup();
+        let Some(case) = self.cases.get_mut(identity) else { return false };
+        let was_convicted = case.convicted.is_some();
+        case.crashed.retain(|it| !known.contains(it));
+        case.open.retain(|it| !known.contains(&it.0));
+        if case.crashed.len() < self.terms.crashes {
+            case.convicted = None;
+        }
+        let is_released = was_convicted && case.convicted.is_none();
+        self.cases.retain(|_, it| !it.is_idle());
+        is_released
     }
 
     /// Ends what is over. Those that were in quarantine run on trial first.
@@ -217,11 +256,12 @@
         let Terms { crashes, keep } = self.terms;
         let mut over = Vec::new();
         self.cases.retain(|identity, case| {
-            case.open.retain(|it| now.since(it.1) < UNSETTLED);
-            if now.since(case.seen) < keep {
+            case.settle(now);
+            let is_long = case.convicted.is_some_and(|it| keep * LONGEST <= now.since(it));
+            if now.since(case.seen) < keep && !is_long {
                 return !case.is_idle();
             }
-            if case.is_convicted {
+            if case.convicted.is_some() {
                 case.put_on_trial(now, crashes);
                 over.push((*identity, Expiry::OnTrial));
                 return true;
@@ -231,86 +271,94 @@
             }
             false
         });
-        self.released.retain(|_, it| now.since(it.0) < keep);
+        self.released.retain(|_, it| now.since(it.at) < keep);
         over
     }
 
     /// The requests in quarantine, those that came last first.
     pub fn records(&self, now: Time) -> Vec<Record> {
-        let convicted = self.cases.iter().filter(|it| it.1.is_convicted);
-        let record = |it: (&Identity, &Case)| Record {
-            identity: *it.0,
-            lives: it.1.crashed.clone(),
-            age_ms: now.since(it.1.seen).as_millis() as u64,
-        };
-        let mut all: Vec<Record> = convicted.map(record).collect();
+        let age_ms = |at: Time| now.since(at).as_millis() as u64;
+        let convicted = self.cases.iter().filter(|it| it.1.convicted.is_some());
+        let mut all: Vec<Record> = convicted
+            .map(|(identity, case)| Record {
+                identity: *identity,
+                lives: case.crashed.clone(),
+                age_ms: age_ms(case.seen),
+                is_released: false,
+            })
+            .collect();
         all.sort_by_key(|it| (it.age_ms, it.identity));
         all
     }
 
-    /// Whether the request is in quarantine, not merely held back until its last loss is explained.
-    pub fn is_convicted(&self, identity: &Identity) -> bool {
-        self.cases.get(identity).is_some_and(|it| it.is_convicted)
+    /// Some of the requests in quarantine, and of those that were released, for another instance: each time the next
+    /// ones, `most` at most.
+    pub fn tell(&mut self, now: Time, most: usize) -> Vec<Record> {
+        let mut all = self.records(now);
+        let released = self.released.iter().filter(|it| it.1.is_told);
+        all.extend(released.map(|(identity, it)| Record {
+            identity: *identity,
+            lives: it.lives.clone(),
+            age_ms: now.since(it.at).as_millis() as u64,
+            is_released: true,
+        }));
+        if all.is_empty() {
+            return all;
+        }
+        all.sort_by_key(|it| it.identity);
+        let start = self.told % all.len();
+        all.rotate_left(start);
+        all.truncate(most);
+        self.told += all.len();
+        all
+    }
+
+    /// The requests against which a crash speaks, unless so many servers ended together that it speaks of another
+    /// cause.
+    pub fn blamed(&self, life: Life) -> Vec<Identity> {
+        let is_blamed = |it: &Case| {
+            it.crashed.contains(&life) && !self.ends.is_mass(life, |other| it.has(other))
+        };
+        self.cases.iter().filter(|it| is_blamed(it.1)).map(|it| *it.0).collect()
     }
 
     /// Servers that are known to have crashed under the request.
-    pub fn crashes(&self, identity: &Identity) -> usize {
-        self.cases.get(identity).map_or(0, |it| it.crashed.len())
+    pub fn crashes(&self, identity: &Identity) -> &[Life] {
+        self.cases.get(identity).map_or(&[], |it| &it.crashed)
     }
 
-    /// Requests in quarantine, and under suspicion for one crash or more.
+    /// How many requests are in quarantine, and under suspicion.
     pub fn counts(&self) -> (usize, usize) {
-        let convicted = self.cases.values().filter(|it| it.is_convicted).count();
+        let convicted = self.cases.values().filter(|it| it.convicted.is_some()).count();
         (convicted, self.cases.len() - convicted)
     }
 
     /// How many of the lives speak against the request.
-    ///
-    /// Guards against blaming what merely ran where many servers ended at once, as when a rack loses power: each
-    /// request that is asked for often would be turned away after three of those. An end doesn't count if many
-    /// other servers, on which the request didn't run, ended together with it.
-    fn weight(&self, case: &Case, lives: &[Life], servers: usize) -> usize {
-        let mass = LEAST_MASS.max((servers as f64 * MASS) as usize);
-        let is_own = |life: &&Life| {
-            let Some(&(_, at)) = self.ends.iter().find(|it| it.0 == **life) else { return true };
-            let near = self.ends.iter().filter(|it| it.1.since(at).max(at.since(it.1)) <= TOGETHER);
-            near.filter(|it| !case.has(it.0)).take(mass).count() < mass
-        };
-        lives.iter().filter(is_own).count()
-    }
-
-    fn note_end(&mut self, now: Time, life: Life) {
-        if self.ends.iter().rev().any(|it| it.0 == life) {
-            return;
-        }
-        if MOST_ENDS <= self.ends.len() {
-            self.ends.pop_front();
-        }
-        self.ends.push_back((life, now));
+    fn weight(&self, case: &Case, lives: impl Iterator<Item = Life>) -> usize {
+        lives.filter(|it| !self.ends.is_mass(*it, |other| case.has(other))).count()
     }
 
     fn is_released(&self, identity: &Identity, life: Life) -> bool {
-        self.released.get(identity).is_some_and(|it| it.1.contains(&life))
+        self.released.get(identity).is_some_and(|it| it.lives.contains(&life))
     }
 
-    /// The case of a request, opened if there is none. Where there are too many, the one that came longest ago goes,
-    /// those in quarantine last.
+    /// The case of a request, opened if there is none.
     fn case(&mut self, now: Time, identity: Identity) -> &mut Case {
         if !self.cases.contains_key(&identity) {
             let of_caller = self.cases.keys().filter(|it| it.caller == identity.caller).count();
             if MOST_OF_CALLER <= of_caller {
-                self.forget_oldest(|it| it.caller == identity.caller);
+                self.forget_least(|it| it.caller == identity.caller);
             } else if MOST_CASES <= self.cases.len() {
-                self.forget_oldest(|_| true);
+                self.forget_least(|_| true);
             }
         }
         self.cases.entry(identity).or_insert_with(|| Case::open(now))
     }
 
-    fn forget_oldest(&mut self, is_chosen: impl Fn(&Identity) -> bool) {
+    fn forget_least(&mut self, is_chosen: impl Fn(&Identity) -> bool) {
         let chosen = self.cases.iter().filter(|it| is_chosen(it.0));
-        let oldest = chosen.min_by_key(|it| (it.1.is_convicted, it.1.seen)).map(|it| *it.0);
-        if let Some(it) = oldest {
+        let least = chosen.min_by_key(|it| it.1.rank()).map(|it| *it.0);
+        if let Some(it) = least {
             self.cases.remove(&it);
         }
     }
--- a/crates/gateway/src/rumour.rs
+++ b/crates/gateway/src/rumour.rs
@@ -49,8 +49,8 @@
     Instance(Box<Member>),
     /// The store of cached prompts at this address lives, or doesn't.
     CacheStore(SocketAddr, bool),
-    /// A request was lost with a server that crashed.
-    Crashed(Identity, Life),
+    /// Requests that were lost with a server that crashed.
+    Crashed(Life, Vec<Identity>),
     /// Nothing speaks against a request any more.
     Released(Identity),
 }
@@ -64,14 +64,18 @@
             Self::Holds(it) => Subject::Holder(it.address),
             Self::Instance(it) => Subject::Instance(it.name.clone()),
             Self::CacheStore(address, _) => Subject::CacheStore(*address),
-            Self::Crashed(identity, life) => Subject::Crashed(*identity, *life),
+            Self::Crashed(life, identities) => Subject::Crashed(*life, identities.clone()),
             Self::Released(identity) => Subject::Released(*identity),
         }
     }
 
-    /// Whether it is worth repeating: what is silent, or who holds what, is old news a moment later.
+    /// Whether it is worth repeating: what is silent, or who holds what, is old news a moment later, and records of
+    /// requests in quarantine are told by themselves.
     fn is_lasting(&self) -> bool {
-        !matches!(self, Self::Silent(_) | Self::Holds(_))
+        match self {
+            Self::Silent(_) | Self::Holds(_) | Self::Crashed(..) | Self::Released(_) => false,
+            Self::Leaving(..) | Self::Loading(_) | Self::Instance(_) | Self::CacheStore(..) => true,
+        }
     }
 
     /// Whether both say the same, whenever they were told.
@@ -114,7 +118,7 @@
     Holder(SocketAddr),
     Instance(Arc<str>),
     CacheStore(SocketAddr),
-    Crashed(Identity, Life),
+    Crashed(Life, Vec<Identity>),
     Released(Identity),
 }
 
