Operators list the requests in quarantine, and release one

A request in quarantine is refused for as long as its caller goes on coming. Once the engines are mended, or where a request merely ran beside the cause, nobody could take it out.

Now each instance lists them at its metrics address (GET /quarantine), and releases one at all instances (DELETE /quarantine/IDENTITY); `shallotlead quarantine [--release IDENTITY] IP:PORT` does both. A request under suspicion for one crash can be released as well, at the instance asked. Each release by an operator is in the log.

The pages read no bodies, and took one for the next request: a web page could have made an operator's browser post a release. A connection whose request has a body now ends after the answer. An identity with a sign in it is refused.

--- a/crates/gateway/src/core/pages.rs
+++ b/crates/gateway/src/core/pages.rs
@@ -1,10 +1,13 @@
-//! The small pages: readiness, addresses for callers, metrics, and knowledge for other instances.
+//! The small pages: readiness, addresses for callers, metrics, requests in quarantine, and knowledge for
+//! other instances.
+
+mod quarantine;
 
 use std::net::SocketAddr;
 
 use crate::{
     core::{Core, Role, state::STATE_PATH},
-    http::{head::Request, write},
+    http::{body::Framing, head::Request, write},
     net::{Door, Key, Socket},
 };
 
@@ -31,7 +34,10 @@
                 }
             };
             let (status, kind, body) = self.page(door, &head);
-            let keeps = head.keeps_alive();
+            // A body isn't read. Taken for the next head, it could carry an order that its sender may not give,
+            // as a web page that an operator's browser shows.
+            let is_bare = matches!(head.framing, Framing::Empty | Framing::Length(0));
+            let keeps = is_bare && head.keeps_alive();
             let close = [("Connection", "close".to_owned())];
             let extra = if keeps { &[][..] } else { &close[..] };
             self.net.send(key, &write::response(status, kind, &body, extra));
@@ -60,6 +66,9 @@
                 None => (404, JSON, b"{}".to_vec()),
             },
             Door::Metrics => {
+                if let Some((status, body)) = self.quarantine_page(head) {
+                    return (status, JSON, body);
+                }
                 self.refresh_gauges();
                 (200, TEXT, self.stats.render().into_bytes())
             }
--- /dev/null
+++ b/crates/gateway/src/core/pages/quarantine.rs
@@ -0,0 +1,70 @@
+//! The page on which an operator lists the requests in quarantine and releases one.
+
+use serde::Serialize;
+
+use crate::{
+    core::Core,
+    http::head::Request,
+    quarantine::{
+        Identity,
+        page::{Entry, PATH, Problem, Release},
+    },
+};
+
+impl Core {
+    /// Status and body of the answer; `None` if the request is for another page.
+    pub(super) fn quarantine_page(&mut self, head: &Request) -> Option<(u16, Vec<u8>)> {
+        let rest = head.path().strip_prefix(PATH)?;
+        if rest.is_empty() {
+            return Some(match &*head.method {
+                "GET" => json(200, &self.quarantine_entries()),
+                _ => problem(405, "expected GET, or DELETE of one identity"),
+            });
+        }
+        let identity = rest.strip_prefix('/')?;
+        Some(match (&*head.method, identity.parse::<Identity>()) {
+            ("DELETE", Ok(identity)) => self.release_by_operator(identity),
+            ("DELETE", Err(err)) => problem(400, &err.to_string()),
+            _ => problem(405, "expected DELETE"),
+        })
+    }
+
+    fn quarantine_entries(&self) -> Vec<Entry> {
+        let records = self.quarantine.records(self.now).into_iter();
+        let entries = records.map(|it| Entry {
+            identity: it.identity.to_string(),
+            crashes: it.lives.len(),
+            last_seen_ms: it.age_ms,
+        });
+        entries.collect()
+    }
+
+    fn release_by_operator(&mut self, identity: Identity) -> (u16, Vec<u8>) {
+        const REASON: &str = "operator";
+        if !self.quarantine.knows(&identity) {
+            return problem(404, "no such request in quarantine");
+        }
+        if !self.release(identity, REASON) {
+            // It was under suspicion for one crash at most, of which the log has nothing yet.
+            self.journal
+                .line(self.now, "released")
+                .text("identity", &identity.to_string())
+                .text("reason", REASON);
+        }
+        json(200, &Release { released: true })
+    }
+}
+
+fn problem(status: u16, error: &str) -> (u16, Vec<u8>) {
+    json(status, &Problem { error: error.to_owned() })
+}
+
+fn json(status: u16, value: &impl Serialize) -> (u16, Vec<u8>) {
+    match serde_json::to_vec(value) {
+        Ok(body) => (status, body),
+        Err(err) => {
+            log::error!("an answer on requests in quarantine can't be written: {err}");
+            (500, b"{}".to_vec())
+        }
+    }
+}
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -7,6 +7,7 @@
 mod case;
 mod ends;
 mod identity;
+pub mod page;
 mod record;
 
 use std::time::Duration;
@@ -91,6 +92,11 @@
         Self { terms, cases, ends: Ends::default(), released, told: 0 }
     }
 
+    /// Whether anything speaks against the request.
+    pub fn knows(&self, identity: &Identity) -> bool {
+        self.cases.contains_key(identity)
+    }
+
     /// How long a request stays in quarantine after it came last.
     pub fn keep(&self) -> Duration {
         self.terms.keep
--- a/crates/gateway/src/quarantine/identity.rs
+++ b/crates/gateway/src/quarantine/identity.rs
@@ -36,7 +36,7 @@
     type Err = Malformed;
 
     fn from_str(text: &str) -> Result<Self, Malformed> {
-        if text.len() != 32 || !text.is_ascii() {
+        if text.len() != 32 || !text.bytes().all(|it| it.is_ascii_hexdigit()) {
             return Err(Malformed);
         }
         let number = |text: &str| u64::from_str_radix(text, 16).map_err(|_| Malformed);
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -272,9 +272,23 @@
         assert_eq!(it.to_string().parse(), Ok(*it));
     }
     assert!("12".parse::<Identity>().is_err());
+    assert!(format!("+{}", "0".repeat(31)).parse::<Identity>().is_err(), "a sign is no digit");
     assert_eq!(all[0].caller, all[2].caller);
 }
 
+// An operator releases a request after its first crash: the others needn't know, and it counts no more here.
+#[test]
+fn suspect_of_one_crash_can_be_released() {
+    let mut quarantine = quarantine();
+    let identity = request("deadly");
+    assert!(!quarantine.knows(&identity));
+    crash(&mut quarantine, at(0), identity, 1);
+    assert!(quarantine.knows(&identity));
+    assert!(!quarantine.release(at(1_000), &identity));
+    assert!(!quarantine.knows(&identity));
+    assert!(quarantine.crashes(&identity).is_empty());
+}
+
 proptest! {
     // Instances learn of crashes by themselves or from each other, in any order and repeatedly.
     #[test]
--- a/crates/shallotlead/src/command.rs
+++ b/crates/shallotlead/src/command.rs
@@ -7,6 +7,7 @@
 pub(crate) mod gateway;
 pub(crate) mod load;
 pub(crate) mod operator;
+pub(crate) mod quarantine;
 pub(crate) mod standin;
 pub(crate) mod status;
 pub(crate) mod table;
@@ -37,6 +38,7 @@
             .unwrap_or_else(|| client().and_then(|it| explain::run(&arguments, &it))),
         Command::Gateway(arguments) => gateway::run(arguments),
         Command::Load(arguments) => load::run(arguments),
+        Command::Quarantine(arguments) => quarantine::run(&arguments),
         Command::Status(arguments) => client().and_then(|it| status::run(&arguments, &it)),
         Command::Table(arguments) => table::run(arguments, client),
         Command::Top(arguments) => client().and_then(|it| top::run(&arguments, &it)),
@@ -80,6 +82,8 @@
     Gateway(gateway::Arguments),
     #[options(help = "send a deployment's traffic to running instances")]
     Load(load::Arguments),
+    #[options(help = "list the requests that crashed servers, or release one")]
+    Quarantine(quarantine::Arguments),
     #[options(help = "show instances, versions in force, duties and the platform's health")]
     Status(status::Arguments),
     #[options(help = "read and change the operators' table")]
--- /dev/null
+++ b/crates/shallotlead/src/command/quarantine.rs
@@ -0,0 +1,68 @@
+//! `shallotlead quarantine`: the requests that are sent to no server any more, and their release.
+
+mod client;
+
+use std::{net::SocketAddr, time::Duration};
+
+use gumdrop::Options;
+use shallotlead_gateway::quarantine::{Identity, page::Entry};
+
+use crate::{
+    columns::Columns,
+    command::{Failure, operator::print_json},
+};
+
+use client::Client;
+
+/// Arguments of the subcommand.
+#[derive(Debug, Options)]
+pub(crate) struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "IP:PORT of an instance's metrics address")]
+    instance: Option<String>,
+    #[options(no_short, meta = "IDENTITY", help = "release this request")]
+    release: Option<String>,
+    #[options(no_short, help = "print JSON")]
+    json: bool,
+}
+
+/// Runs the subcommand.
+pub(crate) fn run(arguments: &Arguments) -> Result<(), Failure> {
+    let Arguments { instance, release, json, .. } = arguments;
+    let instance = instance.as_deref().unwrap_or_default();
+    let address = instance.parse::<SocketAddr>().map_err(|_| {
+        Failure::Usage(format!("`{instance}` is no address: expected IP:PORT of an instance's metrics, as 127.0.0.1:9464"))
+    })?;
+    let client = Client::new(address);
+    let Some(text) = release else {
+        let entries = client.list()?;
+        if *json {
+            return print_json(&entries);
+        }
+        print(&entries);
+        return Ok(());
+    };
+    let identity = text
+        .parse::<Identity>()
+        .map_err(|err| Failure::Usage(format!("`{text}` names no request: {err}")))?;
+    let release = client.release(identity)?;
+    if *json {
+        return print_json(&release);
+    }
+    println!("released {identity}");
+    Ok(())
+}
+
+fn print(entries: &[Entry]) {
+    if entries.is_empty() {
+        println!("no request is in quarantine");
+        return;
+    }
+    let mut columns = Columns::new(["identity", "crashes", "last seen"]);
+    for it in entries {
+        let age = Duration::from_millis(it.last_seen_ms).as_secs_f64();
+        columns.push([it.identity.clone(), it.crashes.to_string(), format!("{age:.1} s ago")]);
+    }
+    print!("{columns}");
+}
