--- /dev/null
+++ b/crates/gateway/tests/lease_chain.rs
@@ -0,0 +1,91 @@
+//! A lease that passes on before its holder gave an order: the waits that it took over must pass on too.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use shallotlead_base::{
+    store::{Store, memory::Memory},
+    time::Time,
+};
+use shallotlead_gateway::lease::Lease;
+use support::at;
+
+const GAP: Duration = Duration::from_millis(3_000);
+/// Time between two looks of an instance at its lease, ms.
+const TICK: usize = 20;
+
+fn open(name: &str) -> Lease {
+    Lease::open("weights", Arc::from(name), GAP)
+}
+
+fn step(lease: &mut Lease, store: &mut Memory, now: Time, rank: usize) {
+    if let Some(call) = lease.tick(now, rank) {
+        let reply = store.call(call);
+        lease.reply(now, rank, &reply);
+    }
+}
+
+/// Runs `lease` from `from` on until it is held or, with `may_order`, may give orders.
+fn take(lease: &mut Lease, store: &mut Memory, from: u64, may_order: bool) -> u64 {
+    let is_so = |lease: &Lease, now| match may_order {
+        true => lease.grant(now).is_some(),
+        false => lease.is_held(now),
+    };
+    let mut times = (from..from + 30_000).step_by(TICK);
+    let taken = times.find(|it| {
+        step(lease, store, at(*it), 0);
+        is_so(lease, at(*it))
+    });
+    taken.expect("the lease is free")
+}
+
+// The holder dies. Its successor, which still waits for its last orders to arrive, is told to leave and gives the
+// lease back. The next holder orders a server at once, in the middle of that wait.
+#[test]
+fn wait_for_a_dead_holder_s_orders_passes_on() {
+    let (mut store, mut first, mut second) = (Memory::default(), open("a"), open("b"));
+    let server: Arc<str> = Arc::from("e1");
+    let start = take(&mut first, &mut store, 0, true);
+    step(&mut second, &mut store, at(start), 0);
+    let mut last = start;
+    for ms in (start..start + 2_000).step_by(TICK) {
+        if first.order(at(ms), &server).is_some() {
+            last = ms;
+        }
+    }
+    let ms = take(&mut second, &mut store, start + 2_000, false);
+    assert!(second.grant(at(ms)).is_none(), "it still waits");
+    second.release();
+    step(&mut second, &mut store, at(ms + 20), 0);
+    let mut third = open("c");
+    let mut ms = take(&mut third, &mut store, ms + 40, true);
+    while third.order(at(ms), &server).is_none() {
+        ms += 20;
+        step(&mut third, &mut store, at(ms), 0);
+    }
+    assert!(last + 3_000 <= ms, "orders of two holders at {last} and {ms}");
+}
+
+// The holder gives the lease back after an order, and so does its successor before it has given any. The third
+// holder's order comes within the gap of the first one's.
+#[test]
+fn wait_for_an_order_passes_on_with_a_lease_that_is_given_back_twice() {
+    let (mut store, mut first, mut second) = (Memory::default(), open("a"), open("b"));
+    let server: Arc<str> = Arc::from("e1");
+    let start = take(&mut first, &mut store, 0, true);
+    assert!(first.order(at(start), &server).is_some());
+    first.release();
+    step(&mut first, &mut store, at(start + 20), 0);
+    let ms = take(&mut second, &mut store, start + 40, true);
+    assert!(second.order(at(ms), &server).is_none(), "it still waits");
+    second.release();
+    step(&mut second, &mut store, at(ms + 20), 0);
+    let mut third = open("c");
+    let mut ms = take(&mut third, &mut store, ms + 40, true);
+    while third.order(at(ms), &server).is_none() {
+        ms += 20;
+        step(&mut third, &mut store, at(ms), 0);
+    }
+    assert!(start + 3_000 <= ms, "orders of two holders at {start} and {ms}");
+}
