Versions can say the store's era above the revision

A store that comes back from an older copy gives revisions out again. A version that holds the era in its high bits is in order over restores, in every place that compares, keeps or tells one; without eras nothing changes.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -66,8 +66,34 @@
 }
 number! {
     /// Version of a stored object or of the table. Zero means absent.
+    ///
+    /// Where the store may come back from a copy it is a position: the store's era above, the revision below. So
+    /// versions are in order over all restores, and none is given out twice.
     Version
 }
+
+impl Version {
+    /// Bits of the revision: a trillion changes. With eras up to [`Version::MAX_ERA`] a position stays a whole
+    /// number below 2^53, which all JSON readers keep.
+    const REVISION_BITS: u32 = 40;
+    /// The highest era, and so the most restores.
+    pub const MAX_ERA: u64 = (1 << 13) - 1;
+
+    /// The position of `revision` in `era`.
+    pub const fn at(era: u64, revision: u64) -> Self {
+        Self(era << Self::REVISION_BITS | revision)
+    }
+
+    /// The store's era: how often it has come back from a copy, as far as it says.
+    pub const fn era(self) -> u64 {
+        self.0 >> Self::REVISION_BITS
+    }
+
+    /// The revision within its era.
+    pub const fn revision(self) -> u64 {
+        self.0 & ((1 << Self::REVISION_BITS) - 1)
+    }
+}
 number! {
     /// Version of a model's weights.
     Weights
