A lease that is given back hands on all waits of its holder

What could be seen: two holders' orders to one server 1.48 s apart where the gap is 3 s (lease_chain, given back twice); 2.06 s with a holder that died (the successor left while it waited); 1.06 s and 1.74 s where the answer to a claim was lost and the claim had taken effect.

Cause: the record of a lease that is given back told the holder's own orders only, not what it still waited for. A claim set the waits anew, also one by which an instance took its own record back.

Change: the waits are one value, `Wait`, for all servers and for each. It outlives claims, takes on what a released record tells, and is told with the holder's own orders when the lease is given back. The record has a field for the wait of all servers; without it that wait is none, as before.

--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -4,11 +4,14 @@
 //! token is the revision of the write that granted it. The holder counts its term from before it
 //! sent a write; a candidate counts from after it read one. Both use clocks that go on while the
 //! machine is suspended. Servers don't check tokens, so that a successor lets a gap pass
-//! before its first order, in which the last orders of the predecessor arrive.
+//! before its first order, in which the last orders of the predecessor arrive. A holder that gives
+//! the lease back tells what is left of the gap, also of the ones before it.
+
+mod record;
+mod wait;
 
 use std::{sync::Arc, time::Duration};
 
-use serde::{Deserialize, Serialize};
 use shallotlead_base::{
     hash::Map,
     id::Version,
@@ -16,6 +19,8 @@
     time::Time,
 };
 
+use self::{record::Record, wait::Wait};
+
 /// Kind of the record. Calls of this kind go before all others.
 pub const KIND: &str = "lease";
 /// Length of a term. A dead holder is replaced after it, so it is short; each renewal is paid for.
@@ -48,33 +53,23 @@
     pub until: Time,
 }
 
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-struct Record {
-    holder: Arc<str>,
-    /// Makes each write's content unique, so that a lost answer can be settled.
-    write: u64,
-    /// Set when the holder gives the lease back: the servers that it has ordered lately, each with the
-    /// age of the order in milliseconds.
-    released: Option<Vec<(Arc<str>, u64)>>,
-}
-
 #[derive(Debug)]
 enum Stage {
     /// Another instance may hold it: the record's version, since when it has been unchanged, and
     /// whether it was given back.
     Watching(Option<Seen>),
     /// A claim was sent.
-    Claiming { sent: Time, from: Time },
+    Claiming { sent: Time },
     /// Held.
-    Holding { version: Version, fence: u64, sent: Time, from: Time, renewing: Option<Time> },
+    Holding { version: Version, fence: u64, sent: Time, renewing: Option<Time> },
 }
 
 #[derive(Clone, Debug)]
 struct Seen {
     version: Version,
     since: Time,
-    /// The orders of the instance that gave it back.
-    released: Option<Vec<(Arc<str>, u64)>>,
+    /// What the instance that gave it back has told to wait for.
+    released: Option<Wait>,
     /// It names this life of this instance.
     is_own: bool,
 }
@@ -90,10 +85,11 @@
     is_calling: bool,
     next: Time,
     released: bool,
-    /// When each server was last ordered, by this instance or by the one that gave the lease back.
+    /// When this instance last ordered each server.
     orders: Map<Arc<str>, Time>,
-    /// When each server may be ordered that the predecessor has ordered.
-    others: Map<Arc<str>, Time>,
+    /// What is left of the gap to other holders' orders. It outlives a claim, which may take effect
+    /// after its answer was lost.
+    wait: Wait,
     /// Until then the record is read often.
     hurried_until: Time,
 }
@@ -111,15 +107,15 @@
             next: Time::ZERO,
             released: false,
             orders: Map::default(),
-            others: Map::default(),
+            wait: Wait::default(),
             hurried_until: Time::ZERO,
         }
     }
 
     /// The right to give orders now, if there is one.
     pub fn grant(&self, now: Time) -> Option<Grant> {
-        let Stage::Holding { fence, sent, from, .. } = self.stage else { return None };
-        let until = sent + (TERM - MARGIN);
+        let Stage::Holding { fence, sent, .. } = self.stage else { return None };
+        let (from, until) = (self.wait.all(), sent + (TERM - MARGIN));
         (from <= now && now < until).then_some(Grant { fence, from, until })
     }
 
@@ -132,7 +128,7 @@
     /// apart; the own ones needn't.
     pub fn order(&mut self, now: Time, server: &Arc<str>) -> Option<Grant> {
         let grant = self.grant(now)?;
-        if self.others.get(server).is_some_and(|it| now < *it) {
+        if now < self.wait.of(server) {
             return None;
         }
         self.orders.insert(server.clone(), now);
@@ -198,17 +194,14 @@
                 };
                 // The predecessor's last order is not later than the end of its term, which was over
                 // when this instance read an unchanged record a term after it had seen it first.
-                // One that gave the lease back has told which servers it has ordered, and when.
-                let from = match &seen.released {
-                    _ if seen.is_own => now,
-                    None => seen.since + TERM + self.gap,
-                    Some(_) => now,
-                };
-                let gap = self.gap;
-                let until = |age: u64| seen.since + gap - Duration::from_millis(age);
-                let orders = seen.released.iter().flatten();
-                self.others = orders.map(|it| (it.0.clone(), until(it.1))).collect();
-                self.stage = Stage::Claiming { sent: now, from };
+                // One that gave the lease back has told what is left to wait for.
+                self.wait.delay_all(now);
+                match seen.released {
+                    _ if seen.is_own => {}
+                    None => self.wait.delay_all(seen.since + TERM + self.gap),
+                    Some(wait) => self.wait.merge(now, wait),
+                }
+                self.stage = Stage::Claiming { sent: now };
                 Some(self.put(now, seen.version))
             }
         }
@@ -223,10 +216,9 @@
             _ => None,
         };
         match (&mut self.stage, reply) {
-            (Stage::Claiming { sent, from }, Reply::Done(version)) => {
-                let (sent, from) = (*sent, *from);
-                let (version, fence) = (*version, version.0);
-                self.stage = Stage::Holding { version, fence, sent, from, renewing: None };
+            (Stage::Claiming { sent }, Reply::Done(version)) => {
+                let (sent, version, fence) = (*sent, *version, version.0);
+                self.stage = Stage::Holding { version, fence, sent, renewing: None };
                 self.next = sent + RENEW;
             }
             (Stage::Holding { version, sent, renewing, .. }, Reply::Done(stored)) => {
@@ -250,7 +242,7 @@
                     *seen = Some(Seen { version, since, released: None, is_own: true });
                 }
                 if let Some(object) = found {
-                    see(seen, now, &self.me, object);
+                    see(seen, now, &self.me, self.gap, object);
                 }
                 let is_late = seen.as_ref().is_some_and(|it| TERM <= now.since(it.since));
                 let is_own = seen.as_ref().is_some_and(|it| it.is_own);
@@ -266,7 +258,7 @@
             (Stage::Claiming { .. } | Stage::Holding { .. }, _) => {
                 let mut seen = None;
                 if let Some(object) = found {
-                    see(&mut seen, now, &self.me, object);
+                    see(&mut seen, now, &self.me, self.gap, object);
                 }
                 self.stage = Stage::Watching(seen);
                 self.next = now + RETRY;
@@ -276,22 +268,24 @@
 
     fn put(&mut self, now: Time, expected: Version) -> Call {
         self.writes += 1;
-        let recent = self.orders.iter().filter(|it| now.since(*it.1) < self.gap);
-        let age = |at: Time| now.since(at).as_millis() as u64;
-        let released = self.released.then(|| recent.map(|it| (it.0.clone(), age(*it.1))).collect());
-        let record = Record { holder: self.me.clone(), write: self.writes, released };
+        let mut record = Record::new(self.me.clone(), self.writes);
+        if self.released {
+            let mut wait = self.wait.clone();
+            self.orders.iter().for_each(|it| wait.delay(it.0, *it.1 + self.gap));
+            record.release(now, self.gap, &wait);
+        }
         let value = serde_json::to_vec(&record).unwrap_or_default();
         Call::Put { key: self.key.clone(), expected, value: value.into() }
     }
 }
 
-fn see(seen: &mut Option<Seen>, now: Time, me: &str, object: Option<&Object>) {
+fn see(seen: &mut Option<Seen>, now: Time, me: &str, gap: Duration, object: Option<&Object>) {
     let version = object.map_or(Version(0), |it| it.version);
     if seen.as_ref().is_some_and(|it| it.version == version) {
         return;
     }
     let record = object.and_then(|it| serde_json::from_slice::<Record>(&it.value).ok());
-    let is_own = record.as_ref().is_some_and(|it| *it.holder == *me);
-    let released = record.and_then(|it| it.released);
+    let is_own = record.as_ref().is_some_and(|it| it.is_of(me));
+    let released = record.and_then(|it| it.released(now, gap));
     *seen = Some(Seen { version, since: now, released, is_own });
 }
--- /dev/null
+++ b/crates/gateway/src/lease/record.rs
@@ -0,0 +1,51 @@
+//! The lease's record in the store.
+
+use std::{sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use shallotlead_base::time::Time;
+
+use super::wait::Wait;
+
+/// Content of the record.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Record {
+    holder: Arc<str>,
+    /// Makes each write's content unique, so that a lost answer can be settled.
+    write: u64,
+    /// Set when the holder gives the lease back: the servers that it or one before it has ordered
+    /// lately, each with the age of the order in milliseconds.
+    released: Option<Vec<(Arc<str>, u64)>>,
+    /// Set when the holder gives the lease back: how long no server may be ordered, in milliseconds.
+    #[serde(default)]
+    wait: u64,
+}
+
+impl Record {
+    /// The record of a holder that goes on.
+    pub(crate) fn new(holder: Arc<str>, write: u64) -> Self {
+        Self { holder, write, released: None, wait: 0 }
+    }
+
+    /// Gives the lease back at `now` with what its next holder has to wait for.
+    pub(crate) fn release(&mut self, now: Time, gap: Duration, wait: &Wait) {
+        let age = |left: Duration| gap.saturating_sub(left).as_millis() as u64;
+        self.released = Some(wait.left(now).map(|it| (it.0.clone(), age(it.1))).collect());
+        self.wait = wait.all().since(now).as_micros().div_ceil(1_000) as u64;
+    }
+
+    /// Whether it names the instance's life `me`.
+    pub(crate) fn is_of(&self, me: &str) -> bool {
+        *self.holder == *me
+    }
+
+    /// What the next holder has to wait for, if it was given back. `since`: when it was read.
+    pub(crate) fn released(&self, since: Time, gap: Duration) -> Option<Wait> {
+        let mut wait = Wait::default();
+        for (server, age) in self.released.as_ref()? {
+            wait.delay(server, since + gap - Duration::from_millis(*age));
+        }
+        wait.delay_all(since + Duration::from_millis(self.wait));
+        Some(wait)
+    }
+}
--- a/crates/gateway/tests/lease_chain.rs
+++ b/crates/gateway/tests/lease_chain.rs
@@ -1,11 +1,11 @@
-//! A lease that passes on before its holder gave an order: the waits that it took over must pass on too.
+//! A lease that passes on along a chain of holders: the waits that one took over must pass on too, and stay.
 
 mod support;
 
 use std::{sync::Arc, time::Duration};
 
 use shallotlead_base::{
-    store::{Store, memory::Memory},
+    store::{Call, Failure, Reply, Store, memory::Memory},
     time::Time,
 };
 use shallotlead_gateway::lease::Lease;
@@ -89,3 +89,52 @@
     }
     assert!(start + 3_000 <= ms, "orders of two holders at {start} and {ms}");
 }
+
+/// Runs `lease` from `from` on until it sends a claim, which takes effect although its answer is lost.
+fn claim_without_answer(lease: &mut Lease, store: &mut Memory, from: u64) -> u64 {
+    for ms in (from..from + 30_000).step_by(TICK) {
+        let Some(call) = lease.tick(at(ms), 0) else { continue };
+        let is_claim = matches!(call, Call::Put { .. });
+        let reply = store.call(call);
+        if is_claim {
+            lease.reply(at(ms), 0, &Reply::Failed(Failure::Unknown));
+            return ms;
+        }
+        lease.reply(at(ms), 0, &reply);
+    }
+    panic!("the lease was never claimed");
+}
+
+// The holder dies, and the answer to its successor's claim is lost. The successor finds its name in the record and
+// orders a server at once, in the middle of its wait.
+#[test]
+fn wait_for_a_dead_holder_s_orders_outlives_a_claim_without_an_answer() {
+    let (mut store, mut first, mut second) = (Memory::default(), open("a"), open("b"));
+    let start = take(&mut first, &mut store, 0, true);
+    step(&mut second, &mut store, at(start), 0);
+    let orders = (start..start + 2_000).step_by(TICK);
+    let last = orders.filter(|it| first.order(at(*it), &Arc::from("e1")).is_some()).last();
+    let last = last.expect("it gives orders");
+    let ms = claim_without_answer(&mut second, &mut store, start + 20);
+    let ms = take(&mut second, &mut store, ms + 20, true);
+    assert!(last + 3_000 <= ms, "orders of two holders at {last} and {ms}");
+}
+
+// The holder gives the lease back after an order, and the answer to the next one's claim is lost. The order that this
+// one gives comes within the gap of the first one's.
+#[test]
+fn wait_for_an_order_outlives_a_claim_without_an_answer() {
+    let (mut store, mut first, mut second) = (Memory::default(), open("a"), open("b"));
+    let server: Arc<str> = Arc::from("e1");
+    let start = take(&mut first, &mut store, 0, true);
+    assert!(first.order(at(start), &server).is_some());
+    first.release();
+    step(&mut first, &mut store, at(start + 20), 0);
+    let ms = claim_without_answer(&mut second, &mut store, start + 40);
+    let mut ms = take(&mut second, &mut store, ms + 20, true);
+    while second.order(at(ms), &server).is_none() {
+        ms += 20;
+        step(&mut second, &mut store, at(ms), 0);
+    }
+    assert!(start + 3_000 <= ms, "orders of two holders at {start} and {ms}");
+}
