Instances bear a store that comes back from an older copy

The platform's store may lose its last seconds: revisions go back and are given out again, records of ours are gone, a server's leaving is undone. Nothing knew of that: a watch from a lost revision went on as if nothing were missing, so that a removed key was accepted until the next change; a leaving server was used again; a missing own record stayed missing; the lease's token could repeat.

Each answer names the store's era. Versions are positions of era and revision; the adapter makes them. Calls that go by an older era aren't sent, answers of one are lost, pages of two make no list, and a write of an older era that is carried out in the new one is unknown. Instances tell the era with their messages, so that one that the store turns away gives no orders either.

A server's entry that is an older word of the same life by its own beats changes nothing.

--- a/crates/gateway/benches/policy/world.rs
+++ b/crates/gateway/benches/policy/world.rs
@@ -130,6 +130,7 @@
                     is_draining: false,
                     models: vec![(model.clone(), 1)],
                     born: None,
+                    beats: 1,
                 };
                 instance.pool.put(Time::ZERO, &Arc::from(format!("e{engine}")), 1, entry);
             }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -362,6 +362,7 @@
         self.sweep_errands();
         self.sweep_probes();
         self.sweep_quarantine();
+        self.sweep_withheld();
         for id in self.pool.expire(self.now, self.storage.is_away()) {
             if self.storage.is_watcher {
                 self.tell_gone(id);
--- a/crates/gateway/src/core/errand.rs
+++ b/crates/gateway/src/core/errand.rs
@@ -247,6 +247,13 @@
         self.errand_ended(task.connection, End::Silent);
     }
 
+    /// Connections on which a watch of the store waits.
+    pub(super) fn store_watches(&self) -> Vec<Key> {
+        let is_watch = |it: &Purpose| matches!(it, Purpose::Store { call: Call::Watch { .. }, .. });
+        let watches = self.errands.iter().filter(|it| is_watch(&it.1.purpose));
+        watches.map(|it| it.1.connection).collect()
+    }
+
     fn errand_done(&mut self, purpose: Purpose, outcome: Outcome) {
         match purpose {
             Purpose::Store { sent, call, pages, timeout } => {
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -192,7 +192,20 @@
         if revision <= self.storage.entry_revision(name) {
             return;
         }
-        self.storage.entries.insert(name.clone(), Entry { revision, value: value.cloned() });
+        let read = value.and_then(|it| self.dialect.server(it).ok()).map(|it| it.beat());
+        let known = self.storage.entries.get(name).map(|it| (it.revision, it.beat));
+        // Guards against a server that has left and whose leaving the store has lost: it comes back as ready, under a
+        // later position. Its own beat tells that this is an older word.
+        if let (Some(read), Some((before, Some(known)))) = (read, known)
+            && Version(before).era() < Version(revision).era()
+            && read.is_past(&known)
+        {
+            self.withhold(name, known);
+            return;
+        }
+        self.storage.written_again(name);
+        let beat = read.or(known.and_then(|it| it.1));
+        self.storage.entries.insert(name.clone(), Entry { revision, value: value.cloned(), beat });
         // What an instance reads first is news to itself only: told to all neighbours by each of 294 instances
         // that started together, it took 162 MB before 209 servers.
         if source == Source::Store && value.is_some() && self.storage.has_entries() {
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -225,6 +225,8 @@
             members: Vec::new(),
             beats: Vec::new(),
             configuration: self.version_in_force(),
+            era: self.storage.era.number(),
+            withheld: self.told_withheld(),
             weights: self.namings(),
             rumours,
             passes_on,
--- a/crates/gateway/src/core/peers/heard.rs
+++ b/crates/gateway/src/core/peers/heard.rs
@@ -69,6 +69,8 @@
             members,
             beats,
             configuration,
+            era,
+            withheld,
             weights,
             rumours,
             passes_on,
@@ -76,6 +78,8 @@
             paces,
             quarantine,
         } = message;
+        self.told_era(era);
+        self.take_withheld(&withheld);
         let holder = from.holder(configuration);
         for (address, is_alive) in cache_stores {
             self.cache_stores.told(now, address, is_alive);
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -49,6 +49,7 @@
     lease: Gauge,
     quarantined: Gauge,
     suspected: Gauge,
+    era: Gauge,
     prompt_tokens: Counter,
     unread_tokens: Counter,
     expected_wait: Histogram,
@@ -120,6 +121,7 @@
             lease: metrics::gauge!("shallotlead_lease_held"),
             quarantined: metrics::gauge!("shallotlead_quarantined_requests"),
             suspected: metrics::gauge!("shallotlead_suspected_requests"),
+            era: metrics::gauge!("shallotlead_store_era"),
             prompt_tokens: metrics::counter!("shallotlead_prompt_tokens_total"),
             unread_tokens: metrics::counter!("shallotlead_unread_tokens_total"),
             expected_wait: metrics::histogram!("shallotlead_expected_wait_seconds"),
@@ -210,6 +212,16 @@
         metrics::counter!("shallotlead_quarantine_total", "step" => step).increment(1);
     }
 
+    /// The store came back from an older copy.
+    pub(crate) fn store_restored(&mut self) {
+        metrics::counter!("shallotlead_store_restores_total").increment(1);
+    }
+
+    /// An answer of the store wasn't used for the era that it names.
+    pub(crate) fn era_refused(&mut self, reason: &'static str) {
+        metrics::counter!("shallotlead_store_era_refused_total", "reason" => reason).increment(1);
+    }
+
     /// A prompt was sent; its server is expected to begin with it after `wait` and to read `unread` of
     /// its tokens.
     pub(crate) fn prompt(&mut self, tokens: u32, unread: u32, wait: Duration) {
@@ -258,6 +270,7 @@
         let (quarantined, suspected) = self.quarantine.counts();
         stats.quarantined.set(quarantined as f64);
         stats.suspected.set(suspected as f64);
+        stats.era.set(self.storage.era.number() as f64);
         stats.lease.set(f64::from(u8::from(self.lease.is_held(self.now))));
         stats.dropped_lines.set(self.journal.dropped() as f64);
         stats.configuration.set(version as f64);
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -3,8 +3,10 @@
 
 mod call;
 mod document;
+mod era;
 mod follower;
 mod verdicts;
+mod withheld;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -21,13 +23,14 @@
 
 use crate::{
     core::Core,
-    dialect::{Dialect, Subject},
+    dialect::{Beat, Dialect, Subject},
     gossip::Member,
     quarantine::Identity,
     settings::Settings,
 };
 
 pub(crate) use document::{Document, unpack};
+use era::Era;
 use follower::Follower;
 pub(crate) use follower::What;
 use verdicts::Verdicts;
@@ -66,6 +69,9 @@
     pub(crate) is_watcher: bool,
     register: Register,
     verdicts: Verdicts,
+    pub(crate) era: Era,
+    /// Servers that aren't used though the store says that they are ready.
+    withheld: withheld::Servers,
 }
 
 /// A server's entry as it lies in the store.
@@ -74,6 +80,8 @@
     pub(crate) revision: u64,
     /// Its content; nothing once it was removed.
     pub(crate) value: Option<Arc<[u8]>>,
+    /// The last beat that was read of the server, also after its removal.
+    pub(crate) beat: Option<Beat>,
 }
 
 /// Who told of something.
@@ -136,6 +144,8 @@
             is_watcher: true,
             register: Register::Due(Version(0), now),
             verdicts: Verdicts::default(),
+            era: Era::default(),
+            withheld: withheld::Servers::default(),
         }
     }
 
@@ -160,6 +170,11 @@
         self.entries.get(server).map_or(0, |it| it.revision)
     }
 
+    /// A server has written a later entry.
+    pub(crate) fn written_again(&mut self, server: &str) {
+        self.withheld.remove(server);
+    }
+
     /// Whether all entries have been read once, or were told by an instance that has read them.
     pub(crate) fn has_entries(&self) -> bool {
         0 < self.entries_until
@@ -229,6 +244,7 @@
             self.storage.submit(now, Want::Lease, call);
         }
         self.tick_verdicts();
+        self.tick_era();
         for action in self.storage.scheduler.tick(now) {
             match action {
                 Action::Send(sent, call) => self.send_call(sent, call),
--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -18,6 +18,10 @@
 
 impl Core {
     pub(super) fn send_call(&mut self, sent: Sent, call: Call) {
+        if let Some(outcome) = self.outdated(&call) {
+            self.storage.scheduler.answered(sent, outcome, self.now);
+            return;
+        }
         let timeout = match &call {
             Call::Watch { wait, .. } => *wait + TIMEOUT,
             _ => TIMEOUT,
@@ -52,13 +56,18 @@
             }
             errand::Outcome::Reset | errand::Outcome::Lost => Outcome::Lost,
             errand::Outcome::Answered { status, fields, body } => {
+                let era = self.storage.era.number();
+                let is_usable = self.take_era(&fields, (200..300).contains(&status));
+                // Pages of two eras make no list.
+                let is_torn = !pages.is_empty() && era != self.storage.era.number();
                 match self.dialect.store_reply(&call, status, &fields, &body) {
+                    _ if !is_usable || is_torn => Outcome::Lost,
                     Stored::Page(objects, last) => {
                         pages.extend(objects);
                         self.send_page(sent, call, pages, timeout, Some(&last));
                         return;
                     }
-                    Stored::Done(outcome) => outcome,
+                    Stored::Done(outcome) => self.across_eras(&call, outcome),
                 }
             }
         };
@@ -74,6 +83,13 @@
         self.storage.scheduler.answered(sent, outcome, self.now);
     }
 
+    /// Ends the watches that wait: what they wait for may have been lost.
+    pub(super) fn end_watches(&mut self) {
+        for connection in self.store_watches() {
+            self.errand_ended(connection, errand::End::Silent);
+        }
+    }
+
     /// Notes whether the store answers this instance.
     fn note_store(&mut self, call: &Call, outcome: &Outcome) {
         let now = self.now;
--- a/crates/gateway/src/core/storage/verdicts.rs
+++ b/crates/gateway/src/core/storage/verdicts.rs
@@ -50,8 +50,13 @@
     versions: Map<Identity, Version>,
     /// When each record was last known to be up to date.
     current: Map<Identity, Time>,
+    /// Records that were removed lately: an older copy of the store would bring them back.
+    removed: Map<Identity, Time>,
 }
 
+/// How long a removal is done again if the store comes back from an older copy.
+const REMOVED_AGAIN: Duration = Duration::from_secs(60);
+
 impl Verdicts {
     fn push(&mut self, identity: Identity, change: Change) {
         self.due.retain(|it| it.0 != identity);
@@ -61,6 +66,16 @@
         self.due.push_back((identity, change));
     }
 
+    /// The store came back from an older copy: what this instance wrote or read is written again, and what it removed
+    /// lately is removed again.
+    pub(super) fn restored(&mut self, now: Time) {
+        let known: Vec<Identity> = std::mem::take(&mut self.versions).into_keys().collect();
+        known.into_iter().for_each(|it| self.push(it, Change::Write));
+        self.removed.retain(|_, it| now.since(*it) < REMOVED_AGAIN);
+        let removed: Vec<Identity> = self.removed.keys().copied().collect();
+        removed.into_iter().for_each(|it| self.push(it, Change::Remove));
+    }
+
     /// When a change is due, if there is one.
     pub(super) fn next(&self) -> Option<Time> {
         (!self.is_open && !self.due.is_empty()).then_some(self.next)
@@ -71,6 +86,7 @@
     /// A request was put in quarantine: its record is to be written.
     pub(crate) fn write_verdict(&mut self, identity: Identity) {
         self.storage.verdicts.push(identity, Change::Write);
+        self.storage.verdicts.removed.remove(&identity);
         self.storage.verdicts.current.insert(identity, self.now);
     }
 
@@ -86,6 +102,7 @@
     /// A request was released: its record is to be removed.
     pub(crate) fn remove_verdict(&mut self, identity: Identity) {
         self.storage.verdicts.current.remove(&identity);
+        self.storage.verdicts.removed.insert(identity, self.now);
         self.storage.verdicts.push(identity, Change::Remove);
     }
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -44,6 +44,9 @@
     fn store_call(&self, call: &Call, after: Option<&str>) -> Errand;
     /// What an answer of the platform's store says.
     fn store_reply(&self, call: &Call, status: u16, fields: &Fields, body: &[u8]) -> Stored;
+    /// The era that an answer of the platform's store names: it rises each time that the store comes back from an older
+    /// copy.
+    fn store_era(&self, fields: &Fields) -> Result<Option<u64>, Malformed>;
     /// The kind and name of an object that holds what `subject` says.
     fn kind(&self, subject: Subject) -> &'static str;
     /// The name of the object with the configuration.
@@ -248,6 +251,31 @@
     pub models: Vec<(Arc<str>, u64)>,
     /// Its life, where it says so.
     pub born: Option<Born>,
+    /// Counts what it has written in this life.
+    pub beats: u64,
+}
+
+impl ServerEntry {
+    /// When in the server's life it wrote this.
+    pub fn beat(&self) -> Beat {
+        Beat { born: self.born, beats: self.beats }
+    }
+}
+
+/// A moment in the life of a backend server.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Beat {
+    /// The life, where it is known.
+    pub born: Option<Born>,
+    /// Counts what the server has written in it.
+    pub beats: u64,
+}
+
+impl Beat {
+    /// Whether this is no later than `known` in the same life.
+    pub fn is_past(&self, known: &Self) -> bool {
+        self.born == known.born && self.beats <= known.beats
+    }
 }
 
 /// The weights that servers of a model are to load.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -2,6 +2,7 @@
 
 mod entries;
 mod members;
+mod withheld;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -16,6 +17,7 @@
 
 pub use entries::{Entries, Entry};
 pub use members::Members;
+pub use withheld::Withheld;
 
 /// How often an instance tells a few others what it knows.
 pub const PERIOD: Duration = Duration::from_millis(600);
@@ -137,6 +139,10 @@
     pub beats: Vec<Beat>,
     /// The version of the configuration that it has.
     pub configuration: u64,
+    /// The era of the store that it knows; zero if it knows none.
+    pub era: u64,
+    /// Servers that aren't used though an older copy of the store says that they are ready.
+    pub withheld: Vec<Withheld>,
     /// The weights that it has heard of.
     pub weights: Vec<Naming>,
     /// What has happened to servers and instances.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -343,6 +343,17 @@
         Change::Leaving(id)
     }
 
+    /// Another instance knows that the server was leaving, or gone, after it wrote what this one knows, at `revision`.
+    pub fn withhold(&mut self, name: &str, revision: u64) -> Option<Id> {
+        let id = self.find(name)?;
+        let server = &mut self.servers[id];
+        if server.presence != Presence::Ready || revision < server.revision {
+            return None;
+        }
+        server.presence = Presence::Draining;
+        Some(id)
+    }
+
     /// Another server answers at this one's address: it has ended.
     pub fn replaced(&mut self, id: Id) {
         self.servers[id].presence = Presence::Gone;
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -88,7 +88,7 @@
 
 impl Server {
     pub(super) fn new(name: Arc<str>, revision: u64, entry: ServerEntry) -> Self {
-        let ServerEntry { service, address, centre, is_draining, models, born } = entry;
+        let ServerEntry { service, address, centre, is_draining, models, born, beats: _ } = entry;
         Self {
             name,
             born,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -30,6 +30,7 @@
         is_draining: false,
         models: vec![(Arc::from(MODEL), version)],
         born: None,
+        beats: 1,
     }
 }
 
