--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -192,19 +192,22 @@
         if revision <= self.storage.entry_revision(name) {
             return;
         }
-        let read = value.and_then(|it| self.dialect.server(it).ok()).map(|it| it.beat());
-        let known = self.storage.entries.get(name).map(|it| (it.revision, it.beat));
+        let read_beat = value.and_then(|it| self.dialect.server(it).ok()).map(|it| it.beat());
+        let known = self.storage.entries.get(name);
+        let known_beat = known.and_then(|it| it.beat);
         // Guards against a server that has left and whose leaving the store has lost: it comes back as ready, under a
         // later position. Its own beat tells that this is an older word.
-        if let (Some(read), Some((before, Some(known)))) = (read, known)
-            && Version(before).era() < Version(revision).era()
-            && read.is_past(&known)
+        // The same word written again is no older one, unless its server was gone since.
+        if let (Some(read), Some(before), Some(last)) = (read_beat, known, known_beat)
+            && Version(before.revision).era() < Version(revision).era()
+            && read.is_not_after(&last)
+            && (read != last || before.value.is_none())
         {
-            self.withhold(name, known);
+            self.withhold(name, last);
             return;
         }
-        self.storage.written_again(name);
-        let beat = read.or(known.and_then(|it| it.1));
+        self.storage.stop_withholding(name);
+        let beat = read_beat.or(known_beat);
         self.storage.entries.insert(name.clone(), Entry { revision, value: value.cloned(), beat });
         // What an instance reads first is news to itself only: told to all neighbours by each of 294 instances
         // that started together, it took 162 MB before 209 servers.
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -171,7 +171,7 @@
     }
 
     /// A server has written a later entry.
-    pub(crate) fn written_again(&mut self, server: &str) {
+    pub(crate) fn stop_withholding(&mut self, server: &str) {
         self.withheld.remove(server);
     }
 
@@ -327,6 +327,7 @@
         match reply {
             Reply::Listed { objects, version } => {
                 follower.revision = Some(*version);
+                self.storage.era.listed(&follower.kind);
                 if what == What::Subject(Subject::Configuration) {
                     self.peers.catchup.settle();
                 }
--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -56,10 +56,12 @@
             }
             errand::Outcome::Reset | errand::Outcome::Lost => Outcome::Lost,
             errand::Outcome::Answered { status, fields, body } => {
-                let era = self.storage.era.number();
-                let is_usable = self.take_era(&fields, (200..300).contains(&status));
+                // Refusals promise no more than that nothing was done.
+                let is_refusal = matches!(status, 429 | 503);
+                let is_usable = self.learn_era(&fields, is_refusal);
                 // Pages of two eras make no list.
-                let is_torn = !pages.is_empty() && era != self.storage.era.number();
+                let era = self.storage.era.number();
+                let is_torn = pages.first().is_some_and(|it| it.version.era() != era);
                 match self.dialect.store_reply(&call, status, &fields, &body) {
                     _ if !is_usable || is_torn => Outcome::Lost,
                     Stored::Page(objects, last) => {
@@ -67,7 +69,7 @@
                         self.send_page(sent, call, pages, timeout, Some(&last));
                         return;
                     }
-                    Stored::Done(outcome) => self.across_eras(&call, outcome),
+                    Stored::Done(outcome) => self.discard_if_outdated(&call, outcome),
                 }
             }
         };
@@ -83,7 +85,7 @@
         self.storage.scheduler.answered(sent, outcome, self.now);
     }
 
-    /// Ends the watches that wait: what they wait for may have been lost.
+    /// Cuts the watches that wait, as what they wait for may have been lost. The scheduler sends them again.
     pub(super) fn end_watches(&mut self) {
         for connection in self.store_watches() {
             self.errand_ended(connection, errand::End::Silent);
--- a/crates/gateway/src/core/storage/era.rs
+++ b/crates/gateway/src/core/storage/era.rs
@@ -1,9 +1,10 @@
 //! The store's era: it rises when the store comes back from an older copy, and what was written since is lost.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use rand::Rng;
 use shallotlead_base::{
+    hash::Set,
     id::Version,
     store::{Call, Failure, Reply},
     time::Time,
@@ -22,35 +23,46 @@
 /// How long after a restore servers' entries are read once more. A server that lapsed while it lived writes again
 /// what the copy has, but for its beat, and no change tells of that.
 const READ_AGAIN: Duration = Duration::from_millis(2_500);
-/// Within it the followed kinds are read anew, and records written again: all instances learn of a restore together.
+/// Within it all instances write their own records again: they learn of a restore at the same moment.
 const SPREAD: Duration = Duration::from_millis(300);
 
 /// The store's era as one instance knows it.
 #[derive(Debug, Default)]
 pub(crate) struct Era {
-    /// What the store has said, once it has.
-    own: Option<u64>,
-    /// The latest that another instance has told of.
+    /// What the store has said; zero where it names none. Nothing before its first answer.
+    from_store: Option<u64>,
+    /// What another instance has told last.
     told: u64,
     /// When servers' entries are read once more.
     read_again: Option<Time>,
+    /// Kinds that are to be listed before they are watched on.
+    lists: Set<Arc<str>>,
 }
 
 impl Era {
     /// The era, as other instances are told; zero before the first answer.
     pub(crate) fn number(&self) -> u64 {
-        self.own.unwrap_or(0)
+        self.from_store.unwrap_or(0)
     }
 
-    /// Whether a call goes by what was read in an older era. Such a one isn't sent: its revision may belong to
-    /// something else by now.
-    fn is_outdated(&self, call: &Call) -> bool {
-        basis(call).is_some_and(|it| it.era() < self.number())
+    /// A kind was listed.
+    pub(super) fn listed(&mut self, kind: &str) {
+        self.lists.remove(kind);
     }
 }
 
-/// What a call goes by; nothing if it goes by nothing, as a reading or the first writing.
-fn basis(call: &Call) -> Option<Version> {
+/// What an answer's era says of the answer.
+enum Standing {
+    /// It may be used.
+    Current,
+    /// The store came back from an older copy since the last one.
+    Newer(u64),
+    /// It may not be used.
+    Refused(&'static str),
+}
+
+/// The version that a call's condition names, or that a watch goes on from.
+fn condition_version(call: &Call) -> Option<Version> {
     match call {
         Call::Put { expected: it, .. } | Call::Delete { expected: it, .. } => {
             (*it != Version(0)).then_some(*it)
@@ -61,50 +73,61 @@
 }
 
 impl Core {
-    /// The outcome of a call that isn't sent, as it goes by an older era: a write's condition doesn't hold, and a
-    /// watch's history is lost.
+    /// The outcome of a call that goes by an older era. It isn't sent, as its revision may belong to something else by
+    /// now: a write's condition doesn't hold, and a watch's history is lost.
     pub(super) fn outdated(&self, call: &Call) -> Option<Outcome> {
+        let era = &self.storage.era;
+        let is_older = condition_version(call).is_some_and(|it| it.era() < era.number());
         let reply = match call {
-            _ if !self.storage.era.is_outdated(call) => return None,
-            Call::Watch { .. } => Reply::Failed(Failure::Compacted),
-            Call::Put { .. } | Call::Delete { .. } | Call::Get(_) | Call::List { .. } => {
-                Reply::Conflict(None)
+            Call::Watch { kind, .. } if is_older || era.lists.contains(kind) => {
+                Reply::Failed(Failure::Compacted)
             }
+            Call::Put { .. } | Call::Delete { .. } if is_older => Reply::Conflict(None),
+            _ => return None,
         };
         Some(Outcome::Answered(reply))
     }
 
-    /// Takes the era of an answer before the answer itself is used. Says whether it may be: one of an older era comes
-    /// late, and one without a readable era proves nothing.
-    pub(super) fn take_era(&mut self, fields: &Fields, is_success: bool) -> bool {
-        let known = self.storage.era.own;
-        let refused = match (self.dialect.store_era(fields), known) {
-            (Ok(Some(era)), None) => {
-                self.storage.era.own = Some(era);
-                self.storage.era.told = self.storage.era.told.max(era);
-                self.journal.line(self.now, "store_era").number("era", era);
-                return true;
+    /// Learns the era of an answer before the answer itself is used. Says whether it may be.
+    pub(super) fn learn_era(&mut self, fields: &Fields, is_refusal: bool) -> bool {
+        match self.judge_era(fields, is_refusal) {
+            Standing::Current => true,
+            Standing::Newer(era) => {
+                self.store_restored(era);
+                true
             }
-            (Ok(Some(era)), Some(known)) if known < era => {
-                self.store_restored(known, era);
-                return true;
+            Standing::Refused(reason) => {
+                self.stats.era_refused(reason);
+                self.journal.line(self.now, "store_era_refused").text("reason", reason);
+                false
             }
-            (Ok(Some(era)), Some(known)) if known == era => return true,
-            (Ok(Some(_)), Some(_)) => "older",
-            // A store that has never named an era has come back from no copy.
-            (Ok(None), None) => return true,
-            // Refusals promise no more than that nothing was done.
-            (Ok(None), Some(_)) if !is_success => return true,
-            (Ok(None), Some(_)) => "missing",
-            (Err(_), _) => "unreadable",
+        }
+    }
+
+    fn judge_era(&mut self, fields: &Fields, is_refusal: bool) -> Standing {
+        let named = match self.dialect.store_era(fields) {
+            Ok(it) => it,
+            Err(_) => return Standing::Refused("unreadable"),
         };
-        self.stats.era_refused(refused);
-        self.journal.line(self.now, "store_era_refused").text("reason", refused);
-        false
+        let Some(known) = self.storage.era.from_store else {
+            if !is_refusal {
+                let era = named.unwrap_or(0);
+                self.storage.era.from_store = Some(era);
+                self.journal.line(self.now, "store_era").number("era", era);
+            }
+            return Standing::Current;
+        };
+        match named {
+            None if is_refusal || known == 0 => Standing::Current,
+            None => Standing::Refused("missing"),
+            Some(era) if era < known => Standing::Refused("older"),
+            Some(era) if known < era => Standing::Newer(era),
+            Some(_) => Standing::Current,
+        }
     }
 
-    /// What an answer of a newer era says to a call that went by an older one.
-    pub(super) fn across_eras(&self, call: &Call, outcome: Outcome) -> Outcome {
+    /// Discards what an answer of a newer era says to a call that goes by an older one.
+    pub(super) fn discard_if_outdated(&self, call: &Call, outcome: Outcome) -> Outcome {
         match (&outcome, self.outdated(call)) {
             (Outcome::Answered(_), Some(lost)) if matches!(call, Call::Watch { .. }) => lost,
             // It was carried out on a revision that was given out again: nothing follows from it.
@@ -113,43 +136,40 @@
         }
     }
 
-    /// Another instance has heard of the store's `era`. Orders stop at once; that the store's answers are of an older
-    /// one is believed only of the store.
+    /// Another instance has heard of the store's `era`. Orders stop at once; what the era is, is believed only of the
+    /// store, which is asked by lists and by writing the own record again.
     pub(crate) fn told_era(&mut self, era: u64) {
-        let known = self.storage.era.own.unwrap_or(u64::MAX);
-        if era <= known || era <= self.storage.era.told || Version::MAX_ERA < era {
+        // One that has heard nothing of the store goes by nothing of an older era.
+        let Some(known) = self.storage.era.from_store else { return };
+        if era <= known || era == self.storage.era.told || Version::MAX_ERA < era {
             return;
         }
         self.storage.era.told = era;
         self.journal.line(self.now, "store_era").number("era", known).number("told", era);
         self.lease.restored(self.now);
-        self.end_watches();
+        if self.storage.is_watcher {
+            self.list_anew(|_| true);
+        }
+        self.write_record_again();
     }
 
     /// The store came back from an older copy.
-    fn store_restored(&mut self, before: u64, era: u64) {
+    fn store_restored(&mut self, era: u64) {
         let now = self.now;
         self.journal
             .line(now, "store_restored")
-            .number("before", before)
+            .number("before", self.storage.era.number())
             .number("era", era)
             .number("servers", self.storage.entries.len());
         self.stats.store_restored();
-        self.storage.era.own = Some(era);
-        self.storage.era.told = self.storage.era.told.max(era);
+        self.storage.era.from_store = Some(era);
         self.storage.era.read_again = Some(now + READ_AGAIN);
         self.lease.restored(now);
         self.pool.store_returned(now);
-        self.end_watches();
-        let is_watcher = self.storage.is_watcher;
-        for it in self.storage.followed.iter_mut().filter(|it| it.what != What::Verdicts) {
-            it.next = now + SPREAD.mul_f64(self.rng.random::<f64>());
-            if is_watcher {
-                it.revision = None;
-            }
+        if self.storage.is_watcher {
+            self.list_anew(|_| true);
         }
-        let at = now + SPREAD.mul_f64(self.rng.random::<f64>());
-        self.storage.register = Register::Due(Version(0), at);
+        self.write_record_again();
         self.storage.verdicts.restored(now);
         self.tell_own_state();
     }
@@ -160,13 +180,22 @@
             return;
         }
         self.storage.era.read_again = None;
-        if !self.storage.is_watcher {
-            return;
+        if self.storage.is_watcher {
+            self.list_anew(|it| it == What::Subject(Subject::Servers));
         }
+    }
+
+    /// Lists kinds before they are watched on.
+    fn list_anew(&mut self, is_chosen: impl Fn(What) -> bool) {
+        let followed = self.storage.followed.iter();
+        let chosen = followed.filter(|it| it.what != What::Verdicts && is_chosen(it.what));
+        self.storage.era.lists.extend(chosen.map(|it| it.kind.clone()));
         self.end_watches();
-        let servers = What::Subject(Subject::Servers);
-        if let Some(it) = self.storage.followed.iter_mut().find(|it| it.what == servers) {
-            it.revision = None;
-        }
+    }
+
+    /// Writes the own record again, by which instances that start find this one.
+    fn write_record_again(&mut self) {
+        let at = self.now + SPREAD.mul_f64(self.rng.random::<f64>());
+        self.storage.register = Register::Due(Version(0), at);
     }
 }
--- a/crates/gateway/src/core/storage/verdicts.rs
+++ b/crates/gateway/src/core/storage/verdicts.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use shallotlead_base::{
-    hash::Map,
+    hash::{Map, Set},
     id::Version,
     store::{Call, Key, Object, Reply},
     time::Time,
@@ -50,6 +50,8 @@
     versions: Map<Identity, Version>,
     /// When each record was last known to be up to date.
     current: Map<Identity, Time>,
+    /// Records that this instance has written.
+    written: Set<Identity>,
     /// Records that were removed lately: an older copy of the store would bring them back.
     removed: Map<Identity, Time>,
 }
@@ -66,11 +68,12 @@
         self.due.push_back((identity, change));
     }
 
-    /// The store came back from an older copy: what this instance wrote or read is written again, and what it removed
-    /// lately is removed again.
+    /// The store came back from an older copy: what this instance wrote is written again, and what it removed lately is
+    /// removed again.
     pub(super) fn restored(&mut self, now: Time) {
-        let known: Vec<Identity> = std::mem::take(&mut self.versions).into_keys().collect();
-        known.into_iter().for_each(|it| self.push(it, Change::Write));
+        self.versions.clear();
+        let written: Vec<Identity> = self.written.iter().copied().collect();
+        written.into_iter().for_each(|it| self.push(it, Change::Write));
         self.removed.retain(|_, it| now.since(*it) < REMOVED_AGAIN);
         let removed: Vec<Identity> = self.removed.keys().copied().collect();
         removed.into_iter().for_each(|it| self.push(it, Change::Remove));
@@ -102,7 +105,10 @@
     /// A request was released: its record is to be removed.
     pub(crate) fn remove_verdict(&mut self, identity: Identity) {
         self.storage.verdicts.current.remove(&identity);
-        self.storage.verdicts.removed.insert(identity, self.now);
+        let now = self.now;
+        let removed = &mut self.storage.verdicts.removed;
+        removed.retain(|_, it| now.since(*it) < REMOVED_AGAIN);
+        removed.insert(identity, now);
         self.storage.verdicts.push(identity, Change::Remove);
     }
 
@@ -149,6 +155,9 @@
         let is_done = match reply {
             Reply::Done(version) => {
                 verdicts.versions.insert(identity, *version);
+                if change == Some(Change::Write) {
+                    verdicts.written.insert(identity);
+                }
                 true
             }
             // Another instance has written it; to remove it, its version must be known.
@@ -171,6 +180,7 @@
         verdicts.due.pop_front();
         if change == Some(Change::Remove) {
             verdicts.versions.remove(&identity);
+            verdicts.written.remove(&identity);
         }
     }
 
--- a/crates/gateway/src/core/storage/withheld.rs
+++ b/crates/gateway/src/core/storage/withheld.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use rand::seq::IteratorRandom;
 use shallotlead_base::{hash::Map, time::Time};
 
 use crate::{core::Core, dialect::Beat, gossip::Withheld, pool::Presence};
@@ -25,14 +26,15 @@
     }
 
     /// What the others are told of servers that are held back.
-    pub(crate) fn told_withheld(&self) -> Vec<Withheld> {
-        let all = self.storage.withheld.iter().take(MOST_TOLD);
-        all.map(|(server, (beat, since))| Withheld {
-            server: server.clone(),
-            beat: *beat,
-            age_ms: self.now.since(*since).as_millis() as u64,
-        })
-        .collect()
+    pub(crate) fn told_withheld(&mut self) -> Vec<Withheld> {
+        let all = self.storage.withheld.iter().choose_multiple(&mut self.rng, MOST_TOLD);
+        all.into_iter()
+            .map(|(server, (beat, since))| Withheld {
+                server: server.clone(),
+                beat: *beat,
+                age_ms: self.now.since(*since).as_millis() as u64,
+            })
+            .collect()
     }
 
     /// Another instance holds servers back. Those of which nothing later was read here are held back as well.
@@ -40,7 +42,7 @@
         for Withheld { server, beat, age_ms } in told {
             let age = Duration::from_millis(*age_ms);
             let known = self.storage.entries.get(server).and_then(|it| it.beat);
-            let is_old = known.is_some_and(|it| it.is_past(beat));
+            let is_old = known.is_some_and(|it| it.is_not_after(beat));
             if KEPT <= age || !is_old || self.storage.withheld.contains_key(server) {
                 continue;
             }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -272,9 +272,9 @@
 }
 
 impl Beat {
-    /// Whether this is no later than `known` in the same life.
-    pub fn is_past(&self, known: &Self) -> bool {
-        self.born == known.born && self.beats <= known.beats
+    /// Whether this is no later than `other` in the same life.
+    pub fn is_not_after(&self, other: &Self) -> bool {
+        self.born == other.born && self.beats <= other.beats
     }
 }
 
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -87,6 +87,8 @@
     stage: Stage,
     writes: u64,
     is_calling: bool,
+    /// The call under way was made before the store came back from a copy.
+    is_void: bool,
     next: Time,
     released: bool,
     /// When this instance last ordered each server.
@@ -108,6 +110,7 @@
             stage: Stage::Watching(None),
             writes: 0,
             is_calling: false,
+            is_void: false,
             next: Time::ZERO,
             released: false,
             orders: Map::default(),
@@ -141,11 +144,11 @@
 
     /// The store came back from a copy: the right is over, and nothing that was seen before counts,
     /// also not that there was no record. The next order comes after the rights of older eras have
-    /// ended and their orders have arrived. Answers of an older era, and those to writes that were
-    /// sent in one, must be given to [`Lease::reply`] as unknown.
+    /// ended and their orders have arrived. The answer to a call that is under way counts as unknown.
     pub fn restored(&mut self, now: Time) {
         self.stage = Stage::Watching(None);
         self.wait.delay_all(now + TERM + self.gap);
+        self.is_void = self.is_calling;
         self.next = now;
     }
 
@@ -225,6 +228,9 @@
     pub fn reply(&mut self, now: Time, rank: usize, reply: &Reply) {
         self.is_calling = false;
         self.next = now;
+        if std::mem::take(&mut self.is_void) {
+            return;
+        }
         let found = match reply {
             Reply::Got(object) | Reply::Conflict(object) => Some(object.as_ref()),
             _ => None,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -343,7 +343,7 @@
         Change::Leaving(id)
     }
 
-    /// Another instance knows that the server was leaving, or gone, after it wrote what this one knows, at `revision`.
+    /// Stops using a server whose entry at `revision` is an older word than another instance has.
     pub fn withhold(&mut self, name: &str, revision: u64) -> Option<Id> {
         let id = self.find(name)?;
         let server = &mut self.servers[id];
