--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -95,7 +95,7 @@
     /// A small request's bound.
     Errand(usize, u64),
     /// A server has lost its runs: does it live?
-    Doubt(pool::Id),
+    Liveness(pool::Id),
     /// The others are to be told what ran at a server that crashed.
     Crashed(pool::Id),
 }
@@ -335,7 +335,7 @@
             match timer {
                 Timer::Exchange(place, serial) => self.exchange_due(place, serial),
                 Timer::Errand(place, serial) => self.errand_due(place, serial),
-                Timer::Doubt(id) => self.ask_doubted(id),
+                Timer::Liveness(id) => self.check_liveness(id),
                 Timer::Crashed(id) => self.tell_crashed(id),
             }
         }
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -14,7 +14,7 @@
     pace::Sample,
     placement::Choice,
     pool::{self, Switch},
-    quarantine::Verdict,
+    quarantine::Standing,
     rollout,
 };
 
@@ -315,10 +315,10 @@
             }
         }
         // A suspect would take the server of its copy along as well.
-        let goes_on = match self.verdict(place) {
-            Verdict::Clear => self.go_on(place, reason) || self.try_again(place, reason),
-            Verdict::Suspect => self.try_again(place, reason),
-            Verdict::Held | Verdict::Quarantined => {
+        let goes_on = match self.standing(place) {
+            Standing::Clear => self.go_on(place, reason) || self.try_again(place, reason),
+            Standing::Suspect => self.try_again(place, reason),
+            Standing::Held | Standing::Quarantined => {
                 self.fail(place, 502, "quarantined");
                 return;
             }
--- a/crates/gateway/src/core/errand.rs
+++ b/crates/gateway/src/core/errand.rs
@@ -33,7 +33,7 @@
     /// Whether a backend server lives.
     Probe(pool::Id),
     /// Whether a backend server lives that lost its runs.
-    Doubt(pool::Id),
+    Liveness(pool::Id),
     /// Whether the store of cached prompts at this address lives.
     CacheStore(SocketAddr),
     /// An order to a backend server.
@@ -261,7 +261,7 @@
             }
             Purpose::Report(id) => self.server_reported(id, &outcome),
             Purpose::Probe(id) => self.server_probed(id, &outcome),
-            Purpose::Doubt(id) => self.settle_doubt(id, &outcome),
+            Purpose::Liveness(id) => self.liveness_checked(id, &outcome),
             Purpose::CacheStore(address) => self.cache_store_answered(address, &outcome),
             Purpose::Order(id) => self.server_ordered(id, &outcome),
             Purpose::State(question) => self.state_came(&question, &outcome),
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -18,7 +18,7 @@
     net::Key,
     placement::{self, Reach, Shortage, Wish},
     pool,
-    quarantine::{Identity, Verdict},
+    quarantine::{Identity, Standing},
 };
 
 /// Part of the aim for which a request may wait for a server before it is refused; a refusal that
@@ -218,14 +218,14 @@
             self.fail(place, 502, "may-have-run");
             return;
         }
-        let verdict = self.verdict(place);
-        if matches!(verdict, Verdict::Held | Verdict::Quarantined) {
-            self.give_up(place, self.refuse_quarantined(verdict));
+        let standing = self.standing(place);
+        if matches!(standing, Standing::Held | Standing::Quarantined) {
+            self.give_up(place, self.refuse_quarantined(standing));
             return;
         }
         let random = self.random();
         let Some(exchange) = self.exchanges.get(place) else { return };
-        let wish = Wish { is_suspect: verdict == Verdict::Suspect, ..self.wish(exchange) };
+        let wish = Wish { is_suspect: standing == Standing::Suspect, ..self.wish(exchange) };
         let shortest = self.catalog.as_ref().and_then(|it| it.shortest_aim(&exchange.service));
         let admission = Admission::of(exchange, shortest);
         let choose =
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -52,7 +52,7 @@
                 let value = Some(&object.value);
                 self.take_entry(&object.key.name, object.version.0, value, Source::Store);
             }
-            What::Verdicts => self.take_verdict(object),
+            What::Records => self.take_quarantine(object),
             What::Instances => match serde_json::from_slice::<Member>(&object.value) {
                 Ok(member) => self.members.listed(self.now, member),
                 Err(err) => {
--- a/crates/gateway/src/core/quarantine.rs
+++ b/crates/gateway/src/core/quarantine.rs
@@ -12,7 +12,7 @@
     },
     http::body::Framing,
     pool::{self, Presence},
-    quarantine::{Expiry, Identity, Life, Record, Verdict},
+    quarantine::{Expiry, Identity, Life, Record, Standing},
     rumour::Rumour,
 };
 
@@ -39,9 +39,9 @@
         self.quarantine.lost(self.now, identity, life);
         self.end_held(identity);
         let row = self.pool.get_mut(server);
-        if !row.is_doubted {
-            row.is_doubted = true;
-            self.at(self.now + ASK_AFTER, Timer::Doubt(server));
+        if !row.awaits_check {
+            row.awaits_check = true;
+            self.at(self.now + ASK_AFTER, Timer::Liveness(server));
         }
     }
 
@@ -56,13 +56,13 @@
     }
 
     /// Asks a server that lost its runs whether it lives.
-    pub(crate) fn ask_doubted(&mut self, id: pool::Id) {
-        self.pool.get_mut(id).is_doubted = false;
-        self.ask_server(id, PROBE, Purpose::Doubt(id));
+    pub(crate) fn check_liveness(&mut self, id: pool::Id) {
+        self.pool.get_mut(id).awaits_check = false;
+        self.ask_server(id, PROBE, Purpose::Liveness(id));
     }
 
     /// A server that was asked whether it lives has answered, or hasn't. A late answer says nothing: it may be busy.
-    pub(crate) fn settle_doubt(&mut self, id: pool::Id, outcome: &Outcome) {
+    pub(crate) fn liveness_checked(&mut self, id: pool::Id, outcome: &Outcome) {
         self.take_report(id, outcome);
         match outcome {
             Outcome::Refused => {
@@ -86,12 +86,12 @@
         }
         let server = self.pool.get(id);
         let (life, servers) = (server.life(), self.pool.usable(&server.service).count());
-        let blamed = self.quarantine.crashed(self.now, life, servers);
-        if blamed.is_empty() {
+        let implicated = self.quarantine.crashed(self.now, life, servers);
+        if implicated.is_empty() {
             return;
         }
         self.at(self.now + TELL_AFTER, Timer::Crashed(id));
-        for identity in blamed {
+        for identity in implicated {
             self.end_held(identity);
             let lives = self.quarantine.crashes(&identity).to_vec();
             // What crashes a second server is told at once: a third is at stake.
@@ -104,9 +104,9 @@
     /// Tells the others what ran at a server that crashed a moment ago.
     pub(crate) fn tell_crashed(&mut self, id: pool::Id) {
         let life = self.pool.get(id).life();
-        let blamed = self.quarantine.blamed(life);
-        if !blamed.is_empty() {
-            self.tell_all(Rumour::Crashed(life, blamed));
+        let implicated = self.quarantine.implicated(life);
+        if !implicated.is_empty() {
+            self.tell_all(Rumour::Crashed(life, implicated));
         }
     }
 
@@ -137,20 +137,20 @@
     }
 
     /// What is held of a request that has come.
-    pub(crate) fn verdict(&mut self, place: usize) -> Verdict {
+    pub(crate) fn standing(&mut self, place: usize) -> Standing {
         if self.quarantine.is_empty() {
-            return Verdict::Clear;
+            return Standing::Clear;
         }
-        let Some(exchange) = self.exchanges.get(place) else { return Verdict::Clear };
+        let Some(exchange) = self.exchanges.get(place) else { return Standing::Clear };
         let identity = *exchange.identity();
-        let verdict = self.quarantine.verdict(self.now, &identity);
-        if verdict != Verdict::Clear {
+        let standing = self.quarantine.standing(self.now, &identity);
+        if standing != Standing::Clear {
             self.quarantine.seen(self.now, &identity);
         }
-        if verdict == Verdict::Quarantined {
-            self.refresh_verdict(identity);
+        if standing == Standing::Quarantined {
+            self.refresh_quarantine(identity);
         }
-        verdict
+        standing
     }
 
     /// A request was answered in full: whatever servers crashed under it, it wasn't the cause. An error, or an answer
@@ -167,7 +167,7 @@
         if is_told {
             self.log_released(&identity, reason);
             self.tell_all(Rumour::Released(identity));
-            self.remove_verdict(identity);
+            self.remove_quarantine(identity);
         }
         is_told
     }
@@ -186,10 +186,10 @@
 
     /// Puts requests in quarantine, and ends the quarantines that are over.
     pub(crate) fn sweep_quarantine(&mut self) {
-        for (identity, is_own) in self.quarantine.judge(self.now) {
+        for (identity, is_own) in self.quarantine.settle(self.now) {
             self.quarantined(identity, "crashes");
             if is_own {
-                self.write_verdict(identity);
+                self.write_quarantine(identity);
             }
         }
         for (identity, expiry) in self.quarantine.expire(self.now) {
@@ -200,16 +200,16 @@
             self.journal.line(self.now, event).text("identity", &identity.to_string());
             self.stats.quarantine(event);
             if expiry == Expiry::OnTrial {
-                self.drop_verdict(identity);
+                self.drop_quarantine(identity);
             }
         }
     }
 
     /// The refusal of a request that isn't sent to any server.
-    pub(crate) fn refuse_quarantined(&self, verdict: Verdict) -> Refusal {
-        let after = match verdict {
-            Verdict::Quarantined => self.quarantine.keep(),
-            Verdict::Clear | Verdict::Suspect | Verdict::Held => HELD_RETRY_AFTER,
+    pub(crate) fn refuse_quarantined(&self, standing: Standing) -> Refusal {
+        let after = match standing {
+            Standing::Quarantined => self.quarantine.keep(),
+            Standing::Clear | Standing::Suspect | Standing::Held => HELD_RETRY_AFTER,
         };
         Refusal::Quarantined { after }
     }
@@ -227,8 +227,8 @@
 
     /// Ends tries of a request that isn't sent to any server any more, unless they have begun to be answered.
     fn end_held(&mut self, identity: Identity) {
-        let verdict = self.quarantine.verdict(self.now, &identity);
-        if !matches!(verdict, Verdict::Held | Verdict::Quarantined) {
+        let standing = self.quarantine.standing(self.now, &identity);
+        if !matches!(standing, Standing::Held | Standing::Quarantined) {
             return;
         }
         let is_its = |it: &Exchange| {
@@ -236,7 +236,7 @@
         };
         let places = self.exchanges.iter().filter(|it| is_its(it.1)).map(|it| it.0);
         for place in places.collect::<Vec<_>>() {
-            self.give_up(place, self.refuse_quarantined(verdict));
+            self.give_up(place, self.refuse_quarantined(standing));
         }
     }
 
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -5,7 +5,7 @@
 mod document;
 mod era;
 mod follower;
-mod verdicts;
+mod quarantine;
 mod withheld;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -33,7 +33,7 @@
 use era::Era;
 use follower::Follower;
 pub(crate) use follower::What;
-use verdicts::Verdicts;
+use quarantine::Records;
 
 /// Kind of the instances' own records.
 const INSTANCE: &str = "instance";
@@ -43,7 +43,7 @@
 const REGISTERED_BY: Duration = Duration::from_millis(500);
 /// How long after its start an instance reads which requests are in quarantine: by then those of a large fleet know
 /// which of them watch the store, and the others hear of it from these.
-const VERDICTS_AFTER: Duration = Duration::from_millis(1_000);
+const QUARANTINE_AFTER: Duration = Duration::from_millis(1_000);
 /// Instances that share the store's rates until more is known: a herd that starts together must
 /// not call at once.
 const SHARERS: u32 = 8;
@@ -68,7 +68,7 @@
     /// Whether this instance is to watch the store: by itself, or for others.
     pub(crate) is_watcher: bool,
     register: Register,
-    verdicts: Verdicts,
+    quarantine: Records,
     pub(crate) era: Era,
     /// Servers that aren't used though the store says that they are ready.
     withheld: withheld::Servers,
@@ -109,7 +109,7 @@
     Follow(usize),
     Lease,
     Register,
-    Verdict(Identity),
+    Quarantine(Identity),
 }
 
 /// This instance's own record.
@@ -130,7 +130,7 @@
         let mut followed = Vec::from(followed);
         // Read once this instance is registered: of two that start together, one knows the other.
         followed.push(Follower::open(INSTANCE, What::Instances, now + REGISTERED_BY));
-        followed.push(Follower::open(verdicts::KIND, What::Verdicts, now + VERDICTS_AFTER));
+        followed.push(Follower::open(quarantine::KIND, What::Records, now + QUARANTINE_AFTER));
         Self {
             address: settings.store,
             scheduler: Scheduler::new(rates, sharers, seed, now),
@@ -143,7 +143,7 @@
             entries_until: 0,
             is_watcher: true,
             register: Register::Due(Version(0), now),
-            verdicts: Verdicts::default(),
+            quarantine: Records::default(),
             era: Era::default(),
             withheld: withheld::Servers::default(),
         }
@@ -185,7 +185,7 @@
         let is_watcher = self.is_watcher;
         let is_due = |it: &&Follower| !it.is_open && it.is_followed(is_watcher);
         let followed = self.followed.iter().filter(is_due).map(|it| it.next).min();
-        [self.scheduler.next(now), followed, self.verdicts.next()].into_iter().flatten().min()
+        [self.scheduler.next(now), followed, self.quarantine.next()].into_iter().flatten().min()
     }
 
     /// The fleet is small: there is no wait for others that might watch in place of this instance.
@@ -243,7 +243,7 @@
         if let Some(call) = self.lease.tick(now, rank) {
             self.storage.submit(now, Want::Lease, call);
         }
-        self.tick_verdicts();
+        self.tick_quarantine();
         self.tick_era();
         for action in self.storage.scheduler.tick(now) {
             match action {
@@ -282,7 +282,7 @@
                 }
             }
             Some(Want::Register) => self.registered(reply),
-            Some(Want::Verdict(identity)) => self.verdict_stored(identity, reply),
+            Some(Want::Quarantine(identity)) => self.quarantine_stored(identity, reply),
             None => {}
         }
     }
@@ -378,7 +378,7 @@
                     self.storage.settled(self.now);
                 }
             }
-            What::Subject(_) | What::Verdicts => {}
+            What::Subject(_) | What::Records => {}
         }
     }
 }
--- a/crates/gateway/src/core/storage/era.rs
+++ b/crates/gateway/src/core/storage/era.rs
@@ -90,7 +90,7 @@
 
     /// Learns the era of an answer before the answer itself is used. Says whether it may be.
     pub(super) fn learn_era(&mut self, fields: &Fields, is_refusal: bool) -> bool {
-        match self.judge_era(fields, is_refusal) {
+        match self.check_era(fields, is_refusal) {
             Standing::Current => true,
             Standing::Newer(era) => {
                 self.store_restored(era);
@@ -104,7 +104,7 @@
         }
     }
 
-    fn judge_era(&mut self, fields: &Fields, is_refusal: bool) -> Standing {
+    fn check_era(&mut self, fields: &Fields, is_refusal: bool) -> Standing {
         let named = match self.dialect.store_era(fields) {
             Ok(it) => it,
             Err(_) => return Standing::Refused("unreadable"),
@@ -170,7 +170,7 @@
             self.list_anew(|_| true);
         }
         self.write_record_again();
-        self.storage.verdicts.restored(now);
+        self.storage.quarantine.restored(now);
         self.tell_own_state();
     }
 
@@ -188,7 +188,7 @@
     /// Lists kinds before they are watched on.
     fn list_anew(&mut self, is_chosen: impl Fn(What) -> bool) {
         let followed = self.storage.followed.iter();
-        let chosen = followed.filter(|it| it.what != What::Verdicts && is_chosen(it.what));
+        let chosen = followed.filter(|it| it.what != What::Records && is_chosen(it.what));
         self.storage.era.lists.extend(chosen.map(|it| it.kind.clone()));
         self.end_watches();
     }
--- a/crates/gateway/src/core/storage/follower.rs
+++ b/crates/gateway/src/core/storage/follower.rs
@@ -24,7 +24,7 @@
     Subject(Subject),
     Instances,
     /// Requests in quarantine: read once, as instances tell each other of those that are added.
-    Verdicts,
+    Records,
 }
 
 /// One kind that is followed by a watch.
@@ -54,7 +54,7 @@
     /// them, and read it anew where they don't.
     pub(super) fn is_followed(&self, is_watcher: bool) -> bool {
         match self.what {
-            What::Verdicts => is_watcher && self.revision.is_none(),
+            What::Records => is_watcher && self.revision.is_none(),
             What::Subject(_) | What::Instances => is_watcher || self.revision.is_none(),
         }
     }
@@ -65,7 +65,7 @@
             _ if self.revision.is_none() => SETTLE,
             What::Subject(Subject::Servers) if is_large => SERVERS_PAUSE,
             What::Instances if is_large => INSTANCES_PAUSE,
-            What::Subject(_) | What::Instances | What::Verdicts => Duration::ZERO,
+            What::Subject(_) | What::Instances | What::Records => Duration::ZERO,
         }
     }
 
--- a/crates/gateway/src/core/storage/verdicts.rs
+++ b/crates/gateway/src/core/storage/quarantine.rs
@@ -42,7 +42,7 @@
 
 /// Changes of the records in the store, one after the other.
 #[derive(Debug, Default)]
-pub(crate) struct Verdicts {
+pub(crate) struct Records {
     due: VecDeque<(Identity, Change)>,
     is_open: bool,
     next: Time,
@@ -59,7 +59,7 @@
 /// How long a removal is done again if the store comes back from an older copy.
 const REMOVED_AGAIN: Duration = Duration::from_secs(60);
 
-impl Verdicts {
+impl Records {
     fn push(&mut self, identity: Identity, change: Change) {
         self.due.retain(|it| it.0 != identity);
         if MOST_DUE <= self.due.len() {
@@ -87,58 +87,58 @@
 
 impl Core {
     /// A request was put in quarantine: its record is to be written.
-    pub(crate) fn write_verdict(&mut self, identity: Identity) {
-        self.storage.verdicts.push(identity, Change::Write);
-        self.storage.verdicts.removed.remove(&identity);
-        self.storage.verdicts.current.insert(identity, self.now);
+    pub(crate) fn write_quarantine(&mut self, identity: Identity) {
+        self.storage.quarantine.push(identity, Change::Write);
+        self.storage.quarantine.removed.remove(&identity);
+        self.storage.quarantine.current.insert(identity, self.now);
     }
 
     /// A request in quarantine has come again: its record is written anew once half of its time is over.
-    pub(crate) fn refresh_verdict(&mut self, identity: Identity) {
+    pub(crate) fn refresh_quarantine(&mut self, identity: Identity) {
         let half = self.quarantine.keep() / 2;
-        let current = self.storage.verdicts.current.entry(identity).or_insert(self.now);
+        let current = self.storage.quarantine.current.entry(identity).or_insert(self.now);
         if half <= self.now.since(*current) {
-            self.write_verdict(identity);
+            self.write_quarantine(identity);
         }
     }
 
     /// A request was released: its record is to be removed.
-    pub(crate) fn remove_verdict(&mut self, identity: Identity) {
-        self.storage.verdicts.current.remove(&identity);
+    pub(crate) fn remove_quarantine(&mut self, identity: Identity) {
+        self.storage.quarantine.current.remove(&identity);
         let now = self.now;
-        let removed = &mut self.storage.verdicts.removed;
+        let removed = &mut self.storage.quarantine.removed;
         removed.retain(|_, it| now.since(*it) < REMOVED_AGAIN);
         removed.insert(identity, now);
-        self.storage.verdicts.push(identity, Change::Remove);
+        self.storage.quarantine.push(identity, Change::Remove);
     }
 
     /// A request's time in quarantine is over: whoever has written or read its record removes it.
-    pub(crate) fn drop_verdict(&mut self, identity: Identity) {
-        if self.storage.verdicts.versions.contains_key(&identity) {
-            self.remove_verdict(identity);
+    pub(crate) fn drop_quarantine(&mut self, identity: Identity) {
+        if self.storage.quarantine.versions.contains_key(&identity) {
+            self.remove_quarantine(identity);
         }
     }
 
-    pub(super) fn tick_verdicts(&mut self) {
-        if self.storage.verdicts.next().is_none_or(|it| self.now < it) {
+    pub(super) fn tick_quarantine(&mut self) {
+        if self.storage.quarantine.next().is_none_or(|it| self.now < it) {
             return;
         }
-        let Some((identity, change)) = self.storage.verdicts.due.front().copied() else { return };
+        let Some((identity, change)) = self.storage.quarantine.due.front().copied() else { return };
         let key = Key::new(KIND, &identity.to_string());
-        let expected = self.storage.verdicts.versions.get(&identity).copied().unwrap_or_default();
+        let expected = self.storage.quarantine.versions.get(&identity).copied().unwrap_or_default();
         let call = match change {
             Change::Write => match self.stored(&identity) {
                 Some(value) => Call::Put { key, expected, value: value.into() },
                 None => {
                     // It was released meanwhile.
-                    self.storage.verdicts.due.pop_front();
+                    self.storage.quarantine.due.pop_front();
                     return;
                 }
             },
             Change::Remove => Call::Delete { key, expected },
         };
-        self.storage.verdicts.is_open = true;
-        self.storage.submit(self.now, Want::Verdict(identity), call);
+        self.storage.quarantine.is_open = true;
+        self.storage.submit(self.now, Want::Quarantine(identity), call);
     }
 
     fn stored(&self, identity: &Identity) -> Option<Vec<u8>> {
@@ -148,56 +148,56 @@
         serde_json::to_vec(&Stored { lives: record.lives, seen_s }).ok()
     }
 
-    pub(super) fn verdict_stored(&mut self, identity: Identity, reply: &Reply) {
-        let verdicts = &mut self.storage.verdicts;
-        verdicts.is_open = false;
-        let change = verdicts.due.front().filter(|it| it.0 == identity).map(|it| it.1);
+    pub(super) fn quarantine_stored(&mut self, identity: Identity, reply: &Reply) {
+        let quarantine = &mut self.storage.quarantine;
+        quarantine.is_open = false;
+        let change = quarantine.due.front().filter(|it| it.0 == identity).map(|it| it.1);
         let is_done = match reply {
             Reply::Done(version) => {
-                verdicts.versions.insert(identity, *version);
+                quarantine.versions.insert(identity, *version);
                 if change == Some(Change::Write) {
-                    verdicts.written.insert(identity);
+                    quarantine.written.insert(identity);
                 }
                 true
             }
             // Another instance has written it; to remove it, its version must be known.
             Reply::Conflict(Some(object)) => {
-                verdicts.versions.insert(identity, object.version);
+                quarantine.versions.insert(identity, object.version);
                 change != Some(Change::Remove)
             }
             Reply::Conflict(None) => {
-                verdicts.versions.remove(&identity);
+                quarantine.versions.remove(&identity);
                 change == Some(Change::Remove)
             }
             Reply::Failed(_) | Reply::Got(_) | Reply::Listed { .. } | Reply::Changed { .. } => {
-                verdicts.next = self.now + AGAIN;
+                quarantine.next = self.now + AGAIN;
                 false
             }
         };
         if !is_done || change.is_none() {
             return;
         }
-        verdicts.due.pop_front();
+        quarantine.due.pop_front();
         if change == Some(Change::Remove) {
-            verdicts.versions.remove(&identity);
-            verdicts.written.remove(&identity);
+            quarantine.versions.remove(&identity);
+            quarantine.written.remove(&identity);
         }
     }
 
     /// Takes a record from the store; one whose time is over is removed.
-    pub(crate) fn take_verdict(&mut self, object: &Object) {
+    pub(crate) fn take_quarantine(&mut self, object: &Object) {
         let stored = serde_json::from_slice::<Stored>(&object.value);
         let (Ok(identity), Ok(stored)) = (object.key.name.parse::<Identity>(), stored) else {
-            self.journal.line(self.now, "verdict_unreadable").text("name", &object.key.name);
+            self.journal.line(self.now, "quarantine_unreadable").text("name", &object.key.name);
             return;
         };
-        self.storage.verdicts.versions.insert(identity, object.version);
+        self.storage.quarantine.versions.insert(identity, object.version);
         let age = Duration::from_secs(unix_s().saturating_sub(stored.seen_s));
         if self.quarantine.keep() <= age {
-            self.remove_verdict(identity);
+            self.remove_quarantine(identity);
             return;
         }
-        self.storage.verdicts.current.insert(identity, self.now - age);
+        self.storage.quarantine.current.insert(identity, self.now - age);
         let age_ms = age.as_millis() as u64;
         let record = Record { identity, lives: stored.lives, age_ms, is_released: false };
         self.adopt_records(&[record], "store");
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -81,7 +81,7 @@
     /// When it was last asked whether it lives, for being late.
     pub looked_at: Time,
     /// It has lost its runs, and is about to be asked whether it lives.
-    pub(crate) is_doubted: bool,
+    pub(crate) awaits_check: bool,
     /// Connections that this instance has to it.
     pub connections: u32,
 }
@@ -109,7 +109,7 @@
             recent: VecDeque::new(),
             taken: 0,
             looked_at: Time::ZERO,
-            is_doubted: false,
+            awaits_check: false,
             connections: 0,
         }
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Requests that crash the servers that run them: evidence, verdicts and release.
+//! Requests that crash the servers that run them: evidence, quarantine and release.
 //!
 //! Answers the load of one request that ends each server which begins to run it, and comes again at any
 //! instance: each end takes along all that runs there, and what is sent again elsewhere may meet the next one.
@@ -28,7 +28,7 @@
 /// ended at the same moment.
 const SETTLED: Duration = Duration::from_millis(300);
 /// After so many times the usual time in quarantine a request runs on trial though it has come all the while: it
-/// may have been blamed wrongly, or the servers mended.
+/// may have been implicated wrongly, or the servers mended.
 const LONGEST: u32 = 6;
 
 /// One life of a server, by a hash of its name and birth.
@@ -45,7 +45,7 @@
 
 /// What is held of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Verdict {
+pub enum Standing {
     /// Nothing speaks against it.
     Clear,
     /// One more crash puts it in quarantine: it should run where little else does.
@@ -135,7 +135,7 @@
 
     /// A server lives: what it lost was no crash, whatever was found before.
     pub fn lives(&mut self, life: Life) {
-        for case in self.cases.values_mut().filter(|it| it.convicted.is_none()) {
+        for case in self.cases.values_mut().filter(|it| it.quarantined.is_none()) {
             case.open.retain(|it| it.0 != life);
             case.crashed.retain(|it| *it != life);
         }
@@ -170,8 +170,8 @@
             return false;
         }
         let case = self.case(now, *identity);
-        let is_news = case.convicted.is_none();
-        case.convicted.get_or_insert(now);
+        let is_news = case.quarantined.is_none();
+        case.quarantined.get_or_insert(now);
         case.seen = if is_news { at } else { case.seen.max(at) };
         for life in lives {
             case.proves(at, *life);
@@ -181,30 +181,29 @@
 
     /// Puts requests in quarantine under which enough servers have crashed. Returns them, and whether this instance
     /// has found one of the crashes itself.
-    pub fn judge(&mut self, now: Time) -> Vec<(Identity, bool)> {
+    pub fn settle(&mut self, now: Time) -> Vec<(Identity, bool)> {
         let crashes = self.terms.crashes;
-        let is_settled = |it: &Case| it.convicted.is_none() && SETTLED <= now.since(it.proved);
+        let is_settled = |it: &Case| it.quarantined.is_none() && SETTLED <= now.since(it.proved);
         let settled = self.cases.iter().filter(|it| is_settled(it.1));
-        let guilty =
-            settled.filter(|it| crashes <= self.weight(it.1, it.1.crashed.iter().copied()));
-        let guilty: Vec<(Identity, bool)> = guilty.map(|it| (*it.0, it.1.is_own)).collect();
-        for (identity, _) in &guilty {
+        let due = settled.filter(|it| crashes <= self.weight(it.1, it.1.crashed.iter().copied()));
+        let due: Vec<(Identity, bool)> = due.map(|it| (*it.0, it.1.is_own)).collect();
+        for (identity, _) in &due {
             if let Some(case) = self.cases.get_mut(identity) {
-                case.convicted = Some(now);
+                case.quarantined = Some(now);
             }
         }
-        guilty
+        due
     }
 
     /// What is held of a request. Runs whose servers may have crashed count as well: the next one would be lost
     /// before more is known.
-    pub fn verdict(&self, now: Time, identity: &Identity) -> Verdict {
-        let Some(case) = self.cases.get(identity) else { return Verdict::Clear };
+    pub fn standing(&self, now: Time, identity: &Identity) -> Standing {
+        let Some(case) = self.cases.get(identity) else { return Standing::Clear };
         match self.weight(case, case.lives(now)) {
-            _ if case.convicted.is_some() => Verdict::Quarantined,
-            it if self.terms.crashes <= it => Verdict::Held,
-            it if self.terms.crashes <= it + 1 => Verdict::Suspect,
-            _ => Verdict::Clear,
+            _ if case.quarantined.is_some() => Standing::Quarantined,
+            it if self.terms.crashes <= it => Standing::Held,
+            it if self.terms.crashes <= it + 1 => Standing::Suspect,
+            _ => Standing::Clear,
         }
     }
 
@@ -219,7 +218,7 @@
     /// speaks against all that ran there, and is of no weight.
     pub fn release(&mut self, now: Time, identity: &Identity) -> bool {
         let Some(case) = self.cases.get(identity) else { return false };
-        let is_told = case.convicted.is_some() || 1 < case.crashed.len();
+        let is_told = case.quarantined.is_some() || 1 < case.crashed.len();
         let lives: Vec<Life> = case.lives(now).collect();
         self.release_lives(now, identity, &lives, is_told);
         is_told
@@ -246,13 +245,13 @@
         known.sort_unstable();
         known.dedup();
         let Some(case) = self.cases.get_mut(identity) else { return false };
-        let was_convicted = case.convicted.is_some();
+        let was_quarantined = case.quarantined.is_some();
         case.crashed.retain(|it| !known.contains(it));
         case.open.retain(|it| !known.contains(&it.0));
         if case.crashed.len() < self.terms.crashes {
-            case.convicted = None;
+            case.quarantined = None;
         }
-        let is_released = was_convicted && case.convicted.is_none();
+        let is_released = was_quarantined && case.quarantined.is_none();
         self.cases.retain(|_, it| !it.is_idle());
         is_released
     }
@@ -263,11 +262,11 @@
         let mut over = Vec::new();
         self.cases.retain(|identity, case| {
             case.settle(now);
-            let is_long = case.convicted.is_some_and(|it| keep * LONGEST <= now.since(it));
+            let is_long = case.quarantined.is_some_and(|it| keep * LONGEST <= now.since(it));
             if now.since(case.seen) < keep && !is_long {
                 return !case.is_idle();
             }
-            if case.convicted.is_some() {
+            if case.quarantined.is_some() {
                 case.put_on_trial(now, crashes);
                 over.push((*identity, Expiry::OnTrial));
                 return true;
@@ -284,8 +283,8 @@
     /// The requests in quarantine, those that came last first.
     pub fn records(&self, now: Time) -> Vec<Record> {
         let age_ms = |at: Time| now.since(at).as_millis() as u64;
-        let convicted = self.cases.iter().filter(|it| it.1.convicted.is_some());
-        let mut all: Vec<Record> = convicted
+        let quarantined = self.cases.iter().filter(|it| it.1.quarantined.is_some());
+        let mut all: Vec<Record> = quarantined
             .map(|(identity, case)| Record {
                 identity: *identity,
                 lives: case.crashed.clone(),
@@ -321,7 +320,7 @@
 
     /// The requests against which a crash speaks, unless so many servers ended together that it speaks of another
     /// cause.
-    pub fn blamed(&self, life: Life) -> Vec<Identity> {
+    pub fn implicated(&self, life: Life) -> Vec<Identity> {
         let is_blamed = |it: &Case| {
             it.crashed.contains(&life) && !self.ends.is_mass(life, |other| it.has(other))
         };
@@ -335,8 +334,8 @@
 
     /// How many requests are in quarantine, and under suspicion.
     pub fn counts(&self) -> (usize, usize) {
-        let convicted = self.cases.values().filter(|it| it.convicted.is_some()).count();
-        (convicted, self.cases.len() - convicted)
+        let quarantined = self.cases.values().filter(|it| it.quarantined.is_some()).count();
+        (quarantined, self.cases.len() - quarantined)
     }
 
     /// How many of the lives speak against the request.
--- a/crates/gateway/src/quarantine/case.rs
+++ b/crates/gateway/src/quarantine/case.rs
@@ -21,7 +21,7 @@
     /// When it came last.
     pub(super) seen: Time,
     /// Since when it has been in quarantine.
-    pub(super) convicted: Option<Time>,
+    pub(super) quarantined: Option<Time>,
     /// This instance has found one of the crashes itself.
     pub(super) is_own: bool,
 }
@@ -29,7 +29,7 @@
 impl Case {
     pub(super) fn open(now: Time) -> Self {
         let (crashed, open) = (Vec::new(), Vec::new());
-        Self { crashed, open, proved: now, seen: now, convicted: None, is_own: false }
+        Self { crashed, open, proved: now, seen: now, quarantined: None, is_own: false }
     }
 
     /// A server crashed under it. Says whether that is news.
@@ -61,17 +61,17 @@
 
     /// Whether nothing speaks against it.
     pub(super) fn is_idle(&self) -> bool {
-        self.crashed.is_empty() && self.open.is_empty() && self.convicted.is_none()
+        self.crashed.is_empty() && self.open.is_empty() && self.quarantined.is_none()
     }
 
     /// What is forgotten first, where there is too much: what speaks least against its request.
     pub(super) fn rank(&self) -> (bool, usize, Time) {
-        (self.convicted.is_some(), self.crashed.len(), self.seen)
+        (self.quarantined.is_some(), self.crashed.len(), self.seen)
     }
 
     /// Leaves the evidence of one crash less than the `crashes` that put it in quarantine.
     pub(super) fn put_on_trial(&mut self, now: Time, crashes: usize) {
-        self.convicted = None;
+        self.quarantined = None;
         self.seen = now;
         self.crashed.truncate(crashes.saturating_sub(1));
     }
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -6,7 +6,9 @@
 
 use proptest::prelude::*;
 use shallotlead_base::time::Time;
-use shallotlead_gateway::quarantine::{Expiry, Identity, Life, Quarantine, Record, Terms, Verdict};
+use shallotlead_gateway::quarantine::{
+    Expiry, Identity, Life, Quarantine, Record, Standing, Terms,
+};
 use support::at;
 
 const KEEP: Duration = Duration::from_secs(60);
@@ -30,11 +32,11 @@
 fn crash(quarantine: &mut Quarantine, now: Time, identity: Identity, life: Life) -> bool {
     quarantine.lost(now, identity, life);
     quarantine.crashed(now, life, SERVERS);
-    quarantine.judge(now + SETTLED).iter().any(|it| it.0 == identity)
+    quarantine.settle(now + SETTLED).iter().any(|it| it.0 == identity)
 }
 
 /// A request in quarantine since 3 s.
-fn convicted() -> (Quarantine, Identity) {
+fn quarantined() -> (Quarantine, Identity) {
     let mut quarantine = quarantine();
     let identity = request("deadly");
     for life in 1..=3 {
@@ -48,12 +50,12 @@
     let mut quarantine = quarantine();
     let (deadly, other) = (request("deadly"), request("other"));
     assert!(!crash(&mut quarantine, at(0), deadly, 1));
-    assert_eq!(quarantine.verdict(at(1), &deadly), Verdict::Clear);
+    assert_eq!(quarantine.standing(at(1), &deadly), Standing::Clear);
     assert!(!crash(&mut quarantine, at(1_000), deadly, 2));
-    assert_eq!(quarantine.verdict(at(1_001), &deadly), Verdict::Suspect);
+    assert_eq!(quarantine.standing(at(1_001), &deadly), Standing::Suspect);
     assert!(crash(&mut quarantine, at(2_000), deadly, 3));
-    assert_eq!(quarantine.verdict(at(2_001), &deadly), Verdict::Quarantined);
-    assert_eq!(quarantine.verdict(at(2_001), &other), Verdict::Clear);
+    assert_eq!(quarantine.standing(at(2_001), &deadly), Standing::Quarantined);
+    assert_eq!(quarantine.standing(at(2_001), &other), Standing::Clear);
 }
 
 // A server resets connections and goes on living, as often as it likes.
@@ -76,9 +78,9 @@
     crash(&mut quarantine, at(0), identity, 1);
     crash(&mut quarantine, at(1_000), identity, 2);
     quarantine.lost(at(2_000), identity, 3);
-    assert_eq!(quarantine.verdict(at(2_000), &identity), Verdict::Held);
+    assert_eq!(quarantine.standing(at(2_000), &identity), Standing::Held);
     quarantine.lives(3);
-    assert_eq!(quarantine.verdict(at(2_010), &identity), Verdict::Suspect);
+    assert_eq!(quarantine.standing(at(2_010), &identity), Standing::Suspect);
 }
 
 // Each of seven instances tells of the same crash.
@@ -90,7 +92,7 @@
     for _ in 0..7 {
         assert!(!quarantine.told(at(10), at(0), identity, 1, SERVERS));
     }
-    assert!(quarantine.judge(at(1_000)).is_empty());
+    assert!(quarantine.settle(at(1_000)).is_empty());
     assert_eq!(quarantine.crashes(&identity), [1]);
 }
 
@@ -104,7 +106,7 @@
     }
     for life in first..first + 7 {
         quarantine.crashed(now + Duration::from_millis(life - first), life, SERVERS);
-        assert!(quarantine.judge(now + Duration::from_millis(life - first)).is_empty());
+        assert!(quarantine.settle(now + Duration::from_millis(life - first)).is_empty());
     }
 }
 
@@ -116,10 +118,10 @@
     let hot = request("hot");
     for rack in 1..=3 {
         lose_rack(&mut quarantine, at(rack * 5_000), rack * 100, hot);
-        assert!(quarantine.judge(at(rack * 5_000) + SETTLED * 2).is_empty());
-        assert!(quarantine.blamed(rack * 100).is_empty(), "nobody is told of it");
+        assert!(quarantine.settle(at(rack * 5_000) + SETTLED * 2).is_empty());
+        assert!(quarantine.implicated(rack * 100).is_empty(), "nobody is told of it");
     }
-    assert_eq!(quarantine.verdict(at(16_000), &hot), Verdict::Clear);
+    assert_eq!(quarantine.standing(at(16_000), &hot), Standing::Clear);
 }
 
 // Another instance tells of the same outage, with the ages of what it found.
@@ -132,47 +134,47 @@
         let identity = if life <= 3 { hot } else { request(&life.to_string()) };
         quarantine.told(now, at(5_000), identity, life, SERVERS);
     }
-    assert!(quarantine.judge(at(60_000)).is_empty());
+    assert!(quarantine.settle(at(60_000)).is_empty());
 }
 
 // The request is answered: what crashed beside it had another cause. Datagrams that tell of it still come.
 #[test]
 fn answered_request_is_cleared_of_what_was_before() {
-    let (mut quarantine, identity) = convicted();
+    let (mut quarantine, identity) = quarantined();
     let record = quarantine.records(at(4_000)).remove(0);
     assert!(quarantine.release(at(4_000), &identity));
     for life in 1..=3 {
         assert!(!quarantine.told(at(4_010), at(4_000), identity, life, SERVERS));
     }
     assert!(!quarantine.adopt(at(4_010), &record));
-    assert_eq!(quarantine.verdict(at(4_020), &identity), Verdict::Clear);
+    assert_eq!(quarantine.standing(at(4_020), &identity), Standing::Clear);
     assert!(!crash(&mut quarantine, at(5_000), identity, 4), "what comes later counts anew");
 }
 
 // An operator has mended the engines. Nobody tells, and the caller still comes once in a while.
 #[test]
 fn quarantine_ends_with_one_trial() {
-    let (mut quarantine, identity) = convicted();
-    assert_eq!(quarantine.verdict(at(30_000), &identity), Verdict::Quarantined);
+    let (mut quarantine, identity) = quarantined();
+    assert_eq!(quarantine.standing(at(30_000), &identity), Standing::Quarantined);
     quarantine.seen(at(30_000), &identity);
     assert!(quarantine.expire(at(30_000) + KEEP - Duration::from_millis(1)).is_empty());
     let over = at(30_000) + KEEP;
     assert_eq!(quarantine.expire(over), [(identity, Expiry::OnTrial)]);
-    assert_eq!(quarantine.verdict(over, &identity), Verdict::Suspect);
+    assert_eq!(quarantine.standing(over, &identity), Standing::Suspect);
     assert!(crash(&mut quarantine, over, identity, 4), "one more crash is enough");
-    let (mut quarantine, identity) = convicted();
+    let (mut quarantine, identity) = quarantined();
     quarantine.seen(at(30_000), &identity);
     quarantine.expire(at(30_000) + KEEP);
     assert_eq!(quarantine.expire(at(30_000) + KEEP + KEEP), [(identity, Expiry::Forgotten)]);
     assert!(quarantine.is_empty());
 }
 
-// A caller that never gives up comes all the while: a request that was blamed wrongly would be held for ever.
+// A caller that never gives up comes all the while: a request that was implicated wrongly would be held for ever.
 #[test]
 fn request_that_always_comes_is_tried_again_in_the_end() {
-    let (mut quarantine, identity) = convicted();
+    let (mut quarantine, identity) = quarantined();
     let mut now = at(3_000);
-    while quarantine.verdict(now, &identity) == Verdict::Quarantined {
+    while quarantine.standing(now, &identity) == Standing::Quarantined {
         quarantine.seen(now, &identity);
         now = now + Duration::from_secs(1);
         quarantine.expire(now);
@@ -181,19 +183,19 @@
     assert!(at(3_000) + KEEP * 5 < now);
 }
 
-// An instance that missed the release still tells of the verdict; one that knows of both keeps to the release.
+// An instance that missed the release still tells of the standing; one that knows of both keeps to the release.
 #[test]
-fn release_outlives_records_of_the_verdict() {
-    let (mut quarantine, identity) = convicted();
-    let verdict = quarantine.tell(at(4_000), 8).remove(0);
+fn release_outlives_records_of_the_quarantine() {
+    let (mut quarantine, identity) = quarantined();
+    let standing = quarantine.tell(at(4_000), 8).remove(0);
     quarantine.release(at(4_000), &identity);
     let release = quarantine.tell(at(4_000), 8).remove(0);
     assert!(release.is_released);
     let mut started = self::quarantine();
-    started.adopt(at(10), &verdict);
+    started.adopt(at(10), &standing);
     assert!(started.adopt(at(20), &release));
-    assert!(!started.adopt(at(30), &verdict));
-    assert_eq!(started.verdict(at(30), &identity), Verdict::Clear);
+    assert!(!started.adopt(at(30), &standing));
+    assert_eq!(started.standing(at(30), &identity), Standing::Clear);
 }
 
 // Dozens of requests are in quarantine, and a message carries eight.
@@ -210,15 +212,15 @@
     assert_eq!(told.len(), 30);
 }
 
-// An instance starts and hears of the verdicts of the others.
+// An instance starts and hears of the quarantine of the others.
 #[test]
 fn started_instance_takes_over_what_the_others_know() {
-    let (known, identity) = convicted();
+    let (known, identity) = quarantined();
     let records = known.records(at(4_000));
     let mut started = quarantine();
     assert!(started.adopt(at(50), &records[0]));
     assert!(!started.adopt(at(60), &records[0]));
-    assert_eq!(started.verdict(at(70), &identity), Verdict::Quarantined);
+    assert_eq!(started.standing(at(70), &identity), Standing::Quarantined);
     let old = Record { age_ms: KEEP.as_millis() as u64, ..records[0].clone() };
     assert!(!quarantine().adopt(at(50), &old));
 }
@@ -238,7 +240,7 @@
         }
         quarantine.crashed(at(life * 250), life, SERVERS);
     }
-    assert_eq!(quarantine.verdict(at(16_000), &deadly), Verdict::Suspect);
+    assert_eq!(quarantine.standing(at(16_000), &deadly), Standing::Suspect);
 }
 
 // One organisation sends thousands of requests to servers that crash.
@@ -252,9 +254,9 @@
     for number in 0..5_000 {
         quarantine.lost(at(10_000 + number), of("large", &number.to_string()), 9);
     }
-    assert_eq!(quarantine.verdict(at(20_000), &identity), Verdict::Quarantined);
-    let (convicted, suspects) = quarantine.counts();
-    assert_eq!((convicted, suspects), (1, 256));
+    assert_eq!(quarantine.standing(at(20_000), &identity), Standing::Quarantined);
+    let (quarantined, suspects) = quarantine.counts();
+    assert_eq!((quarantined, suspects), (1, 256));
 }
 
 #[test]
@@ -320,9 +322,9 @@
                     crashed.insert(life);
                 }
             }
-            quarantine.judge(now + SETTLED);
-            let is_convicted = quarantine.counts().0 == 1;
-            prop_assert_eq!(is_convicted, 3 <= crashed.len());
+            quarantine.settle(now + SETTLED);
+            let is_quarantined = quarantine.counts().0 == 1;
+            prop_assert_eq!(is_quarantined, 3 <= crashed.len());
         }
     }
 }
