An entry is read once, and addresses are looked through only while a request is suspected

A server's entry was decoded twice, for its beat and for the pool; and each server that joined cost a second pass over all servers, for crashes that matter only while something is suspected: on the start of an instance before thousands of servers both came for each of them. No change of behaviour.

--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -14,7 +14,7 @@
         Core,
         storage::{Document, Entry, Source, What},
     },
-    dialect::Subject,
+    dialect::{ServerEntry, Subject},
     gossip::{self, Member},
     pool::{self, Presence},
     rumour::Reach,
@@ -192,16 +192,17 @@
         if revision <= self.storage.entry_revision(name) {
             return;
         }
-        let read_beat = value.and_then(|it| self.dialect.server(it).ok()).map(|it| it.beat());
+        let read = value.map(|it| self.dialect.server(it));
+        let read_beat = read.as_ref().and_then(|it| it.as_ref().ok()).map(ServerEntry::beat);
         let known = self.storage.entries.get(name);
         let known_beat = known.and_then(|it| it.beat);
         // Guards against a server that has left and whose leaving the store has lost: it comes back as ready, under a
-        // later position. Its own beat tells that this is an older word.
-        // The same word written again is no older one, unless its server was gone since.
-        if let (Some(read), Some(before), Some(last)) = (read_beat, known, known_beat)
+        // later position. Its own beat tells that this is an older word. The same word written again is no older one,
+        // unless its server was gone since.
+        if let (Some(written), Some(before), Some(last)) = (read_beat, known, known_beat)
             && Version(before.revision).era() < Version(revision).era()
-            && read.is_not_after(&last)
-            && (read != last || before.value.is_none())
+            && written.is_not_after(&last)
+            && (written != last || before.value.is_none())
         {
             self.withhold(name, last);
             return;
@@ -214,20 +215,18 @@
         if source == Source::Store && value.is_some() && self.storage.has_entries() {
             self.peers.reading.add(gossip::Entry::new(name, revision, value));
         }
-        let change = match value {
+        let change = match read {
             None => self.pool.remove(self.now, name, revision),
-            Some(value) => match self.dialect.server(value) {
-                Ok(entry) => self.pool.put(self.now, name, revision, entry),
-                Err(err) => {
-                    self.journal
-                        .line(self.now, "entry_unreadable")
-                        .text("server", name)
-                        .number("revision", revision)
-                        .text("error", &err.to_string());
-                    self.stats.unreadable();
-                    self.pool.unreadable(name, revision)
-                }
-            },
+            Some(Ok(entry)) => self.pool.put(self.now, name, revision, entry),
+            Some(Err(err)) => {
+                self.journal
+                    .line(self.now, "entry_unreadable")
+                    .text("server", name)
+                    .number("revision", revision)
+                    .text("error", &err.to_string());
+                self.stats.unreadable();
+                self.pool.unreadable(name, revision)
+            }
         };
         if let (Source::Store, pool::Change::Gone(id)) = (source, change) {
             self.tell_gone(id);
@@ -240,9 +239,7 @@
         let (id, what) = match change {
             pool::Change::None => return,
             pool::Change::Joined(id) => {
-                for earlier in self.pool.earlier_at_address(id).collect::<Vec<_>>() {
-                    self.server_crashed(earlier);
-                }
+                self.note_address_taken(id);
                 (id, "joined")
             }
             pool::Change::Leaving(id) => (id, "leaving"),
--- a/crates/gateway/src/core/quarantine.rs
+++ b/crates/gateway/src/core/quarantine.rs
@@ -55,6 +55,17 @@
         self.server_crashed(id);
     }
 
+    /// A server has joined: whatever was at its address before has ended. Looking for that takes a pass over all
+    /// servers, which an instance that starts would make for each of them.
+    pub(crate) fn note_address_taken(&mut self, id: pool::Id) {
+        if self.quarantine.is_empty() {
+            return;
+        }
+        for earlier in self.pool.earlier_at_address(id).collect::<Vec<_>>() {
+            self.server_crashed(earlier);
+        }
+    }
+
     /// Asks a server that lost its runs whether it lives.
     pub(crate) fn check_liveness(&mut self, id: pool::Id) {
         self.pool.get_mut(id).awaits_check = false;
