Log and count the rate limits that servers name, and instances' own calls to servers

No log line or metric told whether a server had named a limit, so that "nobody reads it" and "each instance keeps to it alone" looked alike. Nothing decides by it yet.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod probe;
 mod quarantine;
+mod rate_limit;
 mod refusal;
 mod state;
 mod stats;
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -28,6 +28,7 @@
             self.pool.told_load(attempt.server, now, load);
             self.peers.loaded(now, attempt.server, load);
         }
+        let (id, word) = (attempt.server, answer.rate_limit);
         let server = self.pool.get_mut(attempt.server);
         if let (Some(version), Some(model)) = (answer.weights, &exchange.ask.model) {
             server.loaded(now, model, version);
@@ -35,9 +36,13 @@
         if head.status < 500 && !answer.is_not_run {
             server.health.succeeded();
         }
-        let id = attempt.server;
+        // Another server speaks here.
+        let is_its_word = head.status != 421;
         let is_left_out = 500 <= head.status && !answer.is_not_run && server.health.erred(now);
         attempt.reply = Some(reply);
+        if is_its_word {
+            self.note_rate_limit(id, word);
+        }
         if is_left_out {
             self.log_left_out(id, "errors");
         }
--- a/crates/gateway/src/core/duties.rs
+++ b/crates/gateway/src/core/duties.rs
@@ -70,7 +70,9 @@
             .number("expected", orders)
             .number("running", server.load.map_or(0, |it| it.0.running));
         self.tell_loading(id, model, version, LOADING);
-        self.run_errand(address, &errand, TIMEOUT, Purpose::Order(id));
+        let purpose = Purpose::Order(id);
+        self.stats.server_called(purpose.name());
+        self.run_errand(address, &errand, TIMEOUT, purpose);
     }
 
     pub(crate) fn server_reported(&mut self, id: pool::Id, outcome: &Outcome) {
--- a/crates/gateway/src/core/errand.rs
+++ b/crates/gateway/src/core/errand.rs
@@ -52,6 +52,19 @@
 const WHOLE: Duration = Duration::from_secs(10);
 
 impl Purpose {
+    /// Its name in metrics.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::Store { .. } => "store",
+            Self::Report(_) => "report",
+            Self::Probe(_) => "probe",
+            Self::Liveness(_) => "liveness",
+            Self::CacheStore(_) => "cache-store",
+            Self::Order(_) => "order",
+            Self::State(_) => "state",
+        }
+    }
+
     /// Whether its answer may be so long that a narrow link takes a good part of a second for it.
     fn is_long(&self) -> bool {
         matches!(
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -44,6 +44,7 @@
     open: Gauge,
     is_store_away: Gauge,
     left_out: Gauge,
+    limited: Gauge,
     current: Gauge,
     is_watching: Gauge,
     lease: Gauge,
@@ -116,6 +117,7 @@
             open: metrics::gauge!("shallotlead_requests_open"),
             is_store_away: metrics::gauge!("shallotlead_store_away"),
             left_out: metrics::gauge!("shallotlead_servers_left_out"),
+            limited: metrics::gauge!("shallotlead_servers_limited"),
             current: metrics::gauge!("shallotlead_servers_current"),
             is_watching: metrics::gauge!("shallotlead_watching"),
             lease: metrics::gauge!("shallotlead_lease_held"),
@@ -202,6 +204,16 @@
         self.state_bytes.increment(bytes as u64);
     }
 
+    /// A server was asked for its state, or given an order.
+    pub(crate) fn server_called(&mut self, purpose: &'static str) {
+        metrics::counter!("shallotlead_server_calls_total", "purpose" => purpose).increment(1);
+    }
+
+    /// A server named a limit that is no rate.
+    pub(crate) fn rate_limit_unreadable(&mut self) {
+        metrics::counter!("shallotlead_rate_limits_unreadable_total").increment(1);
+    }
+
     /// A request is sent again.
     pub(crate) fn resent(&mut self, reason: &'static str) {
         metrics::counter!("shallotlead_resends_total", "reason" => reason).increment(1);
@@ -248,6 +260,7 @@
         let servers = self.pool.listed().count();
         let alive = self.members.alive(self.now).count() + 1;
         let out = self.pool.listed().filter(|it| !it.1.health.is_in()).count();
+        let limited = self.pool.listed().filter(|it| it.1.rate_limit.is_some()).count();
         let is_current = |it: &pool::Server| {
             it.models.iter().all(|it| self.pool.named(&it.0).is_none_or(|n| n.newest() <= it.1))
         };
@@ -266,6 +279,7 @@
         stats.servers.set_open(open);
         stats.is_watching.set(f64::from(u8::from(self.members.me().is_watching)));
         stats.left_out.set(out as f64);
+        stats.limited.set(limited as f64);
         stats.current.set(current as f64);
         let (quarantined, suspected) = self.quarantine.counts();
         stats.quarantined.set(quarantined as f64);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -133,6 +133,8 @@
     pub server: Option<Box<str>>,
     /// Its load at that moment.
     pub load: Option<Load>,
+    /// The requests that it takes.
+    pub rate_limit: RateLimit,
     /// The version of the weights that it runs.
     pub weights: Option<u64>,
     /// How long the server keeps an idle connection.
@@ -141,6 +143,18 @@
     pub is_signed: bool,
 }
 
+/// What an answer says of the requests that its server takes from all instances together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateLimit {
+    /// It names no limit.
+    #[default]
+    None,
+    /// Requests a second; finite and not negative.
+    PerSecond(f64),
+    /// It names one that is no rate.
+    Unreadable,
+}
+
 /// Load of a backend server as it tells it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -66,6 +66,8 @@
     pub health: Health,
     /// The load that it told last, and when.
     pub load: Option<(Load, Time)>,
+    /// Requests a second that it takes from all instances together, while it names them.
+    pub rate_limit: Option<f64>,
     /// How long the prompt that began last had waited, in milliseconds, and when that was known.
     pub waited: Option<(u32, Time)>,
     /// Requests of this instance that are under way there.
@@ -102,6 +104,7 @@
             switch: None,
             health: Health::default(),
             load: None,
+            rate_limit: None,
             waited: None,
             inflight: 0,
             busy_until: Time::ZERO,
