--- a/crates/gateway/benches/policy/way.rs
+++ b/crates/gateway/benches/policy/way.rs
@@ -80,7 +80,7 @@
         match placement::choose(&self.pool, &self.memory, now, wish, random) {
             Ok(choice) if admission.refuses(&choice) => Chosen::Refused,
             Ok(choice) => Chosen::Server(choice),
-            Err(Shortage::OldWeights) => Chosen::Refused,
+            Err(Shortage::OldWeights | Shortage::Limited { .. }) => Chosen::Refused,
             Err(Shortage::NoServer | Shortage::NoneReady) => Chosen::Later,
         }
     }
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -29,7 +29,9 @@
     }
     let home = &pool.get(choice.server).centre;
     let is_fit = |id: pool::Id, server: &Server| {
-        id != choice.server && can_go_on(now, wish, choice.weights, id, server)
+        id != choice.server
+            && server.limit.per_second().is_none()
+            && can_go_on(now, wish, choice.weights, id, server)
     };
     let fit = pool.usable(wish.service).filter(|it| is_fit(it.0, it.1));
     fit.min_by_key(|it| {
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -5,7 +5,9 @@
 use shallotlead_base::time::Time;
 
 use crate::{
-    core::{Core, attempt::Reply, exchange::Exchange, quarantine::is_proof},
+    core::{
+        Core, attempt::Reply, exchange::Exchange, quarantine::is_proof, rate_limit::limit_said,
+    },
     events::{self, Cut},
     http::{head::Response, write},
     pace::Sample,
@@ -28,7 +30,8 @@
             self.pool.told_load(attempt.server, now, load);
             self.peers.loaded(now, attempt.server, load);
         }
-        let (id, word) = (attempt.server, answer.rate_limit);
+        let (id, sent) = (attempt.server, attempt.sent);
+        let said = limit_said(&reply);
         let server = self.pool.get_mut(attempt.server);
         if let (Some(version), Some(model)) = (answer.weights, &exchange.ask.model) {
             server.loaded(now, model, version);
@@ -36,13 +39,9 @@
         if head.status < 500 && !answer.is_not_run {
             server.health.succeeded();
         }
-        // Another server speaks here.
-        let is_its_word = head.status != 421;
         let is_left_out = 500 <= head.status && !answer.is_not_run && server.health.erred(now);
         attempt.reply = Some(reply);
-        if is_its_word {
-            self.note_rate_limit(id, word);
-        }
+        self.take_limit(id, sent, said);
         if is_left_out {
             self.log_left_out(id, "errors");
         }
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -163,7 +163,7 @@
             .number("weights", choice.weights.unwrap_or(0))
             .number("fetches", choice.fetch_from.is_some())
             .number("is_copied", copy.is_some())
-            .number("is_limited", server.rate_limit.is_some())
+            .number("is_limited", server.limit.per_second().is_some())
             .ms("load_age_ms", load_age)
             .ms("left_ms", left)
             .ms("after_ms", now.since(exchange.arrived));
--- a/crates/gateway/src/core/copy.rs
+++ b/crates/gateway/src/core/copy.rs
@@ -6,6 +6,7 @@
     core::Core,
     placement::Choice,
     pool::{self, Presence},
+    rate_limit::Permission,
 };
 
 /// Ends of an attempt after which its server doesn't work on it any more, as far as this instance can
@@ -34,6 +35,10 @@
             return false;
         }
         let Some((copy, weights)) = self.usable_copy(place) else { return false };
+        // What waits for a permit would be a pause in the caller's stream.
+        if self.acquire_permit(copy) != Permission::Granted {
+            return false;
+        }
         let instances = self.members.sharers();
         let Some(service) = self.exchanges.get(place).map(|it| it.service.clone()) else {
             return false;
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -11,6 +11,7 @@
         Core, Timer,
         answer::note_end,
         attempt::{Attempt, Reply, SILENT},
+        rate_limit::Awaited,
         refusal::Refusal,
     },
     dialect::Ask,
@@ -23,7 +24,7 @@
 
 /// Part of the aim for which a request may wait for a server before it is refused; a refusal that
 /// comes later than that helps its caller less.
-const WAIT_PART: u32 = 8;
+pub(crate) const WAIT_PART: u32 = 8;
 /// How long a stream may stand still while no server can go on with it: callers leave after a gap of
 /// two seconds.
 const STREAM_WAIT: Duration = Duration::from_millis(1_800);
@@ -69,6 +70,8 @@
     /// Where the copy lies from which the next attempt goes on.
     pub(crate) goes_on_from: Option<SocketAddr>,
     pub(crate) attempt: Option<Attempt>,
+    /// It waits for a permit to be sent to a server that limits its rate.
+    pub(crate) awaited: Option<Awaited>,
     pub(crate) delivery: Delivery,
 }
 
@@ -190,6 +193,7 @@
             copy: None,
             goes_on_from: None,
             attempt: None,
+            awaited: None,
             delivery: Delivery { last_event, ..Delivery::default() },
         };
         let place = self.exchanges.insert(exchange);
@@ -224,6 +228,8 @@
             return;
         }
         let random = self.random();
+        let Some(exchange) = self.exchanges.get_mut(place) else { return };
+        exchange.awaited = None;
         let Some(exchange) = self.exchanges.get(place) else { return };
         let wish = Wish { is_suspect: standing == Standing::Suspect, ..self.wish(exchange) };
         let shortest = self.catalog.as_ref().and_then(|it| it.shortest_aim(&exchange.service));
@@ -246,7 +252,7 @@
                 let (after, wait) = (admission.retry_after(&choice), choice.wait());
                 self.give_up(place, Refusal::Overload { after, wait });
             }
-            Ok(choice) => self.send(place, &choice),
+            Ok(choice) => self.send_permitted(place, &choice),
             Err(shortage) => self.wait_or_refuse(place, shortage),
         }
     }
@@ -278,9 +284,15 @@
             true => exchange.delivery.last_piece + STREAM_WAIT,
             false => exchange.arrived + exchange.route.aim / WAIT_PART,
         };
+        let is_final = match shortage {
+            Shortage::OldWeights => !exchange.delivery.has_begun,
+            Shortage::Limited { .. } => {
+                !exchange.delivery.has_begun && exchange.excluded.is_empty()
+            }
+            Shortage::NoServer | Shortage::NoneReady => false,
+        };
         // A server that is left out for its failures may be all that there is.
         exchange.excluded.clear();
-        let is_final = shortage == Shortage::OldWeights && !exchange.delivery.has_begun;
         if patience <= self.now || is_final {
             self.give_up(place, Refusal::Shortage(shortage));
             return;
@@ -300,6 +312,10 @@
             self.time_out(place);
             return;
         }
+        if self.awaits_permit(place) {
+            return;
+        }
+        let Some(exchange) = self.exchanges.get(place) else { return };
         let Some(attempt) = &exchange.attempt else {
             self.dispatch(place);
             return;
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -178,7 +178,7 @@
     }
 
     /// Returns how many bytes were sent.
-    fn send_to(&mut self, targets: &[SocketAddr], datagram: &Datagram) -> usize {
+    pub(crate) fn send_to(&mut self, targets: &[SocketAddr], datagram: &Datagram) -> usize {
         match postcard::to_stdvec(datagram) {
             Ok(bytes) => {
                 self.stats.traffic.sent(datagram, targets.len(), bytes.len());
--- a/crates/gateway/src/core/peers/heard.rs
+++ b/crates/gateway/src/core/peers/heard.rs
@@ -31,6 +31,8 @@
             Ok(Datagram::Entries(entries)) => {
                 self.take_entries(&entries);
             }
+            Ok(Datagram::PermitAsked(asked)) => self.permit_asked(&asked),
+            Ok(Datagram::PermitAnswered(answered)) => self.permit_answered(&answered),
             Err(err) => {
                 self.journal
                     .line(self.now, "datagram_unreadable")
@@ -125,6 +127,7 @@
             }
             Rumour::Crashed(life, identities) => self.told_crashed(age, *life, identities),
             Rumour::Released(identity) => self.told_released(identity),
+            Rumour::Limited(limited) => self.told_rate_limit(limited, age),
         }
     }
 
--- a/crates/gateway/src/core/probe.rs
+++ b/crates/gateway/src/core/probe.rs
@@ -8,6 +8,7 @@
         errand::{Outcome, Purpose},
     },
     pool,
+    rate_limit::Permission,
 };
 
 /// How long a probe of a server may take. A server that lives answers in some milliseconds.
@@ -21,17 +22,32 @@
         let now = self.now;
         let listed: Vec<pool::Id> = self.pool.listed().map(|it| it.0).collect();
         for id in listed {
-            if self.pool.get_mut(id).health.probe(now) {
+            let is_due = self.pool.get(id).health.is_due(now);
+            if is_due && self.may_probe(id) && self.pool.get_mut(id).health.probe(now) {
                 self.probe(id);
             }
         }
     }
 
-    /// A server is late with an answer, or another instance says that it is silent.
+    /// Whether a probe may be sent: a server that limits its rate may count it like a request.
+    fn may_probe(&mut self, id: pool::Id) -> bool {
+        match self.acquire_permit(id) {
+            Permission::Granted => true,
+            Permission::Denied => false,
+            Permission::Ask => {
+                self.ask_permit(id);
+                false
+            }
+        }
+    }
+
+    /// A server is late with an answer, or another instance says that it is silent. One that limits its rate is
+    /// expected to be late, and takes requests in place of such questions.
     pub(crate) fn look_at(&mut self, id: pool::Id) {
         let now = self.now;
         let server = self.pool.get_mut(id);
-        if !server.health.is_in() || now.since(server.looked_at) < LOOK_AGAIN {
+        let is_limited = server.limit.per_second().is_some();
+        if is_limited || !server.health.is_in() || now.since(server.looked_at) < LOOK_AGAIN {
             return;
         }
         server.looked_at = now;
--- a/crates/gateway/src/core/rate_limit.rs
+++ b/crates/gateway/src/core/rate_limit.rs
@@ -1,26 +1,209 @@
-//! Rates that backend servers name in their answers.
+//! Rate limits that backend servers name: what follows from their answers, and permits for requests.
 
-use crate::{core::Core, dialect::RateLimit, pool};
+use std::time::Duration;
+
+use shallotlead_base::time::Time;
+
+use crate::{
+    core::{Core, Timer, attempt::Reply, exchange::WAIT_PART},
+    dialect::RateLimit,
+    gossip::{Datagram, Limited, PermitAnswered, PermitAsked},
+    placement::Choice,
+    pool,
+    rate_limit::{self, Permission},
+    rumour::Rumour,
+};
+
+/// How long a request waits for a permit before it goes elsewhere: ten times what a question takes between nearby
+/// data centres.
+const PERMIT_WAIT: Duration = Duration::from_millis(25);
+
+/// A request that waits for a permit.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Awaited {
+    server: pool::Id,
+    until: Time,
+}
+
+/// What an answer says of its server's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Said {
+    /// Nothing.
+    Nothing,
+    /// Requests a second; `None`: there is no limit.
+    Limit(Option<f64>),
+    /// Something that is no rate.
+    Unreadable,
+}
+
+/// What an answer says of its server's limit, if it says anything.
+///
+/// An answer of another server at the address, or one that ends without the server's signature, speaks for nobody;
+/// a word that nothing was run needn't repeat the limit.
+pub(crate) fn limit_said(reply: &Reply) -> Said {
+    match reply.answer.rate_limit {
+        _ if reply.head.status == 421 => Said::Nothing,
+        RateLimit::PerSecond(it) => Said::Limit(Some(it)),
+        RateLimit::None if reply.answer.is_signed => Said::Limit(None),
+        RateLimit::None => Said::Nothing,
+        RateLimit::Unreadable => Said::Unreadable,
+    }
+}
 
 impl Core {
-    /// A server's answer says how many requests it takes, or doesn't.
-    pub(crate) fn note_rate_limit(&mut self, id: pool::Id, word: RateLimit) {
-        let rate = match word {
-            RateLimit::PerSecond(rate) => Some(rate),
-            RateLimit::None => None,
-            RateLimit::Unreadable => {
+    /// A server's answer to a request that was `sent` then says what it takes.
+    pub(crate) fn take_limit(&mut self, id: pool::Id, sent: Time, said: Said) {
+        let (at, per_second) = match said {
+            Said::Nothing => return,
+            Said::Limit(Some(it)) => (self.now, Some(it)),
+            Said::Limit(None) => (sent, None),
+            Said::Unreadable => {
                 self.stats.rate_limit_unreadable();
                 return;
             }
         };
-        let server = self.pool.get_mut(id);
-        let before = std::mem::replace(&mut server.rate_limit, rate);
-        if before != rate {
+        let limit = &mut self.pool.get_mut(id).limit;
+        let before = limit.per_second();
+        let is_news = limit.said(at, per_second);
+        self.log_rate_limit(id, before, "answer");
+        if is_news {
+            let limited = self.limited(id);
+            self.tell_all(Rumour::Limited(limited));
+        }
+    }
+
+    /// Another instance told `age` ago what a server said.
+    pub(crate) fn told_rate_limit(&mut self, limited: &Limited, age: Duration) {
+        let Some(id) = self.pool.find_life(&limited.server, limited.born) else { return };
+        let at = self.now - age - Duration::from_millis(u64::from(limited.age_ms));
+        let limit = &mut self.pool.get_mut(id).limit;
+        let before = limit.per_second();
+        limit.heard(at, limited.per_second);
+        self.log_rate_limit(id, before, "told by an instance");
+    }
+
+    /// Sends the request to the chosen server, once its limit allows it.
+    pub(crate) fn send_permitted(&mut self, place: usize, choice: &Choice) {
+        match self.acquire_permit(choice.server) {
+            Permission::Granted => self.send(place, choice),
+            // The server counts as closed from now on.
+            Permission::Denied => self.dispatch(place),
+            Permission::Ask => self.await_permit(place, choice.server),
+        }
+    }
+
+    /// Whether a request, or a probe, may be sent to the server now.
+    pub(crate) fn acquire_permit(&mut self, id: pool::Id) -> Permission {
+        if self.pool.get(id).limit.per_second().is_none() {
+            return Permission::Granted;
+        }
+        let share = self.limit_share(id);
+        let permission = self.pool.get_mut(id).limit.acquire(self.now, share);
+        match permission {
+            Permission::Granted => self.stats.permit("used"),
+            Permission::Denied => self.stats.permit("denied"),
+            Permission::Ask => {}
+        }
+        permission
+    }
+
+    /// Asks the home of the server's limit for a permit.
+    pub(crate) fn ask_permit(&mut self, id: pool::Id) {
+        let server = self.pool.get(id);
+        let home = self.members.home(self.now, server.life(), &server.centre).peers;
+        let reply_to = self.members.me().peers;
+        let asked = PermitAsked { limit: self.limited(id), reply_to };
+        self.send_to(&[home], &Datagram::PermitAsked(asked));
+    }
+
+    fn await_permit(&mut self, place: usize, server: pool::Id) {
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get_mut(place) else { return };
+        let until = now + PERMIT_WAIT.min(exchange.route.aim / WAIT_PART);
+        exchange.awaited = Some(Awaited { server, until });
+        self.journal
+            .line(now, "permit_asked")
+            .text("request", exchange.id())
+            .text("server", &self.pool.get(server).name);
+        let serial = exchange.serial;
+        self.at(until, Timer::Exchange(place, serial));
+        self.ask_permit(server);
+    }
+
+    /// A time has come for a request that may be waiting for a permit. Says whether it goes on waiting.
+    pub(crate) fn awaits_permit(&mut self, place: usize) -> bool {
+        let Some(exchange) = self.exchanges.get_mut(place) else { return false };
+        let Some(awaited) = exchange.awaited else { return false };
+        if self.now < awaited.until {
+            return true;
+        }
+        exchange.awaited = None;
+        self.stats.permit("unanswered");
+        self.pool.get_mut(awaited.server).limit.unanswered(self.now);
+        false
+    }
+
+    /// Another instance wants a permit.
+    pub(crate) fn permit_asked(&mut self, asked: &PermitAsked) {
+        let PermitAsked { limit, reply_to } = asked;
+        self.told_rate_limit(limit, Duration::ZERO);
+        // Its entry is on the way here; the other one asks again.
+        let Some(id) = self.pool.find_life(&limit.server, limit.born) else { return };
+        let share = self.limit_share(id);
+        let reply = self.pool.get_mut(id).limit.asked(self.now, share);
+        let answered = PermitAnswered { server: limit.server.clone(), born: limit.born, reply };
+        self.send_to(&[*reply_to], &Datagram::PermitAnswered(answered));
+    }
+
+    /// The home of a limit has answered: requests that waited for it go there, or elsewhere.
+    pub(crate) fn permit_answered(&mut self, answered: &PermitAnswered) {
+        let Some(id) = self.pool.find_life(&answered.server, answered.born) else { return };
+        self.pool.get_mut(id).limit.answered(self.now, answered.reply);
+        let is_waiting = |it: &Awaited| it.server == id;
+        let waiting =
+            self.exchanges.iter().filter(|it| it.1.awaited.as_ref().is_some_and(is_waiting));
+        let mut waiting: Vec<(Time, usize)> = waiting.map(|it| (it.1.arrived, it.0)).collect();
+        waiting.sort_unstable();
+        let go_on = match answered.reply {
+            rate_limit::Reply::Granted(permits) => usize::from(permits),
+            rate_limit::Reply::Denied(_) => {
+                self.stats.permit("denied");
+                waiting.len()
+            }
+        };
+        for (_, place) in waiting.into_iter().take(go_on) {
+            self.dispatch(place);
+        }
+    }
+
+    /// The part of the server's limit that this instance hands out; `None` if it isn't the limit's home.
+    fn limit_share(&self, id: pool::Id) -> Option<f64> {
+        let server = self.pool.get(id);
+        let home = self.members.home(self.now, server.life(), &server.centre);
+        let is_home = home.name == self.members.me().name;
+        is_home.then(|| self.members.present_part(self.now))
+    }
+
+    fn limited(&self, id: pool::Id) -> Limited {
+        let server = self.pool.get(id);
+        Limited {
+            server: server.name.clone(),
+            born: server.born,
+            per_second: server.limit.per_second(),
+            age_ms: server.limit.age(self.now).as_millis() as u32,
+        }
+    }
+
+    fn log_rate_limit(&mut self, id: pool::Id, before: Option<f64>, source: &str) {
+        let server = self.pool.get(id);
+        let per_second = server.limit.per_second();
+        if rate_limit::differs(before, per_second) {
             self.journal
                 .line(self.now, "rate_limit")
-                .text("server", &self.pool.get(id).name)
-                .text("per_second", &shown(rate))
-                .text("before", &shown(before));
+                .text("server", &server.name)
+                .text("per_second", &shown(per_second))
+                .text("before", &shown(before))
+                .text("source", source);
         }
     }
 }
--- a/crates/gateway/src/core/refusal.rs
+++ b/crates/gateway/src/core/refusal.rs
@@ -70,6 +70,7 @@
             Self::Shortage(Shortage::NoServer) => "no-server",
             Self::Shortage(Shortage::NoneReady) => "none-ready",
             Self::Shortage(Shortage::OldWeights) => "old-weights",
+            Self::Shortage(Shortage::Limited { .. }) => "rate-limited",
             Self::Overload { .. } => "overload",
             Self::Quarantined { .. } => "quarantined",
             Self::TurnedAway => "turned-away",
@@ -92,6 +93,7 @@
             Self::Starting => Some(STARTING_RETRY_AFTER),
             Self::Leaving => Some(Duration::ZERO),
             Self::Overload { after, .. } | Self::Quarantined { after } => Some(after),
+            Self::Shortage(Shortage::Limited { after }) => Some(after.max(RETRY_AFTER)),
             Self::Shortage(_) | Self::TurnedAway | Self::TimeOut => Some(RETRY_AFTER),
         }
     }
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -209,6 +209,11 @@
         metrics::counter!("shallotlead_server_calls_total", "purpose" => purpose).increment(1);
     }
 
+    /// A permit for a limited server was used, denied or not answered.
+    pub(crate) fn permit(&mut self, result: &'static str) {
+        metrics::counter!("shallotlead_permits_total", "result" => result).increment(1);
+    }
+
     /// A server named a limit that is no rate.
     pub(crate) fn rate_limit_unreadable(&mut self) {
         metrics::counter!("shallotlead_rate_limits_unreadable_total").increment(1);
@@ -260,7 +265,7 @@
         let servers = self.pool.listed().count();
         let alive = self.members.alive(self.now).count() + 1;
         let out = self.pool.listed().filter(|it| !it.1.health.is_in()).count();
-        let limited = self.pool.listed().filter(|it| it.1.rate_limit.is_some()).count();
+        let limited = self.pool.listed().filter(|it| it.1.limit.per_second().is_some()).count();
         let is_current = |it: &pool::Server| {
             it.models.iter().all(|it| self.pool.named(&it.0).is_none_or(|n| n.newest() <= it.1))
         };
--- a/crates/gateway/src/core/stats/traffic.rs
+++ b/crates/gateway/src/core/stats/traffic.rs
@@ -11,7 +11,7 @@
 const LOGGED: Duration = Duration::from_secs(10);
 
 /// Kinds of datagrams, in the order in which they are counted.
-const KINDS: [&str; 3] = ["news", "placed", "entries"];
+const KINDS: [&str; 4] = ["news", "placed", "entries", "permits"];
 
 /// Datagrams of one kind in one direction.
 struct Flow {
@@ -41,8 +41,8 @@
 
 /// The counts of one instance since its start.
 pub(crate) struct Traffic {
-    sent: [Flow; 3],
-    received: [Flow; 3],
+    sent: [Flow; KINDS.len()],
+    received: [Flow; KINDS.len()],
     /// Calls to the store that were answered or failed, by kind of object.
     calls: Map<Arc<str>, u64>,
     logged: Time,
@@ -84,6 +84,7 @@
         Datagram::News(_) => 0,
         Datagram::Placed(..) => 1,
         Datagram::Entries(_) => 2,
+        Datagram::PermitAsked(_) | Datagram::PermitAnswered(_) => 3,
     }
 }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -12,7 +12,7 @@
     catchup::Holder,
     dialect::{Born, Load, Part},
     pace::Pace,
-    quarantine, rumour,
+    quarantine, rate_limit, rumour,
 };
 
 pub use entries::{Entries, Entry};
@@ -85,6 +85,39 @@
     pub valid_ms: u32,
 }
 
+/// What a server takes from all instances together.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Limited {
+    /// The server.
+    pub server: Arc<str>,
+    /// Its life.
+    pub born: Option<Born>,
+    /// Requests a second; none if it names no limit any more.
+    pub per_second: Option<f64>,
+    /// How long before it was told the server said so, ms.
+    pub age_ms: u32,
+}
+
+/// A question to a limit's home for a permit.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PermitAsked {
+    /// The limit as the sender knows it.
+    pub limit: Limited,
+    /// Where the answer goes.
+    pub reply_to: SocketAddr,
+}
+
+/// A home's answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PermitAnswered {
+    /// The server.
+    pub server: Arc<str>,
+    /// Its life.
+    pub born: Option<Born>,
+    /// What may be sent there.
+    pub reply: rate_limit::Reply,
+}
+
 /// One datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Datagram {
@@ -94,6 +127,10 @@
     Placed(Vec<Placement>, Vec<Told>),
     /// Servers' entries that the sender has just read from the store.
     Entries(Entries),
+    /// A permit for a request at a limited server is wanted.
+    PermitAsked(PermitAsked),
+    /// The answer to that.
+    PermitAnswered(PermitAnswered),
 }
 
 /// A server's load as it told it with an answer.
--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -275,6 +275,28 @@
         self.place_nearby(now, |it| !it.is_away) < WATCHERS.div_ceil(centres.len())
     }
 
+    /// The instance that stands for `key` in `centre`, or anywhere if none does there: the same for all that know the
+    /// same members, and the same as before for most keys when one joins or ends.
+    pub fn home(&self, now: Time, key: u64, centre: &str) -> &Member {
+        let stands = |it: &&Member| it.is_ready && !it.is_leaving;
+        let all = self.alive(now).chain([&self.me]).filter(stands);
+        let home = all.max_by_key(|it| (*it.centre == *centre, hash::weight(&it.name, key)));
+        home.unwrap_or(&self.me)
+    }
+
+    /// The part of the instances known of lately that are alive, this one included.
+    ///
+    /// Guards against a fleet that falls apart, where each side takes the other for dead: what one instance hands out
+    /// for all would be handed out twice. It holds since the parts of all sides together are no more than one. Those
+    /// that said that they leave don't count.
+    pub fn present_part(&self, now: Time) -> f64 {
+        let others = self.others.values().filter(|it| !it.member.is_leaving);
+        let (alive, known) = others.fold((1.0, 1.0), |(alive, known), it| {
+            (alive + f64::from(u8::from(self.is_alive(now, it))), known + 1.0)
+        });
+        alive / known
+    }
+
     /// All instances that count for the shared budget, this one included.
     pub fn sharers(&self) -> u32 {
         u32::try_from(self.others.len()).unwrap_or(u32::MAX).saturating_add(1)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod placement;
 pub mod pool;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod rollout;
 pub mod rumour;
 pub mod settings;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -168,6 +168,11 @@
     NoneReady,
     /// All have weights that are too old.
     OldWeights,
+    /// Those that could take it have as many requests as they take at their rate limits.
+    Limited {
+        /// When one of them may take another.
+        after: Duration,
+    },
 }
 
 /// Chooses a server.
@@ -210,9 +215,14 @@
         pace: pool.pace(wish.service),
     };
     let holders: Vec<&Place<'_>> = ready.iter().filter(|it| 0 < it.held.tokens).collect();
-    let weighed = ready.iter().map(|it| weigh(now, wish, &prompt, it, &holders, random));
+    // Closed ones are no place to run, but parts that they hold can be fetched.
+    let open: Vec<_> = ready.iter().filter(|it| !it.server.limit.is_closed(now)).collect();
+    let weighed = open.iter().map(|it| weigh(now, wish, &prompt, it, &holders, random));
     let best = weighed.min_by(|a, b| a.score.total_cmp(&b.score));
-    best.map(|it| Choice { candidates: ready.len() as u32, ..it }).ok_or(shortage)
+    best.map(|it| Choice { candidates: open.len() as u32, ..it }).ok_or_else(|| {
+        let opens = ready.iter().map(|it| it.server.limit.opens()).min();
+        opens.map_or(shortage, |it| Shortage::Limited { after: it.since(now) })
+    })
 }
 
 /// What is the same for all servers.
@@ -241,11 +251,13 @@
     shared(parts).last().map(|it| it.id)
 }
 
-/// The server that reads parts which nobody holds.
+/// The server that reads parts which nobody holds: none that limits its rate, as requests that share them would be
+/// turned to others soon.
 fn home(wish: &Wish<'_>, ready: &[Place<'_>]) -> Option<pool::Id> {
     let key = key(wish.parts)?;
     let newest = ready.iter().map(|it| it.weights).max()?;
-    let current = ready.iter().filter(|it| it.weights == newest);
+    let is_unlimited = |it: &&Place<'_>| it.server.limit.per_second().is_none();
+    let current = ready.iter().filter(|it| it.weights == newest).filter(is_unlimited);
     current.max_by_key(|it| hash::weight(&it.server.name, key)).map(|it| it.id)
 }
 
--- a/crates/gateway/src/pool/health.rs
+++ b/crates/gateway/src/pool/health.rs
@@ -64,9 +64,14 @@
         was_in
     }
 
+    /// Whether it is time to probe the server.
+    pub fn is_due(&self, now: Time) -> bool {
+        self.out_until.is_some_and(|it| it <= now) && !self.is_probed
+    }
+
     /// Whether it is time to probe the server; from then on a probe is under way.
     pub fn probe(&mut self, now: Time) -> bool {
-        let due = self.out_until.is_some_and(|it| it <= now) && !self.is_probed;
+        let due = self.is_due(now);
         self.is_probed |= due;
         due
     }
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -8,6 +8,7 @@
     dialect::{Born, Load, ServerEntry},
     pool::Health,
     quarantine::Life,
+    rate_limit::Limit,
 };
 
 /// How long prompts that were sent are remembered: words on a load are of use for half a second.
@@ -66,8 +67,8 @@
     pub health: Health,
     /// The load that it told last, and when.
     pub load: Option<(Load, Time)>,
-    /// Requests a second that it takes from all instances together, while it names them.
-    pub rate_limit: Option<f64>,
+    /// What it takes from all instances together.
+    pub limit: Limit,
     /// How long the prompt that began last had waited, in milliseconds, and when that was known.
     pub waited: Option<(u32, Time)>,
     /// Requests of this instance that are under way there.
@@ -104,7 +105,7 @@
             switch: None,
             health: Health::default(),
             load: None,
-            rate_limit: None,
+            limit: Limit::default(),
             waited: None,
             inflight: 0,
             busy_until: Time::ZERO,
--- a/crates/gateway/src/rumour.rs
+++ b/crates/gateway/src/rumour.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     catchup::Holder,
-    gossip::{Loading, Member, Members},
+    gossip::{Limited, Loading, Member, Members},
     quarantine::{Identity, Life},
 };
 
@@ -53,6 +53,8 @@
     Crashed(Life, Vec<Identity>),
     /// Nothing speaks against a request any more.
     Released(Identity),
+    /// A server names a rate limit, another one than before, or none any more.
+    Limited(Limited),
 }
 
 impl Rumour {
@@ -66,6 +68,7 @@
             Self::CacheStore(address, _) => Subject::CacheStore(*address),
             Self::Crashed(life, identities) => Subject::Crashed(*life, identities.clone()),
             Self::Released(identity) => Subject::Released(*identity),
+            Self::Limited(it) => Subject::Limited(it.server.clone()),
         }
     }
 
@@ -74,7 +77,11 @@
     fn is_lasting(&self) -> bool {
         match self {
             Self::Silent(_) | Self::Holds(_) | Self::Crashed(..) | Self::Released(_) => false,
-            Self::Leaving(..) | Self::Loading(_) | Self::Instance(_) | Self::CacheStore(..) => true,
+            Self::Leaving(..)
+            | Self::Loading(_)
+            | Self::Instance(_)
+            | Self::CacheStore(..)
+            | Self::Limited(_) => true,
         }
     }
 
@@ -120,6 +127,7 @@
     CacheStore(SocketAddr),
     Crashed(Life, Vec<Identity>),
     Released(Identity),
+    Limited(Arc<str>),
 }
 
 /// How far a rumour is to be told.
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -71,6 +71,46 @@
     assert!(other.alive(at(200)).all(|it| !it.is_ready));
 }
 
+// What is handed out for all has one home that all agree on, in the data centre asked for while one is ready there.
+#[test]
+fn home_is_the_same_for_all_and_moves_with_the_one_that_leaves() {
+    let all: Vec<Member> = (0..6).map(|it| member(&format!("i{it}"), 1, 1)).collect();
+    let homes = |gone: Option<usize>, centre: &str| -> BTreeSet<String> {
+        let views = all.iter().filter(|me| gone.is_none_or(|it| me.name != all[it].name));
+        let home = |me: &Member| {
+            let mut view = Members::open(me.clone());
+            for (number, other) in all.iter().enumerate() {
+                view.take(at(0), Member { is_leaving: gone == Some(number), ..other.clone() });
+            }
+            view.home(at(100), 77, centre).name.to_string()
+        };
+        views.map(home).collect()
+    };
+    let first = homes(None, "a");
+    assert_eq!(first.len(), 1);
+    assert_eq!(homes(None, "elsewhere"), first, "nobody is there");
+    let number = all.iter().position(|it| first.contains(&*it.name)).unwrap();
+    let second = homes(Some(number), "a");
+    assert_eq!(second.len(), 1);
+    assert_ne!(first, second);
+}
+
+#[test]
+fn sides_of_a_cut_count_for_no_more_than_all_together() {
+    let mut members = Members::open(member("me", 1, 0));
+    for name in ["a", "b", "c"] {
+        members.take(at(0), member(name, 1, 1));
+    }
+    assert!((members.present_part(at(1_000)) - 1.0).abs() < 1e-9);
+    members.take(at(3_000), member("a", 1, 2));
+    assert!((members.present_part(at(5_000)) - 0.5).abs() < 1e-9, "two of four are heard of");
+    members.take(at(5_000), Member { is_leaving: true, ..member("b", 1, 2) });
+    assert!((members.present_part(at(5_000)) - 2.0 / 3.0).abs() < 1e-9, "one said that it leaves");
+    members.expire(at(31_000));
+    members.take(at(31_000), member("a", 1, 3));
+    assert!((members.present_part(at(31_000)) - 1.0).abs() < 1e-9, "one is gone for good");
+}
+
 /// What a third instance that has heard of `member` tells of its beats.
 fn other_beats(member: &Member, beat: u64) -> Vec<Beat> {
     let mut third = Members::open(self::member("c", 1, 0));
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -9,6 +9,7 @@
     dialect::{Load, Part},
     placement::{self, Choice, Memory, Reach, Shortage, Wish, choose},
     pool::{Pool, Switch},
+    rate_limit::Reply,
 };
 use support::{MODEL, at, entry, learn, pool, prompt, wish};
 
@@ -248,3 +249,37 @@
     pool.told_load(0, at(10), Load { running: 0, waiting: 0 });
     assert!(before <= pool.get(0).busy_until + Duration::from_millis(10));
 }
+
+// A server that limits its rate has no permit left for a while: prompts go elsewhere, and fetch from it what it holds.
+#[test]
+fn closed_server_is_passed_over_and_fetched_from() {
+    let mut pool = pool(2);
+    let mut memory = Memory::default();
+    let first = send(&mut pool, &mut memory, at(0), &wish(&prompt(1, 1)));
+    let parts = prompt(1, 2);
+    let chosen = |pool: &Pool, ms: u64| choose(pool, &memory, at(ms), &wish(&parts), 7);
+    assert_eq!(chosen(&pool, 1_000).unwrap().server, first.server);
+    let limit = &mut pool.get_mut(first.server).limit;
+    limit.said(at(0), Some(2.0));
+    limit.answered(at(1_000), Reply::Denied(700));
+    let choice = chosen(&pool, 1_000).unwrap();
+    assert_ne!(choice.server, first.server);
+    assert_eq!(choice.fetch_from, Some(pool.get(first.server).address));
+    assert_eq!(chosen(&pool, 1_700).unwrap().server, first.server);
+    pool.get_mut(choice.server).health.is_silent(at(1_000));
+    let after = Duration::from_millis(600);
+    assert_eq!(chosen(&pool, 1_100).unwrap_err(), Shortage::Limited { after });
+}
+
+// Parts that nobody holds would be read at a server that turns away most of the requests that share them.
+#[test]
+fn limited_server_is_no_home_of_parts() {
+    let mut pool = pool(2);
+    let homes = |pool: &Pool| -> Vec<usize> {
+        let home = |it| choose(pool, &Memory::default(), at(0), &wish(&prompt(it, 1)), 7);
+        (0..20).map(|it| home(it).unwrap().server).collect()
+    };
+    assert!(homes(&pool).contains(&0));
+    pool.get_mut(0).limit.said(at(0), Some(5.0));
+    assert!(homes(&pool).iter().all(|it| *it == 1));
+}
--- /dev/null
+++ b/crates/gateway/tests/rate_limit.rs
@@ -0,0 +1,237 @@
+//! Rate limits that servers name, kept by all instances together.
+
+#[path = "support/limited.rs"]
+mod limited;
+
+use std::time::Duration;
+
+use limited::{Counted, World};
+use rand::Rng;
+use shallotlead_base::time::Time;
+use shallotlead_gateway::rate_limit::{Limit, Permission, Reply};
+
+const fn at(ms: u64) -> Time {
+    Time::from_millis(1_000_000 + ms)
+}
+
+/// Home of a limit in a fleet of which nobody is missing.
+const HOME: Option<f64> = Some(1.0);
+
+/// A limit that was named long enough ago for the first permits.
+fn limit(per_second: f64) -> Limit {
+    let mut limit = Limit::default();
+    assert!(limit.said(at(0), Some(per_second)));
+    assert_eq!(limit.acquire(at(0), HOME), Permission::Denied);
+    limit
+}
+
+/// Permits that the home of a limit takes for itself, of one request each millisecond.
+fn acquired(limit: &mut Limit, from_ms: u64, to_ms: u64) -> usize {
+    (from_ms..to_ms).filter(|it| limit.acquire(at(*it), HOME) == Permission::Granted).count()
+}
+
+#[test]
+fn server_without_a_limit_takes_any_number() {
+    let mut limit = Limit::default();
+    for ms in 0..100 {
+        assert_eq!(limit.acquire(at(ms), None), Permission::Granted);
+    }
+    assert!(!limit.said(at(100), None), "that there is none is no news");
+    assert!(!limit.is_closed(at(100)));
+}
+
+#[test]
+fn home_hands_out_the_rate_after_what_was_sent_before_is_made_up_for() {
+    let mut limit = limit(2.0);
+    assert_eq!(acquired(&mut limit, 1, 2_400), 0);
+    let used = acquired(&mut limit, 2_400, 12_400);
+    assert!((18..=21).contains(&used), "{used} in 10 s");
+}
+
+#[test]
+fn tokens_that_aren_t_used_are_kept_for_a_moment_only() {
+    let mut limit = limit(4.0);
+    let burst = acquired(&mut limit, 60_000, 60_200);
+    assert_eq!(burst, 2, "one, and a quarter of a second's");
+}
+
+#[test]
+fn server_that_takes_none_gets_a_trial_each_five_seconds() {
+    let mut limit = limit(0.0);
+    let used = acquired(&mut limit, 1, 60_000);
+    assert!((9..=11).contains(&used), "{used} in 60 s");
+}
+
+#[test]
+fn limit_ends_with_an_answer_that_names_none_unless_its_request_was_sent_before() {
+    let mut limit = limit(2.0);
+    assert!(!limit.said(at(0), None));
+    assert_eq!(limit.per_second(), Some(2.0));
+    assert!(limit.said(at(400), None));
+    assert_eq!(limit.acquire(at(400), None), Permission::Granted);
+    limit.heard(at(200), Some(2.0));
+    assert_eq!(limit.per_second(), None, "an older word comes late");
+    assert!(limit.said(at(500), Some(3.0)));
+}
+
+#[test]
+fn same_limit_is_told_again_each_three_seconds_and_another_one_at_once() {
+    let mut limit = limit(2.0);
+    assert!(!limit.said(at(1_000), Some(2.1)));
+    assert!(limit.said(at(1_001), Some(2.5)));
+    assert!(!limit.said(at(3_900), Some(2.5)));
+    assert!(limit.said(at(4_001), Some(2.5)));
+    limit.heard(at(7_000), Some(2.5));
+    assert!(!limit.said(at(9_900), Some(2.5)), "another instance has just told it");
+}
+
+#[test]
+fn lower_limit_holds_at_once_and_a_debt_at_a_higher_one_is_forgiven() {
+    let mut limit = limit(1_000.0);
+    assert!(limit.said(at(100), Some(1.0)));
+    assert!(acquired(&mut limit, 101, 4_101) <= 2);
+    assert!(0 < acquired(&mut limit, 4_101, 6_000));
+}
+
+#[test]
+fn home_that_does_not_answer_closes_the_server_for_a_moment() {
+    let mut limit = limit(2.0);
+    assert_eq!(limit.acquire(at(3_000), None), Permission::Ask);
+    limit.unanswered(at(3_025));
+    assert_eq!(limit.acquire(at(3_026), None), Permission::Denied);
+    assert!(limit.is_closed(at(3_026)));
+    assert_eq!(limit.acquire(at(3_525), None), Permission::Ask);
+}
+
+#[test]
+fn permit_that_came_late_serves_the_next_request_but_not_forever() {
+    let mut limit = limit(2.0);
+    limit.answered(at(3_000), Reply::Granted(1));
+    assert!(!limit.is_closed(at(3_499)));
+    assert_eq!(limit.acquire(at(3_499), None), Permission::Granted);
+    limit.answered(at(4_000), Reply::Granted(1));
+    assert_eq!(limit.acquire(at(4_500), None), Permission::Ask);
+}
+
+#[test]
+fn instance_that_is_not_home_hands_out_nothing_and_begins_anew_when_it_is() {
+    let mut limit = limit(2.0);
+    assert_eq!(limit.asked(at(10_000), HOME), Reply::Granted(1));
+    assert!(matches!(limit.asked(at(10_001), None), Reply::Denied(_)));
+    assert!(
+        matches!(limit.asked(at(20_000), HOME), Reply::Denied(_)),
+        "what others sent isn't known"
+    );
+    assert_eq!(limit.asked(at(22_600), HOME), Reply::Granted(1));
+}
+
+#[test]
+fn high_rate_takes_few_questions() {
+    let mut limit = limit(400.0);
+    let asked = |limit: &mut Limit, ms: u64| match limit.asked(at(ms), HOME) {
+        Reply::Granted(permits) => usize::from(permits),
+        Reply::Denied(_) => 0,
+    };
+    let first: usize = (10_000..10_010).map(|it| asked(&mut limit, it)).sum();
+    assert!(50 <= first, "{first} permits for ten questions");
+}
+
+#[test]
+fn rates_of_any_size_are_counted_with() {
+    for rate in [0.0, f64::MIN_POSITIVE, 0.3, 1e9, f64::MAX] {
+        let mut limit = limit(rate);
+        assert!(0 < acquired(&mut limit, 7_001, 7_100) || rate < 0.2 + 1.0, "{rate}");
+    }
+}
+
+// 2 requests a second before hundreds of instances, each of which would send one in minutes: neither more nor a
+// small part of them may be sent.
+#[test]
+fn most_of_a_limit_is_used_by_any_number_of_instances() {
+    for instances in [1, 7, 85, 295] {
+        let mut world = World::open(7, instances, &[8.0]);
+        world.loss = 0.01;
+        world.name(0, Some(2.0));
+        world.run(Duration::from_secs(5));
+        let since = world.now;
+        for _ in 0..20 {
+            world.run(Duration::from_secs(1));
+            world
+                .check(Counted::SinceNamed)
+                .unwrap_or_else(|err| panic!("{instances} instances: {err}"));
+        }
+        let used = world.servers[0].arrived_since(since) as f64 / (2.0 * 20.0);
+        println!("{instances} instances use {used:.2} of the limit");
+        assert!((0.7..=1.1).contains(&used), "{instances} instances use {used} of the limit");
+    }
+}
+
+/// Plays one day with random faults and limits, and looks at each window.
+fn play(seed: u64) -> Result<(), String> {
+    let mut rng = <rand::rngs::SmallRng as rand::SeedableRng>::seed_from_u64(seed ^ 0x5eed);
+    let instances = [2, 3, 6, 7, 7, 12, 20][rng.random_range(0..7)];
+    let servers = rng.random_range(1..=3);
+    let limits: Vec<f64> = (0..servers).map(|_| rng.random_range(0.5..12.0)).collect();
+    let demands: Vec<f64> = limits.iter().map(|it| it * rng.random_range(1.0..4.5)).collect();
+    let mut world = World::open(seed, instances, &demands);
+    world.loss = rng.random_range(0.0..0.1);
+    world.run(Duration::from_secs(3));
+    for (server, limit) in limits.iter().enumerate() {
+        world.name(server, Some(*limit));
+    }
+    for _ in 0..300 {
+        world.run(Duration::from_millis(100));
+        world
+            .check(Counted::SinceTold)
+            .map_err(|err| format!("seed {seed}, {instances} instances: {err}"))?;
+        if rng.random_bool(0.04) {
+            disturb(&mut world, &mut rng, &limits);
+        }
+    }
+    Ok(())
+}
+
+fn disturb(world: &mut World, rng: &mut impl Rng, limits: &[f64]) {
+    let instance = rng.random_range(0..world.instances.len());
+    let other = rng.random_range(0..world.instances.len());
+    let server = rng.random_range(0..limits.len());
+    let span = Duration::from_millis(rng.random_range(100..6_000));
+    match rng.random_range(0..9) {
+        0 => world.restart(instance),
+        1 => {
+            world.leave(instance);
+            world.run(Duration::from_secs(1));
+            world.restart(instance);
+        }
+        2 => world.freeze(instance, span),
+        3 => world.cut(instance, span),
+        4 => world.cut_pairs.push((instance, other)),
+        5 => world.cut_pairs.clear(),
+        6 => world.burst(server, (limits[server] * 8.0) as usize),
+        7 => world.name(server, Some(limits[server] * rng.random_range(0.2..2.0))),
+        _ => {
+            world.name(server, None);
+            world.run(Duration::from_millis(700));
+            world.name(server, Some(limits[server]));
+        }
+    }
+}
+
+// Whoever restarts, is frozen, cut off or told late: the others together send no more than the limit allows.
+#[test]
+fn sum_over_instances_holds_through_restarts_cuts_freezes_and_loss() {
+    let first = seed_from_environment("LIMIT_FIRST", 0);
+    let days = seed_from_environment("LIMIT_SEEDS", 200);
+    let broken: Vec<String> = (first..first + days).filter_map(|it| play(it).err()).collect();
+    assert!(
+        broken.is_empty(),
+        "{} of {days} days: {}",
+        broken.len(),
+        broken[..broken.len().min(8)].join("; ")
+    );
+}
+
+fn seed_from_environment(name: &str, default: u64) -> u64 {
+    let text = std::env::var(name).unwrap_or_default();
+    if text.is_empty() { default } else { text.parse().expect("a number") }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/limited.rs
@@ -0,0 +1,520 @@
+//! Instances before servers that limit their rate, in virtual time: what decides is the product's, and datagrams,
+//! callers and servers are simulated.
+
+use std::{cmp::Reverse, collections::BinaryHeap, net::SocketAddr, sync::Arc, time::Duration};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use shallotlead_base::time::Time;
+use shallotlead_gateway::{
+    gossip::{Beat, Member, Members, PERIOD},
+    rate_limit::{Limit, Permission, Reply},
+};
+
+/// The users' rule: the window, when it begins to bind, and what an instance counts for.
+const WINDOW: Duration = Duration::from_secs(4);
+const SETTLED: Duration = Duration::from_secs(3);
+const TOLD_FOR: Duration = Duration::from_millis(500);
+/// How long an instance is excused after a restart, freeze or cut.
+const STABLE: Duration = Duration::from_secs(3);
+/// How long a request waits for a permit.
+const PERMIT_WAIT: Duration = Duration::from_millis(25);
+/// How long a started instance isn't ready.
+const STARTING: Duration = Duration::from_millis(600);
+/// Data centres that instances and servers are spread over.
+const CENTRES: [&str; 3] = ["a", "b", "c"];
+
+/// Which requests count.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Counted {
+    /// All since the limit was named.
+    SinceNamed,
+    /// Those of instances that had passed on an answer with the limit for a while.
+    SinceTold,
+}
+
+/// One played day.
+pub(crate) struct World {
+    pub(crate) now: Time,
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) servers: Vec<Server>,
+    events: BinaryHeap<Reverse<(Time, u64, usize)>>,
+    happenings: Vec<Option<Happening>>,
+    serial: u64,
+    pub(crate) rng: SmallRng,
+    /// Part of the datagrams that are lost.
+    pub(crate) loss: f64,
+    /// Pairs of instances that don't reach each other.
+    pub(crate) cut_pairs: Vec<(usize, usize)>,
+}
+
+pub(crate) struct Instance {
+    members: Members,
+    limits: Vec<Limit>,
+    frozen_until: Time,
+    cut_until: Time,
+    /// Until when it is excused.
+    excused_until: Time,
+    /// Requests that wait for a permit, by server: until when.
+    waiting: Vec<Vec<Time>>,
+    /// When it first passed on an answer that names the limit, by server.
+    told: Vec<Option<Time>>,
+    incarnation: u64,
+}
+
+pub(crate) struct Server {
+    pub(crate) limit: Option<f64>,
+    /// When the limit was first named, and its changes since.
+    pub(crate) named: Option<Time>,
+    pub(crate) changes: Vec<(Time, Option<f64>)>,
+    /// Requests that came: when, and from whom.
+    pub(crate) arrivals: Vec<(Time, usize)>,
+    /// Requests a second that would rather run here than elsewhere, of all instances together.
+    pub(crate) demand: f64,
+}
+
+#[derive(Clone)]
+enum Happening {
+    Wants(usize, usize),
+    Arrives {
+        instance: usize,
+        server: usize,
+        sent: Time,
+    },
+    Answers {
+        instance: usize,
+        server: usize,
+        sent: Time,
+        per_second: Option<f64>,
+        incarnation: u64,
+    },
+    Gossips(usize),
+    Told {
+        to: usize,
+        members: Vec<Member>,
+        beats: Vec<Beat>,
+    },
+    Limited {
+        to: usize,
+        server: usize,
+        per_second: Option<f64>,
+        at: Time,
+    },
+    Asked {
+        to: usize,
+        from: usize,
+        server: usize,
+        per_second: Option<f64>,
+        at: Time,
+    },
+    Answered {
+        to: usize,
+        server: usize,
+        reply: Reply,
+    },
+    GivesUp(usize, usize),
+    Ready(usize, u64),
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 7000))
+}
+
+fn number(address: SocketAddr) -> usize {
+    let SocketAddr::V4(it) = address else { panic!("addresses are IPv4") };
+    let [_, _, high, low] = it.ip().octets();
+    usize::from(high) * 250 + usize::from(low)
+}
+
+fn member(number: usize, incarnation: u64, is_ready: bool) -> Member {
+    Member {
+        name: Arc::from(format!("front-centre-{number}")),
+        // Microseconds of a start, as they are told apart by.
+        incarnation: 1_700_000_000_000_000 + incarnation * 1_234_567,
+        beat: 0,
+        centre: Arc::from(CENTRES[number % CENTRES.len()]),
+        callers: address(number),
+        peers: address(number),
+        is_ready,
+        is_leaving: false,
+        is_watching: true,
+        is_away: false,
+    }
+}
+
+impl Instance {
+    fn open(number: usize, incarnation: u64, servers: usize, is_ready: bool) -> Self {
+        Self {
+            members: Members::open(member(number, incarnation, is_ready)),
+            limits: vec![Limit::default(); servers],
+            frozen_until: Time::ZERO,
+            cut_until: Time::ZERO,
+            excused_until: Time::ZERO,
+            waiting: vec![Vec::new(); servers],
+            told: vec![None; servers],
+            incarnation,
+        }
+    }
+}
+
+impl World {
+    /// `instances` that know each other before servers with so much demand each.
+    pub(crate) fn open(seed: u64, instances: usize, demands: &[f64]) -> Self {
+        let now = Time::from_millis(1_000_000);
+        let mut world = Self {
+            now,
+            instances: (0..instances)
+                .map(|it| Instance::open(it, 1, demands.len(), true))
+                .collect(),
+            servers: demands.iter().map(|it| Server::open(*it)).collect(),
+            events: BinaryHeap::new(),
+            happenings: Vec::new(),
+            serial: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            loss: 0.0,
+            cut_pairs: Vec::new(),
+        };
+        let all: Vec<Member> = world.instances.iter_mut().map(|it| it.members.tell()).collect();
+        for it in &mut world.instances {
+            for member in &all {
+                it.members.take(now, member.clone());
+            }
+        }
+        for it in 0..instances {
+            let first = world.random(PERIOD);
+            world.after(first, Happening::Gossips(it));
+            for server in 0..demands.len() {
+                world.want_next(it, server);
+            }
+        }
+        world
+    }
+
+    /// Plays on for so long.
+    pub(crate) fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while let Some(Reverse((at, _, index))) = self.events.peek().copied()
+            && at <= until
+        {
+            self.events.pop();
+            self.now = at;
+            if let Some(it) = self.happenings[index].take() {
+                self.happen(it);
+            }
+        }
+        self.now = until;
+    }
+
+    /// The server names another limit from now on, or none.
+    pub(crate) fn name(&mut self, server: usize, per_second: Option<f64>) {
+        let now = self.now;
+        if self.servers[server].named.is_none() {
+            self.instances.iter_mut().for_each(|it| it.told[server] = None);
+        }
+        let server = &mut self.servers[server];
+        server.limit = per_second;
+        server.changes.push((now, per_second));
+        server.named = match (server.named, per_second) {
+            (Some(it), Some(_)) => Some(it),
+            (None, Some(_)) => Some(now),
+            (_, None) => None,
+        };
+    }
+
+    /// The instance is killed and started again.
+    pub(crate) fn restart(&mut self, instance: usize) {
+        let incarnation = self.instances[instance].incarnation + 1;
+        let mut started = Instance::open(instance, incarnation, self.servers.len(), false);
+        started.excused_until = self.now + STABLE;
+        for other in 0..self.instances.len() {
+            if other != instance {
+                let record = member(other, self.instances[other].incarnation, true);
+                started.members.listed(self.now, record);
+            }
+        }
+        self.instances[instance] = started;
+        self.after(STARTING, Happening::Ready(instance, incarnation));
+    }
+
+    /// The instance is told to leave, is gone a second later, and starts again.
+    pub(crate) fn leave(&mut self, instance: usize) {
+        let me = self.instances[instance].members.me_mut();
+        me.is_leaving = true;
+        me.is_ready = false;
+        self.tell_own_state(instance);
+    }
+
+    pub(crate) fn freeze(&mut self, instance: usize, span: Duration) {
+        let until = self.now + span;
+        self.instances[instance].frozen_until = until;
+        self.instances[instance].excused_until = until + STABLE;
+    }
+
+    /// The instance reaches no other one.
+    pub(crate) fn cut(&mut self, instance: usize, span: Duration) {
+        let until = self.now + span;
+        self.instances[instance].cut_until = until;
+        self.instances[instance].excused_until = until + STABLE;
+    }
+
+    /// Callers bring all that is wanted in a second at once.
+    pub(crate) fn burst(&mut self, server: usize, requests: usize) {
+        for _ in 0..requests {
+            let instance = self.rng.random_range(0..self.instances.len());
+            self.after(Duration::from_millis(1), Happening::Wants(instance, server));
+        }
+    }
+
+    fn random(&mut self, up_to: Duration) -> Duration {
+        up_to.mul_f64(self.rng.random())
+    }
+
+    fn after(&mut self, span: Duration, happening: Happening) {
+        self.serial += 1;
+        let index = self.happenings.len();
+        self.happenings.push(Some(happening));
+        self.events.push(Reverse((self.now + span, self.serial, index)));
+    }
+
+    fn datagram(&mut self, from: usize, to: usize, happening: Happening) {
+        let is_cut = |it: usize| self.now < self.instances[it].cut_until;
+        let is_cut_pair = self.cut_pairs.iter().any(|it| *it == (from, to) || *it == (to, from));
+        if is_cut(from) || is_cut(to) || is_cut_pair || self.rng.random_bool(self.loss) {
+            return;
+        }
+        let takes = Duration::from_millis(1) + self.random(Duration::from_millis(3));
+        self.after(takes, happening);
+    }
+
+    fn want_next(&mut self, instance: usize, server: usize) {
+        let mean = self.instances.len() as f64 / self.servers[server].demand;
+        let pause = -mean * f64::ln(1.0 - self.rng.random::<f64>());
+        self.after(Duration::from_secs_f64(pause), Happening::Wants(instance, server));
+    }
+
+    fn target(happening: &Happening) -> Option<usize> {
+        match happening {
+            Happening::Wants(it, _) | Happening::Gossips(it) | Happening::GivesUp(it, _) => {
+                Some(*it)
+            }
+            Happening::Answers { instance: it, .. } | Happening::Ready(it, _) => Some(*it),
+            Happening::Told { to, .. }
+            | Happening::Limited { to, .. }
+            | Happening::Asked { to, .. }
+            | Happening::Answered { to, .. } => Some(*to),
+            Happening::Arrives { .. } => None,
+        }
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        if let Some(target) = Self::target(&happening) {
+            let frozen_until = self.instances[target].frozen_until;
+            if self.now < frozen_until {
+                let left = frozen_until.since(self.now);
+                self.after(left, happening);
+                return;
+            }
+        }
+        let now = self.now;
+        match happening {
+            Happening::Wants(instance, server) => {
+                self.want(instance, server);
+                self.want_next(instance, server);
+            }
+            Happening::GivesUp(instance, server) => {
+                let it = &mut self.instances[instance];
+                let before = it.waiting[server].len();
+                it.waiting[server].retain(|it| now < *it);
+                if it.waiting[server].len() < before {
+                    it.limits[server].unanswered(now);
+                }
+            }
+            Happening::Arrives { instance, server, sent } => self.arrive(instance, server, sent),
+            Happening::Answers { instance, server, sent, per_second, incarnation } => {
+                if self.instances[instance].incarnation == incarnation {
+                    self.answer(instance, server, sent, per_second);
+                }
+            }
+            Happening::Gossips(instance) => self.gossip(instance),
+            Happening::Told { to, members, beats } => {
+                let it = &mut self.instances[to].members;
+                for member in members {
+                    it.take(now, member);
+                }
+                it.take_beats(now, &beats);
+            }
+            Happening::Limited { to, server, per_second, at } => {
+                self.instances[to].limits[server].heard(at, per_second);
+            }
+            Happening::Asked { to, from, server, per_second, at } => {
+                let share = self.share(to, server);
+                let limit = &mut self.instances[to].limits[server];
+                limit.heard(at, per_second);
+                let reply = limit.asked(now, share);
+                self.datagram(to, from, Happening::Answered { to: from, server, reply });
+            }
+            Happening::Answered { to, server, reply } => self.answered(to, server, reply),
+            Happening::Ready(instance, incarnation) => {
+                if self.instances[instance].incarnation == incarnation {
+                    self.instances[instance].members.me_mut().is_ready = true;
+                    self.tell_own_state(instance);
+                }
+            }
+        }
+    }
+
+    fn home(&self, instance: usize, server: usize) -> usize {
+        let centre = CENTRES[server % CENTRES.len()];
+        let key = 0x9e37_79b9 + server as u64;
+        number(self.instances[instance].members.home(self.now, key, centre).peers)
+    }
+
+    fn share(&self, instance: usize, server: usize) -> Option<f64> {
+        let is_home = self.home(instance, server) == instance;
+        is_home.then(|| self.instances[instance].members.present_part(self.now))
+    }
+
+    fn want(&mut self, instance: usize, server: usize) {
+        let now = self.now;
+        let home = self.home(instance, server);
+        let share = self.share(instance, server);
+        let it = &mut self.instances[instance];
+        if !it.members.me().is_ready {
+            return;
+        }
+        match it.limits[server].acquire(now, share) {
+            Permission::Granted => self.send(instance, server),
+            Permission::Denied => {}
+            Permission::Ask => {
+                let per_second = it.limits[server].per_second();
+                let at = now - it.limits[server].age(now);
+                it.waiting[server].push(now + PERMIT_WAIT);
+                let asked = Happening::Asked { to: home, from: instance, server, per_second, at };
+                self.datagram(instance, home, asked);
+                self.after(PERMIT_WAIT, Happening::GivesUp(instance, server));
+            }
+        }
+    }
+
+    fn answered(&mut self, instance: usize, server: usize, reply: Reply) {
+        let now = self.now;
+        self.instances[instance].limits[server].answered(now, reply);
+        let waiting = std::mem::take(&mut self.instances[instance].waiting[server]);
+        if let Reply::Granted(permits) = reply {
+            let (sent, rest) = waiting.split_at(waiting.len().min(usize::from(permits)));
+            self.instances[instance].waiting[server] = rest.to_vec();
+            for _ in sent {
+                self.want(instance, server);
+            }
+        }
+    }
+
+    fn send(&mut self, instance: usize, server: usize) {
+        let takes = Duration::from_millis(1) + self.random(Duration::from_millis(1));
+        self.after(takes, Happening::Arrives { instance, server, sent: self.now });
+    }
+
+    fn arrive(&mut self, instance: usize, server: usize, sent: Time) {
+        self.servers[server].arrivals.push((self.now, instance));
+        let takes = Duration::from_millis(30) + self.random(Duration::from_millis(300));
+        let per_second = self.servers[server].limit;
+        let incarnation = self.instances[instance].incarnation;
+        let answers = Happening::Answers { instance, server, sent, per_second, incarnation };
+        self.after(takes, answers);
+    }
+
+    fn answer(&mut self, instance: usize, server: usize, sent: Time, per_second: Option<f64>) {
+        let now = self.now;
+        let it = &mut self.instances[instance];
+        if per_second.is_some() {
+            it.told[server].get_or_insert(now);
+        }
+        let at = if per_second.is_some() { now } else { sent };
+        if it.limits[server].said(at, per_second) {
+            for to in 0..self.instances.len() {
+                let heard = Happening::Limited { to, server, per_second, at };
+                if to != instance {
+                    self.datagram(instance, to, heard);
+                }
+            }
+        }
+    }
+
+    fn gossip(&mut self, instance: usize) {
+        let now = self.now;
+        let Self { instances, rng, .. } = self;
+        let it = &mut instances[instance].members;
+        it.expire(now);
+        let targets = it.targets(std::iter::empty(), rng);
+        let mut members = vec![it.tell()];
+        members.extend(it.records(now));
+        let beats = it.beats(now, rng);
+        for target in targets {
+            let to = number(target);
+            let told = Happening::Told { to, members: members.clone(), beats: beats.clone() };
+            self.datagram(instance, to, told);
+        }
+        self.after(PERIOD, Happening::Gossips(instance));
+    }
+
+    fn tell_own_state(&mut self, instance: usize) {
+        let me = self.instances[instance].members.tell();
+        for to in 0..self.instances.len() {
+            if to != instance {
+                let members = vec![me.clone()];
+                self.datagram(instance, to, Happening::Told { to, members, beats: Vec::new() });
+            }
+        }
+    }
+
+    /// Looks at the window that ends now, at each server whose limit binds: how many requests came that count, and how
+    /// many are allowed.
+    pub(crate) fn check(&self, counted: Counted) -> Result<(), String> {
+        for (number, server) in self.servers.iter().enumerate() {
+            let Some(named) = server.named.filter(|it| SETTLED <= self.now.since(*it)) else {
+                continue;
+            };
+            let counts = |it: &&(Time, usize)| {
+                let from = &self.instances[it.1];
+                let is_told = from.told[number].is_some_and(|at| at + TOLD_FOR <= it.0);
+                named <= it.0
+                    && from.excused_until <= self.now
+                    && (is_told || counted == Counted::SinceNamed)
+            };
+            let recent = server.arrivals.iter().rev();
+            let recent = recent.take_while(|it| self.now.since(it.0) < WINDOW);
+            let came = recent.filter(counts).count() as f64;
+            let allowed = 1.5 * server.highest(self.now) * WINDOW.as_secs_f64() + 5.0;
+            if allowed < came {
+                let ago = self.now.since(named);
+                return Err(format!(
+                    "server {number}: {came} requests in 4 s, {allowed} allowed, {ago:?} after it was named"
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Server {
+    fn open(demand: f64) -> Self {
+        Self { limit: None, named: None, changes: Vec::new(), arrivals: Vec::new(), demand }
+    }
+
+    /// The highest limit that was named within the window that ends now; without one before, what held since.
+    fn highest(&self, now: Time) -> f64 {
+        let within = self.changes.iter().rev();
+        let mut highest = 0.0_f64;
+        for (at, limit) in within {
+            highest = highest.max(limit.unwrap_or(0.0));
+            if WINDOW <= now.since(*at) {
+                break;
+            }
+        }
+        highest
+    }
+
+    /// Requests that came since.
+    pub(crate) fn arrived_since(&self, since: Time) -> usize {
+        self.arrivals.iter().filter(|it| since <= it.0).count()
+    }
+}
--- a/crates/shallotlead/src/command/explain/story.rs
+++ b/crates/shallotlead/src/command/explain/story.rs
@@ -13,8 +13,15 @@
 /// How long before and after a request's own lines what was learnt of its servers belongs to its story.
 const AROUND_MS: u64 = 1_500;
 /// Events of servers that explain what a request met there.
-const BELIEFS: [&str; 6] =
-    ["server", "server_left_out", "server_taken_in", "order", "order_answered", "loaded"];
+const BELIEFS: [&str; 7] = [
+    "server",
+    "server_left_out",
+    "server_taken_in",
+    "rate_limit",
+    "order",
+    "order_answered",
+    "loaded",
+];
 /// Events of an instance's dependencies.
 const DEPENDENCIES: [&str; 5] =
     ["store_lost", "store_regained", "configuration", "lease", "weights_named"];
