--- a/crates/gateway/tests/rate_limit.rs
+++ b/crates/gateway/tests/rate_limit.rs
@@ -154,6 +154,7 @@
         world.name(0, Some(2.0));
         world.run(Duration::from_secs(5));
         let since = world.now;
+        world.questions = 0;
         for _ in 0..20 {
             world.run(Duration::from_secs(1));
             world
@@ -161,7 +162,12 @@
                 .unwrap_or_else(|err| panic!("{instances} instances: {err}"));
         }
         let used = world.servers[0].arrived_since(since) as f64 / (2.0 * 20.0);
-        println!("{instances} instances use {used:.2} of the limit");
+        let questions = world.questions as f64 / 20.0;
+        println!(
+            "{instances} instances use {used:.2} of the limit, {questions} questions a second"
+        );
+        // With the packets about 120 bytes each: a tenth of what a node may spend on control.
+        assert!(questions <= 20.0, "{instances} instances ask {questions} times a second");
         assert!((0.7..=1.1).contains(&used), "{instances} instances use {used} of the limit");
     }
 }
--- a/crates/gateway/tests/support/limited.rs
+++ b/crates/gateway/tests/support/limited.rs
@@ -45,6 +45,8 @@
     pub(crate) loss: f64,
     /// Pairs of instances that don't reach each other.
     pub(crate) cut_pairs: Vec<(usize, usize)>,
+    /// Questions for permits that came.
+    pub(crate) questions: usize,
 }
 
 pub(crate) struct Instance {
@@ -172,6 +174,7 @@
             rng: SmallRng::seed_from_u64(seed),
             loss: 0.0,
             cut_pairs: Vec::new(),
+            questions: 0,
         };
         let all: Vec<Member> = world.instances.iter_mut().map(|it| it.members.tell()).collect();
         for it in &mut world.instances {
@@ -346,6 +349,7 @@
                 self.instances[to].limits[server].heard(at, per_second);
             }
             Happening::Asked { to, from, server, per_second, at } => {
+                self.questions += 1;
                 let share = self.share(to, server);
                 let limit = &mut self.instances[to].limits[server];
                 limit.heard(at, per_second);
