--- a/crates/shallotlead/tests/soak.rs
+++ b/crates/shallotlead/tests/soak.rs
@@ -32,11 +32,11 @@
     until,
 };
 
-/// Seeds that have failed once, with the cause.
-const FAILED: [u64; 1] = [
+/// Days that have failed once, with the cause.
+const FAILED: [Day; 1] = [
     // All instances' watches waited while the store was silent, and were never answered: nobody read which weights
     // were named after it was back.
-    922,
+    Day { seed: 922, has_limits: false },
 ];
 /// Instances, engines and plain servers.
 const INSTANCES: usize = 3;
@@ -51,6 +51,8 @@
 const CALLERS: usize = 6;
 /// Time after the last fault until all must be well again: the users' bound for recovery.
 const RECOVERY: Duration = Duration::from_secs(12);
+/// Tells the draws of limits from those of faults.
+const LIMITS: u64 = 0x9e37_79b9_7f4a_7c15;
 /// Orders of two holders to one server lie this far apart; see `support::settings_text`.
 const GAP: Duration = Duration::from_millis(300);
 
@@ -59,13 +61,23 @@
     let number = |name: &str| env::var(name).ok().and_then(|it| it.parse::<u64>().ok());
     let first = number("SOAK_FIRST").unwrap_or(1);
     let fresh = first..first + number("SOAK_SEEDS").unwrap_or(1);
-    for seed in FAILED.into_iter().chain(fresh) {
-        let broken = World::open(seed).play();
+    let fresh = fresh.map(|seed| Day { seed, has_limits: true });
+    for day in FAILED.into_iter().chain(fresh) {
+        let seed = day.seed;
+        let broken = World::open(day).play();
         println!("seed {seed}: {}", if broken.is_empty() { "held" } else { "BROKEN" });
         assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
     }
 }
 
+/// What is played.
+#[derive(Clone, Copy, Debug)]
+struct Day {
+    seed: u64,
+    /// Whether servers name rate limits, besides the faults.
+    has_limits: bool,
+}
+
 /// One instance, which may be dead or suspended for a while.
 struct Instance {
     ip: IpAddr,
@@ -127,6 +139,8 @@
 struct World {
     seed: u64,
     rng: SmallRng,
+    /// Draws the rate limits, if servers name any.
+    limits: Option<SmallRng>,
     store: Store,
     servers: Vec<(Server, Proxy, &'static str)>,
     instances: Vec<Instance>,
@@ -137,7 +151,7 @@
 }
 
 impl World {
-    fn open(seed: u64) -> Self {
+    fn open(Day { seed, has_limits }: Day) -> Self {
         let mut ground = Ground::open();
         let store = ground.store();
         store.put("config", "main", configuration(1));
@@ -161,6 +175,7 @@
         Self {
             seed,
             rng: SmallRng::seed_from_u64(seed),
+            limits: has_limits.then(|| SmallRng::seed_from_u64(seed.wrapping_mul(LIMITS))),
             store,
             servers,
             instances,
@@ -178,6 +193,7 @@
         }
         let callers: Vec<_> = (0..CALLERS).map(|number| self.caller(number)).collect();
         for _ in 0..FAULTS {
+            self.limit();
             self.fault();
             let pause = self.rng.random_range(0..PAUSE_MS);
             thread::sleep(Duration::from_millis(pause));
@@ -251,6 +267,14 @@
         }
     }
 
+    /// Some server names a limit, another one than before, or none any more.
+    fn limit(&mut self) {
+        let Some(rng) = &mut self.limits else { return };
+        let (server, ..) = self.servers.choose(rng).expect("servers");
+        let limit = ["0", "1.5", "6", "40", "none", "-1"].choose(rng).expect("limits");
+        server.name_limit(Some(*limit).filter(|it| *it != "none"));
+    }
+
     fn harm(&mut self, proxy: Proxy, lasts: Duration) {
         let delay = Harm::Delay(Duration::from_millis(30));
         let harms = [Harm::Silence, Harm::OneWay, Harm::Reset, delay];
@@ -270,7 +294,10 @@
     fn heal(&mut self) {
         thread::sleep(Duration::from_millis(LASTS_MS));
         self.store.set_mode(Mode::Up);
-        self.servers.iter().for_each(|it| it.1.set(Harm::None));
+        for (server, proxy, _) in &self.servers {
+            proxy.set(Harm::None);
+            server.name_limit(None);
+        }
         self.instances.iter().for_each(|it| it.proxy.set(Harm::None));
         self.name_weights();
     }
