shallotlead limits: operators list servers that limit their rate

GET /limits on the gateway's metrics address, with each limit, its age, the instance that hands out permits and how long this one asks for none; the client of the quarantine's page serves both commands.

--- a/crates/gateway/src/core/pages.rs
+++ b/crates/gateway/src/core/pages.rs
@@ -1,14 +1,18 @@
-//! The small pages: readiness, addresses for callers, metrics, requests in quarantine, and knowledge for
-//! other instances.
+//! The small pages: readiness, addresses for callers, metrics, requests in quarantine, servers that limit
+//! their rate, and knowledge for other instances.
 
 mod quarantine;
+mod rate_limit;
 
 use std::net::SocketAddr;
 
+use serde::Serialize;
+
 use crate::{
     core::{Core, Role, state::STATE_PATH},
     http::{body::Framing, head::Request, write},
     net::{Door, Key, Socket},
+    quarantine::page::Problem,
 };
 
 /// Longest head of a request to a page.
@@ -66,7 +70,8 @@
                 None => (404, JSON, b"{}".to_vec()),
             },
             Door::Metrics => {
-                if let Some((status, body)) = self.quarantine_page(head) {
+                let page = self.quarantine_page(head).or_else(|| self.limits_page(head));
+                if let Some((status, body)) = page {
                     return (status, JSON, body);
                 }
                 self.refresh_gauges();
@@ -102,3 +107,17 @@
         near.iter().map(|it| it.callers).take(MOST_ADDRESSES).collect()
     }
 }
+
+fn problem(status: u16, error: &str) -> (u16, Vec<u8>) {
+    json(status, &Problem { error: error.to_owned() })
+}
+
+fn json(status: u16, value: &impl Serialize) -> (u16, Vec<u8>) {
+    match serde_json::to_vec(value) {
+        Ok(body) => (status, body),
+        Err(err) => {
+            log::error!("an operators' page can't be written: {err}");
+            (500, b"{}".to_vec())
+        }
+    }
+}
--- a/crates/gateway/src/core/pages/quarantine.rs
+++ b/crates/gateway/src/core/pages/quarantine.rs
@@ -1,13 +1,12 @@
 //! The page on which an operator lists the requests in quarantine and releases one.
 
-use serde::Serialize;
-
+use super::{json, problem};
 use crate::{
     core::Core,
     http::head::Request,
     quarantine::{
         Identity,
-        page::{Entry, PATH, Problem, Release},
+        page::{Entry, PATH, Release},
     },
 };
 
@@ -54,17 +53,3 @@
         json(200, &Release { released: true })
     }
 }
-
-fn problem(status: u16, error: &str) -> (u16, Vec<u8>) {
-    json(status, &Problem { error: error.to_owned() })
-}
-
-fn json(status: u16, value: &impl Serialize) -> (u16, Vec<u8>) {
-    match serde_json::to_vec(value) {
-        Ok(body) => (status, body),
-        Err(err) => {
-            log::error!("an answer on requests in quarantine can't be written: {err}");
-            (500, b"{}".to_vec())
-        }
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/core/pages/rate_limit.rs
@@ -0,0 +1,36 @@
+//! The page on which an operator lists the servers that limit their rate.
+
+use super::json;
+use crate::{
+    core::Core,
+    http::head::Request,
+    rate_limit::page::{Entry, PATH},
+};
+
+impl Core {
+    /// Status and body of the answer; `None` if the request is for another page.
+    pub(super) fn limits_page(&self, head: &Request) -> Option<(u16, Vec<u8>)> {
+        if head.path() != PATH {
+            return None;
+        }
+        Some(match &*head.method {
+            "GET" => json(200, &self.limit_entries()),
+            _ => super::problem(405, "expected GET"),
+        })
+    }
+
+    fn limit_entries(&self) -> Vec<Entry> {
+        let entries = self.pool.listed().filter_map(|(_, server)| {
+            let home = self.members.home(self.now, server.life(), &server.centre);
+            Some(Entry {
+                server: server.name.to_string(),
+                service: server.service.to_string(),
+                per_second: server.limit.per_second()?,
+                age_ms: server.limit.age(self.now).as_millis() as u64,
+                home: home.name.to_string(),
+                closed_ms: server.limit.opens().since(self.now).as_millis() as u64,
+            })
+        });
+        entries.collect()
+    }
+}
--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -6,6 +6,7 @@
 //! Pure: whoever uses it carries questions and answers between instances.
 
 mod bucket;
+pub mod page;
 
 use std::time::Duration;
 
--- a/crates/shallotlead/src/command.rs
+++ b/crates/shallotlead/src/command.rs
@@ -5,8 +5,10 @@
 pub(crate) mod entry;
 pub(crate) mod explain;
 pub(crate) mod gateway;
+pub(crate) mod limits;
 pub(crate) mod load;
 pub(crate) mod operator;
+pub(crate) mod page;
 pub(crate) mod quarantine;
 pub(crate) mod standin;
 pub(crate) mod status;
@@ -37,6 +39,7 @@
         Command::Explain(arguments) => explain::from_log(&arguments)
             .unwrap_or_else(|| client().and_then(|it| explain::run(&arguments, &it))),
         Command::Gateway(arguments) => gateway::run(arguments),
+        Command::Limits(arguments) => limits::run(&arguments),
         Command::Load(arguments) => load::run(arguments),
         Command::Quarantine(arguments) => quarantine::run(&arguments),
         Command::Status(arguments) => client().and_then(|it| status::run(&arguments, &it)),
@@ -80,6 +83,8 @@
     Explain(explain::Arguments),
     #[options(help = "run one instance on the users' platform")]
     Gateway(gateway::Arguments),
+    #[options(help = "list the backend servers that limit their rate")]
+    Limits(limits::Arguments),
     #[options(help = "send a deployment's traffic to running instances")]
     Load(load::Arguments),
     #[options(help = "list the requests that crashed servers, or release one")]
--- /dev/null
+++ b/crates/shallotlead/src/command/limits.rs
@@ -0,0 +1,54 @@
+//! `shallotlead limits`: the backend servers that limit their rate, as one instance knows them.
+
+use std::time::Duration;
+
+use gumdrop::Options;
+use shallotlead_gateway::rate_limit::page::{Entry, PATH};
+
+use crate::{
+    columns::Columns,
+    command::{Failure, operator::print_json, page::Client},
+};
+
+/// Arguments of the subcommand.
+#[derive(Debug, Options)]
+pub(crate) struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "IP:PORT of an instance's metrics address")]
+    instance: Option<String>,
+    #[options(no_short, help = "print JSON")]
+    json: bool,
+}
+
+/// Runs the subcommand.
+pub(crate) fn run(arguments: &Arguments) -> Result<(), Failure> {
+    let client = Client::open(arguments.instance.as_deref())?;
+    let entries: Vec<Entry> = client.get(PATH)?;
+    if arguments.json {
+        return print_json(&entries);
+    }
+    print(&entries);
+    Ok(())
+}
+
+fn print(entries: &[Entry]) {
+    if entries.is_empty() {
+        println!("no server limits its rate");
+        return;
+    }
+    let titles = ["server", "service", "per second", "said", "permits from", "closed for"];
+    let mut columns = Columns::new(titles);
+    let seconds = |ms: u64| Duration::from_millis(ms).as_secs_f64();
+    for it in entries {
+        columns.push([
+            it.server.clone(),
+            it.service.clone(),
+            format!("{:.2}", it.per_second),
+            format!("{:.1} s ago", seconds(it.age_ms)),
+            it.home.clone(),
+            format!("{:.1} s", seconds(it.closed_ms)),
+        ]);
+    }
+    print!("{columns}");
+}
--- a/crates/shallotlead/src/command/quarantine/client.rs
+++ b/crates/shallotlead/src/command/page.rs
@@ -1,12 +1,9 @@
-//! Client of an instance's page of requests in quarantine.
+//! Client of an instance's pages for operators, at its metrics address.
 
 use std::{net::SocketAddr, time::Duration};
 
 use serde::de::DeserializeOwned;
-use shallotlead_gateway::quarantine::{
-    Identity,
-    page::{Entry, PATH, Problem, Release},
-};
+use shallotlead_gateway::quarantine::page::Problem;
 use thiserror::Error;
 use ureq::{Agent, Body, http::Response};
 
@@ -15,7 +12,7 @@
 /// An instance answers from memory; one that takes longer is of no help to an operator.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A client of one instance's page.
+/// A client of one instance's pages.
 #[derive(Clone, Debug)]
 pub(super) struct Client {
     agent: Agent,
@@ -62,27 +59,31 @@
 }
 
 impl Client {
-    /// A client of the instance whose metrics address is `address`.
-    pub(super) fn new(address: SocketAddr) -> Self {
+    /// A client of the instance whose metrics address the operator has given.
+    pub(super) fn open(address: Option<&str>) -> Result<Self, Failure> {
+        let text = address.unwrap_or_default();
+        let address = text.parse::<SocketAddr>().map_err(|_| {
+            Failure::Usage(format!("`{text}` is no address: expected IP:PORT of an instance's metrics, as 127.0.0.1:9464"))
+        })?;
         let config = Agent::config_builder()
             .timeout_global(Some(TIMEOUT))
             .http_status_as_error(false)
             .build();
-        Self { agent: config.into(), address }
+        Ok(Self { agent: config.into(), address })
     }
 
-    /// The requests in quarantine, those that came last first.
-    pub(super) fn list(&self) -> Result<Vec<Entry>, Error> {
-        self.read(self.agent.get(self.url("")).call())
+    /// Reads what lies at `path`.
+    pub(super) fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        self.read(self.agent.get(self.url(path)).call())
     }
 
-    /// Releases one.
-    pub(super) fn release(&self, identity: Identity) -> Result<Release, Error> {
-        self.read(self.agent.delete(self.url(&format!("/{identity}"))).call())
+    /// Removes what lies at `path`.
+    pub(super) fn delete<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        self.read(self.agent.delete(self.url(path)).call())
     }
 
-    fn url(&self, rest: &str) -> String {
-        format!("http://{}{PATH}{rest}", self.address)
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
     }
 
     fn read<T: DeserializeOwned>(
--- a/crates/shallotlead/src/command/quarantine.rs
+++ b/crates/shallotlead/src/command/quarantine.rs
@@ -1,19 +1,18 @@
 //! `shallotlead quarantine`: the requests that are sent to no server any more, and their release.
 
-mod client;
-
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use gumdrop::Options;
-use shallotlead_gateway::quarantine::{Identity, page::Entry};
+use shallotlead_gateway::quarantine::{
+    Identity,
+    page::{Entry, PATH, Release},
+};
 
 use crate::{
     columns::Columns,
-    command::{Failure, operator::print_json},
+    command::{Failure, operator::print_json, page::Client},
 };
 
-use client::Client;
-
 /// Arguments of the subcommand.
 #[derive(Debug, Options)]
 pub(crate) struct Arguments {
@@ -30,13 +29,9 @@
 /// Runs the subcommand.
 pub(crate) fn run(arguments: &Arguments) -> Result<(), Failure> {
     let Arguments { instance, release, json, .. } = arguments;
-    let instance = instance.as_deref().unwrap_or_default();
-    let address = instance.parse::<SocketAddr>().map_err(|_| {
-        Failure::Usage(format!("`{instance}` is no address: expected IP:PORT of an instance's metrics, as 127.0.0.1:9464"))
-    })?;
-    let client = Client::new(address);
+    let client = Client::open(instance.as_deref())?;
     let Some(text) = release else {
-        let entries = client.list()?;
+        let entries: Vec<Entry> = client.get(PATH)?;
         if *json {
             return print_json(&entries);
         }
@@ -46,7 +41,7 @@
     let identity = text
         .parse::<Identity>()
         .map_err(|err| Failure::Usage(format!("`{text}` names no request: {err}")))?;
-    let release = client.release(identity)?;
+    let release: Release = client.delete(&format!("{PATH}/{identity}"))?;
     if *json {
         return print_json(&release);
     }
--- /dev/null
+++ b/crates/shallotlead/tests/limits.rs
@@ -0,0 +1,65 @@
+//! The real binary with a page of servers that limit their rate.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+use std::{
+    io::{BufRead, BufReader, Write},
+    net::TcpListener,
+    process::Command,
+    thread,
+};
+
+use shallotlead_gateway::rate_limit::page::Entry;
+
+/// Exit status and text of the subcommand.
+fn limits(arguments: &[&str]) -> (Option<i32>, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_shallotlead"));
+    let output = command.arg("limits").args(arguments).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout) + String::from_utf8_lossy(&output.stderr);
+    (output.status.code(), text.into_owned())
+}
+
+/// A stand-in for an instance that answers one request for the page.
+fn standin(entries: &[Entry]) -> String {
+    let body = serde_json::to_string(entries).unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (stream, _) = listener.accept().unwrap();
+        let mut lines = BufReader::new(&stream).lines().map(Result::unwrap);
+        assert_eq!(lines.next().unwrap(), "GET /limits HTTP/1.1");
+        lines.find(String::is_empty).unwrap();
+        let length = body.len();
+        write!(&stream, "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}").unwrap();
+    });
+    address.to_string()
+}
+
+fn entry() -> Entry {
+    Entry {
+        server: "e1".into(),
+        service: "pool".into(),
+        per_second: 2.25,
+        age_ms: 312,
+        home: "front-1".into(),
+        closed_ms: 1_480,
+    }
+}
+
+// An operator looks which servers are in need, and a script does.
+#[test]
+fn command_lists_servers_that_limit_their_rate() {
+    let table = "server  service  per second  said       permits from  closed for\n\
+                 e1      pool     2.25        0.3 s ago  front-1       1.5 s\n";
+    assert_eq!(limits(&[&standin(&[entry()])]), (Some(0), table.to_owned()));
+    let json = serde_json::to_string(&[entry()]).unwrap() + "\n";
+    assert_eq!(limits(&["--json", &standin(&[entry()])]), (Some(0), json));
+    assert_eq!(limits(&[&standin(&[])]), (Some(0), "no server limits its rate\n".to_owned()));
+}
+
+#[test]
+fn command_says_what_was_expected() {
+    let (status, text) = limits(&["front-1"]);
+    assert_eq!(status, Some(2), "{text}");
+    assert!(text.contains("`front-1` is no address: expected IP:PORT"), "{text}");
+}
