--- a/crates/gateway/src/core/pages/rate_limit.rs
+++ b/crates/gateway/src/core/pages/rate_limit.rs
@@ -21,13 +21,12 @@
 
     fn limit_entries(&self) -> Vec<Entry> {
         let entries = self.pool.listed().filter_map(|(_, server)| {
-            let home = self.members.home(self.now, server.life(), &server.centre);
             Some(Entry {
                 server: server.name.to_string(),
                 service: server.service.to_string(),
                 per_second: server.limit.per_second()?,
                 age_ms: server.limit.age(self.now).as_millis() as u64,
-                home: home.name.to_string(),
+                home: self.limit_home(server).name.to_string(),
                 closed_ms: server.limit.opens().since(self.now).as_millis() as u64,
             })
         });
--- a/crates/gateway/src/core/rate_limit.rs
+++ b/crates/gateway/src/core/rate_limit.rs
@@ -7,9 +7,9 @@
 use crate::{
     core::{Core, Timer, attempt::Reply, exchange::WAIT_PART},
     dialect::RateLimit,
-    gossip::{Datagram, Limited, PermitAnswered, PermitAsked},
+    gossip::{Datagram, Limited, Member, PermitAnswered, PermitAsked},
     placement::Choice,
-    pool,
+    pool::{self, Server},
     rate_limit::{self, Permission},
     rumour::Rumour,
 };
@@ -18,10 +18,12 @@
 /// data centres.
 const PERMIT_WAIT: Duration = Duration::from_millis(25);
 
-/// A request that waits for a permit.
+/// What a request waits for.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Awaited {
+    /// A permit for this server.
     server: pool::Id,
+    /// How long it waits.
     until: Time,
 }
 
@@ -109,8 +111,7 @@
 
     /// Asks the home of the server's limit for a permit.
     pub(crate) fn ask_permit(&mut self, id: pool::Id) {
-        let server = self.pool.get(id);
-        let home = self.members.home(self.now, server.life(), &server.centre).peers;
+        let home = self.limit_home(self.pool.get(id)).peers;
         let reply_to = self.members.me().peers;
         let asked = PermitAsked { limit: self.limited(id), reply_to };
         self.send_to(&[home], &Datagram::PermitAsked(asked));
@@ -176,11 +177,14 @@
         }
     }
 
+    /// The instance that hands out permits for the server.
+    pub(crate) fn limit_home(&self, server: &Server) -> &Member {
+        self.members.home(self.now, server.life(), &server.centre)
+    }
+
     /// The part of the server's limit that this instance hands out; `None` if it isn't the limit's home.
     fn limit_share(&self, id: pool::Id) -> Option<f64> {
-        let server = self.pool.get(id);
-        let home = self.members.home(self.now, server.life(), &server.centre);
-        let is_home = home.name == self.members.me().name;
+        let is_home = self.limit_home(self.pool.get(id)).name == self.members.me().name;
         is_home.then(|| self.members.present_part(self.now))
     }
 
--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -15,8 +15,8 @@
 
 use bucket::Bucket;
 
-/// How long an unused permit may be used: the request that it was asked for may have gone elsewhere, and the next
-/// one that would rather run there comes within a second or two.
+/// How long a permit may be used by another request, where the one that it was asked for has gone elsewhere. Kept for
+/// longer, permits of many instances would add up to a burst.
 const VALID: Duration = Duration::from_millis(500);
 /// How long a server counts as closed when its limit's home didn't answer: it has ended, or is cut off.
 const UNANSWERED: Duration = Duration::from_millis(500);
