--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -122,11 +122,15 @@
 
     /// Takes what the server said, if it is the latest.
     fn take(&mut self, at: Time, per_second: Option<f64>) -> bool {
-        let is_latest = self.word.is_none_or(|it| it.at < at);
-        if is_latest {
-            self.word = Some(Word { per_second, at });
+        if self.word.is_some_and(|it| at <= it.at) {
+            return false;
+        }
+        if self.per_second().is_none() {
+            // What was sent without a limit isn't known here either.
+            self.bucket = None;
         }
-        is_latest
+        self.word = Some(Word { per_second, at });
+        true
     }
 
     /// Whether a request can't be sent now, and asking for a permit is of no use.
--- a/crates/gateway/tests/rate_limit.rs
+++ b/crates/gateway/tests/rate_limit.rs
@@ -48,6 +48,16 @@
     assert!((18..=21).contains(&used), "{used} in 10 s");
 }
 
+#[test]
+fn limit_that_is_named_again_makes_up_for_what_was_sent_meanwhile() {
+    let mut limit = limit(2.0);
+    assert_eq!(limit.acquire(at(10_000), HOME), Permission::Granted);
+    assert!(limit.said(at(11_000), None));
+    assert!(limit.said(at(12_000), Some(2.0)));
+    assert_eq!(acquired(&mut limit, 12_000, 14_400), 0);
+    assert!(0 < acquired(&mut limit, 14_400, 16_500));
+}
+
 #[test]
 fn tokens_that_aren_t_used_are_kept_for_a_moment_only() {
     let mut limit = limit(4.0);
