Instances that start know how long ago weights were named, also where all do

Cause: the age of a naming lived in the instances alone. One that started and found nobody to ask took what lay in the store for 1.5 s old, and sent prompts to old weights for almost the whole bound once more.

Change: the lease's holder writes to its record when weights were named, by its time of day, at once and with each renewal. Each instance reads the record once at its start, and begins nothing on replaced weights before that, for half a second at most.

Why it works: the record outlives all instances, says the same of a naming whoever holds the lease next, and only ever makes a naming older.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -152,6 +152,9 @@
     journal: Journal,
     stats: Stats,
     orders: Orders,
+    started: Time,
+    /// Weights that the lease's record names, and since when.
+    named_before: Map<Arc<str>, (u64, Time)>,
     /// When SIGTERM came.
     leaving_since: Option<Time>,
     swept: Time,
@@ -250,6 +253,8 @@
             orders,
             leaving_since: None,
             swept: now,
+            started: now,
+            named_before: Map::default(),
             uplink: Uplink::open(settings.link_bytes_per_s),
             settings,
         })
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -273,7 +273,7 @@
             centre: &self.settings.centre,
             reach: Reach::Near,
             is_suspect: false,
-            oldest_weights: self.settings.oldest_weights,
+            oldest_weights: self.oldest_weights(),
             excluded: &exchange.excluded,
         }
     }
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -10,12 +10,14 @@
 
 use crate::{
     catalog::{Catalog, Service},
+    clock,
     core::{
         Core,
         storage::{Document, Entry, Source, What},
     },
     dialect::{ServerEntry, Subject},
     gossip::{self, Member},
+    lease,
     pool::{self, Presence},
     rumour::Reach,
 };
@@ -23,6 +25,8 @@
 /// How long ago weights count as named that lie in the store when an instance starts, unless another
 /// one knows better.
 const NAMED_BEFORE: Duration = Duration::from_millis(1_500);
+/// How long after its start an instance waits for the lease's record: the store may be away.
+const LOOKED_BY: Duration = Duration::from_millis(500);
 
 impl Core {
     pub(crate) fn take_list(&mut self, what: What, objects: &[Object], version: Version) {
@@ -109,7 +113,12 @@
             // What lay there at the start was named at some time before.
             Ok(it) => {
                 let is_first = self.pool.named(&it.model).is_none();
-                let at = if is_first { self.now - NAMED_BEFORE } else { self.now };
+                let dated = self.named_before.get(&it.model).filter(|dated| dated.0 == it.version);
+                let at = match dated {
+                    Some((_, at)) => *at,
+                    None if is_first => self.now - NAMED_BEFORE,
+                    None => self.now,
+                };
                 self.weights_named(at, &it.model, it.version, Source::Store);
             }
             Err(err) => {
@@ -125,7 +134,10 @@
         version: u64,
         source: Source,
     ) {
-        if self.pool.name_weights(at, model, version) {
+        let is_news = self.pool.name_weights(at, model, version);
+        let unix_ms = clock::unix_ms().saturating_sub(self.now.since(at).as_millis() as u64);
+        self.lease.name(lease::Named { model: model.clone(), version, unix_ms });
+        if is_news {
             self.journal
                 .line(self.now, "weights_named")
                 .text("model", model)
@@ -137,6 +149,30 @@
         }
     }
 
+    /// The lease's record says when weights were named. What this instance hasn't heard of otherwise isn't named: the
+    /// store may have come back from a copy.
+    pub(crate) fn weights_dated(&mut self, named: &[lease::Named]) {
+        let unix_ms = clock::unix_ms();
+        for it in named {
+            let at = self.now - Duration::from_millis(unix_ms.saturating_sub(it.unix_ms));
+            self.named_before.insert(it.model.clone(), (it.version, at));
+            if self.pool.named(&it.model).is_some_and(|named| named.newest() == it.version) {
+                self.weights_named(at, &it.model, it.version, Source::Store);
+                self.peers.board.tell_versions(Reach::Fleet);
+            }
+        }
+    }
+
+    /// How old weights may be that requests begin on.
+    ///
+    /// Guards against a restart of all instances right after weights were named: none is left to tell how long ago
+    /// that was. It shows as prompts that begin on replaced weights seconds after the bound. It holds since the
+    /// lease's record tells it, which each instance reads first; until then no replaced weights will do.
+    pub(crate) fn oldest_weights(&self) -> Duration {
+        let has_looked = self.lease.has_looked() || LOOKED_BY <= self.now.since(self.started);
+        if has_looked { self.settings.oldest_weights } else { Duration::ZERO }
+    }
+
     /// The version of the configuration in force; zero before the first one.
     pub(crate) fn version_in_force(&self) -> u64 {
         self.catalog.as_ref().map_or(0, |it| it.version)
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -272,7 +272,8 @@
             Some(Want::Lease) => {
                 let was_held = self.lease.is_held(now);
                 let rank = self.members.rank(now);
-                self.lease.reply(now, rank, reply);
+                let named = self.lease.reply(now, rank, reply);
+                self.weights_dated(&named);
                 if self.lease.is_held(now) != was_held {
                     self.journal
                         .line(now, "lease")
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -25,6 +25,8 @@
 
 use self::{record::Record, wait::Wait};
 
+pub use self::record::Named;
+
 /// Kind of the record. Calls of this kind go before all others.
 pub const KIND: &str = "lease";
 /// Length of a term. A dead holder is replaced after it, so it is short; each renewal is paid for.
@@ -98,6 +100,10 @@
     wait: Wait,
     /// Until then the record is read often.
     hurried_until: Time,
+    /// The newest weights, which the record tells to instances that start.
+    named: Vec<Named>,
+    /// The record has been read once, or the store has no answer for that.
+    has_looked: bool,
 }
 
 impl Lease {
@@ -116,6 +122,8 @@
             orders: Map::default(),
             wait: Wait::default(),
             hurried_until: Time::ZERO,
+            named: Vec::new(),
+            has_looked: false,
         }
     }
 
@@ -152,6 +160,23 @@
         self.next = now;
     }
 
+    /// Weights were named. The holder writes it to the record at once, if it is news there.
+    pub fn name(&mut self, named: Named) {
+        match self.named.iter_mut().find(|it| it.model == named.model) {
+            Some(it) if !named.replaces(it) => return,
+            Some(it) => *it = named,
+            None => self.named.push(named),
+        }
+        if matches!(self.stage, Stage::Holding { .. }) {
+            self.next = Time::ZERO;
+        }
+    }
+
+    /// Whether the record has been read since the start, so that what it says of weights is known.
+    pub fn has_looked(&self) -> bool {
+        self.has_looked
+    }
+
     /// Gives the lease back at the next tick. No order may be given any more.
     pub fn release(&mut self) {
         self.released = true;
@@ -198,6 +223,10 @@
                 }
                 Some(put)
             }
+            // Each instance reads it once, for the weights that it names.
+            Stage::Watching(None) if !self.has_looked && !self.released => {
+                Some(Call::Get(self.key.clone()))
+            }
             Stage::Watching(_) if self.released || CANDIDATES <= rank => None,
             Stage::Watching(seen) => {
                 let patience = TERM + MARGIN + STAGGER * u32::try_from(rank).unwrap_or(u32::MAX);
@@ -224,8 +253,22 @@
         }
     }
 
-    /// Takes the answer to the call that [`Lease::tick`] returned. `rank` as there.
-    pub fn reply(&mut self, now: Time, rank: usize, reply: &Reply) {
+    /// Takes the answer to the call that [`Lease::tick`] returned. `rank` as there. Returns the weights that the
+    /// record names, if it was read.
+    pub fn reply(&mut self, now: Time, rank: usize, reply: &Reply) -> Vec<Named> {
+        let named = match reply {
+            Reply::Got(Some(it)) | Reply::Conflict(Some(it)) => {
+                let record = serde_json::from_slice::<Record>(&it.value);
+                record.map(Record::into_named).unwrap_or_default()
+            }
+            _ => Vec::new(),
+        };
+        self.has_looked |= matches!(reply, Reply::Got(_) | Reply::Conflict(_) | Reply::Done(_));
+        self.take(now, rank, reply);
+        named
+    }
+
+    fn take(&mut self, now: Time, rank: usize, reply: &Reply) {
         self.is_calling = false;
         self.next = now;
         if std::mem::take(&mut self.is_void) {
@@ -288,7 +331,8 @@
 
     fn put(&mut self, now: Time, expected: Version) -> Call {
         self.writes += 1;
-        let mut record = Record::new(self.me.clone(), self.writes, expected.era());
+        let mut record =
+            Record::new(self.me.clone(), self.writes, expected.era(), self.named.clone());
         if self.released {
             let mut wait = self.wait.clone();
             self.orders.iter().for_each(|it| wait.delay(it.0, *it.1 + self.gap));
--- a/crates/gateway/src/lease/record.rs
+++ b/crates/gateway/src/lease/record.rs
@@ -7,6 +7,28 @@
 
 use super::wait::Wait;
 
+/// How far apart two words on one naming lie that say the same, ms: they come as ages, and clocks are set.
+const UNSURE_MS: u64 = 500;
+
+/// When weights were named.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Named {
+    /// The model.
+    pub model: Arc<str>,
+    /// The version.
+    pub version: u64,
+    /// When the holder learnt of it, by its time of day in Unix milliseconds.
+    pub unix_ms: u64,
+}
+
+impl Named {
+    /// Whether it says more than `known`: a later version, or that the same one was named well before.
+    pub(crate) fn replaces(&self, known: &Self) -> bool {
+        let is_older = self.unix_ms + UNSURE_MS < known.unix_ms;
+        known.version < self.version || (known.version == self.version && is_older)
+    }
+}
+
 /// Content of the record.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct Record {
@@ -22,12 +44,20 @@
     /// The store's era in the version that the write was conditional on.
     #[serde(default)]
     era: u64,
+    /// The newest weights, for instances that start when no other one is left to tell how old they are.
+    #[serde(default)]
+    named: Vec<Named>,
 }
 
 impl Record {
     /// The record of a holder that goes on.
-    pub(crate) fn new(holder: Arc<str>, write: u64, era: u64) -> Self {
-        Self { holder, write, released: None, wait: 0, era }
+    pub(crate) fn new(holder: Arc<str>, write: u64, era: u64, named: Vec<Named>) -> Self {
+        Self { holder, write, released: None, wait: 0, era, named }
+    }
+
+    /// The weights that it names.
+    pub(crate) fn into_named(self) -> Vec<Named> {
+        self.named
     }
 
     /// The era that its writer knew.
--- a/crates/gateway/tests/lease.rs
+++ b/crates/gateway/tests/lease.rs
@@ -9,7 +9,7 @@
     store::{Call, Failure, Reply, Store, memory::Memory},
     time::Time,
 };
-use shallotlead_gateway::lease::Lease;
+use shallotlead_gateway::lease::{Lease, Named};
 use support::at;
 
 const GAP: Duration = Duration::from_millis(3_000);
@@ -161,3 +161,52 @@
         prop_assert!(fences.is_sorted());
     }
 }
+
+fn named(version: u64, unix_ms: u64) -> Named {
+    Named { model: Arc::from("m0"), version, unix_ms }
+}
+
+/// What an instance reads of the record when it starts, as one that may not hold the lease.
+fn read(store: &mut Memory, now: Time) -> Vec<Named> {
+    let mut started = open("started");
+    let call = started.tick(now, usize::MAX).expect("it reads the record once");
+    assert!(!started.has_looked());
+    let reply = answer(store, &call);
+    let named = started.reply(now, usize::MAX, &reply);
+    assert!(started.has_looked());
+    for ms in 0..5_000 {
+        assert!(started.tick(now + Duration::from_millis(ms), usize::MAX).is_none());
+    }
+    named
+}
+
+// All instances lose power: the record is all that is left to tell how long ago weights were named.
+#[test]
+fn record_tells_at_once_when_weights_were_named() {
+    let (mut store, mut holder) = (Memory::default(), open("a"));
+    assert_eq!(read(&mut store, at(0)), []);
+    holder.name(named(1, 1_000));
+    let start = take(&mut holder, &mut store, 0);
+    assert_eq!(read(&mut store, at(start)), [named(1, 1_000)]);
+    step(&mut holder, &mut store, at(start + 10), 0);
+    holder.name(named(2, 9_000));
+    step(&mut holder, &mut store, at(start + 20), 0);
+    assert_eq!(read(&mut store, at(start + 20)), [named(2, 9_000)]);
+    // Later words on the same naming, and older versions, are no news and cost no write.
+    for known in [named(2, 9_400), named(2, 30_000), named(1, 500)] {
+        holder.name(known);
+        assert!(holder.tick(at(start + 30), 0).is_none());
+    }
+    holder.name(named(2, 7_000));
+    step(&mut holder, &mut store, at(start + 40), 0);
+    assert_eq!(read(&mut store, at(start + 40)), [named(2, 7_000)]);
+}
+
+#[test]
+fn instance_that_cannot_read_the_record_asks_again() {
+    let mut started = open("started");
+    assert!(started.tick(at(0), usize::MAX).is_some());
+    let nothing = started.reply(at(10), usize::MAX, &Reply::Failed(Failure::Unknown));
+    assert!(nothing.is_empty() && !started.has_looked());
+    assert!(started.tick(at(400), usize::MAX).is_some());
+}
