--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -156,7 +156,10 @@
         for it in named {
             let at = self.now - Duration::from_millis(unix_ms.saturating_sub(it.unix_ms));
             self.named_before.insert(it.model.clone(), (it.version, at));
-            if self.pool.named(&it.model).is_some_and(|named| named.newest() == it.version) {
+            let is_older = |known: &pool::Named| {
+                known.newest() == it.version && at + lease::UNSURE < known.newest_at()
+            };
+            if self.pool.named(&it.model).is_some_and(is_older) {
                 self.weights_named(at, &it.model, it.version, Source::Store);
                 self.peers.board.tell_versions(Reach::Fleet);
             }
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -26,6 +26,7 @@
 use self::{record::Record, wait::Wait};
 
 pub use self::record::Named;
+pub(crate) use self::record::UNSURE;
 
 /// Kind of the record. Calls of this kind go before all others.
 pub const KIND: &str = "lease";
@@ -102,7 +103,7 @@
     hurried_until: Time,
     /// The newest weights, which the record tells to instances that start.
     named: Vec<Named>,
-    /// The record has been read once, or the store has no answer for that.
+    /// The record has been read once, or there was none.
     has_looked: bool,
 }
 
--- a/crates/gateway/src/lease/record.rs
+++ b/crates/gateway/src/lease/record.rs
@@ -7,8 +7,8 @@
 
 use super::wait::Wait;
 
-/// How far apart two words on one naming lie that say the same, ms: they come as ages, and clocks are set.
-const UNSURE_MS: u64 = 500;
+/// How far apart two words on one naming lie that say the same: they come as ages, and clocks are set.
+pub(crate) const UNSURE: Duration = Duration::from_millis(500);
 
 /// When weights were named.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -24,7 +24,7 @@
 impl Named {
     /// Whether it says more than `known`: a later version, or that the same one was named well before.
     pub(crate) fn replaces(&self, known: &Self) -> bool {
-        let is_older = self.unix_ms + UNSURE_MS < known.unix_ms;
+        let is_older = self.unix_ms + (UNSURE.as_millis() as u64) < known.unix_ms;
         known.version < self.version || (known.version == self.version && is_older)
     }
 }
