--- a/crates/gateway/tests/support/limited.rs
+++ b/crates/gateway/tests/support/limited.rs
@@ -37,8 +37,9 @@
     pub(crate) now: Time,
     pub(crate) instances: Vec<Instance>,
     pub(crate) servers: Vec<Server>,
-    events: BinaryHeap<Reverse<(Time, u64, usize)>>,
-    happenings: Vec<Option<Happening>>,
+    /// What is to come: when, in which order, and its place in `events`.
+    queue: BinaryHeap<Reverse<(Time, u64, usize)>>,
+    events: Vec<Option<Event>>,
     serial: u64,
     pub(crate) rng: SmallRng,
     /// Part of the datagrams that are lost.
@@ -49,6 +50,7 @@
     pub(crate) questions: usize,
 }
 
+/// One instance.
 pub(crate) struct Instance {
     members: Members,
     limits: Vec<Limit>,
@@ -63,6 +65,7 @@
     incarnation: u64,
 }
 
+/// One server.
 pub(crate) struct Server {
     pub(crate) limit: Option<f64>,
     /// When the limit was first named, and its changes since.
@@ -75,13 +78,12 @@
 }
 
 #[derive(Clone)]
-enum Happening {
+enum Event {
+    /// A caller of an instance wants a server.
     Wants(usize, usize),
-    Arrives {
-        instance: usize,
-        server: usize,
-        sent: Time,
-    },
+    /// A request reaches its server.
+    Arrives { instance: usize, server: usize, sent: Time },
+    /// A server's answer reaches the instance that was `incarnation` when it sent the request.
     Answers {
         instance: usize,
         server: usize,
@@ -89,31 +91,19 @@
         per_second: Option<f64>,
         incarnation: u64,
     },
+    /// An instance tells a few others who lives.
     Gossips(usize),
-    Told {
-        to: usize,
-        members: Vec<Member>,
-        beats: Vec<Beat>,
-    },
-    Limited {
-        to: usize,
-        server: usize,
-        per_second: Option<f64>,
-        at: Time,
-    },
-    Asked {
-        to: usize,
-        from: usize,
-        server: usize,
-        per_second: Option<f64>,
-        at: Time,
-    },
-    Answered {
-        to: usize,
-        server: usize,
-        reply: Reply,
-    },
+    /// Gossip arrives.
+    Told { to: usize, members: Vec<Member>, beats: Vec<Beat> },
+    /// News of a limit arrives.
+    Limited { to: usize, server: usize, per_second: Option<f64>, at: Time },
+    /// A question for a permit arrives.
+    Asked { to: usize, from: usize, server: usize, per_second: Option<f64>, at: Time },
+    /// The answer to it arrives.
+    Answered { to: usize, server: usize, reply: Reply },
+    /// A request has waited long enough for a permit of a server.
     GivesUp(usize, usize),
+    /// An instance that started as this incarnation is ready.
     Ready(usize, u64),
 }
 
@@ -168,8 +158,8 @@
                 .map(|it| Instance::open(it, 1, demands.len(), true))
                 .collect(),
             servers: demands.iter().map(|it| Server::open(*it)).collect(),
-            events: BinaryHeap::new(),
-            happenings: Vec::new(),
+            queue: BinaryHeap::new(),
+            events: Vec::new(),
             serial: 0,
             rng: SmallRng::seed_from_u64(seed),
             loss: 0.0,
@@ -184,7 +174,7 @@
         }
         for it in 0..instances {
             let first = world.random(PERIOD);
-            world.after(first, Happening::Gossips(it));
+            world.after(first, Event::Gossips(it));
             for server in 0..demands.len() {
                 world.want_next(it, server);
             }
@@ -195,13 +185,13 @@
     /// Plays on for so long.
     pub(crate) fn run(&mut self, span: Duration) {
         let until = self.now + span;
-        while let Some(Reverse((at, _, index))) = self.events.peek().copied()
+        while let Some(Reverse((at, _, index))) = self.queue.peek().copied()
             && at <= until
         {
-            self.events.pop();
+            self.queue.pop();
             self.now = at;
-            if let Some(it) = self.happenings[index].take() {
-                self.happen(it);
+            if let Some(it) = self.events[index].take() {
+                self.handle(it);
             }
         }
         self.now = until;
@@ -235,10 +225,10 @@
             }
         }
         self.instances[instance] = started;
-        self.after(STARTING, Happening::Ready(instance, incarnation));
+        self.after(STARTING, Event::Ready(instance, incarnation));
     }
 
-    /// The instance is told to leave, is gone a second later, and starts again.
+    /// The instance is told to leave, and tells the others.
     pub(crate) fn leave(&mut self, instance: usize) {
         let me = self.instances[instance].members.me_mut();
         me.is_leaving = true;
@@ -259,11 +249,11 @@
         self.instances[instance].excused_until = until + STABLE;
     }
 
-    /// Callers bring all that is wanted in a second at once.
+    /// So many callers want the server at once.
     pub(crate) fn burst(&mut self, server: usize, requests: usize) {
         for _ in 0..requests {
             let instance = self.rng.random_range(0..self.instances.len());
-            self.after(Duration::from_millis(1), Happening::Wants(instance, server));
+            self.after(Duration::from_millis(1), Event::Wants(instance, server));
         }
     }
 
@@ -271,59 +261,57 @@
         up_to.mul_f64(self.rng.random())
     }
 
-    fn after(&mut self, span: Duration, happening: Happening) {
+    fn after(&mut self, span: Duration, event: Event) {
         self.serial += 1;
-        let index = self.happenings.len();
-        self.happenings.push(Some(happening));
-        self.events.push(Reverse((self.now + span, self.serial, index)));
+        let index = self.events.len();
+        self.events.push(Some(event));
+        self.queue.push(Reverse((self.now + span, self.serial, index)));
     }
 
-    fn datagram(&mut self, from: usize, to: usize, happening: Happening) {
+    fn datagram(&mut self, from: usize, to: usize, event: Event) {
         let is_cut = |it: usize| self.now < self.instances[it].cut_until;
         let is_cut_pair = self.cut_pairs.iter().any(|it| *it == (from, to) || *it == (to, from));
         if is_cut(from) || is_cut(to) || is_cut_pair || self.rng.random_bool(self.loss) {
             return;
         }
         let takes = Duration::from_millis(1) + self.random(Duration::from_millis(3));
-        self.after(takes, happening);
+        self.after(takes, event);
     }
 
     fn want_next(&mut self, instance: usize, server: usize) {
         let mean = self.instances.len() as f64 / self.servers[server].demand;
         let pause = -mean * f64::ln(1.0 - self.rng.random::<f64>());
-        self.after(Duration::from_secs_f64(pause), Happening::Wants(instance, server));
+        self.after(Duration::from_secs_f64(pause), Event::Wants(instance, server));
     }
 
-    fn target(happening: &Happening) -> Option<usize> {
-        match happening {
-            Happening::Wants(it, _) | Happening::Gossips(it) | Happening::GivesUp(it, _) => {
-                Some(*it)
-            }
-            Happening::Answers { instance: it, .. } | Happening::Ready(it, _) => Some(*it),
-            Happening::Told { to, .. }
-            | Happening::Limited { to, .. }
-            | Happening::Asked { to, .. }
-            | Happening::Answered { to, .. } => Some(*to),
-            Happening::Arrives { .. } => None,
+    fn target(event: &Event) -> Option<usize> {
+        match event {
+            Event::Wants(it, _) | Event::Gossips(it) | Event::GivesUp(it, _) => Some(*it),
+            Event::Answers { instance: it, .. } | Event::Ready(it, _) => Some(*it),
+            Event::Told { to, .. }
+            | Event::Limited { to, .. }
+            | Event::Asked { to, .. }
+            | Event::Answered { to, .. } => Some(*to),
+            Event::Arrives { .. } => None,
         }
     }
 
-    fn happen(&mut self, happening: Happening) {
-        if let Some(target) = Self::target(&happening) {
+    fn handle(&mut self, event: Event) {
+        if let Some(target) = Self::target(&event) {
             let frozen_until = self.instances[target].frozen_until;
             if self.now < frozen_until {
                 let left = frozen_until.since(self.now);
-                self.after(left, happening);
+                self.after(left, event);
                 return;
             }
         }
         let now = self.now;
-        match happening {
-            Happening::Wants(instance, server) => {
+        match event {
+            Event::Wants(instance, server) => {
                 self.want(instance, server);
                 self.want_next(instance, server);
             }
-            Happening::GivesUp(instance, server) => {
+            Event::GivesUp(instance, server) => {
                 let it = &mut self.instances[instance];
                 let before = it.waiting[server].len();
                 it.waiting[server].retain(|it| now < *it);
@@ -331,33 +319,33 @@
                     it.limits[server].unanswered(now);
                 }
             }
-            Happening::Arrives { instance, server, sent } => self.arrive(instance, server, sent),
-            Happening::Answers { instance, server, sent, per_second, incarnation } => {
+            Event::Arrives { instance, server, sent } => self.arrive(instance, server, sent),
+            Event::Answers { instance, server, sent, per_second, incarnation } => {
                 if self.instances[instance].incarnation == incarnation {
                     self.answer(instance, server, sent, per_second);
                 }
             }
-            Happening::Gossips(instance) => self.gossip(instance),
-            Happening::Told { to, members, beats } => {
+            Event::Gossips(instance) => self.gossip(instance),
+            Event::Told { to, members, beats } => {
                 let it = &mut self.instances[to].members;
                 for member in members {
                     it.take(now, member);
                 }
                 it.take_beats(now, &beats);
             }
-            Happening::Limited { to, server, per_second, at } => {
+            Event::Limited { to, server, per_second, at } => {
                 self.instances[to].limits[server].heard(at, per_second);
             }
-            Happening::Asked { to, from, server, per_second, at } => {
+            Event::Asked { to, from, server, per_second, at } => {
                 self.questions += 1;
                 let share = self.share(to, server);
                 let limit = &mut self.instances[to].limits[server];
                 limit.heard(at, per_second);
                 let reply = limit.asked(now, share);
-                self.datagram(to, from, Happening::Answered { to: from, server, reply });
+                self.datagram(to, from, Event::Answered { to: from, server, reply });
             }
-            Happening::Answered { to, server, reply } => self.answered(to, server, reply),
-            Happening::Ready(instance, incarnation) => {
+            Event::Answered { to, server, reply } => self.answered(to, server, reply),
+            Event::Ready(instance, incarnation) => {
                 if self.instances[instance].incarnation == incarnation {
                     self.instances[instance].members.me_mut().is_ready = true;
                     self.tell_own_state(instance);
@@ -392,9 +380,9 @@
                 let per_second = it.limits[server].per_second();
                 let at = now - it.limits[server].age(now);
                 it.waiting[server].push(now + PERMIT_WAIT);
-                let asked = Happening::Asked { to: home, from: instance, server, per_second, at };
+                let asked = Event::Asked { to: home, from: instance, server, per_second, at };
                 self.datagram(instance, home, asked);
-                self.after(PERMIT_WAIT, Happening::GivesUp(instance, server));
+                self.after(PERMIT_WAIT, Event::GivesUp(instance, server));
             }
         }
     }
@@ -414,7 +402,7 @@
 
     fn send(&mut self, instance: usize, server: usize) {
         let takes = Duration::from_millis(1) + self.random(Duration::from_millis(1));
-        self.after(takes, Happening::Arrives { instance, server, sent: self.now });
+        self.after(takes, Event::Arrives { instance, server, sent: self.now });
     }
 
     fn arrive(&mut self, instance: usize, server: usize, sent: Time) {
@@ -422,7 +410,7 @@
         let takes = Duration::from_millis(30) + self.random(Duration::from_millis(300));
         let per_second = self.servers[server].limit;
         let incarnation = self.instances[instance].incarnation;
-        let answers = Happening::Answers { instance, server, sent, per_second, incarnation };
+        let answers = Event::Answers { instance, server, sent, per_second, incarnation };
         self.after(takes, answers);
     }
 
@@ -435,7 +423,7 @@
         let at = if per_second.is_some() { now } else { sent };
         if it.limits[server].said(at, per_second) {
             for to in 0..self.instances.len() {
-                let heard = Happening::Limited { to, server, per_second, at };
+                let heard = Event::Limited { to, server, per_second, at };
                 if to != instance {
                     self.datagram(instance, to, heard);
                 }
@@ -454,10 +442,10 @@
         let beats = it.beats(now, rng);
         for target in targets {
             let to = number(target);
-            let told = Happening::Told { to, members: members.clone(), beats: beats.clone() };
+            let told = Event::Told { to, members: members.clone(), beats: beats.clone() };
             self.datagram(instance, to, told);
         }
-        self.after(PERIOD, Happening::Gossips(instance));
+        self.after(PERIOD, Event::Gossips(instance));
     }
 
     fn tell_own_state(&mut self, instance: usize) {
@@ -465,7 +453,7 @@
         for to in 0..self.instances.len() {
             if to != instance {
                 let members = vec![me.clone()];
-                self.datagram(instance, to, Happening::Told { to, members, beats: Vec::new() });
+                self.datagram(instance, to, Event::Told { to, members, beats: Vec::new() });
             }
         }
     }
