--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -12,7 +12,7 @@
     catchup::Catchup,
     core::{Core, storage::Source},
     dialect::Load,
-    gossip::{Datagram, Loading, Message, Naming, PERIOD, Placement, Told},
+    gossip::{self, Datagram, Loading, Message, Naming, PERIOD, Placement, Told},
     pool,
     rumour::{self, Board, Push, Reach, Rumour},
 };
@@ -27,6 +27,8 @@
 const SILENT_AGAIN: Duration = Duration::from_secs(1);
 /// Rumours in one message that pushes them: of up to 300 bytes each, so that a datagram carries them.
 const MOST_PUSHED: usize = 100;
+/// Instances whose change is logged by name, each time that all are looked through.
+const MOST_LOGGED: usize = 4;
 /// Age from which on a load tells nothing any more, ms.
 const OLDEST_LOAD_MS: u32 = 500;
 
@@ -69,7 +71,8 @@
         let now = self.now;
         if PERIOD <= now.since(self.peers.told) {
             self.peers.told = now;
-            self.members.expire(now);
+            let changes = self.members.expire(now);
+            self.log_members(&changes);
             self.storage.set_sharers(self.members.sharers(), now);
             let own = self.settings.listen.peers;
             let seeds = self.settings.seeds.iter().copied().filter(|it| *it != own);
@@ -87,6 +90,24 @@
         self.ask_peers();
     }
 
+    /// Logs what has become of other instances, a few by name: hundreds may end at the same moment.
+    fn log_members(&mut self, changes: &[gossip::Change]) {
+        for it in changes {
+            self.stats.member_changed(it.standing.name());
+        }
+        for it in changes.iter().take(MOST_LOGGED) {
+            self.journal
+                .line(self.now, "member")
+                .text("member", &it.name)
+                .text("change", it.standing.name())
+                .text("heard_from", it.source.name())
+                .ms("silent_ms", it.silent);
+        }
+        if MOST_LOGGED < changes.len() {
+            self.journal.line(self.now, "members_changed").number("members", changes.len());
+        }
+    }
+
     /// Tells the instances nearby of entries that this one has read for them.
     fn tell_entries(&mut self) {
         let told = self.peers.reading.take();
--- a/crates/gateway/src/core/peers/heard.rs
+++ b/crates/gateway/src/core/peers/heard.rs
@@ -5,7 +5,7 @@
 use crate::{
     catchup::Holder,
     core::{Core, storage::Source},
-    gossip::{Datagram, Loading, Member, Message, Naming, Told},
+    gossip::{self, Datagram, Loading, Member, Message, Naming, Told},
     pool::{self, Switch},
     rumour::{Reach, Rumour},
 };
@@ -91,9 +91,9 @@
                 self.pool.pace_mut(&service).adopt(&pace);
             }
         }
-        self.take_member(from);
+        self.take_member(from, gossip::Source::Itself);
         for member in members {
-            self.take_member(member);
+            self.take_member(member, gossip::Source::Instance);
         }
         self.members.take_beats(now, &beats);
         self.told_configuration(holder);
@@ -121,7 +121,9 @@
                 }
             }
             Rumour::Holds(holder) => self.told_configuration(holder.clone()),
-            Rumour::Instance(member) => self.take_member(Member::clone(member)),
+            Rumour::Instance(member) => {
+                self.take_member(Member::clone(member), gossip::Source::Instance);
+            }
             Rumour::CacheStore(address, is_alive) => {
                 self.cache_stores.told(self.now, *address, *is_alive);
             }
@@ -131,10 +133,10 @@
         }
     }
 
-    /// Takes what an instance tells of itself. One that begins to leave gives the lease back, if it holds it.
-    fn take_member(&mut self, member: Member) {
+    /// Takes what is told of an instance. One that begins to leave gives the lease back, if it holds it.
+    fn take_member(&mut self, member: Member, source: gossip::Source) {
         let begins_to_leave = member.is_leaving && !self.members.is_leaving(&member.name);
-        if self.members.take(self.now, member) && begins_to_leave {
+        if self.members.take_from(self.now, member, source) && begins_to_leave {
             self.lease.hurry(self.now);
         }
     }
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -43,6 +43,7 @@
     instances: Gauge,
     open: Gauge,
     is_store_away: Gauge,
+    store_answer_age: Gauge,
     left_out: Gauge,
     limited: Gauge,
     current: Gauge,
@@ -116,6 +117,7 @@
             instances: metrics::gauge!("shallotlead_instances_alive"),
             open: metrics::gauge!("shallotlead_requests_open"),
             is_store_away: metrics::gauge!("shallotlead_store_away"),
+            store_answer_age: metrics::gauge!("shallotlead_store_answer_age_seconds"),
             left_out: metrics::gauge!("shallotlead_servers_left_out"),
             limited: metrics::gauge!("shallotlead_servers_limited"),
             current: metrics::gauge!("shallotlead_servers_current"),
@@ -194,6 +196,11 @@
             .increment(1);
     }
 
+    /// Another instance is held to be something else than before.
+    pub(crate) fn member_changed(&mut self, standing: &'static str) {
+        metrics::counter!("shallotlead_member_changes_total", "standing" => standing).increment(1);
+    }
+
     /// Another instance was asked for what this one has missed.
     pub(crate) fn state_asked(&self, result: &'static str) {
         metrics::counter!("shallotlead_state_asked_total", "result" => result).increment(1);
@@ -297,6 +304,7 @@
         stats.instances.set(alive as f64);
         stats.open.set(self.exchanges.len() as f64);
         stats.is_store_away.set(f64::from(u8::from(self.storage.is_away())));
+        stats.store_answer_age.set(self.storage.answer_age(self.now).as_secs_f64());
     }
     fn refresh_budget(&mut self) {
         let Some(catalog) = self.catalog.clone() else { return };
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -59,6 +59,10 @@
     followed: Vec<Follower>,
     /// Since when the store hasn't answered this instance.
     away_since: Option<Time>,
+    /// When the store last answered a call of this instance; its start before the first time.
+    answered: Time,
+    /// Watches that have broken off since.
+    broken_watches: u32,
     /// The configuration as it lies in the store, for instances that can't reach it.
     pub(crate) configuration: Option<Document>,
     /// Servers' entries as they lie in the store, for the same.
@@ -138,6 +142,8 @@
             next_ticket: 0,
             followed,
             away_since: None,
+            answered: now,
+            broken_watches: 0,
             configuration: None,
             entries: Map::default(),
             entries_until: 0,
@@ -159,6 +165,11 @@
         self.away_since
     }
 
+    /// Time since the store last answered any call of this instance.
+    pub(crate) fn answer_age(&self, now: Time) -> Duration {
+        now.since(self.answered)
+    }
+
     /// Time since the store last answered for each kind that is followed, after the first time.
     pub(crate) fn watch_ages(&self, now: Time) -> impl Iterator<Item = (&str, Duration)> {
         let heard = self.followed.iter().filter(|it| it.heard != Time::ZERO);
--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -98,8 +98,12 @@
         let is_answer = matches!(outcome, Outcome::Answered(_));
         // The store may cut a waiting watch at any time; the next call tells whether it is well.
         if !is_answer && matches!((call, outcome), (Call::Watch { .. }, Outcome::Lost)) {
+            self.log_broken_watch(kind(call));
             return;
         }
+        if is_answer {
+            (self.storage.answered, self.storage.broken_watches) = (now, 0);
+        }
         match (is_answer, self.storage.away_since) {
             (true, Some(since)) => {
                 self.storage.away_since = None;
@@ -119,6 +123,19 @@
             (true, None) | (false, Some(_)) => {}
         }
     }
+
+    /// Logs a watch that broke off; of many in a row the first, second, fourth and so on.
+    fn log_broken_watch(&mut self, kind: &str) {
+        self.storage.broken_watches += 1;
+        let (broken, answered) = (self.storage.broken_watches, self.storage.answered);
+        if broken.is_power_of_two() {
+            self.journal
+                .line(self.now, "watch_broken")
+                .text("kind", kind)
+                .number("in_a_row", broken)
+                .ms("answered_before_ms", self.now.since(answered));
+        }
+    }
 }
 
 fn name(outcome: &Outcome) -> &'static str {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,5 +1,6 @@
 //! What instances tell each other: who lives, and which versions and departures they have seen.
 
+mod change;
 mod entries;
 mod members;
 mod withheld;
@@ -15,6 +16,7 @@
     quarantine, rate_limit, rumour,
 };
 
+pub use change::{Change, Source, Standing};
 pub use entries::{Entries, Entry};
 pub use members::Members;
 pub use withheld::Withheld;
--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -12,7 +12,7 @@
     time::Time,
 };
 
-use super::{Beat, Member};
+use super::{Beat, Change, Member, Source, Standing};
 
 /// Instances that are told each time, in a small fleet.
 const FANOUT: usize = 2;
@@ -54,25 +54,27 @@
     /// When something new became known of it besides a beat, and when others were told of it.
     changed: Time,
     told: Time,
-    /// It is known from its record alone, and may be gone for good.
-    is_listed: bool,
+    /// Who told the last beat. One that is known from its record alone may be gone for good.
+    source: Source,
+    /// As it was last reported.
+    standing: Standing,
 }
 
 impl Known {
-    fn open(now: Time, member: Member, is_listed: bool) -> Self {
-        let beat = member.beat;
-        Self { member, beat, heard: now, changed: now, told: Time::ZERO, is_listed }
+    fn open(now: Time, member: Member, source: Source) -> Self {
+        let (beat, standing) = (member.beat, Standing::Alive);
+        Self { member, beat, heard: now, changed: now, told: Time::ZERO, source, standing }
     }
 
-    fn beats(&mut self, now: Time, beat: u64) {
+    fn beats(&mut self, now: Time, beat: u64, source: Source) {
         if self.beat < beat {
-            (self.beat, self.heard, self.is_listed) = (beat, now, false);
+            (self.beat, self.heard, self.source) = (beat, now, source);
         }
     }
 
     /// Takes what the member told of itself in the same life. Says whether that is later than what is known.
-    fn tells(&mut self, now: Time, member: Member) -> bool {
-        self.beats(now, member.beat);
+    fn tells(&mut self, now: Time, member: Member, source: Source) -> bool {
+        self.beats(now, member.beat, source);
         if member.beat <= self.member.beat {
             return false;
         }
@@ -82,6 +84,19 @@
         self.member = member;
         true
     }
+
+    fn standing_at(&self, now: Time, is_large: bool) -> Standing {
+        let dead_after = match is_large {
+            true if self.source == Source::Record => LISTED_ALIVE,
+            true => LARGE_DEAD_AFTER,
+            false => DEAD_AFTER,
+        };
+        match now.since(self.heard) {
+            silent if silent < dead_after => Standing::Alive,
+            silent if silent < FORGET_AFTER => Standing::Dead,
+            _ => Standing::Forgotten,
+        }
+    }
 }
 
 /// What a member's life is known by where only its beats are told.
@@ -121,8 +136,13 @@
         self.me.clone()
     }
 
-    /// Takes what was told of a member. Says whether it is news.
+    /// Takes what a member tells of itself. Says whether it is news.
     pub fn take(&mut self, now: Time, member: Member) -> bool {
+        self.take_from(now, member, Source::Itself)
+    }
+
+    /// Takes what `source` tells of a member. Says whether it is news.
+    pub fn take_from(&mut self, now: Time, member: Member, source: Source) -> bool {
         if member.name == self.me.name {
             // Guards against a clock that was set back between two starts: the others would take this
             // life for an older one than the last, and it would stay dead to them. It holds since they
@@ -134,9 +154,11 @@
         }
         match self.others.get_mut(&member.name) {
             Some(it) if member.incarnation < it.member.incarnation => false,
-            Some(it) if member.incarnation == it.member.incarnation => it.tells(now, member),
+            Some(it) if member.incarnation == it.member.incarnation => {
+                it.tells(now, member, source)
+            }
             Some(_) | None => {
-                self.insert(Known::open(now, member, false));
+                self.insert(Known::open(now, member, source));
                 true
             }
         }
@@ -155,7 +177,7 @@
         for Beat { life, beat } in beats {
             let known = self.lives.get(life).and_then(|it| self.others.get_mut(it));
             if let Some(it) = known {
-                it.beats(now, *beat);
+                it.beats(now, *beat, Source::Instance);
             }
         }
     }
@@ -187,16 +209,28 @@
     /// for them to watch the store or to take the lease. It holds since those that live are soon heard of.
     pub fn listed(&mut self, now: Time, member: Member) {
         if self.others.contains_key(&member.name) {
-            self.take(now, member);
+            self.take_from(now, member, Source::Record);
         } else if member.name != self.me.name {
-            self.insert(Known::open(now, member, true));
+            self.insert(Known::open(now, member, Source::Record));
         }
     }
 
-    /// Forgets what has been silent for long.
-    pub fn expire(&mut self, now: Time) {
-        self.others.retain(|_, it| now.since(it.heard) < FORGET_AFTER);
+    /// Forgets what has been silent for long. Returns what has become of the others since it was last called; those
+    /// that were never known before are no change.
+    pub fn expire(&mut self, now: Time) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let is_large = self.is_large();
+        self.others.retain(|name, it| {
+            let standing = it.standing_at(now, is_large);
+            if it.standing != standing {
+                it.standing = standing;
+                let silent = now.since(it.heard);
+                changes.push(Change { name: name.clone(), standing, source: it.source, silent });
+            }
+            standing != Standing::Forgotten
+        });
         self.lives.retain(|_, it| self.others.contains_key(it));
+        changes
     }
 
     /// The other instances that are alive.
@@ -206,12 +240,7 @@
     }
 
     fn is_alive(&self, now: Time, known: &Known) -> bool {
-        let dead_after = match self.is_large() {
-            true if known.is_listed => LISTED_ALIVE,
-            true => LARGE_DEAD_AFTER,
-            false => DEAD_AFTER,
-        };
-        now.since(known.heard) < dead_after
+        known.standing_at(now, self.is_large()) == Standing::Alive
     }
 
     /// Whether there are many instances.
