--- /dev/null
+++ b/crates/gateway/tests/membership.rs
@@ -0,0 +1,116 @@
+//! Who is held to be alive while instances end, restart, pause and are cut off for any time.
+
+mod support;
+
+use std::{collections::BTreeSet, env};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use support::fleet::Fleet;
+
+/// How long after its end an instance may still be named to callers, ms.
+const NAMED_MS: u64 = 6_000;
+/// How long one that runs and is reached may be taken for dead, ms.
+const KNOWN_MS: u64 = 6_000;
+/// Interleavings, unless `MEMBERSHIP_SEEDS` says otherwise, from `MEMBERSHIP_FIRST` on.
+const SEEDS: u64 = 40;
+
+// An instance that is off for good is named by the directory again once some have forgotten it and others have not.
+#[test]
+fn instance_that_is_off_stays_dead_to_all() {
+    for (count, seeds) in [(6, 6), (7, 6), (12, 4), (30, 2), (80, 1)] {
+        for seed in 0..seeds {
+            let mut fleet = Fleet::open(count, 0.01, seed);
+            fleet.play(4_000, |_| {});
+            fleet.end(1);
+            fleet.play(90_000, |it| check(it, seed));
+        }
+    }
+}
+
+// An instance that joins reads the records of all that have ever been there, and tells the others of those that are gone.
+#[test]
+fn records_of_the_gone_bring_nobody_back() {
+    for seed in 0..6 {
+        let mut fleet = Fleet::open(7, 0.01, seed);
+        fleet.play(4_000, |_| {});
+        fleet.end(1);
+        fleet.play(45_000, |_| {});
+        fleet.join();
+        fleet.play(3_000, |_| {});
+        fleet.list(2);
+        fleet.play(10_000, |it| check(it, seed));
+    }
+}
+
+// A process that was paused for a minute reads what was told before others forgot an instance that is off.
+#[test]
+fn news_that_a_paused_process_held_brings_nobody_back() {
+    for seed in 0..6 {
+        let mut fleet = Fleet::open(7, 0.01, seed);
+        fleet.play(4_000, |_| {});
+        fleet.pause(3, 60_000);
+        fleet.play(1_000, |_| {});
+        fleet.end(1);
+        fleet.play(80_000, |it| check(it, seed));
+    }
+}
+
+// Both sides of a cut have forgotten each other when it heals, and one has an instance that ended meanwhile.
+#[test]
+fn sides_of_a_long_cut_know_each_other_again_and_no_dead() {
+    for seed in 0..6 {
+        let mut fleet = Fleet::open(9, 0.01, seed);
+        fleet.play(4_000, |_| {});
+        fleet.cut(BTreeSet::from([1, 2, 3, 4]));
+        fleet.play(33_000, |_| {});
+        fleet.end(4);
+        fleet.play(5_000, |it| check(it, seed));
+        fleet.heal();
+        fleet.play(60_000, |it| check(it, seed));
+    }
+}
+
+#[test]
+fn any_interleaving_names_no_dead_and_misses_no_living() {
+    let setting = |name: &str| env::var(name).ok().and_then(|it| it.parse().ok());
+    let first = setting("MEMBERSHIP_FIRST").unwrap_or(1_000);
+    for seed in first..first + setting("MEMBERSHIP_SEEDS").unwrap_or(SEEDS) {
+        interleave(seed);
+    }
+}
+
+fn interleave(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let count = rng.random_range(3..16);
+    let mut fleet = Fleet::open(count, rng.random_range(0.0..0.05), seed);
+    fleet.play(8_000, |_| {});
+    for _ in 0..rng.random_range(3..12) {
+        // The first one runs all the time: without it, two sides of a cut wouldn't find each other.
+        let index = rng.random_range(1..fleet.len());
+        match rng.random_range(0..7) {
+            0 | 1 if fleet.is_running(index) => fleet.end(index),
+            2 if fleet.is_off(index) => fleet.start(index),
+            3 if fleet.is_running(index) => fleet.pause(index, rng.random_range(200..70_000)),
+            4 => {
+                let some = (1..fleet.len()).filter(|_| rng.random_bool(0.4)).collect();
+                fleet.cut(some);
+            }
+            5 => fleet.heal(),
+            _ if fleet.len() < 20 && rng.random_bool(0.3) => fleet.join(),
+            _ => fleet.list(index),
+        }
+        fleet.play(rng.random_range(100..40_000), |it| check(it, seed));
+    }
+    fleet.heal();
+    fleet.play(10_000, |it| check(it, seed));
+}
+
+fn check(fleet: &mut Fleet, seed: u64) {
+    let ms = fleet.now_ms;
+    if let Some((of, dead)) = fleet.believes_in_the_dead(NAMED_MS) {
+        panic!("seed {seed}: at {ms} ms i{of} takes i{dead} for alive, which is off");
+    }
+    if let Some((of, living)) = fleet.misses_the_living(KNOWN_MS) {
+        panic!("seed {seed}: at {ms} ms i{of} doesn't know i{living}, which lives");
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/fleet.rs
@@ -0,0 +1,249 @@
+//! Instances that tell each other who lives, in virtual time: they end, restart, pause and are cut off.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    iter,
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use shallotlead_gateway::gossip::{Beat, Member, Members, Source};
+
+use super::at;
+
+/// How often an instance tells some others what it knows, ms.
+const PERIOD_MS: u64 = 600;
+/// Step of the virtual time, ms; a datagram takes one.
+const STEP_MS: u64 = 20;
+/// How often it is looked at who knows whom, ms.
+const LOOK_MS: u64 = 200;
+/// An instance that every other one asks first, and that runs all the time.
+const SEED: usize = 0;
+
+/// What one instance tells another one of all that it knows.
+#[derive(Clone)]
+struct News {
+    from: Member,
+    members: Vec<Member>,
+    beats: Vec<Beat>,
+}
+
+struct Node {
+    members: Members,
+    /// Since when it is off, ms.
+    off_since: Option<u64>,
+    /// Until when its process is paused, ms.
+    paused_until: u64,
+    /// What came while it was paused.
+    held: Vec<(u64, News)>,
+}
+
+/// A fleet in one data centre.
+pub(crate) struct Fleet {
+    nodes: Vec<Node>,
+    pub(crate) now_ms: u64,
+    under_way: Vec<(usize, News)>,
+    /// Those on one side of a cut.
+    cut: BTreeSet<usize>,
+    /// Who doesn't know whom though both run and reach each other, and since when, ms.
+    missed: BTreeMap<(usize, usize), u64>,
+    rng: SmallRng,
+    /// Part of the datagrams that gets lost.
+    loss: f64,
+    /// What lies in the store of each instance.
+    records: Vec<Member>,
+}
+
+impl Fleet {
+    /// `count` instances that start together.
+    pub(crate) fn open(count: usize, loss: f64, seed: u64) -> Self {
+        let rng = SmallRng::seed_from_u64(seed);
+        let (under_way, cut) = (Vec::new(), BTreeSet::new());
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            now_ms: 0,
+            under_way,
+            cut,
+            missed: BTreeMap::new(),
+            rng,
+            loss,
+            records: Vec::new(),
+        };
+        (0..count).for_each(|_| fleet.join());
+        fleet
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// One more instance starts.
+    pub(crate) fn join(&mut self) {
+        let index = self.nodes.len();
+        let members = Members::open(member(index, self.now_ms));
+        let node = Node { members, off_since: None, paused_until: 0, held: Vec::new() };
+        self.nodes.push(node);
+        self.records.push(member(index, self.now_ms));
+        self.list(index);
+    }
+
+    /// The instance reads from the store who has ever been there.
+    pub(crate) fn list(&mut self, index: usize) {
+        for it in self.records.clone() {
+            self.nodes[index].members.listed(at(self.now_ms), it);
+        }
+    }
+
+    pub(crate) fn end(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        (node.off_since, node.paused_until) = (Some(self.now_ms), 0);
+        node.held.clear();
+    }
+
+    /// It starts again, and knows nothing.
+    pub(crate) fn start(&mut self, index: usize) {
+        self.nodes[index].members = Members::open(member(index, self.now_ms));
+        self.nodes[index].off_since = None;
+        self.records[index] = member(index, self.now_ms);
+        self.list(index);
+    }
+
+    pub(crate) fn pause(&mut self, index: usize, ms: u64) {
+        self.nodes[index].paused_until = self.now_ms + ms;
+    }
+
+    /// Cuts `some` off from all others.
+    pub(crate) fn cut(&mut self, some: BTreeSet<usize>) {
+        self.cut = some;
+    }
+
+    pub(crate) fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    /// Plays so long, and calls `look` now and then.
+    pub(crate) fn play(&mut self, ms: u64, mut look: impl FnMut(&mut Self)) {
+        let until = self.now_ms + ms;
+        while self.now_ms < until {
+            self.now_ms += STEP_MS;
+            self.step();
+            if self.now_ms % LOOK_MS == 0 {
+                look(self);
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        for (to, news) in std::mem::take(&mut self.under_way) {
+            let node = &mut self.nodes[to];
+            if self.now_ms < node.paused_until {
+                node.held.push((self.now_ms, news));
+            } else if node.off_since.is_none() {
+                hear(node, self.now_ms, 0, &news);
+            }
+        }
+        for index in 0..self.nodes.len() {
+            if self.is_running(index) {
+                let node = &mut self.nodes[index];
+                for (came, news) in std::mem::take(&mut node.held) {
+                    hear(node, self.now_ms, self.now_ms - came, &news);
+                }
+                if (self.now_ms + 37 * index as u64) % PERIOD_MS < STEP_MS {
+                    self.tell(index);
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, index: usize) {
+        let now = at(self.now_ms);
+        let node = &mut self.nodes[index];
+        node.members.expire(now);
+        let news = News {
+            from: node.members.tell(),
+            members: node.members.records(now),
+            beats: node.members.beats(now, &mut self.rng),
+        };
+        for address in node.members.targets(iter::once(address(SEED)), &mut self.rng) {
+            let to = usize::from(address.port()) - 1;
+            let is_cut = self.cut.contains(&index) != self.cut.contains(&to);
+            if to != index && !is_cut && !self.rng.random_bool(self.loss) {
+                self.under_way.push((to, news.clone()));
+            }
+        }
+    }
+
+    pub(crate) fn is_running(&self, index: usize) -> bool {
+        let node = &self.nodes[index];
+        node.off_since.is_none() && node.paused_until <= self.now_ms
+    }
+
+    pub(crate) fn is_off(&self, index: usize) -> bool {
+        self.nodes[index].off_since.is_some()
+    }
+
+    /// Whom `of` takes for alive.
+    fn alive(&self, of: usize) -> BTreeSet<usize> {
+        self.nodes[of].members.alive(at(self.now_ms)).map(index).collect()
+    }
+
+    /// An instance that takes another one for alive that has been off for over `ms`.
+    pub(crate) fn believes_in_the_dead(&self, ms: u64) -> Option<(usize, usize)> {
+        let long_off =
+            |it: &usize| self.nodes[*it].off_since.is_some_and(|it| it + ms < self.now_ms);
+        let dead: BTreeSet<usize> = (0..self.len()).filter(long_off).collect();
+        let mut running = (0..self.len()).filter(|it| self.is_running(*it));
+        running.find_map(|of| Some((of, *self.alive(of).intersection(&dead).next()?)))
+    }
+
+    /// An instance that hasn't known another one for over `ms` though both run and reach each other.
+    pub(crate) fn misses_the_living(&mut self, ms: u64) -> Option<(usize, usize)> {
+        let running: Vec<usize> = (0..self.len()).filter(|it| self.is_running(*it)).collect();
+        let mut missed = BTreeMap::new();
+        for of in running.iter().copied() {
+            let known = self.alive(of);
+            let unknown = running.iter().filter(|it| **it != of && !known.contains(it));
+            for other in unknown.filter(|it| self.cut.contains(it) == self.cut.contains(&of)) {
+                let pair = (of, *other);
+                missed.insert(pair, self.missed.get(&pair).copied().unwrap_or(self.now_ms));
+            }
+        }
+        self.missed = missed;
+        let long = self.missed.iter().find(|it| it.1 + ms < self.now_ms);
+        long.map(|it| *it.0)
+    }
+}
+
+fn hear(node: &mut Node, now_ms: u64, _held_ms: u64, news: &News) {
+    let now = at(now_ms);
+    node.members.take(now, news.from.clone());
+    for it in &news.members {
+        node.members.take_from(now, it.clone(), Source::Instance);
+    }
+    node.members.take_beats(now, &news.beats);
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 1 + index as u16))
+}
+
+fn index(member: &Member) -> usize {
+    usize::from(member.peers.port()) - 1
+}
+
+/// An instance that has started at `started_ms`.
+fn member(index: usize, started_ms: u64) -> Member {
+    Member {
+        name: Arc::from(format!("i{index}")),
+        incarnation: started_ms,
+        beat: 0,
+        centre: Arc::from("a"),
+        callers: address(index),
+        peers: address(index),
+        is_ready: true,
+        is_leaving: false,
+        is_watching: false,
+        is_away: false,
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod fleet;
+
 use std::{sync::Arc, time::Duration};
 
 use shallotlead_base::time::Time;
