Members are dated by their own last word, wherever they are told of

What callers saw: the directory named an instance that had been off for half a minute; each caller that was given its address lost up to a second on it.

Cause: an age that counted from when something was heard. Instances told each other of all members that they knew, the dead too, without saying since when these were silent. Each forgot a dead one 30 s after the last beat that it had heard of, at a moment of its own; told of it by one that had not forgotten yet, it took it for a new member that lives, named it to callers and told it on. With enough instances there was always one that had just forgotten.

Change: a member is told of with its last beat and the age of that, which is rounded up and grows at each instance that passes it on. Only a later beat is a sign of life, and it counts from when its member sent it, so that what one has forgotten is too old for all others. What a datagram may have waited in the socket of a paused process is added. A record in the store is no sign of life: it is told to nobody, names nobody to callers, and counts for the roles of an instance that has just started only (`presumed`). No time is longer than it was.

Why it works: only a member makes its beats, each instance takes each beat once, and the time since it was sent is carried along; so all take it for dead 3.2 s (4.8 s in a large fleet) after its last word, but for the time on the way.

Four tests pass that failed, six seconds after an end at 6 to 80 instances. 295 instances with one datagram in twenty lost still know all that live; that test looked at those that count as alive by record, and now looks at `presumed` for it and at `alive`, which is stricter, for the rest.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -133,6 +133,9 @@
     /// Where callers' connections are accepted; closed while leaving.
     listeners: Vec<Key>,
     now: Time,
+    /// How long datagrams that were read at this time may have waited in their socket, as in a process that was
+    /// paused.
+    held: Duration,
     rng: SmallRng,
     timers: BinaryHeap<Reverse<(Time, Timer)>>,
     exchanges: Slab<Exchange>,
@@ -168,8 +171,12 @@
     let mut events = Vec::new();
     while !core.is_over() {
         let pause = core.pause();
+        let polled = clock::now();
         core.net.poll(pause, &mut events)?;
-        core.now = clock::now();
+        let now = clock::now();
+        // The time since the last look, but for the wait in which whatever comes ends the wait.
+        core.held = polled.since(core.now) + now.since(polled).saturating_sub(pause);
+        core.now = now;
         for event in events.drain(..) {
             core.take(event);
         }
@@ -239,6 +246,7 @@
             roles: Map::default(),
             listeners,
             now,
+            held: Duration::ZERO,
             rng: SmallRng::seed_from_u64(seed),
             timers: BinaryHeap::new(),
             exchanges: Slab::new(),
@@ -279,7 +287,7 @@
             Event::Flushed(key) => self.flushed(key),
             Event::Ended(key) => self.ended(key, None),
             Event::Broken(key, kind) => self.ended(key, Some(kind)),
-            Event::Datagram(bytes) => self.datagram(&bytes),
+            Event::Datagram(bytes) => self.datagram(&bytes, self.held),
         }
     }
 
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -217,7 +217,7 @@
     fn tell_members(&mut self, targets: &[SocketAddr]) {
         let rumours = self.peers.board.repeat(self.now);
         let message = Message {
-            members: self.members.records(self.now),
+            members: self.members.sightings(self.now),
             beats: self.members.beats(self.now, &mut self.rng),
             paces: self.pool.paces().map(|it| (it.0.clone(), *it.1)).collect(),
             quarantine: self.told_records(),
--- a/crates/gateway/src/core/peers/heard.rs
+++ b/crates/gateway/src/core/peers/heard.rs
@@ -2,25 +2,29 @@
 
 use std::time::Duration;
 
+use shallotlead_base::time::Time;
+
 use crate::{
     catchup::Holder,
     core::{Core, storage::Source},
-    gossip::{self, Datagram, Loading, Member, Message, Naming, Told},
+    gossip::{self, Datagram, Loading, Member, Message, Naming, Sighting, Told},
     pool::{self, Switch},
     rumour::{Reach, Rumour},
 };
 
 impl Core {
-    pub(crate) fn datagram(&mut self, bytes: &[u8]) {
+    /// Takes a datagram that may have lain in this process's socket for `held`.
+    pub(crate) fn datagram(&mut self, bytes: &[u8], held: Duration) {
+        let came = self.now - held;
         let datagram = postcard::from_bytes::<Datagram>(bytes);
         if let Ok(datagram) = &datagram {
             self.stats.traffic.received(datagram, bytes.len());
         }
         match datagram {
-            Ok(Datagram::News(message)) => self.take_news(*message),
+            Ok(Datagram::News(message)) => self.take_news(came, *message),
             Ok(Datagram::Placed(placed, loads)) => {
                 for it in loads {
-                    self.told_load(&it);
+                    self.told_load(came, &it);
                 }
                 for placement in &placed {
                     if let Some(id) = self.pool.find_life(&placement.server, placement.born) {
@@ -42,17 +46,17 @@
         }
     }
 
-    pub(crate) fn take_namings(&mut self, namings: &[Naming]) {
+    pub(crate) fn take_namings(&mut self, came: Time, namings: &[Naming]) {
         for it in namings {
-            let at = self.now - Duration::from_millis(it.age_ms);
+            let at = came - Duration::from_millis(it.age_ms);
             self.weights_named(at, &it.model, it.version, Source::Instance);
         }
     }
 
     /// A server has told another instance its load.
-    fn told_load(&mut self, told: &Told) {
+    fn told_load(&mut self, came: Time, told: &Told) {
         let Some(id) = self.pool.find_life(&told.server, told.born) else { return };
-        let ago = |ms: u32| self.now - Duration::from_millis(u64::from(ms));
+        let ago = |ms: u32| came - Duration::from_millis(u64::from(ms));
         let at = ago(told.age_ms);
         let waited = told.waited_ms.map(|it| (it.0, ago(it.1)));
         let server = self.pool.get_mut(id);
@@ -64,8 +68,7 @@
         }
     }
 
-    fn take_news(&mut self, message: Message) {
-        let now = self.now;
+    fn take_news(&mut self, came: Time, message: Message) {
         let Message {
             from,
             members,
@@ -84,20 +87,21 @@
         self.take_withheld(&withheld);
         let holder = from.holder(configuration);
         for (address, is_alive) in cache_stores {
-            self.cache_stores.told(now, address, is_alive);
+            self.cache_stores.told(came, address, is_alive);
         }
         for (service, pace) in paces {
             if self.service(&service).is_some() {
                 self.pool.pace_mut(&service).adopt(&pace);
             }
         }
-        self.take_member(from, gossip::Source::Itself);
-        for member in members {
-            self.take_member(member, gossip::Source::Instance);
+        let from = Sighting::of(from, Duration::ZERO);
+        self.take_member(came, from, gossip::Source::Itself);
+        for sighting in members {
+            self.take_member(came, sighting, gossip::Source::Instance);
         }
-        self.members.take_beats(now, &beats);
+        self.members.take_beats(came, &beats);
         self.told_configuration(holder);
-        self.take_namings(&weights);
+        self.take_namings(came, &weights);
         self.adopt_records(&quarantine, "told by an instance");
         if passes_on && rumours.is_empty() {
             self.peers.board.tell_versions(Reach::Centre);
@@ -105,13 +109,16 @@
         let reach = passes_on.then_some(Reach::Centre);
         for heard in &rumours {
             if let Some(rumour) = heard.current() {
-                self.take_rumour(&rumour, Duration::from_millis(u64::from(heard.age_ms)));
+                let at = came - Duration::from_millis(u64::from(heard.age_ms));
+                self.take_rumour(at, &rumour);
             }
-            self.peers.board.hear(now, heard, reach);
+            self.peers.board.hear(came, heard, reach);
         }
     }
 
-    fn take_rumour(&mut self, rumour: &Rumour, age: Duration) {
+    /// Takes what its origin told at `at`.
+    fn take_rumour(&mut self, at: Time, rumour: &Rumour) {
+        let age = self.now.since(at);
         match rumour {
             Rumour::Leaving(name, revision) => self.told_leaving(name, *revision),
             Rumour::Loading(it) => self.told_loading(it),
@@ -122,10 +129,11 @@
             }
             Rumour::Holds(holder) => self.told_configuration(holder.clone()),
             Rumour::Instance(member) => {
-                self.take_member(Member::clone(member), gossip::Source::Instance);
+                let sighting = Sighting::of(Member::clone(member), age);
+                self.take_member(self.now, sighting, gossip::Source::Instance);
             }
             Rumour::CacheStore(address, is_alive) => {
-                self.cache_stores.told(self.now, *address, *is_alive);
+                self.cache_stores.told(at, *address, *is_alive);
             }
             Rumour::Crashed(life, identities) => self.told_crashed(age, *life, identities),
             Rumour::Released(identity) => self.told_released(identity),
@@ -134,9 +142,10 @@
     }
 
     /// Takes what is told of an instance. One that begins to leave gives the lease back, if it holds it.
-    fn take_member(&mut self, member: Member, source: gossip::Source) {
+    fn take_member(&mut self, came: Time, sighting: Sighting, source: gossip::Source) {
+        let member = &sighting.member;
         let begins_to_leave = member.is_leaving && !self.members.is_leaving(&member.name);
-        if self.members.take_from(self.now, member, source) && begins_to_leave {
+        if self.members.sighted(came, sighting, source) && begins_to_leave {
             self.lease.hurry(self.now);
         }
     }
--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -123,7 +123,7 @@
     /// is without the store asks any one nearby if none says that it watches.
     fn informant(&mut self, is_away: bool) -> Option<SocketAddr> {
         let now = self.now;
-        let watchers = self.members.alive(now).filter(|it| it.is_watching);
+        let watchers = self.members.presumed(now).filter(|it| it.is_watching);
         let (near, far): (Vec<_>, Vec<_>) =
             watchers.partition(|it| it.centre == self.members.me().centre);
         let all = match (near.is_empty(), far.is_empty()) {
@@ -234,7 +234,8 @@
             return Answer::Failed;
         };
         let has_entries = state.entries.is_some_and(|it| self.take_entries(&it));
-        self.take_namings(&state.weights);
+        // Told at some time since the question.
+        self.take_namings(question.asked, &state.weights);
         let is_busy = state.configuration.is_none();
         if let Some(packed) = state.configuration {
             self.take_packed(packed);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,5 +1,6 @@
 //! What instances tell each other: who lives, and which versions and departures they have seen.
 
+mod age;
 mod change;
 mod entries;
 mod members;
@@ -16,6 +17,7 @@
     quarantine, rate_limit, rumour,
 };
 
+pub use age::Age;
 pub use change::{Change, Source, Standing};
 pub use entries::{Entries, Entry};
 pub use members::Members;
@@ -173,7 +175,7 @@
     /// The sender.
     pub from: Member,
     /// Some of the others that it knows.
-    pub members: Vec<Member>,
+    pub members: Vec<Sighting>,
     /// The others that it has heard of lately.
     pub beats: Vec<Beat>,
     /// The version of the configuration that it has.
@@ -203,4 +205,24 @@
     pub life: u32,
     /// The beat.
     pub beat: u64,
+    /// How long ago the member sent it, as far as known.
+    pub age: Age,
+}
+
+/// A member as another instance knows it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Sighting {
+    /// What it told last of itself.
+    pub member: Member,
+    /// The last beat that was heard of it.
+    pub beat: u64,
+    /// How long ago it sent that, as far as known.
+    pub age: Age,
+}
+
+impl Sighting {
+    /// What a member told of itself `since` that time.
+    pub fn of(member: Member, since: Duration) -> Self {
+        Self { beat: member.beat, age: Age::of(since), member }
+    }
 }
--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -12,7 +12,7 @@
     time::Time,
 };
 
-use super::{Beat, Change, Member, Source, Standing};
+use super::{Age, Beat, Change, Member, Sighting, Source, Standing};
 
 /// Instances that are told each time, in a small fleet.
 const FANOUT: usize = 2;
@@ -33,14 +33,14 @@
 const LOOKING_NEARBY: usize = 2;
 /// Instances of a small fleet that look whether the store of cached prompts lives.
 const LOOKING: usize = 8;
-/// How long an instance of a large fleet counts as alive that is only known from its record, which may be that of
-/// one that is gone for good: four periods, in which the living are heard of.
+/// How long an instance of a large fleet that has just started presumes others to live of which it knows the records
+/// alone: four periods, in which the living are heard of.
 const LISTED_ALIVE: Duration = Duration::from_millis(2_400);
 /// How long a dead instance still counts for the shared budget.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Members in one message of which all is told: 20 of about 60 bytes stay near 1 KB.
 const MAX_MEMBERS: usize = 20;
-/// Members in one message of which only the last beat is told: 512 of about 7 bytes stay below 4 KB.
+/// Members in one message of which only the last beat is told: 512 of about 8 bytes stay near 4 KB.
 const MAX_BEATS: usize = 512;
 
 /// One of the others.
@@ -48,33 +48,37 @@
 struct Known {
     /// What it told last of itself, with the beat at which it did.
     member: Member,
-    /// The last beat that was heard of.
+    /// The last beat that was heard of, and when the member sent it as far as known.
     beat: u64,
-    heard: Time,
+    seen: Time,
     /// When something new became known of it besides a beat, and when others were told of it.
     changed: Time,
     told: Time,
-    /// Who told the last beat. One that is known from its record alone may be gone for good.
+    /// Who told the last beat. A record in the store is none: it may be that of one that is gone for good.
     source: Source,
     /// As it was last reported.
     standing: Standing,
 }
 
 impl Known {
-    fn open(now: Time, member: Member, source: Source) -> Self {
-        let (beat, standing) = (member.beat, Standing::Alive);
-        Self { member, beat, heard: now, changed: now, told: Time::ZERO, source, standing }
+    fn open(now: Time, sighting: Sighting, source: Source) -> Self {
+        let Sighting { member, beat, age } = sighting;
+        let (seen, standing) = (now - age.duration(), Standing::Dead);
+        Self { member, beat, seen, changed: now, told: Time::ZERO, source, standing }
     }
 
-    fn beats(&mut self, now: Time, beat: u64, source: Source) {
-        if self.beat < beat {
-            (self.beat, self.heard, self.source) = (beat, now, source);
+    /// Takes a beat that the member sent at `seen`. The same beat on another way is no later sign of life.
+    fn beats(&mut self, seen: Time, beat: u64, source: Source) {
+        if self.beat < beat || self.source == Source::Record {
+            (self.beat, self.seen, self.source) = (beat, seen, source);
         }
     }
 
-    /// Takes what the member told of itself in the same life. Says whether that is later than what is known.
-    fn tells(&mut self, now: Time, member: Member, source: Source) -> bool {
-        self.beats(now, member.beat, source);
+    /// Takes what is known of the member in the same life. Says whether it has told something later of itself than
+    /// what is known.
+    fn sighted(&mut self, now: Time, sighting: Sighting, source: Source) -> bool {
+        self.beats(now - sighting.age.duration(), sighting.beat, source);
+        let member = sighting.member;
         if member.beat <= self.member.beat {
             return false;
         }
@@ -86,17 +90,18 @@
     }
 
     fn standing_at(&self, now: Time, is_large: bool) -> Standing {
-        let dead_after = match is_large {
-            true if self.source == Source::Record => LISTED_ALIVE,
-            true => LARGE_DEAD_AFTER,
-            false => DEAD_AFTER,
-        };
-        match now.since(self.heard) {
-            silent if silent < dead_after => Standing::Alive,
+        let dead_after = if is_large { LARGE_DEAD_AFTER } else { DEAD_AFTER };
+        match now.since(self.seen) {
+            silent if silent < dead_after && self.source != Source::Record => Standing::Alive,
             silent if silent < FORGET_AFTER => Standing::Dead,
             _ => Standing::Forgotten,
         }
     }
+
+    fn sighting(&self, now: Time) -> Sighting {
+        let age = Age::of(now.since(self.seen));
+        Sighting { member: self.member.clone(), beat: self.beat, age }
+    }
 }
 
 /// What a member's life is known by where only its beats are told.
@@ -105,18 +110,25 @@
 }
 
 /// The instances that this one knows.
+///
+/// Guards against instances that are off and come back to life among those that tell each other of them. It shows as
+/// addresses that callers are given again half a minute after an instance has ended, and as watchers and homes that do
+/// nothing. It holds since only a later beat is a sign of life, only the member itself makes one, and each is dated by
+/// when the member sent it, wherever it is told: what some have forgotten is too old for the others, too.
 #[derive(Debug)]
 pub struct Members {
     me: Member,
     others: Map<Arc<str>, Known>,
     /// Their names by their lives.
     lives: Map<u32, Arc<str>>,
+    /// When the instances' records in the store were first read.
+    first_listed: Option<Time>,
 }
 
 impl Members {
     /// Only this instance.
     pub fn open(me: Member) -> Self {
-        Self { me, others: Map::default(), lives: Map::default() }
+        Self { me, others: Map::default(), lives: Map::default(), first_listed: None }
     }
 
     /// This instance.
@@ -136,13 +148,14 @@
         self.me.clone()
     }
 
-    /// Takes what a member tells of itself. Says whether it is news.
+    /// Takes what a member has just told of itself. Says whether it is news.
     pub fn take(&mut self, now: Time, member: Member) -> bool {
-        self.take_from(now, member, Source::Itself)
+        self.sighted(now, Sighting::of(member, Duration::ZERO), Source::Itself)
     }
 
     /// Takes what `source` tells of a member. Says whether it is news.
-    pub fn take_from(&mut self, now: Time, member: Member, source: Source) -> bool {
+    pub fn sighted(&mut self, now: Time, sighting: Sighting, source: Source) -> bool {
+        let member = &sighting.member;
         if member.name == self.me.name {
             // Guards against a clock that was set back between two starts: the others would take this
             // life for an older one than the last, and it would stay dead to them. It holds since they
@@ -155,10 +168,10 @@
         match self.others.get_mut(&member.name) {
             Some(it) if member.incarnation < it.member.incarnation => false,
             Some(it) if member.incarnation == it.member.incarnation => {
-                it.tells(now, member, source)
+                it.sighted(now, sighting, source)
             }
             Some(_) | None => {
-                self.insert(Known::open(now, member, source));
+                self.insert(Known::open(now, sighting, source));
                 true
             }
         }
@@ -174,10 +187,10 @@
 
     /// Takes the beats that another instance has heard of.
     pub fn take_beats(&mut self, now: Time, beats: &[Beat]) {
-        for Beat { life, beat } in beats {
+        for Beat { life, beat, age } in beats {
             let known = self.lives.get(life).and_then(|it| self.others.get_mut(it));
             if let Some(it) = known {
-                it.beats(now, *beat, Source::Instance);
+                it.beats(now - age.duration(), *beat, Source::Instance);
             }
         }
     }
@@ -189,8 +202,12 @@
     /// with one datagram in twenty lost. It holds since all of such a fleet fit into one message.
     pub fn beats(&self, now: Time, rng: &mut impl Rng) -> Vec<Beat> {
         let alive = self.others.values().filter(|it| self.is_alive(now, it));
-        let mut all: Vec<Beat> =
-            alive.map(|it| Beat { life: life(&it.member), beat: it.beat }).collect();
+        let beat = |it: &Known| Beat {
+            life: life(&it.member),
+            beat: it.beat,
+            age: Age::of(now.since(it.seen)),
+        };
+        let mut all: Vec<Beat> = alive.map(beat).collect();
         if MAX_BEATS < all.len() {
             all.shuffle(rng);
             all.truncate(MAX_BEATS);
@@ -203,20 +220,19 @@
         self.others.get(name).is_some_and(|it| it.member.is_leaving)
     }
 
-    /// Takes an instance's record from a list of all.
-    ///
-    /// Guards against records of instances that are gone for good: after a restart of all, the others would wait
-    /// for them to watch the store or to take the lease. It holds since those that live are soon heard of.
+    /// Takes an instance's record from the store. It says where the instance may be found, and isn't told on: it
+    /// stays there when the instance is gone for good.
     pub fn listed(&mut self, now: Time, member: Member) {
-        if self.others.contains_key(&member.name) {
-            self.take_from(now, member, Source::Record);
-        } else if member.name != self.me.name {
-            self.insert(Known::open(now, member, Source::Record));
+        self.first_listed.get_or_insert(now);
+        let known = self.others.get(&member.name);
+        let is_news = known.is_none_or(|it| it.member.incarnation < member.incarnation);
+        if member.name == self.me.name || is_news {
+            let member = Member { is_ready: false, ..member };
+            self.sighted(now, Sighting::of(member, Duration::ZERO), Source::Record);
         }
     }
 
-    /// Forgets what has been silent for long. Returns what has become of the others since it was last called; those
-    /// that were never known before are no change.
+    /// Forgets what has been silent for long. Returns what has become of the others since it was last called.
     pub fn expire(&mut self, now: Time) -> Vec<Change> {
         let mut changes = Vec::new();
         let is_large = self.is_large();
@@ -224,7 +240,7 @@
             let standing = it.standing_at(now, is_large);
             if it.standing != standing {
                 it.standing = standing;
-                let silent = now.since(it.heard);
+                let silent = now.since(it.seen);
                 changes.push(Change { name: name.clone(), standing, source: it.source, silent });
             }
             standing != Standing::Forgotten
@@ -243,6 +259,21 @@
         known.standing_at(now, self.is_large()) == Standing::Alive
     }
 
+    /// The other instances that are alive, or may be as far as one that has just started can know: it has read their
+    /// records and hasn't heard of all yet.
+    ///
+    /// Guards against a fleet that starts at once: each would take itself for the only one, watch the store and take
+    /// the lease. It ends by itself, as those that live are soon heard of, and those that are gone aren't waited for.
+    pub fn presumed(&self, now: Time) -> impl Iterator<Item = &Member> {
+        let presumed_for = if self.is_large() { LISTED_ALIVE } else { DEAD_AFTER };
+        let is_new = self.first_listed.is_some_and(|it| now.since(it) < presumed_for);
+        let presumed = self
+            .others
+            .values()
+            .filter(move |it| self.is_alive(now, it) || (is_new && it.source == Source::Record));
+        presumed.map(|it| &it.member)
+    }
+
     /// Whether there are many instances.
     pub fn is_large(&self) -> bool {
         LARGE <= self.others.len() + 1
@@ -270,7 +301,7 @@
     /// The live instances that hear of each prompt that is sent: all, or those of this data centre.
     pub fn neighbours(&self, now: Time) -> impl Iterator<Item = &Member> {
         let is_large = self.is_large();
-        self.alive(now).filter(move |it| !is_large || it.centre == self.me.centre)
+        self.presumed(now).filter(move |it| !is_large || it.centre == self.me.centre)
     }
 
     /// Whether this instance is to look itself whether the store of cached prompts lives. Such a store
@@ -287,7 +318,7 @@
     /// one before it. Those that aren't ready yet count: when all start at once, none is, and all would do it.
     fn place_nearby(&self, now: Time, counts: impl Fn(&Member) -> bool) -> usize {
         let own = name_key(&self.me);
-        let near = self.alive(now).filter(|it| it.centre == self.me.centre && !it.is_leaving);
+        let near = self.presumed(now).filter(|it| it.centre == self.me.centre && !it.is_leaving);
         near.filter(|it| counts(it) && name_key(it) < own).count()
     }
 
@@ -297,7 +328,7 @@
         if !self.is_large() {
             return true;
         }
-        let mut centres: Vec<&Arc<str>> = self.alive(now).map(|it| &it.centre).collect();
+        let mut centres: Vec<&Arc<str>> = self.presumed(now).map(|it| &it.centre).collect();
         centres.push(&self.me.centre);
         centres.sort_unstable();
         centres.dedup();
@@ -333,13 +364,14 @@
 
     /// Members of which all is to be told: those of which there is something new, then the ones that were told of
     /// longest ago, for others that missed it.
-    pub fn records(&mut self, now: Time) -> Vec<Member> {
-        let mut all: Vec<&mut Known> = self.others.values_mut().collect();
+    pub fn sightings(&mut self, now: Time) -> Vec<Sighting> {
+        let told = self.others.values_mut().filter(|it| it.source != Source::Record);
+        let mut all: Vec<&mut Known> = told.collect();
         all.sort_by_key(|it| (it.changed <= it.told, it.told));
         let due = all.into_iter().take(MAX_MEMBERS);
         due.map(|it| {
             it.told = now;
-            it.member.clone()
+            it.sighting(now)
         })
         .collect()
     }
@@ -358,7 +390,7 @@
         }
         let own = age_key(&self.me);
         let stands = |it: &&Member| !it.is_leaving && !it.is_away;
-        self.alive(now).filter(stands).filter(|it| age_key(it) < own).count()
+        self.presumed(now).filter(stands).filter(|it| age_key(it) < own).count()
     }
 }
 
--- a/crates/gateway/src/rumour.rs
+++ b/crates/gateway/src/rumour.rs
@@ -247,7 +247,7 @@
         let versions = self.versions.take();
         let (far, near) = self.take_pending(now);
         if !members.is_large() {
-            let targets = members.alive(now).map(|it| it.peers).collect();
+            let targets = members.presumed(now).map(|it| it.peers).collect();
             let rumours = far.into_iter().chain(near).collect();
             return vec![Push { targets, rumours, passes_on: false }];
         }
@@ -303,7 +303,7 @@
 
 /// Some live members of each data centre, which pass on what they are told.
 fn relays(now: Time, members: &Members, rng: &mut impl Rng) -> Vec<SocketAddr> {
-    let mut all: Vec<&Member> = members.alive(now).filter(|it| !it.is_leaving).collect();
+    let mut all: Vec<&Member> = members.presumed(now).filter(|it| !it.is_leaving).collect();
     all.shuffle(rng);
     all.sort_by(|a, b| a.centre.cmp(&b.centre));
     let by_centre = all.chunk_by(|a, b| a.centre == b.centre);
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -6,7 +6,7 @@
 
 use proptest::{collection::vec, prelude::*};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use shallotlead_gateway::gossip::{Beat, Datagram, Member, Members};
+use shallotlead_gateway::gossip::{Beat, Datagram, Member, Members, Source};
 use support::at;
 
 fn member(name: &str, incarnation: u64, beat: u64) -> Member {
@@ -205,30 +205,34 @@
     for it in &mut fleet {
         (0..295).for_each(|other| it.listed(at(0), me(other)));
     }
-    let mut unknown = Vec::new();
+    let (mut unpresumed, mut unknown) = (Vec::new(), Vec::new());
     for ms in (0..15_000).step_by(20) {
         for from in (0..fleet.len()).filter(|it| (ms + 37 * *it as u64) % 600 < 20) {
-            let mut told = fleet[from].records(at(ms));
-            told.push(fleet[from].tell());
+            let told = fleet[from].sightings(at(ms));
+            let me = fleet[from].tell();
             let beats = fleet[from].beats(at(ms), &mut rng);
             for to in fleet[from].targets(iter::empty(), &mut rng) {
                 if rng.random_bool(0.05) {
                     continue;
                 }
                 let to = &mut fleet[usize::from(to.port()) - 1];
+                to.take(at(ms), me.clone());
                 told.iter().for_each(|it| {
-                    to.take(at(ms), it.clone());
+                    to.sighted(at(ms), it.clone(), Source::Instance);
                 });
                 to.take_beats(at(ms), &beats);
             }
         }
         if ms % 200 == 0 {
-            let missing = fleet.iter().map(|it| 294 - it.alive(at(ms)).count()).sum::<usize>();
-            unknown.push(missing);
+            let missing = |count: &dyn Fn(&Members) -> usize| -> usize {
+                fleet.iter().map(|it| 294 - count(it)).sum()
+            };
+            unpresumed.push(missing(&|it| it.presumed(at(ms)).count()));
+            unknown.push(missing(&|it| it.alive(at(ms)).count()));
         }
     }
     // Right after a start of all, those that are known from records alone may be missed for a moment.
-    let most = unknown.iter().max().copied().unwrap_or(0);
+    let most = unpresumed.iter().max().copied().unwrap_or(0);
     assert!(most < 295 * 294 / 20, "{most} of all pairs don't know each other");
     let late = unknown[unknown.len() / 2..].iter().max().copied();
     assert_eq!(late, Some(0), "instances that live count as dead somewhere");
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -8,7 +8,7 @@
 };
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use shallotlead_gateway::gossip::{Beat, Member, Members, Source};
+use shallotlead_gateway::gossip::{Beat, Member, Members, Sighting, Source};
 
 use super::at;
 
@@ -25,7 +25,7 @@
 #[derive(Clone)]
 struct News {
     from: Member,
-    members: Vec<Member>,
+    members: Vec<Sighting>,
     beats: Vec<Beat>,
 }
 
@@ -128,7 +128,7 @@
         while self.now_ms < until {
             self.now_ms += STEP_MS;
             self.step();
-            if self.now_ms % LOOK_MS == 0 {
+            if self.now_ms.is_multiple_of(LOOK_MS) {
                 look(self);
             }
         }
@@ -162,7 +162,7 @@
         node.members.expire(now);
         let news = News {
             from: node.members.tell(),
-            members: node.members.records(now),
+            members: node.members.sightings(now),
             beats: node.members.beats(now, &mut self.rng),
         };
         for address in node.members.targets(iter::once(address(SEED)), &mut self.rng) {
@@ -215,13 +215,14 @@
     }
 }
 
-fn hear(node: &mut Node, now_ms: u64, _held_ms: u64, news: &News) {
-    let now = at(now_ms);
-    node.members.take(now, news.from.clone());
+/// Takes what has lain in the process's socket for `held_ms`.
+fn hear(node: &mut Node, now_ms: u64, held_ms: u64, news: &News) {
+    let came = at(now_ms - held_ms);
+    node.members.take(came, news.from.clone());
     for it in &news.members {
-        node.members.take_from(now, it.clone(), Source::Instance);
+        node.members.sighted(came, it.clone(), Source::Instance);
     }
-    node.members.take_beats(now, &news.beats);
+    node.members.take_beats(came, &news.beats);
 }
 
 fn address(index: usize) -> SocketAddr {
--- a/crates/gateway/tests/support/limited.rs
+++ b/crates/gateway/tests/support/limited.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use shallotlead_base::time::Time;
 use shallotlead_gateway::{
-    gossip::{Beat, Member, Members, PERIOD},
+    gossip::{Beat, Member, Members, PERIOD, Sighting, Source},
     rate_limit::{Limit, Permission, Reply},
 };
 
@@ -94,7 +94,7 @@
     /// An instance tells a few others who lives.
     Gossips(usize),
     /// Gossip arrives.
-    Told { to: usize, members: Vec<Member>, beats: Vec<Beat> },
+    Told { to: usize, members: Vec<Sighting>, beats: Vec<Beat> },
     /// News of a limit arrives.
     Limited { to: usize, server: usize, per_second: Option<f64>, at: Time },
     /// A question for a permit arrives.
@@ -329,7 +329,7 @@
             Event::Told { to, members, beats } => {
                 let it = &mut self.instances[to].members;
                 for member in members {
-                    it.take(now, member);
+                    it.sighted(now, member, Source::Instance);
                 }
                 it.take_beats(now, &beats);
             }
@@ -437,8 +437,8 @@
         let it = &mut instances[instance].members;
         it.expire(now);
         let targets = it.targets(std::iter::empty(), rng);
-        let mut members = vec![it.tell()];
-        members.extend(it.records(now));
+        let mut members = vec![Sighting::of(it.tell(), Duration::ZERO)];
+        members.extend(it.sightings(now));
         let beats = it.beats(now, rng);
         for target in targets {
             let to = number(target);
@@ -449,7 +449,7 @@
     }
 
     fn tell_own_state(&mut self, instance: usize) {
-        let me = self.instances[instance].members.tell();
+        let me = Sighting::of(self.instances[instance].members.tell(), Duration::ZERO);
         for to in 0..self.instances.len() {
             if to != instance {
                 let members = vec![me.clone()];
