What an instance tells of who lives goes to those that live

What callers would see: after many instances are gone at once, the survivors take each other for dead for seconds, so that the directory names one or two of them, and watchers and the lease change hands for nothing.

Cause: an instance told two others, chosen among all that it knew, the dead too. With nine of twelve gone, four of five messages went nowhere until the dead were forgotten after half a minute.

Change: the same number goes to those that are alive, and one more to one of the rest, which may be back. Where fewer than two live nearby, those elsewhere get their part: the only instance of a data centre told one other alone.

--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -76,7 +76,7 @@
             self.storage.set_sharers(self.members.sharers(), now);
             let own = self.settings.listen.peers;
             let seeds = self.settings.seeds.iter().copied().filter(|it| *it != own);
-            let targets = self.members.targets(seeds, &mut self.rng);
+            let targets = self.members.targets(now, seeds, &mut self.rng);
             self.tell_members(&targets);
         }
         if std::mem::take(&mut self.peers.has_news) {
--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -5,7 +5,7 @@
 
 use rand::{
     Rng,
-    seq::{IndexedRandom, SliceRandom},
+    seq::{IndexedRandom, IteratorRandom, SliceRandom},
 };
 use shallotlead_base::{
     hash::{self, Map},
@@ -279,23 +279,33 @@
         LARGE <= self.others.len() + 1
     }
 
-    /// Some instances to be told who lives, the dead and the `seeds` too: they may be back.
+    /// Some instances to be told who lives: of those that do, and one of the rest and the `seeds`, which may be back.
+    ///
+    /// Guards against survivors that tell mostly the dead: after eight of eleven are gone, the other three would take
+    /// each other for dead for seconds. It holds since the living get as much as if they were alone.
     pub fn targets(
         &self,
+        now: Time,
         seeds: impl Iterator<Item = SocketAddr>,
         rng: &mut impl Rng,
     ) -> Vec<SocketAddr> {
-        let mut all: Vec<SocketAddr> = self.others.values().map(|it| it.member.peers).collect();
-        all.extend(seeds);
+        let alive: Vec<&Member> = self.alive(now).collect();
+        let is_alive = |it: &SocketAddr| alive.iter().any(|member| member.peers == *it);
+        let rest = self.others.values().map(|it| it.member.peers).chain(seeds);
+        let back = rest.filter(|it| !is_alive(it)).choose(rng);
+        let (count, near) = match self.is_large() {
+            true => (LARGE_FANOUT_NEAR + LARGE_FANOUT_ANY, LARGE_FANOUT_NEAR),
+            false => (FANOUT, 0),
+        };
+        let nearby = alive.iter().filter(|it| it.centre == self.me.centre);
+        let near = nearby.choose_multiple(rng, near);
+        // Where few are nearby, those elsewhere get their part.
+        let any = alive.choose_multiple(rng, count - near.len());
+        let told = near.into_iter().chain(any).map(|it| it.peers);
+        let mut all: Vec<SocketAddr> = told.chain(back).collect();
         all.sort_unstable();
         all.dedup();
-        if !self.is_large() {
-            return all.choose_multiple(rng, FANOUT).copied().collect();
-        }
-        let near = self.others.values().filter(|it| it.member.centre == self.me.centre);
-        let near: Vec<SocketAddr> = near.map(|it| it.member.peers).collect();
-        let near = near.choose_multiple(rng, LARGE_FANOUT_NEAR);
-        near.chain(all.choose_multiple(rng, LARGE_FANOUT_ANY)).copied().collect()
+        all
     }
 
     /// The live instances that hear of each prompt that is sent: all, or those of this data centre.
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -211,7 +211,7 @@
             let told = fleet[from].sightings(at(ms));
             let me = fleet[from].tell();
             let beats = fleet[from].beats(at(ms), &mut rng);
-            for to in fleet[from].targets(iter::empty(), &mut rng) {
+            for to in fleet[from].targets(at(ms), iter::empty(), &mut rng) {
                 if rng.random_bool(0.05) {
                     continue;
                 }
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -70,6 +70,17 @@
     }
 }
 
+// Most instances end at the same moment, and the few that are left take each other for dead, as what they tell goes to the others.
+#[test]
+fn survivors_of_a_large_loss_know_each_other() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::open(12, 0.01, seed);
+        fleet.play(6_000, |_| {});
+        (3..12).for_each(|it| fleet.end(it));
+        fleet.play(40_000, |it| check(it, seed));
+    }
+}
+
 #[test]
 fn any_interleaving_names_no_dead_and_misses_no_living() {
     let setting = |name: &str| env::var(name).ok().and_then(|it| it.parse().ok());
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -18,6 +18,8 @@
 const STEP_MS: u64 = 20;
 /// How often it is looked at who knows whom, ms.
 const LOOK_MS: u64 = 200;
+/// After so long without a cut all know each other again, ms.
+const SETTLED_MS: u64 = 10_000;
 /// An instance that every other one asks first, and that runs all the time.
 const SEED: usize = 0;
 
@@ -44,8 +46,13 @@
     nodes: Vec<Node>,
     pub(crate) now_ms: u64,
     under_way: Vec<(usize, News)>,
-    /// Those on one side of a cut.
+    /// Those on the side of a cut that doesn't reach the seed.
     cut: BTreeSet<usize>,
+    /// Of these, those that have known each other since before the cut: who was forgotten meanwhile can't be found
+    /// without the seed.
+    islanders: BTreeSet<usize>,
+    /// When all could last reach each other again, ms.
+    whole_since: u64,
     /// Who doesn't know whom though both run and reach each other, and since when, ms.
     missed: BTreeMap<(usize, usize), u64>,
     rng: SmallRng,
@@ -59,12 +66,13 @@
     /// `count` instances that start together.
     pub(crate) fn open(count: usize, loss: f64, seed: u64) -> Self {
         let rng = SmallRng::seed_from_u64(seed);
-        let (under_way, cut) = (Vec::new(), BTreeSet::new());
         let mut fleet = Self {
             nodes: Vec::new(),
             now_ms: 0,
-            under_way,
-            cut,
+            under_way: Vec::new(),
+            cut: BTreeSet::new(),
+            islanders: BTreeSet::new(),
+            whole_since: 0,
             missed: BTreeMap::new(),
             rng,
             loss,
@@ -99,6 +107,7 @@
         let node = &mut self.nodes[index];
         (node.off_since, node.paused_until) = (Some(self.now_ms), 0);
         node.held.clear();
+        self.islanders.remove(&index);
     }
 
     /// It starts again, and knows nothing.
@@ -111,15 +120,20 @@
 
     pub(crate) fn pause(&mut self, index: usize, ms: u64) {
         self.nodes[index].paused_until = self.now_ms + ms;
+        self.islanders.remove(&index);
     }
 
-    /// Cuts `some` off from all others.
+    /// Cuts `some` off from all others, the seed among them.
     pub(crate) fn cut(&mut self, some: BTreeSet<usize>) {
+        let is_whole = self.cut.is_empty() && self.whole_since + SETTLED_MS <= self.now_ms;
+        let running = some.iter().filter(|it| self.is_running(**it));
+        self.islanders = running.filter(|_| is_whole).copied().collect();
         self.cut = some;
     }
 
     pub(crate) fn heal(&mut self) {
         self.cut.clear();
+        self.whole_since = self.now_ms;
     }
 
     /// Plays so long, and calls `look` now and then.
@@ -165,7 +179,7 @@
             members: node.members.sightings(now),
             beats: node.members.beats(now, &mut self.rng),
         };
-        for address in node.members.targets(iter::once(address(SEED)), &mut self.rng) {
+        for address in node.members.targets(now, iter::once(address(SEED)), &mut self.rng) {
             let to = usize::from(address.port()) - 1;
             let is_cut = self.cut.contains(&index) != self.cut.contains(&to);
             if to != index && !is_cut && !self.rng.random_bool(self.loss) {
@@ -204,7 +218,11 @@
         for of in running.iter().copied() {
             let known = self.alive(of);
             let unknown = running.iter().filter(|it| **it != of && !known.contains(it));
-            for other in unknown.filter(|it| self.cut.contains(it) == self.cut.contains(&of)) {
+            let reaches = |it: &usize| match self.cut.contains(&of) {
+                true => self.islanders.contains(it) && self.islanders.contains(&of),
+                false => !self.cut.contains(it),
+            };
+            for other in unknown.filter(|it| reaches(it)) {
                 let pair = (of, *other);
                 missed.insert(pair, self.missed.get(&pair).copied().unwrap_or(self.now_ms));
             }
--- a/crates/gateway/tests/support/limited.rs
+++ b/crates/gateway/tests/support/limited.rs
@@ -436,7 +436,7 @@
         let Self { instances, rng, .. } = self;
         let it = &mut instances[instance].members;
         it.expire(now);
-        let targets = it.targets(std::iter::empty(), rng);
+        let targets = it.targets(now, std::iter::empty(), rng);
         let mut members = vec![Sighting::of(it.tell(), Duration::ZERO)];
         members.extend(it.sightings(now));
         let beats = it.beats(now, rng);
