A watch that breaks off is followed by one that must be answered at once

Cause: an instance believed that the store answers it without a sign of that. The few that watch the store for a large fleet make no other calls, and a watch that breaks off counted for nothing, as the store may cut a waiting watch at any time. All five were turned away at 2.5 s; each opened its watches anew for nine seconds, didn't say that it was cut off, and nobody took its place.

Change: the watch after one that broke off doesn't wait, so that it is answered at once or the store is lost. `Contact` decides it, apart from the calls. In a large fleet the watch of the configuration waits for a second at most, since a store that falls silent to all that watch breaks nothing off: before, that was noticed when a watch's 20 s were over, or by probes of the connection.

Why it works: an instance is taken for a watcher only while it has had an answer within a second and a half or so; then it says that it is cut off, and the next one of its data centre watches. What this costs: a call a second for each data centre of a large fleet, none in a small one, where all watch.

--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -116,7 +116,7 @@
 
     /// Whether the store hasn't answered this instance for a while.
     pub(crate) fn is_cut_off(&self) -> bool {
-        self.storage.away_since().is_some_and(|it| AWAY <= self.now.since(it))
+        self.storage.contact.lost_since().is_some_and(|it| AWAY <= self.now.since(it))
     }
 
     /// An instance that knows what the store has: a watcher nearby or, where there is none, elsewhere. Whoever
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -304,7 +304,7 @@
         stats.instances.set(alive as f64);
         stats.open.set(self.exchanges.len() as f64);
         stats.is_store_away.set(f64::from(u8::from(self.storage.is_away())));
-        stats.store_answer_age.set(self.storage.answer_age(self.now).as_secs_f64());
+        stats.store_answer_age.set(self.storage.contact.age(self.now).as_secs_f64());
     }
     fn refresh_budget(&mut self) {
         let Some(catalog) = self.catalog.clone() else { return };
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -22,6 +22,7 @@
 };
 
 use crate::{
+    contact::Contact,
     core::Core,
     dialect::{Beat, Dialect, Subject},
     gossip::Member,
@@ -57,12 +58,8 @@
     wants: Map<u64, Want>,
     next_ticket: u64,
     followed: Vec<Follower>,
-    /// Since when the store hasn't answered this instance.
-    away_since: Option<Time>,
-    /// When the store last answered a call of this instance; its start before the first time.
-    answered: Time,
-    /// Watches that have broken off since.
-    broken_watches: u32,
+    /// Whether the store answers this instance.
+    pub(crate) contact: Contact,
     /// The configuration as it lies in the store, for instances that can't reach it.
     pub(crate) configuration: Option<Document>,
     /// Servers' entries as they lie in the store, for the same.
@@ -141,9 +138,7 @@
             wants: Map::default(),
             next_ticket: 0,
             followed,
-            away_since: None,
-            answered: now,
-            broken_watches: 0,
+            contact: Contact::open(now),
             configuration: None,
             entries: Map::default(),
             entries_until: 0,
@@ -157,17 +152,7 @@
 
     /// Whether the store doesn't answer this instance.
     pub(crate) fn is_away(&self) -> bool {
-        self.away_since.is_some()
-    }
-
-    /// Since when it doesn't.
-    pub(crate) fn away_since(&self) -> Option<Time> {
-        self.away_since
-    }
-
-    /// Time since the store last answered any call of this instance.
-    pub(crate) fn answer_age(&self, now: Time) -> Duration {
-        now.since(self.answered)
+        self.contact.lost_since().is_some()
     }
 
     /// Time since the store last answered for each kind that is followed, after the first time.
@@ -232,6 +217,7 @@
         self.register();
         let now = self.now;
         let is_watcher = self.storage.is_watcher;
+        let is_large = self.members.is_large();
         let needs_configuration = self.peers.catchup.needs_store(now);
         for index in 0..self.storage.followed.len() {
             let it = &mut self.storage.followed[index];
@@ -247,7 +233,7 @@
                 it.revision = None;
             }
             it.is_open = true;
-            let call = it.call();
+            let call = it.call(is_large);
             self.storage.submit(now, Want::Follow(index), call);
         }
         let rank = self.members.rank(now);
--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -15,16 +15,21 @@
 
 /// How long a call may take. The store answers in 4 ms, and in 250 ms when it is slow.
 const TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long the answer of a watch may take beyond its wait: less, as others rely on those that watch.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(600);
 
 impl Core {
-    pub(super) fn send_call(&mut self, sent: Sent, call: Call) {
+    pub(super) fn send_call(&mut self, sent: Sent, mut call: Call) {
         if let Some(outcome) = self.outdated(&call) {
             self.storage.scheduler.answered(sent, outcome, self.now);
             return;
         }
-        let timeout = match &call {
-            Call::Watch { wait, .. } => *wait + TIMEOUT,
-            _ => TIMEOUT,
+        let timeout = match &mut call {
+            Call::Watch { wait, .. } => {
+                *wait = self.storage.contact.watch_for(*wait);
+                *wait + WATCH_TIMEOUT
+            }
+            Call::Get(_) | Call::Put { .. } | Call::Delete { .. } | Call::List { .. } => TIMEOUT,
         };
         self.send_page(sent, call, Vec::new(), timeout, None);
     }
@@ -95,45 +100,48 @@
     /// Notes whether the store answers this instance.
     fn note_store(&mut self, call: &Call, outcome: &Outcome) {
         let now = self.now;
-        let is_answer = matches!(outcome, Outcome::Answered(_));
-        // The store may cut a waiting watch at any time; the next call tells whether it is well.
-        if !is_answer && matches!((call, outcome), (Call::Watch { .. }, Outcome::Lost)) {
-            self.log_broken_watch(kind(call));
-            return;
-        }
-        if is_answer {
-            (self.storage.answered, self.storage.broken_watches) = (now, 0);
-        }
-        match (is_answer, self.storage.away_since) {
-            (true, Some(since)) => {
-                self.storage.away_since = None;
-                self.pool.store_returned(now);
-                self.journal.line(now, "store_regained").ms("away_ms", now.since(since));
-                // A watch that waited while the store was silent may never be answered: a change would be missed
-                // until its time is over.
-                self.end_watches();
+        let contact = &mut self.storage.contact;
+        let is_lost = match (outcome, call) {
+            (Outcome::Answered(_), _) => {
+                if let Some(away) = contact.answered(now) {
+                    self.store_regained(away);
+                }
+                false
             }
-            (false, None) => {
-                self.storage.away_since = Some(now);
-                self.journal
-                    .line(now, "store_lost")
-                    .text("outcome", name(outcome))
-                    .text("call", kind(call));
+            (Outcome::Lost, Call::Watch { kind, wait, .. }) => {
+                let is_lost = contact.watch_broke(now, *wait);
+                self.log_broken_watch(kind);
+                is_lost
             }
-            (true, None) | (false, Some(_)) => {}
+            (Outcome::Lost | Outcome::Refused { .. } | Outcome::Unavailable { .. }, _) => {
+                contact.failed(now)
+            }
+        };
+        if is_lost {
+            self.journal
+                .line(now, "store_lost")
+                .text("outcome", name(outcome))
+                .text("call", kind(call));
         }
     }
 
+    fn store_regained(&mut self, away: Duration) {
+        self.pool.store_returned(self.now);
+        self.journal.line(self.now, "store_regained").ms("away_ms", away);
+        // A watch that waited while the store was silent may never be answered: a change would be missed
+        // until its time is over.
+        self.end_watches();
+    }
+
     /// Logs a watch that broke off; of many in a row the first, second, fourth and so on.
     fn log_broken_watch(&mut self, kind: &str) {
-        self.storage.broken_watches += 1;
-        let (broken, answered) = (self.storage.broken_watches, self.storage.answered);
-        if broken.is_power_of_two() {
+        let contact = &self.storage.contact;
+        if contact.broken().is_power_of_two() {
             self.journal
                 .line(self.now, "watch_broken")
                 .text("kind", kind)
-                .number("in_a_row", broken)
-                .ms("answered_before_ms", self.now.since(answered));
+                .number("in_a_row", contact.broken())
+                .ms("answered_before_ms", contact.age(self.now));
         }
     }
 }
--- a/crates/gateway/src/core/storage/follower.rs
+++ b/crates/gateway/src/core/storage/follower.rs
@@ -9,6 +9,9 @@
 /// How long a watch may wait for a change. The platform takes 30 s at most; a connection that went
 /// silent is found earlier, by probes.
 const WATCH: Duration = Duration::from_secs(20);
+/// How long the watch of the configuration may wait in a large fleet. The others rely on the few that watch, and a
+/// change is to be in force everywhere within 4 s: the store must be known to answer more often than that.
+const CONFIRMED_WATCH: Duration = Duration::from_secs(1);
 
 /// Pause after the first reading of a kind: until then most instances of a large fleet know that others watch.
 const SETTLE: Duration = Duration::from_millis(500);
@@ -69,11 +72,15 @@
         }
     }
 
-    pub(super) fn call(&self) -> Call {
+    pub(super) fn call(&self, is_large: bool) -> Call {
         let kind = self.kind.clone();
+        let wait = match self.what {
+            What::Subject(Subject::Configuration) if is_large => CONFIRMED_WATCH,
+            What::Subject(_) | What::Instances | What::Records => WATCH,
+        };
         match self.revision {
             None => Call::List { kind },
-            Some(after) => Call::Watch { kind, after, wait: WATCH },
+            Some(after) => Call::Watch { kind, after, wait },
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod catchup;
+pub mod contact;
 pub mod copies;
 mod clock;
 mod core;
--- /dev/null
+++ b/crates/gateway/tests/contact.rs
@@ -0,0 +1,45 @@
+//! Whether the store answers an instance.
+
+mod support;
+
+use std::time::Duration;
+
+use shallotlead_gateway::contact::Contact;
+use support::at;
+
+const WAIT: Duration = Duration::from_secs(20);
+
+// The store cuts waiting watches as it may: taken for an outage, each cut would hand the watch over to another instance.
+#[test]
+fn watch_that_is_cut_and_answered_again_is_no_outage() {
+    let mut contact = Contact::open(at(0));
+    for ms in (0..60_000).step_by(1_000) {
+        assert!(!contact.watch_broke(at(ms), contact.watch_for(WAIT)));
+        assert_eq!(contact.watch_for(WAIT), Duration::ZERO);
+        assert_eq!(contact.answered(at(ms + 10)), None);
+        assert_eq!(contact.watch_for(WAIT), WAIT);
+    }
+}
+
+// Several watches are cut one shortly after the other, before the first of those that follow is answered.
+#[test]
+fn watches_that_are_cut_together_are_no_outage() {
+    let mut contact = Contact::open(at(0));
+    for ms in 0..4 {
+        assert!(!contact.watch_broke(at(ms), WAIT));
+    }
+    assert_eq!(contact.lost_since(), None);
+}
+
+// An instance that makes no other calls than watches goes on for seconds without noticing that none is answered.
+#[test]
+fn watch_that_breaks_off_again_is_an_outage() {
+    let mut contact = Contact::open(at(0));
+    assert!(!contact.watch_broke(at(1_000), contact.watch_for(WAIT)));
+    assert!(contact.watch_broke(at(1_060), contact.watch_for(WAIT)));
+    assert!(!contact.watch_broke(at(1_200), contact.watch_for(WAIT)), "it is known already");
+    assert_eq!(contact.lost_since(), Some(at(1_060)));
+    assert_eq!(contact.age(at(1_500)), Duration::from_millis(1_500));
+    assert_eq!(contact.answered(at(3_060)), Some(Duration::from_secs(2)));
+    assert_eq!(contact.lost_since(), None);
+}
