What other instances tell counts from when they told it

A caller's prompt would be read again for up to four seconds, as a repeated "down" hid a later "up"; a paused instance would take loads, rate limits, withheld servers and rumours of before its pause for new.

Rumours, loads, withheld servers and rate limits are older by the time that their datagram may have waited, and a word on a store of cached prompts doesn't hide one that was said after it. The test of the latter failed by construction before: the older word replaced the newer one.

--- a/crates/gateway/src/core/cache.rs
+++ b/crates/gateway/src/core/cache.rs
@@ -1,5 +1,8 @@
 //! The stores of cached prompts, as this instance sees them.
 
+#[cfg(test)]
+mod tests;
+
 use std::{net::SocketAddr, time::Duration};
 
 use shallotlead_base::{hash, time::Time};
@@ -75,10 +78,13 @@
         seen.map(|it| (it.address, it.is_alive)).collect()
     }
 
-    /// Another instance that looks itself says whether a store lives.
-    pub(crate) fn told(&mut self, now: Time, address: SocketAddr, is_alive: bool) {
-        if let Some(store) = self.find(address) {
-            store.told = Some((is_alive, now));
+    /// Another instance that looks itself said at `at` whether a store lives. What comes late doesn't hide what was
+    /// said after it.
+    pub(crate) fn told(&mut self, at: Time, address: SocketAddr, is_alive: bool) {
+        if let Some(store) = self.find(address)
+            && store.told.is_none_or(|it| it.1 <= at)
+        {
+            store.told = Some((is_alive, at));
         }
     }
 
--- a/crates/gateway/src/core/peers/heard.rs
+++ b/crates/gateway/src/core/peers/heard.rs
@@ -35,7 +35,7 @@
             Ok(Datagram::Entries(entries)) => {
                 self.take_entries(&entries);
             }
-            Ok(Datagram::PermitAsked(asked)) => self.permit_asked(&asked),
+            Ok(Datagram::PermitAsked(asked)) => self.permit_asked(&asked, held),
             Ok(Datagram::PermitAnswered(answered)) => self.permit_answered(&answered),
             Err(err) => {
                 self.journal
@@ -84,7 +84,7 @@
             quarantine,
         } = message;
         self.told_era(era);
-        self.take_withheld(&withheld);
+        self.take_withheld(came, &withheld);
         let holder = from.holder(configuration);
         for (address, is_alive) in cache_stores {
             self.cache_stores.told(came, address, is_alive);
@@ -107,18 +107,17 @@
             self.peers.board.tell_versions(Reach::Centre);
         }
         let reach = passes_on.then_some(Reach::Centre);
-        for heard in &rumours {
+        let held = self.now.since(came);
+        for heard in rumours.into_iter().map(|it| it.after(held)) {
             if let Some(rumour) = heard.current() {
-                let at = came - Duration::from_millis(u64::from(heard.age_ms));
-                self.take_rumour(at, &rumour);
+                self.take_rumour(&rumour, Duration::from_millis(u64::from(heard.age_ms)));
             }
-            self.peers.board.hear(came, heard, reach);
+            self.peers.board.hear(self.now, &heard, reach);
         }
     }
 
-    /// Takes what its origin told at `at`.
-    fn take_rumour(&mut self, at: Time, rumour: &Rumour) {
-        let age = self.now.since(at);
+    /// Takes what its origin told so long ago.
+    fn take_rumour(&mut self, rumour: &Rumour, age: Duration) {
         match rumour {
             Rumour::Leaving(name, revision) => self.told_leaving(name, *revision),
             Rumour::Loading(it) => self.told_loading(it),
@@ -133,7 +132,7 @@
                 self.take_member(self.now, sighting, gossip::Source::Instance);
             }
             Rumour::CacheStore(address, is_alive) => {
-                self.cache_stores.told(at, *address, *is_alive);
+                self.cache_stores.told(self.now - age, *address, *is_alive);
             }
             Rumour::Crashed(life, identities) => self.told_crashed(age, *life, identities),
             Rumour::Released(identity) => self.told_released(identity),
--- a/crates/gateway/src/core/rate_limit.rs
+++ b/crates/gateway/src/core/rate_limit.rs
@@ -144,10 +144,10 @@
         false
     }
 
-    /// Another instance wants a permit.
-    pub(crate) fn permit_asked(&mut self, asked: &PermitAsked) {
+    /// Another instance wants a permit, and asked `held` ago.
+    pub(crate) fn permit_asked(&mut self, asked: &PermitAsked, held: Duration) {
         let PermitAsked { limit, reply_to } = asked;
-        self.told_rate_limit(limit, Duration::ZERO);
+        self.told_rate_limit(limit, held);
         // Its entry is on the way here; the other one asks again.
         let Some(id) = self.pool.find_life(&limit.server, limit.born) else { return };
         let share = self.limit_share(id);
--- a/crates/gateway/src/core/storage/withheld.rs
+++ b/crates/gateway/src/core/storage/withheld.rs
@@ -38,15 +38,18 @@
     }
 
     /// Another instance holds servers back. Those of which nothing later was read here are held back as well.
-    pub(crate) fn take_withheld(&mut self, told: &[Withheld]) {
+    pub(crate) fn take_withheld(&mut self, came: Time, told: &[Withheld]) {
         for Withheld { server, beat, age_ms } in told {
-            let age = Duration::from_millis(*age_ms);
+            let since = came - Duration::from_millis(*age_ms);
             let known = self.storage.entries.get(server).and_then(|it| it.beat);
             let is_old = known.is_some_and(|it| it.is_not_after(beat));
-            if KEPT <= age || !is_old || self.storage.withheld.contains_key(server) {
+            if KEPT <= self.now.since(since)
+                || !is_old
+                || self.storage.withheld.contains_key(server)
+            {
                 continue;
             }
-            self.storage.withheld.insert(server.clone(), (*beat, self.now - age));
+            self.storage.withheld.insert(server.clone(), (*beat, since));
             let revision = self.storage.entry_revision(server);
             self.journal
                 .line(self.now, "withheld")
--- a/crates/gateway/src/rumour.rs
+++ b/crates/gateway/src/rumour.rs
@@ -104,6 +104,12 @@
 }
 
 impl Aged {
+    /// The same `later`.
+    pub fn after(self, later: Duration) -> Self {
+        let age_ms = self.age_ms.saturating_add(later.as_millis() as u32);
+        Self { age_ms, ..self }
+    }
+
     /// What of it holds now; nothing once its time is over.
     pub fn current(&self) -> Option<Rumour> {
         match &self.rumour {
