An instance that has just started tells those that it presumes to live as often as it will; a slow store isn't lost in a small fleet

Read over after the mends: with nobody heard of yet, what an instance tells went to one other each time, where it went to two or three before. And the shorter time for the answer of a watch is for a large fleet, where others rely on it.

--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -15,8 +15,8 @@
 
 /// How long a call may take. The store answers in 4 ms, and in 250 ms when it is slow.
 const TIMEOUT: Duration = Duration::from_millis(1_000);
-/// How long the answer of a watch may take beyond its wait: less, as others rely on those that watch.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long the answer of a watch may take beyond its wait in a large fleet, where others rely on those that watch.
+const LARGE_WATCH_TIMEOUT: Duration = Duration::from_millis(600);
 
 impl Core {
     pub(super) fn send_call(&mut self, sent: Sent, mut call: Call) {
@@ -27,7 +27,9 @@
         let timeout = match &mut call {
             Call::Watch { wait, .. } => {
                 *wait = self.storage.contact.watch_for(*wait);
-                *wait + WATCH_TIMEOUT
+                let answered_in =
+                    if self.members.is_large() { LARGE_WATCH_TIMEOUT } else { TIMEOUT };
+                *wait + answered_in
             }
             Call::Get(_) | Call::Put { .. } | Call::Delete { .. } | Call::List { .. } => TIMEOUT,
         };
--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -289,7 +289,7 @@
         seeds: impl Iterator<Item = SocketAddr>,
         rng: &mut impl Rng,
     ) -> Vec<SocketAddr> {
-        let alive: Vec<&Member> = self.alive(now).collect();
+        let alive: Vec<&Member> = self.presumed(now).collect();
         let is_alive = |it: &SocketAddr| alive.iter().any(|member| member.peers == *it);
         let rest = self.others.values().map(|it| it.member.peers).chain(seeds);
         let back = rest.filter(|it| !is_alive(it)).choose(rng);
