Watchers confirm the configuration each second, and others watch where they say nothing

What callers would see: a revoked key that works, or a route that is missing, at all instances for as long as all that watch the store stand still, up to 4.8 s after they are gone.

An instance that doesn't watch couldn't tell a store in which nothing changes from watchers that say nothing, and relied on their being taken for dead, after 4.8 s where a change is to be in force within 3 or 4 s.

Change: those that watch for a large fleet tell their data centre each second that the store has confirmed their configuration. Where that word stays away for 2 s, the next instance behind them watches, the ones after it 0.3 s later each unless they hear of it, and it stops when it hears of one before it (`currency`, a pure decision). The age of what an instance holds is a metric. The word names the version and where it is had, so that an announcement that was lost is made up for within a second.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -395,7 +395,13 @@
     /// Decides whether this instance watches the store for others, and says so.
     fn decide_watching(&mut self) {
         let is_away = self.is_cut_off();
-        self.storage.is_watcher = self.members.is_watcher(self.now);
+        self.storage.is_watcher = match self.members.watch_place(self.now) {
+            None => {
+                self.peers.currency.watches(self.now);
+                true
+            }
+            Some(place) => self.peers.currency.is_overdue(self.now, place),
+        };
         let is_watching = self.storage.is_watcher && !is_away;
         let me = self.members.me_mut();
         let is_news = me.is_away != is_away;
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -11,8 +11,9 @@
 use crate::{
     catchup::Catchup,
     core::{Core, storage::Source},
+    currency::Currency,
     dialect::Load,
-    gossip::{self, Datagram, Loading, Message, Naming, PERIOD, Placement, Told},
+    gossip::{self, Confirmed, Datagram, Loading, Message, Naming, PERIOD, Placement, Told},
     pool,
     rumour::{self, Board, Push, Reach, Rumour},
 };
@@ -40,6 +41,8 @@
     pub(crate) board: Board,
     /// Who has a newer configuration, and who of them is asked.
     pub(crate) catchup: Catchup,
+    /// How current the own one is.
+    pub(crate) currency: Currency,
     /// When another instance was last asked for all that was missed.
     pub(crate) asked: Time,
     /// Its answer hasn't come yet.
@@ -180,6 +183,17 @@
         self.tell_all(Rumour::Holds(holder));
     }
 
+    /// The store has said that there is no newer configuration, to a watch or to one that has just listed all. In a
+    /// large fleet those nearby rely on the watch.
+    pub(crate) fn configuration_confirmed(&mut self, is_watch: bool) {
+        self.peers.currency.read(self.now);
+        if is_watch && self.members.is_large() && self.storage.is_watcher {
+            let holder = self.members.me().holder(self.version_in_force());
+            let confirmed = Confirmed { name: self.members.me().name.clone(), holder };
+            self.send_to(&self.nearby(), &Datagram::Confirmed(confirmed));
+        }
+    }
+
     /// Sends what is to be told at once.
     fn push(&mut self) {
         for Push { targets, rumours, passes_on } in
--- a/crates/gateway/src/core/peers/heard.rs
+++ b/crates/gateway/src/core/peers/heard.rs
@@ -7,7 +7,7 @@
 use crate::{
     catchup::Holder,
     core::{Core, storage::Source},
-    gossip::{self, Datagram, Loading, Member, Message, Naming, Sighting, Told},
+    gossip::{self, Confirmed, Datagram, Loading, Member, Message, Naming, Sighting, Told},
     pool::{self, Switch},
     rumour::{Reach, Rumour},
 };
@@ -37,6 +37,7 @@
             }
             Ok(Datagram::PermitAsked(asked)) => self.permit_asked(&asked, held),
             Ok(Datagram::PermitAnswered(answered)) => self.permit_answered(&answered),
+            Ok(Datagram::Confirmed(confirmed)) => self.told_confirmed(came, confirmed),
             Err(err) => {
                 self.journal
                     .line(self.now, "datagram_unreadable")
@@ -179,6 +180,16 @@
         }
     }
 
+    /// The store has confirmed a configuration to another instance.
+    fn told_confirmed(&mut self, came: Time, confirmed: Confirmed) {
+        let Confirmed { name, holder } = confirmed;
+        if holder.version == self.version_in_force() {
+            let is_before = !self.storage.is_watcher || self.members.is_before(&name);
+            self.peers.currency.told(came, is_before);
+        }
+        self.told_configuration(holder);
+    }
+
     fn told_loading(&mut self, loading: &Loading) {
         let now = self.now;
         let Some(id) = self.pool.find_life(&loading.server, loading.born) else { return };
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -44,6 +44,7 @@
     open: Gauge,
     is_store_away: Gauge,
     store_answer_age: Gauge,
+    configuration_age: Gauge,
     left_out: Gauge,
     limited: Gauge,
     current: Gauge,
@@ -118,6 +119,7 @@
             open: metrics::gauge!("shallotlead_requests_open"),
             is_store_away: metrics::gauge!("shallotlead_store_away"),
             store_answer_age: metrics::gauge!("shallotlead_store_answer_age_seconds"),
+            configuration_age: metrics::gauge!("shallotlead_configuration_confirmed_age_seconds"),
             left_out: metrics::gauge!("shallotlead_servers_left_out"),
             limited: metrics::gauge!("shallotlead_servers_limited"),
             current: metrics::gauge!("shallotlead_servers_current"),
@@ -304,6 +306,8 @@
         stats.instances.set(alive as f64);
         stats.open.set(self.exchanges.len() as f64);
         stats.is_store_away.set(f64::from(u8::from(self.storage.is_away())));
+        let confirmed = self.peers.currency.age(self.now).unwrap_or_default();
+        stats.configuration_age.set(confirmed.as_secs_f64());
         stats.store_answer_age.set(self.storage.contact.age(self.now).as_secs_f64());
     }
     fn refresh_budget(&mut self) {
--- a/crates/gateway/src/core/stats/traffic.rs
+++ b/crates/gateway/src/core/stats/traffic.rs
@@ -11,7 +11,7 @@
 const LOGGED: Duration = Duration::from_secs(10);
 
 /// Kinds of datagrams, in the order in which they are counted.
-const KINDS: [&str; 4] = ["news", "placed", "entries", "permits"];
+const KINDS: [&str; 5] = ["news", "placed", "entries", "permits", "confirmed"];
 
 /// Datagrams of one kind in one direction.
 struct Flow {
@@ -85,6 +85,7 @@
         Datagram::Placed(..) => 1,
         Datagram::Entries(_) => 2,
         Datagram::PermitAsked(_) | Datagram::PermitAnswered(_) => 3,
+        Datagram::Confirmed(_) => 4,
     }
 }
 
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -376,7 +376,8 @@
                     self.storage.settled(self.now);
                 }
             }
-            What::Subject(_) | What::Records => {}
+            What::Subject(Subject::Configuration) => self.configuration_confirmed(before.is_some()),
+            What::Subject(Subject::Weights) | What::Records => {}
         }
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -135,6 +135,17 @@
     PermitAsked(PermitAsked),
     /// The answer to that.
     PermitAnswered(PermitAnswered),
+    /// The store has just confirmed a configuration to an instance that watches.
+    Confirmed(Confirmed),
+}
+
+/// What the store has just said to be the newest configuration.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Confirmed {
+    /// The instance that watches.
+    pub name: Arc<str>,
+    /// Where it is asked, and the version.
+    pub holder: Holder,
 }
 
 /// A server's load as it told it with an answer.
--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -335,14 +335,24 @@
     /// Whether this instance is to watch the store: in a small fleet all do, in a large one the first
     /// of each data centre that the store answers.
     pub fn is_watcher(&self, now: Time) -> bool {
+        self.watch_place(now).is_none()
+    }
+
+    /// This instance's place in its data centre behind those that watch; nothing if it is one of them.
+    pub fn watch_place(&self, now: Time) -> Option<usize> {
         if !self.is_large() {
-            return true;
+            return None;
         }
         let mut centres: Vec<&Arc<str>> = self.presumed(now).map(|it| &it.centre).collect();
         centres.push(&self.me.centre);
         centres.sort_unstable();
         centres.dedup();
-        self.place_nearby(now, |it| !it.is_away) < WATCHERS.div_ceil(centres.len())
+        self.place_nearby(now, |it| !it.is_away).checked_sub(WATCHERS.div_ceil(centres.len()))
+    }
+
+    /// Whether the instance `name` comes before this one where few do something for all.
+    pub fn is_before(&self, name: &str) -> bool {
+        (hash::weight(name, 0), name) < name_key(&self.me)
     }
 
     /// The instance that stands for `key` in `centre`, or anywhere if none does there: the same for all that know the
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod copies;
 mod clock;
 mod core;
+pub mod currency;
 pub mod dialect;
 pub mod events;
 pub mod gossip;
