--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -27,6 +27,25 @@
     }
 }
 
+// Those that watch the store, stand for the lease and hand out permits end for good. Nobody does any of it while the others
+// believe that they are still there, or are back.
+#[test]
+fn instances_in_charge_that_are_off_are_replaced_for_good() {
+    for seed in 0..3 {
+        let mut fleet = Fleet::open(30, 0.01, seed);
+        fleet.play(6_000, |_| {});
+        for index in fleet.in_charge().into_iter().flatten() {
+            fleet.end(index);
+        }
+        fleet.play(NAMED_MS, |_| {});
+        fleet.play(90_000, |it| {
+            check(it, seed);
+            let [watch, stand, hand_out] = it.in_charge().map(|it| it.len());
+            assert!(0 < watch && 0 < stand && 0 < hand_out, "seed {seed} at {} ms", it.now_ms);
+        });
+    }
+}
+
 // An instance that joins reads the records of all that have ever been there, and tells the others of those that are gone.
 #[test]
 fn records_of_the_gone_bring_nobody_back() {
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -18,6 +18,8 @@
 const STEP_MS: u64 = 20;
 /// How often it is looked at who knows whom, ms.
 const LOOK_MS: u64 = 200;
+/// Something that one instance has for all.
+const HOME_KEY: u64 = 77;
 /// After so long without a cut all know each other again, ms.
 const SETTLED_MS: u64 = 10_000;
 /// An instance that every other one asks first, and that runs all the time.
@@ -197,6 +199,20 @@
         self.nodes[index].off_since.is_some()
     }
 
+    /// Those that run and do something for the others: watch the store, stand first for the lease, hand out permits.
+    pub(crate) fn in_charge(&self) -> [BTreeSet<usize>; 3] {
+        let now = at(self.now_ms);
+        let running: Vec<usize> = (0..self.len()).filter(|it| self.is_running(*it)).collect();
+        let chosen = |is_chosen: &dyn Fn(&Members) -> bool| -> BTreeSet<usize> {
+            running.iter().copied().filter(|it| is_chosen(&self.nodes[*it].members)).collect()
+        };
+        [
+            chosen(&|it| it.is_watcher(now)),
+            chosen(&|it| it.rank(now) == 0),
+            chosen(&|it| it.home(now, HOME_KEY, "a").name == it.me().name),
+        ]
+    }
+
     /// Whom `of` takes for alive.
     fn alive(&self, of: usize) -> BTreeSet<usize> {
         self.nodes[of].members.alive(at(self.now_ms)).map(index).collect()
