Log how old weights are believed to be, and by whose word

Now `weights_named` has `age_ms`, `sent` has `replaced_ms` (how long the weights of the chosen server have been replaced, as believed), and `weights_recorded` tells what the lease's record says at the start.

No decision changes.

--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -148,6 +148,9 @@
             is_from_copy: goes_on_from.is_some(),
             is_passed_on: false,
         });
+        let server = self.pool.get(choice.server);
+        let replaced = self.pool.named(exchange.ask.model.as_deref().unwrap_or_default());
+        let replaced = replaced.and_then(|it| it.replaced_since(choice.weights?));
         let load_age = server.load.map_or(Duration::ZERO, |it| now.since(it.1));
         self.journal
             .line(now, "sent")
@@ -161,6 +164,7 @@
             .number("expected_ms", format_args!("{:.1}", choice.expected_ms))
             .number("unread", choice.unread)
             .number("weights", choice.weights.unwrap_or(0))
+            .ms("replaced_ms", replaced.map_or(Duration::ZERO, |it| now.since(it)))
             .number("fetches", choice.fetch_from.is_some())
             .number("is_copied", copy.is_some())
             .number("is_limited", server.limit.per_second().is_some())
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -142,7 +142,8 @@
                 .line(self.now, "weights_named")
                 .text("model", model)
                 .number("version", version)
-                .text("source", source.name());
+                .text("source", source.name())
+                .ms("age_ms", self.now.since(at));
             if source == Source::Store {
                 self.peers.board.tell_versions(Reach::Fleet);
             }
@@ -155,7 +156,14 @@
         let unix_ms = clock::unix_ms();
         for it in named {
             let at = self.now - Duration::from_millis(unix_ms.saturating_sub(it.unix_ms));
-            self.named_before.insert(it.model.clone(), (it.version, at));
+            let before = self.named_before.insert(it.model.clone(), (it.version, at));
+            if before.is_none_or(|before| before.0 != it.version) {
+                self.journal
+                    .line(self.now, "weights_recorded")
+                    .text("model", &it.model)
+                    .number("version", it.version)
+                    .ms("age_ms", self.now.since(at));
+            }
             let is_older = |known: &pool::Named| {
                 known.newest() == it.version && at + lease::UNSURE < known.newest_at()
             };
