Date weights that no instance lived to record by the last word of the record

Cause: a naming that the lease's record lacks counted as 1.5 s old at all instances that start, however long they were off. The holder records a naming within some milliseconds, so that it takes a loss of power right at the acknowledgement, or a naming during an outage.

Mend: the record tells until when its writer knew of all namings; one that it lacks was named later and counts from there, the oldest that it can be. It holds since the holder renews the record each 0.6 s, also where nothing is named. Who doesn't know the named weights takes no lease, as its record would tell less. Instances that have read the store's namings before take a new one for new: the first that was ever named counted as 1.5 s old, too.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -158,6 +158,8 @@
     started: Time,
     /// Weights that the lease's record names, and since when.
     named_before: Map<Arc<str>, (u64, Time)>,
+    /// Weights that lay in the store at the start, before the lease's record was read.
+    undated: Vec<(Arc<str>, u64)>,
     /// When SIGTERM came.
     leaving_since: Option<Time>,
     swept: Time,
@@ -263,6 +265,7 @@
             swept: now,
             started: now,
             named_before: Map::default(),
+            undated: Vec::new(),
             uplink: Uplink::open(settings.link_bytes_per_s),
             settings,
         })
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -18,13 +18,14 @@
     dialect::{ServerEntry, Subject},
     gossip::{self, Member},
     lease,
+    naming::{self, Evidence},
     pool::{self, Presence},
     rumour::Reach,
 };
 
-/// How long ago weights count as named that lie in the store when an instance starts, unless another
-/// one knows better.
-const NAMED_BEFORE: Duration = Duration::from_millis(1_500);
+/// How long after its start an instance may find namings that no other one has told of. Later, the others have told
+/// what they know, and what the record tells of them is old.
+const STARTING: Duration = Duration::from_secs(10);
 /// How long after its start an instance waits for the lease's record: the store may be away.
 const LOOKED_BY: Duration = Duration::from_millis(500);
 
@@ -110,15 +111,12 @@
 
     fn take_weights(&mut self, value: &[u8]) {
         match self.dialect.weights(value) {
-            // What lay there at the start was named at some time before.
             Ok(it) => {
-                let is_first = self.pool.named(&it.model).is_none();
-                let dated = self.named_before.get(&it.model).filter(|dated| dated.0 == it.version);
-                let at = match dated {
-                    Some((_, at)) => *at,
-                    None if is_first => self.now - NAMED_BEFORE,
-                    None => self.now,
-                };
+                let is_news = self.storage.has_weights || self.pool.named(&it.model).is_some();
+                let at = self.named_at(&it.model, it.version, is_news);
+                if !is_news {
+                    self.undated.push((it.model.clone(), it.version));
+                }
                 self.weights_named(at, &it.model, it.version, Source::Store);
             }
             Err(err) => {
@@ -150,6 +148,20 @@
         }
     }
 
+    /// When weights were named that the store has. `is_news`: this instance knew what was named before.
+    fn named_at(&self, model: &str, version: u64, is_news: bool) -> Time {
+        let recorded = self.named_before.get(model).filter(|it| it.0 == version);
+        let is_starting = self.now.since(self.started) < STARTING;
+        let known_until = self.lease.recorded_until().filter(|_| is_starting);
+        let ago = |unix_ms| Duration::from_millis(clock::unix_ms().saturating_sub(unix_ms));
+        let evidence = Evidence {
+            is_news,
+            recorded: recorded.map(|it| it.1),
+            known_until: known_until.map(|it| self.now - ago(it)),
+        };
+        naming::named_at(self.now, &evidence)
+    }
+
     /// The lease's record says when weights were named. What this instance hasn't heard of otherwise isn't named: the
     /// store may have come back from a copy.
     pub(crate) fn weights_dated(&mut self, named: &[lease::Named]) {
@@ -172,6 +184,22 @@
                 self.peers.board.tell_versions(Reach::Fleet);
             }
         }
+        if self.lease.recorded_until().is_some() {
+            self.date_again();
+        }
+    }
+
+    /// The lease's record has been read, which may tell more of the namings that were read before.
+    fn date_again(&mut self) {
+        for (model, version) in std::mem::take(&mut self.undated) {
+            let at = self.named_at(&model, version, false);
+            self.journal
+                .line(self.now, "weights_dated")
+                .text("model", &model)
+                .number("version", version)
+                .ms("age_ms", self.now.since(at));
+            self.weights_named(at, &model, version, Source::Store);
+        }
     }
 
     /// How old weights may be that requests begin on.
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -22,6 +22,7 @@
 };
 
 use crate::{
+    clock,
     contact::Contact,
     core::Core,
     dialect::{Beat, Dialect, Subject},
@@ -66,6 +67,8 @@
     pub(crate) entries: Map<Arc<str>, Entry>,
     /// All entries are known as they were at this revision.
     pub(crate) entries_until: u64,
+    /// The named weights have been read once.
+    pub(crate) has_weights: bool,
     /// Whether this instance is to watch the store: by itself, or for others.
     pub(crate) is_watcher: bool,
     register: Register,
@@ -142,6 +145,7 @@
             configuration: None,
             entries: Map::default(),
             entries_until: 0,
+            has_weights: false,
             is_watcher: true,
             register: Register::Due(Version(0), now),
             quarantine: Records::default(),
@@ -236,7 +240,11 @@
             let call = it.call(is_large);
             self.storage.submit(now, Want::Follow(index), call);
         }
-        let rank = self.members.rank(now);
+        if self.storage.has_weights && !self.storage.is_away() {
+            self.lease.knows_until(clock::unix_ms());
+        }
+        // A holder that doesn't know the named weights would overwrite what the record tells of them.
+        let rank = if self.storage.has_weights { self.members.rank(now) } else { usize::MAX };
         if let Some(call) = self.lease.tick(now, rank) {
             self.storage.submit(now, Want::Lease, call);
         }
@@ -377,7 +385,8 @@
                 }
             }
             What::Subject(Subject::Configuration) => self.configuration_confirmed(before.is_some()),
-            What::Subject(Subject::Weights) | What::Records => {}
+            What::Subject(Subject::Weights) => self.storage.has_weights = true,
+            What::Records => {}
         }
     }
 }
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -103,6 +103,10 @@
     hurried_until: Time,
     /// The newest weights, which the record tells to instances that start.
     named: Vec<Named>,
+    /// Until when this instance knew of all weights that were named, in Unix milliseconds.
+    known_until: Option<u64>,
+    /// The same of whoever wrote the record that was read last.
+    recorded_until: Option<u64>,
     /// The record has been read once, or there was none.
     has_looked: bool,
 }
@@ -124,6 +128,8 @@
             wait: Wait::default(),
             hurried_until: Time::ZERO,
             named: Vec::new(),
+            known_until: None,
+            recorded_until: None,
             has_looked: false,
         }
     }
@@ -173,6 +179,18 @@
         }
     }
 
+    /// This instance knows of all weights that were named until then, by its time of day in Unix milliseconds. The
+    /// next write tells it.
+    pub fn knows_until(&mut self, unix_ms: u64) {
+        self.known_until = Some(unix_ms);
+    }
+
+    /// Until when the writer of the record that was read last knew of all weights that were named, in Unix
+    /// milliseconds. What the record doesn't name was named later.
+    pub fn recorded_until(&self) -> Option<u64> {
+        self.recorded_until
+    }
+
     /// Whether the record has been read since the start, so that what it says of weights is known.
     pub fn has_looked(&self) -> bool {
         self.has_looked
@@ -259,7 +277,8 @@
     pub fn reply(&mut self, now: Time, rank: usize, reply: &Reply) -> Vec<Named> {
         let named = match reply {
             Reply::Got(Some(it)) | Reply::Conflict(Some(it)) => {
-                let record = serde_json::from_slice::<Record>(&it.value);
+                let record = serde_json::from_slice::<Record>(&it.value).ok();
+                self.recorded_until = record.as_ref().and_then(Record::known_until);
                 record.map(Record::into_named).unwrap_or_default()
             }
             _ => Vec::new(),
@@ -332,8 +351,8 @@
 
     fn put(&mut self, now: Time, expected: Version) -> Call {
         self.writes += 1;
-        let mut record =
-            Record::new(self.me.clone(), self.writes, expected.era(), self.named.clone());
+        let (me, named) = (self.me.clone(), self.named.clone());
+        let mut record = Record::new(me, self.writes, expected.era(), named, self.known_until);
         if self.released {
             let mut wait = self.wait.clone();
             self.orders.iter().for_each(|it| wait.delay(it.0, *it.1 + self.gap));
--- a/crates/gateway/src/lease/record.rs
+++ b/crates/gateway/src/lease/record.rs
@@ -47,12 +47,26 @@
     /// The newest weights, for instances that start when no other one is left to tell how old they are.
     #[serde(default)]
     named: Vec<Named>,
+    /// Until when the holder knew of all weights that were named, by its time of day in Unix milliseconds.
+    #[serde(default)]
+    known_until: Option<u64>,
 }
 
 impl Record {
     /// The record of a holder that goes on.
-    pub(crate) fn new(holder: Arc<str>, write: u64, era: u64, named: Vec<Named>) -> Self {
-        Self { holder, write, released: None, wait: 0, era, named }
+    pub(crate) fn new(
+        holder: Arc<str>,
+        write: u64,
+        era: u64,
+        named: Vec<Named>,
+        known_until: Option<u64>,
+    ) -> Self {
+        Self { holder, write, released: None, wait: 0, era, named, known_until }
+    }
+
+    /// Until when its writer knew of all weights that were named, in Unix milliseconds.
+    pub(crate) fn known_until(&self) -> Option<u64> {
+        self.known_until
     }
 
     /// The weights that it names.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //! that instances share through the platform's store.
 //!
 //! Decisions are pure modules ([`placement`], [`budget`], [`lease`], [`rollout`], [`gossip`],
-//! [`rumour`], [`pool`]); the reactor carries them out. What the platform calls things is known to a
+//! [`rumour`], [`pool`], [`naming`]); the reactor carries them out. What the platform calls things is known to a
 //! [`dialect::Dialect`] alone.
 
 pub mod admission;
@@ -20,6 +20,7 @@
 pub mod http;
 pub mod journal;
 pub mod lease;
+pub mod naming;
 mod net;
 pub mod pace;
 mod packed;
