Log what refuses a retry: the budget's counts, or the route's attempts

Now `no_budget` tells the counts that decide, also there, and `no_attempt` the bound of the route.

No decision changes.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -75,18 +75,23 @@
         true
     }
 
+    /// Requests and retries at `service` that count now.
+    pub fn counted(&mut self, now: Time, service: &Arc<str>) -> (u32, u32) {
+        let window = self.terms.window + BUCKET;
+        self.bucket(now, service);
+        let recent = self.counts[service].buckets.iter().filter(|it| now.since(it.0) <= window);
+        recent.fold((0, 0), |sum, it| (sum.0 + it.1, sum.1 + it.2))
+    }
+
     /// Retries at `service` that are left now.
     pub fn left(&mut self, now: Time, service: &Arc<str>, instances: u32, purpose: Purpose) -> f64 {
         let margin = match purpose {
             Purpose::Request => MARGIN,
             Purpose::Stream => STREAM_MARGIN,
         };
-        let Terms { ratio, window, slack } = self.terms;
-        self.bucket(now, service);
-        let count = &self.counts[service];
-        let recent = count.buckets.iter().filter(|it| now.since(it.0) <= window + BUCKET);
-        let (requests, retries) =
-            recent.fold((0.0, 0.0), |sum, it| (sum.0 + f64::from(it.1), sum.1 + f64::from(it.2)));
+        let Terms { ratio, slack, .. } = self.terms;
+        let (requests, retries) = self.counted(now, service);
+        let (requests, retries) = (f64::from(requests), f64::from(retries));
         margin * (ratio * requests + slack / f64::from(instances.max(1))) - retries
     }
 
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -285,6 +285,8 @@
             // Where it goes on is looked for after a pause: whatever turned it away is still there.
             self.at(self.now + RESEND_PAUSE, Timer::Exchange(place, serial));
         } else {
+            let purpose = if has_begun { Purpose::Stream } else { Purpose::Request };
+            self.no_budget(place, reason, purpose);
             self.give_up(place, Refusal::TurnedAway);
         }
     }
@@ -337,7 +339,11 @@
     pub(crate) fn try_again(&mut self, place: usize, reason: &'static str) -> bool {
         let instances = self.members.sharers();
         let Some(exchange) = self.exchanges.get(place) else { return false };
-        if !exchange.is_repeatable() || exchange.route.attempts <= exchange.runs {
+        if !exchange.is_repeatable() {
+            return false;
+        }
+        if exchange.route.attempts <= exchange.runs {
+            self.no_attempt(place, reason);
             return false;
         }
         let service = exchange.service.clone();
@@ -346,7 +352,7 @@
             false => Purpose::Request,
         };
         if !self.budget.withdraw(self.now, &service, instances, purpose) {
-            self.no_budget(place, reason);
+            self.no_budget(place, reason, purpose);
             return false;
         }
         self.stats.resent(reason);
@@ -369,12 +375,34 @@
     }
 
     /// The retry budget doesn't allow what would follow.
-    pub(crate) fn no_budget(&mut self, place: usize, reason: &str) {
+    pub(crate) fn no_budget(&mut self, place: usize, reason: &str, purpose: Purpose) {
+        let instances = self.members.sharers();
         let Some(exchange) = self.exchanges.get(place) else { return };
+        let left = self.budget.left(self.now, &exchange.service, instances, purpose);
+        let (requests, retries) = self.budget.counted(self.now, &exchange.service);
         self.journal
             .line(self.now, "no_budget")
             .text("request", exchange.id())
-            .text("reason", reason);
+            .text("reason", reason)
+            .number("has_begun", exchange.delivery.has_begun)
+            .number("resends", exchange.resends)
+            .number("requests", requests)
+            .number("retries", retries)
+            .number("instances", instances)
+            .number("left", format_args!("{left:.2}"));
+    }
+
+    /// A request that may run again has been sent as often as its route allows.
+    fn no_attempt(&mut self, place: usize, reason: &str) {
+        let Some(exchange) = self.exchanges.get(place) else { return };
+        self.journal
+            .line(self.now, "no_attempt")
+            .text("request", exchange.id())
+            .text("reason", reason)
+            .number("has_begun", exchange.delivery.has_begun)
+            .number("runs", exchange.runs)
+            .number("sends", exchange.sends)
+            .number("attempts", exchange.route.attempts);
     }
 
     /// Lets streams that can be resumed leave a server that is about to load weights: the server
--- a/crates/gateway/src/core/copy.rs
+++ b/crates/gateway/src/core/copy.rs
@@ -44,7 +44,7 @@
             return false;
         };
         if !self.budget.withdraw(self.now, &service, instances, Purpose::Stream) {
-            self.no_budget(place, reason);
+            self.no_budget(place, reason, Purpose::Stream);
             return false;
         }
         let lost = self.release_attempt(place, true);
