Let a stream that has begun wait for the retry budget

Cause, of two hypotheses the first: the instance itself had moved the stream off a server that was about to load weights ("cut" in the record is the instance closing the connection), the next server was about to load as well and turned it away after 107 to 117 ms, and the retry budget of this one instance was spent by its other moves; a refused retry ended the stream at once.

It holds since the budget grows with each request and as its window moves on; it is never exceeded.

Tests: stream_that_is_turned_away_waits_for_the_retry_budget failed before (events 1 and 2, then broken off), and so does its twin for a cut stream on the parts before it.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -17,6 +17,7 @@
 mod quarantine;
 mod rate_limit;
 mod refusal;
+mod retry;
 mod state;
 mod stats;
 mod storage;
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -270,23 +270,22 @@
             self.fail(place, 502, "copy-gone");
             return;
         }
+        if exchange.delivery.has_begun {
+            if exchange.resends < MOST_RESENDS {
+                exchange.resends += 1;
+                self.await_retry(place, reason, RESEND_PAUSE);
+            } else {
+                self.give_up(place, Refusal::TurnedAway);
+            }
+            return;
+        }
         self.stats.resent(reason);
         let instances = self.members.sharers();
         let service = exchange.service.clone();
-        let has_begun = exchange.delivery.has_begun;
-        if !has_begun && self.budget.withdraw(self.now, &service, instances, Purpose::Request) {
+        if self.budget.withdraw(self.now, &service, instances, Purpose::Request) {
             self.dispatch(place);
-        } else if has_begun
-            && exchange.resends < MOST_RESENDS
-            && self.budget.withdraw(self.now, &service, instances, Purpose::Stream)
-        {
-            exchange.resends += 1;
-            let serial = exchange.serial;
-            // Where it goes on is looked for after a pause: whatever turned it away is still there.
-            self.at(self.now + RESEND_PAUSE, Timer::Exchange(place, serial));
         } else {
-            let purpose = if has_begun { Purpose::Stream } else { Purpose::Request };
-            self.no_budget(place, reason, purpose);
+            self.no_budget(place, reason, Purpose::Request);
             self.give_up(place, Refusal::TurnedAway);
         }
     }
@@ -330,7 +329,7 @@
                 return;
             }
         };
-        if !goes_on {
+        if !goes_on && !self.await_resumption(place, reason) {
             self.fail(place, 502, reason);
         }
     }
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -13,6 +13,7 @@
         attempt::{Attempt, Reply, SILENT},
         rate_limit::Awaited,
         refusal::Refusal,
+        retry::Retry,
     },
     dialect::Ask,
     http::head::Request,
@@ -70,6 +71,8 @@
     /// Where the copy lies from which the next attempt goes on.
     pub(crate) goes_on_from: Option<SocketAddr>,
     pub(crate) attempt: Option<Attempt>,
+    /// Its stream has lost its server and waits to be sent again.
+    pub(crate) retry: Option<Retry>,
     /// It waits for a permit to be sent to a server that limits its rate.
     pub(crate) awaited: Option<Awaited>,
     pub(crate) delivery: Delivery,
@@ -152,6 +155,14 @@
         self.identity.get_or_init(identity)
     }
 
+    /// Until when it may wait for a server, or for the budget to send it to one.
+    pub(crate) fn patience(&self) -> Time {
+        match self.delivery.has_begun {
+            true => self.delivery.last_piece + STREAM_WAIT,
+            false => self.arrived + self.route.aim / WAIT_PART,
+        }
+    }
+
     fn silence(&self) -> Duration {
         SILENCE.max(self.route.aim * SILENCE_AIMS)
     }
@@ -193,6 +204,7 @@
             copy: None,
             goes_on_from: None,
             attempt: None,
+            retry: None,
             awaited: None,
             delivery: Delivery { last_event, ..Delivery::default() },
         };
@@ -280,10 +292,7 @@
 
     fn wait_or_refuse(&mut self, place: usize, shortage: Shortage) {
         let Some(exchange) = self.exchanges.get_mut(place) else { return };
-        let patience = match exchange.delivery.has_begun {
-            true => exchange.delivery.last_piece + STREAM_WAIT,
-            false => exchange.arrived + exchange.route.aim / WAIT_PART,
-        };
+        let patience = exchange.patience();
         let is_final = match shortage {
             Shortage::OldWeights => !exchange.delivery.has_begun,
             Shortage::Limited { .. } => {
@@ -317,7 +326,10 @@
         }
         let Some(exchange) = self.exchanges.get(place) else { return };
         let Some(attempt) = &exchange.attempt else {
-            self.dispatch(place);
+            match exchange.retry {
+                Some(_) => self.retry_due(place),
+                None => self.dispatch(place),
+            }
             return;
         };
         if attempt.connect_until <= now && self.is_connecting(attempt.connection) {
