Let a stream go on when the last server that its route allows has crashed

What callers saw: a stream that had been moved, so that its server could load weights, was broken off when the next server crashed within the seconds that follow, though a third one could finish it.

Cause: a move is an attempt. A route with two has none left then, and `try_again` ended the stream without a line.

Mend: such a stream waits until its server has been asked whether it lives, which is done anyway within some milliseconds. One that answers, or doesn't, ends the stream as before. Requests that may have crashed two servers aren't sent to a third. It holds that no more servers run a stream at a time than its route allows. Streams that can't move aren't logged as moved any more.

--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -410,7 +410,8 @@
         let is_moved = |it: &Exchange| {
             let at_server =
                 it.attempt.as_ref().is_some_and(|it| it.server == server && it.reply.is_some());
-            at_server && it.delivery.has_begun && it.is_repeatable() && self.is_worth_leaving(it)
+            let may_leave = it.is_repeatable() && it.runs < it.route.attempts;
+            at_server && it.delivery.has_begun && may_leave && self.is_worth_leaving(it)
         };
         let places = self.exchanges.iter().filter(|it| is_moved(it.1)).map(|it| it.0);
         for place in places.collect::<Vec<_>>() {
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -353,6 +353,7 @@
         for place in self.exchanges_at(id).map(|it| it.0).collect::<Vec<_>>() {
             self.attempt_broken(place, "restarted");
         }
+        self.end_checked(id, true);
     }
 
     /// Tells the neighbours that a server has left. Who heard of it from a neighbour doesn't: of 60, each would
--- a/crates/gateway/src/core/retry.rs
+++ b/crates/gateway/src/core/retry.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     budget::Purpose,
-    core::{Core, Timer},
+    core::{Core, Timer, copy, exchange::Exchange},
+    pool,
+    quarantine::Standing,
 };
 
 /// Pause between two tries to draw on a retry budget that is spent. It grows with each request, and as its window
@@ -19,6 +21,8 @@
     reason: &'static str,
     /// Until then whatever turned it away is still there.
     from: Time,
+    /// It has been sent as often as its route allows, unless this server has ended: those don't count.
+    unless_ended: Option<pool::Id>,
 }
 
 impl Core {
@@ -30,27 +34,61 @@
     pub(crate) fn await_retry(&mut self, place: usize, reason: &'static str, pause: Duration) {
         let from = self.now + pause;
         let Some(exchange) = self.exchanges.get_mut(place) else { return };
-        exchange.retry = Some(Retry { reason, from });
+        exchange.retry = Some(Retry { reason, from, unless_ended: None });
         self.retry_due(place);
     }
 
-    /// The stream was cut, and the budget doesn't allow to send it on now. Says whether it waits for that.
+    /// The stream was cut, and can't be sent on now. Says whether it waits for that.
     pub(crate) fn await_resumption(&mut self, place: usize, reason: &'static str) -> bool {
         let Some(exchange) = self.exchanges.get(place) else { return false };
-        let may_go_on = exchange.delivery.has_begun
-            && exchange.is_repeatable()
-            && exchange.runs < exchange.route.attempts;
-        if !may_go_on {
+        let Some(lost) = exchange.attempt.as_ref().map(|it| it.server) else { return false };
+        if !exchange.delivery.has_begun || !exchange.is_repeatable() {
             return false;
         }
-        let lost = self.release_attempt(place, true);
+        let is_used_up = exchange.route.attempts <= exchange.runs;
+        if is_used_up && !self.may_have_ended(place, lost, reason) {
+            return false;
+        }
+        self.release_attempt(place, true);
         if let Some(exchange) = self.exchanges.get_mut(place) {
-            exchange.excluded.extend(lost.map(|it| it.server));
+            let unless_ended = is_used_up.then_some(lost);
+            exchange.excluded.push(lost);
+            exchange.retry = Some(Retry { reason, from: self.now, unless_ended });
         }
-        self.await_retry(place, reason, Duration::ZERO);
+        self.retry_due(place);
         true
     }
 
+    /// Whether it is being found out if the stream's server has ended. One that may have crashed several servers
+    /// isn't sent to another one.
+    fn may_have_ended(&mut self, place: usize, server: pool::Id, reason: &str) -> bool {
+        copy::LOST.contains(&reason)
+            && self.pool.get(server).awaits_check
+            && self.standing(place) == Standing::Clear
+    }
+
+    /// A server that lost its runs was looked at: if it has ended, streams go on for which it was the last one.
+    ///
+    /// Guards against streams that a crash ends because they had left another server before, for weights to load:
+    /// each had one try, which the move had used. It holds that no more servers run them at a time than the route
+    /// allows, since this one runs nothing any more.
+    pub(crate) fn end_checked(&mut self, server: pool::Id, has_ended: bool) {
+        let waits = |it: &Exchange| it.retry.is_some_and(|it| it.unless_ended == Some(server));
+        let places = self.exchanges.iter().filter(|it| waits(it.1)).map(|it| it.0);
+        for place in places.collect::<Vec<_>>() {
+            let Some(exchange) = self.exchanges.get_mut(place) else { continue };
+            let Some(retry) = &mut exchange.retry else { continue };
+            if has_ended {
+                retry.unless_ended = None;
+                exchange.runs -= 1;
+                self.retry_due(place);
+            } else {
+                let reason = retry.reason;
+                self.fail(place, 502, reason);
+            }
+        }
+    }
+
     /// Sends the stream again if that is due and the budget allows it, or ends it when it has waited for too long.
     pub(crate) fn retry_due(&mut self, place: usize) {
         let now = self.now;
@@ -61,6 +99,13 @@
             self.at(retry.from, Timer::Exchange(place, serial));
             return;
         }
+        if retry.unless_ended.is_some() {
+            match exchange.patience() {
+                patience if patience <= now => self.fail(place, 502, retry.reason),
+                patience => self.at(patience, Timer::Exchange(place, serial)),
+            }
+            return;
+        }
         let instances = self.members.sharers();
         if self.budget.withdraw(now, &service, instances, Purpose::Stream) {
             self.stats.resent(retry.reason);
