Say "unknown" of a call whose idempotency key wasn't looked up

What callers saw: a call with an idempotency key whose instance was killed was told "unknown" by most instances, and "not run" by one that couldn't read the records of keys. Who goes by that sends the call under a new key: a second run.

Cause: 5001, 5002 and 3006 are decided before the key is looked up, and say what is true of the repeat alone.

Evidence: in the demo only calls that may be repeated give up, and of calls to a plain service these are the keyed ones, so that the entry's call had a key.

Mend: refusals with these codes of a call with a key say "unknown". It holds since the answer no longer depends on which instance a repeat meets.

--- a/crates/entry/src/caller/failure.rs
+++ b/crates/entry/src/caller/failure.rs
@@ -58,6 +58,20 @@
         }
     }
 
+    /// The failure of a request with an idempotency key.
+    pub(crate) fn of_keyed(self) -> Self {
+        // Guards against an untrue "not run": an instance that couldn't look the key up knows nothing of an earlier
+        // call with it, which may have run.
+        let is_unread = matches!(
+            self.code,
+            Code::ShuttingDown | Code::PlatformUnavailable | Code::IntentUnrecorded
+        );
+        match self.execution {
+            Execution::NotRun if is_unread => Self { execution: Execution::Unknown, ..self },
+            Execution::NotRun | Execution::Unknown | Execution::Ran => self,
+        }
+    }
+
     /// The body, in JSON.
     pub(crate) fn json(&self, request: Request) -> String {
         let error = Error {
--- a/crates/entry/src/caller/route.rs
+++ b/crates/entry/src/caller/route.rs
@@ -46,10 +46,13 @@
 /// Answers one request.
 pub(crate) async fn serve(ctx: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
     let id = ctx.request();
-    let caller_id = Headers::read(request.headers()).ok().and_then(|it| it.request_id);
+    let headers = Headers::read(request.headers()).ok();
+    let is_keyed = headers.as_ref().is_some_and(|it| it.idempotency_key.is_some());
+    let caller_id = headers.and_then(|it| it.request_id);
     let mut response = match answer(&ctx, id, request).await {
         Ok(response) => response,
         Err(failure) => {
+            let failure = if is_keyed { failure.of_keyed() } else { failure };
             note(id, &failure);
             failure.response(id)
         }
--- a/crates/entry/src/caller/tests.rs
+++ b/crates/entry/src/caller/tests.rs
@@ -110,6 +110,21 @@
     assert_eq!(response.headers()["x-retry-after-ms"], "1500");
 }
 
+// A call is repeated by its key, and the instance that it comes to can't look the key up: "not run" was untrue of the
+// first call.
+#[test]
+fn a_key_that_was_not_looked_up_is_never_called_not_run() {
+    for code in [Code::ShuttingDown, Code::PlatformUnavailable, Code::IntentUnrecorded] {
+        let failure = Failure::from(code);
+        assert_eq!(failure.execution, Execution::NotRun);
+        assert_eq!(failure.of_keyed().execution, Execution::Unknown);
+    }
+    // Refused for what it is, or once its key is recorded: no earlier call ran.
+    for code in [Code::KeyReused, Code::DeadlineUnreachable, Code::ServerUnreachable] {
+        assert_eq!(Failure::from(code).of_keyed().execution, Execution::NotRun);
+    }
+}
+
 fn conversations() -> impl Strategy<Value = Vec<(String, String)>> {
     prop::collection::vec(("system|user|assistant", ".{0,40}"), 1..6)
 }
--- a/crates/shallotlead/src/demo/invariant.rs
+++ b/crates/shallotlead/src/demo/invariant.rs
@@ -2,12 +2,12 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use shallotlead_base::code::{Code, Execution};
+use shallotlead_base::code::Execution;
 
 use crate::{
     caller::{
         ask::{Ask, Kind},
-        outcome::{End, Refusal, Try, TryEnd},
+        outcome::{End, Try, TryEnd},
     },
     demo::{Event, Runs, watcher::Versions},
     load::Record,
@@ -250,9 +250,9 @@
     record.is_lost() && !is_left_unknown(record, events)
 }
 
-/// Whether a call with an idempotency key was under way at an instance that was killed, and its later
-/// tries were truthfully told that its outcome is unknown: what the dead instance had sent can't be
-/// learnt any more, and a second run is what the key forbids.
+/// Whether a call with an idempotency key was under way at an instance that was killed, and every
+/// later try was truthfully told that its outcome is unknown: what the dead instance had sent can't
+/// be learnt any more, and a second run is what the key forbids.
 pub(super) fn is_left_unknown(record: &Record, events: &[Event]) -> bool {
     if record.ask.idempotency_key.is_none() || !record.is_lost() {
         return false;
@@ -267,23 +267,13 @@
     };
     let tries = &record.outcome.tries;
     let Some(cut) = tries.iter().position(is_killed) else { return false };
-    let later = &tries[cut + 1..];
-    let is_unknown =
-        |it: &Try| matches!(&it.end, TryEnd::Refused(it) if it.execution == Execution::Unknown);
-    let is_silent = |it: &Try| match &it.end {
-        TryEnd::Refused(it) => is_silent_on_key(it),
+    let is_unknown = |it: &Try| match &it.end {
+        TryEnd::Refused(it) => it.execution == Execution::Unknown,
         TryEnd::Unreached => true,
         TryEnd::Answered | TryEnd::Broken | TryEnd::Malformed(_) => false,
     };
-    later.iter().any(is_unknown) && later.iter().all(|it| is_unknown(it) || is_silent(it))
-}
-
-/// Whether an instance refused a call before it looked the key up: it couldn't reach the records of
-/// keys, or was shutting down. Its "not run" speaks of that call alone; an earlier one with the same
-/// key may have run.
-fn is_silent_on_key(refusal: &Refusal) -> bool {
-    let codes = [Code::ShuttingDown, Code::PlatformUnavailable, Code::IntentUnrecorded];
-    refusal.execution == Execution::NotRun && codes.iter().any(|it| it.number() == refusal.code)
+    let told = tries[cut + 1..].iter().any(|it| matches!(it.end, TryEnd::Refused(_)));
+    told && tries[cut + 1..].iter().all(is_unknown)
 }
 
 fn is_stream(ask: &Ask) -> bool {
--- a/crates/shallotlead/src/demo/tests.rs
+++ b/crates/shallotlead/src/demo/tests.rs
@@ -334,25 +334,23 @@
     seen(true, TryEnd::Unreached).assert_broken("truthfully refused");
 }
 
-// The instance that a keyed call was sent to is killed during a platform outage. Some repeats meet an
-// instance that can't reach the records of keys, or that shuts down, and says that this call has not
-// run; the others say that the outcome is unknown. That is the truth. Without the kill, or without
-// the word "unknown", the call is lost, and no other refusal may stand in between.
+// A keyed call is cut by a kill, and some repeats meet an instance that can't look its key up: that one may not say that
+// nothing ran, whatever the others say.
 #[test]
 fn keyed_call_may_stay_unknown_between_words_on_single_calls() {
-    let unrecorded = || refused(5002, Execution::NotRun);
-    let without_table = || refused(5001, Execution::NotRun);
-    let shutting_down = || refused(3006, Execution::NotRun);
-    let late = || refused(3001, Execution::NotRun);
     let unknown = || refused(4002, Execution::Unknown);
-    for silent in [unrecorded, without_table, shutting_down] {
-        let words = vec![silent(), unknown(), silent()];
-        assert_eq!(cut_keyed_call(true, words.clone()).broken(), Vec::<&str>::new());
-        cut_keyed_call(false, words).assert_broken("truthfully refused");
-        cut_keyed_call(true, vec![silent()]).assert_broken("truthfully refused");
+    for code in [5002, 5001, 3006, 3001] {
+        let silent = |execution| refused(code, execution);
+        let words = |execution| vec![silent(execution), unknown(), silent(execution)];
+        let told = words(Execution::Unknown);
+        assert_eq!(cut_keyed_call(true, told.clone()).broken(), Vec::<&str>::new());
+        cut_keyed_call(false, told).assert_broken("truthfully refused");
+        let not_run = Execution::NotRun;
+        cut_keyed_call(true, words(not_run)).assert_broken("truthfully refused");
+        cut_keyed_call(true, vec![silent(not_run)]).assert_broken("truthfully refused");
+        cut_keyed_call(true, vec![silent(not_run), TryEnd::Unreached])
+            .assert_broken("truthfully refused");
     }
-    cut_keyed_call(true, vec![unrecorded(), TryEnd::Unreached]).assert_broken("truthfully refused");
-    cut_keyed_call(true, vec![late(), unknown()]).assert_broken("truthfully refused");
     cut_keyed_call(true, vec![TryEnd::Broken, unknown()]).assert_broken("truthfully refused");
 }
 
