Give instances and stand-ins of the demo ports that nobody else is given

Cause: ports were taken from the system, which gives the same range to connections and to listeners of other processes; while the instance is down, another copy gets its port and keeps it.

Mend: ports are picked below that range and probed; a first bind that fails picks others. It holds since the system gives these to nobody by itself.

--- a/crates/shallotlead/src/world.rs
+++ b/crates/shallotlead/src/world.rs
@@ -4,7 +4,7 @@
 
 use std::{
     io,
-    net::{Ipv4Addr, SocketAddr, UdpSocket},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     path::Path,
     sync::Arc,
     thread,
@@ -21,7 +21,7 @@
 use shallotlead_standin::{
     engine, kv,
     list::{self, State},
-    platform, service, weights,
+    platform, port, service, weights,
 };
 use shallotlead_table::{
     cell::Cell,
@@ -247,15 +247,14 @@
     }
 
     fn add_entry(&mut self, number: usize) -> Result<(), Error> {
-        let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let centres = self.deployment.centres;
         self.entries.push(Place {
             name: format!("e{}", number + 1),
             centre: centres[number % centres.len()],
             region: self.deployment.region,
-            callers: free,
-            operators: free,
-            peer: free_peer()?,
+            callers: free()?,
+            operators: free()?,
+            peer: free()?,
             running: None,
         });
         let entry = self.bind_new(number)?;
@@ -267,13 +266,15 @@
         Ok(())
     }
 
-    /// Binds an instance for the first time. Its peers' port was free when it was picked; another
-    /// process may have taken it since, which shows as a link that can't be bound, and another port
-    /// helps.
+    /// Binds an instance for the first time. Its ports were free when they were picked; another process may have taken
+    /// one since, and others help.
     fn bind_new(&mut self, number: usize) -> Result<daemon::Handle, Error> {
         for _ in 1..PORT_TRIES {
             match daemon::bind(self.entry_settings(number)?) {
-                Err(daemon::Error::Link { .. }) => self.entries[number].peer = free_peer()?,
+                Err(daemon::Error::Bind { .. } | daemon::Error::Link { .. }) => {
+                    let place = &mut self.entries[number];
+                    (place.callers, place.operators, place.peer) = (free()?, free()?, free()?);
+                }
                 result => return Ok(result?),
             }
         }
@@ -425,9 +426,9 @@
 const BIND_TRIES: u32 = 200;
 const BIND_PAUSE: Duration = Duration::from_millis(25);
 
-/// An address that nobody else has now. Instances must know each other's before they start.
-fn free_peer() -> io::Result<SocketAddr> {
-    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+/// An address that nobody else has now. Instances must know each other's before they start, and come back to theirs.
+fn free() -> io::Result<SocketAddr> {
+    port::free(IpAddr::V4(Ipv4Addr::LOCALHOST))
 }
 
 fn hex(bytes: &[u8]) -> String {
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -23,6 +23,8 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{runtime::Runtime, sync::mpsc};
 
+use crate::port;
+
 /// How long closing waits for tasks that still run.
 const CLOSE: Duration = Duration::from_secs(5);
 /// Largest body taken, in bytes.
@@ -44,7 +46,7 @@
 impl Server {
     /// Listens on `address` (port 0: a free one) and answers by `handler`.
     pub(crate) fn bind<H: Handler>(address: SocketAddr, handler: Arc<H>) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
+        let listener = port::listen(address)?;
         let server = Self { address: listener.local_addr()?, runtime: Mutex::new(None) };
         server.serve(listener, handler)?;
         Ok(server)
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod kv;
 pub mod list;
 pub mod platform;
+pub mod port;
 pub mod service;
 pub mod weights;
