--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -240,11 +240,11 @@
             let call = it.call(is_large);
             self.storage.submit(now, Want::Follow(index), call);
         }
-        if self.storage.has_weights && !self.storage.is_away() {
-            self.lease.knows_until(clock::unix_ms());
-        }
         // A holder that doesn't know the named weights would overwrite what the record tells of them.
         let rank = if self.storage.has_weights { self.members.rank(now) } else { usize::MAX };
+        if self.lease.may_write(now, rank) && !self.storage.is_away() {
+            self.lease.knows_until(clock::unix_ms());
+        }
         if let Some(call) = self.lease.tick(now, rank) {
             self.storage.submit(now, Want::Lease, call);
         }
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -179,6 +179,12 @@
         }
     }
 
+    /// Whether [`Lease::tick`] may return a write.
+    pub fn may_write(&self, now: Time, rank: usize) -> bool {
+        let is_candidate = rank < CANDIDATES || matches!(self.stage, Stage::Holding { .. });
+        is_candidate && !self.is_calling && self.next <= now
+    }
+
     /// This instance knows of all weights that were named until then, by its time of day in Unix milliseconds. The
     /// next write tells it.
     pub fn knows_until(&mut self, unix_ms: u64) {
