Say "unknown" of repeats by key only: a first call that wasn't sent is not run

Cause: an instance that can't look a key up doesn't know whether there was an earlier call; only the caller does.

Mend: a caller that repeats a call by its key after a try that may have run says so with \`x-repeat: true\`, as the demo's callers do; 3006, 5001 and 5002 then say "unknown". A call without the header is told what is true of itself.

--- a/crates/base/tests/codes.rs
+++ b/crates/base/tests/codes.rs
@@ -14,8 +14,8 @@
 Every refusal and failure carries a numbered code. \"Execution\" is what the code says about the
 request: `not-run` (no backend server ran or will run it; trying again is safe), `unknown` (it may
 have run; a non-idempotent request must not simply be sent again), `ran`. For codes of operators and
-processes, `not-run` means that nothing was changed. For a call with an idempotency key, 3006, 5001
-and 5002 say `unknown`: the key wasn't looked up, and an earlier call with it may have run.
+processes, `not-run` means that nothing was changed. For a call that repeats another by its
+idempotency key (`x-repeat`), 3006, 5001 and 5002 say `unknown`: the key wasn't looked up.
 
 Ranges: 1xxx settings and start, 2xxx the caller's request, 3xxx admission and limits, 4xxx backend
 servers and attempts, 5xxx the platform, 6xxx table and administration, 7xxx links between instances.
--- a/crates/entry/src/caller/failure.rs
+++ b/crates/entry/src/caller/failure.rs
@@ -58,10 +58,10 @@
         }
     }
 
-    /// The failure of a request with an idempotency key.
-    pub(crate) fn of_keyed(self) -> Self {
-        // Guards against an untrue "not run": an instance that couldn't look the key up knows nothing of an earlier
-        // call with it, which may have run.
+    /// The failure of a call that repeats an earlier one by its idempotency key.
+    pub(crate) fn of_repeat(self) -> Self {
+        // Guards against an untrue "not run": an instance that couldn't look the key up knows nothing of the earlier
+        // call, which may have run.
         let is_unread = matches!(
             self.code,
             Code::ShuttingDown | Code::PlatformUnavailable | Code::IntentUnrecorded
--- a/crates/entry/src/caller/headers.rs
+++ b/crates/entry/src/caller/headers.rs
@@ -27,6 +27,8 @@
     pub(crate) deadline: Option<Duration>,
     /// The request runs at most once for this key and organisation.
     pub(crate) idempotency_key: Option<Arc<str>>,
+    /// An earlier call with the same idempotency key may have run.
+    pub(crate) is_repeat: bool,
     /// Whether the caller allows or forbids a second run.
     pub(crate) idempotent: Option<bool>,
     /// The last event received, to resume after it.
@@ -50,6 +52,7 @@
             priority: priority.and_then(|it| u8::try_from(it).ok()).unwrap_or(DEFAULT_PRIORITY),
             deadline: deadline.map(Duration::from_millis),
             idempotency_key,
+            is_repeat: flag(map, "x-repeat")?.unwrap_or(false),
             idempotent: flag(map, "x-idempotent")?,
             last_event_id: single(map, "last-event-id")?.cloned(),
         })
--- a/crates/entry/src/caller/route.rs
+++ b/crates/entry/src/caller/route.rs
@@ -47,12 +47,12 @@
 pub(crate) async fn serve(ctx: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
     let id = ctx.request();
     let headers = Headers::read(request.headers()).ok();
-    let is_keyed = headers.as_ref().is_some_and(|it| it.idempotency_key.is_some());
+    let is_repeat = headers.as_ref().is_some_and(|it| it.idempotency_key.is_some() && it.is_repeat);
     let caller_id = headers.and_then(|it| it.request_id);
     let mut response = match answer(&ctx, id, request).await {
         Ok(response) => response,
         Err(failure) => {
-            let failure = if is_keyed { failure.of_keyed() } else { failure };
+            let failure = if is_repeat { failure.of_repeat() } else { failure };
             note(id, &failure);
             failure.response(id)
         }
--- a/crates/entry/src/caller/tests.rs
+++ b/crates/entry/src/caller/tests.rs
@@ -117,11 +117,11 @@
     for code in [Code::ShuttingDown, Code::PlatformUnavailable, Code::IntentUnrecorded] {
         let failure = Failure::from(code);
         assert_eq!(failure.execution, Execution::NotRun);
-        assert_eq!(failure.of_keyed().execution, Execution::Unknown);
+        assert_eq!(failure.of_repeat().execution, Execution::Unknown);
     }
     // Refused for what it is, or once its key is recorded: no earlier call ran.
     for code in [Code::KeyReused, Code::DeadlineUnreachable, Code::ServerUnreachable] {
-        assert_eq!(Failure::from(code).of_keyed().execution, Execution::NotRun);
+        assert_eq!(Failure::from(code).of_repeat().execution, Execution::NotRun);
     }
 }
 
--- a/crates/shallotlead/src/caller.rs
+++ b/crates/shallotlead/src/caller.rs
@@ -167,6 +167,15 @@
         }
     }
 
+    /// Whether a try so far may have run the request.
+    fn may_have_run(&self) -> bool {
+        self.outcome.tries.iter().any(|it| match &it.end {
+            TryEnd::Broken => true,
+            TryEnd::Refused(refusal) => refusal.execution != Execution::NotRun,
+            TryEnd::Answered | TryEnd::Unreached | TryEnd::Malformed(_) => false,
+        })
+    }
+
     /// Tries so far that may have reached an instance.
     fn reached(&self) -> usize {
         self.outcome.tries.iter().filter(|it| !matches!(it.end, TryEnd::Unreached)).count()
@@ -218,6 +227,9 @@
             .content_type("application/json");
         if let Some(key) = &self.ask.idempotency_key {
             request = request.header("idempotency-key", key);
+            if self.may_have_run() {
+                request = request.header("x-repeat", "true");
+            }
         }
         if let Some(priority) = self.ask.priority {
             request = request.header("x-priority", priority.to_string());
--- a/crates/shallotlead/tests/dispatches.rs
+++ b/crates/shallotlead/tests/dispatches.rs
@@ -111,6 +111,30 @@
     assert_eq!(dispatches(&world)[&ask.body], 1);
 }
 
+// A dispatch is repeated by its key while the platform is down: its record can't be read, and "not run" was said of a call
+// that may have run.
+#[test]
+fn a_repeat_of_a_dispatch_is_not_called_not_run_without_its_record() {
+    let world = common::world(FAST);
+    world.platform.set_mode(Mode::Down);
+    let ask = dispatch("12", Some("key-12"));
+    let agent =
+        ureq::Agent::from(ureq::Agent::config_builder().http_status_as_error(false).build());
+    let execution = |repeat: &str| {
+        let answer = agent
+            .post(format!("http://{}{}", world.entry(0), ask.path()))
+            .header("authorization", format!("Bearer {}", ask.key))
+            .header("idempotency-key", "key-12")
+            .header("x-repeat", repeat)
+            .send(ask.body.as_bytes())
+            .unwrap();
+        assert_eq!(answer.headers()["x-code"], "5002");
+        answer.headers()["x-execution"].to_str().unwrap().to_owned()
+    };
+    assert_eq!(execution("true"), "unknown");
+    assert_eq!(execution("false"), "not-run");
+}
+
 // The platform records the intent to run a dispatch and loses its answer. The instance must find its
 // own record instead of taking it for another's: the dispatch runs, and once.
 #[test]
