Don't take a server whose entry lapsed for one that has ended

What callers could see: a stream that had used the servers of its route went on at a third one while the second might be at work on it.

Cause: what was learnt by asking a server that lost its runs counted as its end also where its entry was gone; an entry may lapse while the server serves on. Found by reading the change.

Mend: only a refused connection, or the word of its next life (which ends the runs by itself), shows the end.

Test: stream_whose_last_server_has_lost_its_entry_is_sent_nowhere_else failed before (a third server got it).

--- a/crates/gateway/src/core/quarantine.rs
+++ b/crates/gateway/src/core/quarantine.rs
@@ -88,8 +88,7 @@
             // Its entry will tell.
             Outcome::Answered { .. } | Outcome::Reset | Outcome::NotSent | Outcome::Lost => {}
         }
-        let is_gone = self.pool.get(id).presence == Presence::Gone;
-        self.end_checked(id, is_gone || matches!(outcome, Outcome::Refused));
+        self.end_checked(id, matches!(outcome, Outcome::Refused));
     }
 
     /// A server is known to have ended without having left.
