One timer for each stream that waits, one way to date a time of day

A stream that waits to be sent again was looked at by each timer that its attempts had left, and each look set a further one; it drew on the budget twice at the moment when that had just refused, and its waiting was written down in two places. Now it has one due time.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,6 +1,6 @@
 //! The reactor's clocks.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rustix::time::{ClockId, clock_gettime};
 use shallotlead_base::time::Time;
@@ -16,6 +16,11 @@
     Time(ORIGIN + it.tv_sec as u64 * 1_000_000 + it.tv_nsec as u64 / 1_000)
 }
 
+/// When the time of day was `unix_ms`, as this machine's clock is set `now`; the future counts as now.
+pub(crate) fn at_unix_ms(now: Time, unix_ms: u64) -> Time {
+    now - Duration::from_millis(self::unix_ms().saturating_sub(unix_ms))
+}
+
 /// The time of day, in Unix milliseconds. It may be set, and differs between machines.
 pub(crate) fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
--- a/crates/gateway/src/core/knowledge.rs
+++ b/crates/gateway/src/core/knowledge.rs
@@ -153,11 +153,10 @@
         let recorded = self.named_before.get(model).filter(|it| it.0 == version);
         let is_starting = self.now.since(self.started) < STARTING;
         let known_until = self.lease.recorded_until().filter(|_| is_starting);
-        let ago = |unix_ms| Duration::from_millis(clock::unix_ms().saturating_sub(unix_ms));
         let evidence = Evidence {
             is_news,
             recorded: recorded.map(|it| it.1),
-            known_until: known_until.map(|it| self.now - ago(it)),
+            known_until: known_until.map(|it| clock::at_unix_ms(self.now, it)),
         };
         naming::named_at(self.now, &evidence)
     }
@@ -165,9 +164,8 @@
     /// The lease's record says when weights were named. What this instance hasn't heard of otherwise isn't named: the
     /// store may have come back from a copy.
     pub(crate) fn weights_dated(&mut self, named: &[lease::Named]) {
-        let unix_ms = clock::unix_ms();
         for it in named {
-            let at = self.now - Duration::from_millis(unix_ms.saturating_sub(it.unix_ms));
+            let at = clock::at_unix_ms(self.now, it.unix_ms);
             let before = self.named_before.insert(it.model.clone(), (it.version, at));
             if before.is_none_or(|before| before.0 != it.version) {
                 self.journal
--- a/crates/gateway/src/core/retry.rs
+++ b/crates/gateway/src/core/retry.rs
@@ -19,8 +19,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Retry {
     reason: &'static str,
-    /// Until then whatever turned it away is still there.
-    from: Time,
+    /// When it is looked at next. A timer is set for that; others of the same stream may go off before.
+    due: Time,
     /// It has been sent as often as its route allows, unless this server has ended: those don't count.
     unless_ended: Option<pool::Id>,
 }
@@ -32,10 +32,8 @@
     /// small part of the budget, which a few streams that are turned away together use up within milliseconds. It
     /// shows as `broken_off` right behind `turned_away`. It holds since the budget grows while the caller still waits.
     pub(crate) fn await_retry(&mut self, place: usize, reason: &'static str, pause: Duration) {
-        let from = self.now + pause;
-        let Some(exchange) = self.exchanges.get_mut(place) else { return };
-        exchange.retry = Some(Retry { reason, from, unless_ended: None });
-        self.retry_due(place);
+        let due = self.now + pause;
+        self.retry_later(place, Retry { reason, due, unless_ended: None });
     }
 
     /// The stream was cut, and can't be sent on now. Says whether it waits for that.
@@ -45,20 +43,30 @@
         if !exchange.delivery.has_begun || !exchange.is_repeatable() {
             return false;
         }
+        let patience = exchange.patience();
         let is_used_up = exchange.route.attempts <= exchange.runs;
         if is_used_up && !self.may_have_ended(place, lost, reason) {
             return false;
         }
         self.release_attempt(place, true);
         if let Some(exchange) = self.exchanges.get_mut(place) {
-            let unless_ended = is_used_up.then_some(lost);
             exchange.excluded.push(lost);
-            exchange.retry = Some(Retry { reason, from: self.now, unless_ended });
         }
-        self.retry_due(place);
+        let (due, unless_ended) = match is_used_up {
+            true => (patience, Some(lost)),
+            false => (self.now + DRAW_AGAIN, None),
+        };
+        self.retry_later(place, Retry { reason, due, unless_ended });
         true
     }
 
+    fn retry_later(&mut self, place: usize, retry: Retry) {
+        let Some(exchange) = self.exchanges.get_mut(place) else { return };
+        exchange.retry = Some(retry);
+        let serial = exchange.serial;
+        self.at(retry.due, Timer::Exchange(place, serial));
+    }
+
     /// Whether it is being found out if the stream's server has ended. One that may have crashed several servers
     /// isn't sent to another one.
     fn may_have_ended(&mut self, place: usize, server: pool::Id, reason: &str) -> bool {
@@ -79,7 +87,7 @@
             let Some(exchange) = self.exchanges.get_mut(place) else { continue };
             let Some(retry) = &mut exchange.retry else { continue };
             if has_ended {
-                retry.unless_ended = None;
+                (retry.due, retry.unless_ended) = (self.now, None);
                 exchange.runs -= 1;
                 self.retry_due(place);
             } else {
@@ -92,32 +100,21 @@
     /// Sends the stream again if that is due and the budget allows it, or ends it when it has waited for too long.
     pub(crate) fn retry_due(&mut self, place: usize) {
         let now = self.now;
-        let Some(exchange) = self.exchanges.get(place) else { return };
-        let Some(retry) = exchange.retry else { return };
-        let (serial, service) = (exchange.serial, exchange.service.clone());
-        if now < retry.from {
-            self.at(retry.from, Timer::Exchange(place, serial));
-            return;
-        }
-        if retry.unless_ended.is_some() {
-            match exchange.patience() {
-                patience if patience <= now => self.fail(place, 502, retry.reason),
-                patience => self.at(patience, Timer::Exchange(place, serial)),
-            }
-            return;
-        }
+        let Some(exchange) = self.exchanges.get_mut(place) else { return };
+        let Some(retry) = exchange.retry.filter(|it| it.due <= now) else { return };
+        let (service, patience) = (exchange.service.clone(), exchange.patience());
         let instances = self.members.sharers();
-        if self.budget.withdraw(now, &service, instances, Purpose::Stream) {
+        if retry.unless_ended.is_some() {
+            self.fail(place, 502, retry.reason);
+        } else if self.budget.withdraw(now, &service, instances, Purpose::Stream) {
+            exchange.retry = None;
             self.stats.resent(retry.reason);
-            if let Some(exchange) = self.exchanges.get_mut(place) {
-                exchange.retry = None;
-            }
             self.dispatch(place);
-        } else if exchange.patience() <= now {
+        } else if patience <= now {
             self.no_budget(place, retry.reason, Purpose::Stream);
             self.fail(place, 502, retry.reason);
         } else {
-            self.at(now + DRAW_AGAIN, Timer::Exchange(place, serial));
+            self.retry_later(place, Retry { due: now + DRAW_AGAIN, ..retry });
         }
     }
 }
