Log and count prompts that begin on replaced weights

What callers saw: an answer from weights that were replaced too long ago. Logs named the age when a prompt was sent, and nothing about when it began, so that a prompt that waited at its server, a version that the sender never knew of and an age that counts from hearing look the same.

A began line tells both ages, the wait at the server and whether a stream goes on; past the limit it is written however many other lines there are, up to 40 a second, and counted (shallotlead_stale_starts_total). weights_named tells the newest version known before, so that a skipped one shows.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -18,6 +18,7 @@
 mod refusal;
 mod retry;
 mod rollout;
+mod staleness;
 mod state;
 mod stats;
 mod storage;
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -141,10 +141,16 @@
             }
         };
         let server = attempt.server;
+        let is_first = attempt.run.is_none() && !bytes.is_empty();
         if !bytes.is_empty() {
             attempt.record_event(self.now);
         }
         delivery.last_event = last_event;
+        if is_first {
+            self.record_stale_start(index);
+        }
+        let Some(exchange) = self.exchanges.get_mut(index) else { return false };
+        let Some(attempt) = &mut exchange.attempt else { return false };
         if let (Some(version), Some(model)) = (weights, &exchange.info.model) {
             self.pool.get_mut(server).set_version(self.now, model, version);
         }
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -65,6 +65,8 @@
     /// When the head of the answer is due; a server that is later is probed.
     pub(crate) answer_due: Time,
     pub(crate) weights: Option<u64>,
+    /// How long ago these weights had been replaced when the request was sent; `None` if they were the newest.
+    pub(crate) staleness: Option<Duration>,
     /// Prompt tokens that the server had to prefill.
     pub(crate) uncached_tokens: u32,
     /// Expected time until the prefill began, ms.
@@ -109,6 +111,8 @@
             return;
         };
         let now = self.now;
+        let model = self.exchanges.get(index).and_then(|it| it.info.model.as_deref());
+        let staleness = self.staleness(model, choice.weights);
         let copy = self.copy_target(index, choice);
         let copy_to = copy.map(|it| self.pool.get(it).address);
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
@@ -146,6 +150,7 @@
             connect_deadline: now + CONNECT_TIMEOUT,
             answer_due: now + expected,
             weights: choice.weights,
+            staleness,
             uncached_tokens: choice.uncached_tokens,
             wait_ms: choice.wait_ms,
             reply: None,
@@ -154,9 +159,6 @@
             is_passed_through: false,
         });
         let server = self.pool.get(choice.server);
-        let replaced =
-            self.pool.weight_versions(exchange.info.model.as_deref().unwrap_or_default());
-        let replaced = replaced.and_then(|it| it.replaced_at(choice.weights?));
         let load_age = server.load.map_or(Duration::ZERO, |it| now.since(it.1));
         self.log
             .line(now, "sent")
@@ -170,7 +172,7 @@
             .number("expected_ms", format_args!("{:.1}", choice.first_token_ms))
             .number("unread", choice.uncached_tokens)
             .number("weights", choice.weights.unwrap_or(0))
-            .ms("replaced_ms", replaced.map_or(Duration::ZERO, |it| now.since(it)))
+            .ms("replaced_ms", staleness.unwrap_or_default())
             .number("fetches", choice.fetch_from.is_some())
             .number("is_copied", copy.is_some())
             .number("is_limited", server.limit.per_second().is_some())
--- a/crates/gateway/src/core/ingest.rs
+++ b/crates/gateway/src/core/ingest.rs
@@ -136,6 +136,7 @@
         version: u64,
         source: Source,
     ) {
+        let newest = self.pool.weight_versions(model).map_or(0, |it| it.newest());
         let is_news = self.pool.add_version(at, model, version);
         let unix_ms = clock::unix_ms().saturating_sub(self.now.since(at).as_millis() as u64);
         self.lease.add_publication(lease::Publication { model: model.clone(), version, unix_ms });
@@ -144,6 +145,7 @@
                 .line(self.now, "weights_named")
                 .text("model", model)
                 .number("version", version)
+                .number("before", newest)
                 .text("source", source.name())
                 .ms("age_ms", self.now.since(at));
             if source == Source::Store {
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -35,6 +35,7 @@
     pub(crate) traffic: Traffic,
     abandoned: Counter,
     unreadable_entries: Counter,
+    stale_starts: Counter,
     copies_begun: Counter,
     copies_used: Counter,
     connections: Counter,
@@ -112,6 +113,7 @@
             copies_begun: metrics::counter!("shallotlead_copies_total", "step" => "begun"),
             copies_used: metrics::counter!("shallotlead_copies_total", "step" => "used"),
             unreadable_entries: metrics::counter!("shallotlead_entries_unreadable_total"),
+            stale_starts: metrics::counter!("shallotlead_stale_starts_total"),
             connections: metrics::counter!("shallotlead_server_connections_total"),
             state_bytes: metrics::counter!("shallotlead_state_bytes_total"),
             dropped_lines: metrics::gauge!("shallotlead_log_lines_dropped"),
@@ -185,6 +187,11 @@
         self.unreadable_entries.increment(1);
     }
 
+    /// Counts a prompt that began on weights that were replaced longer ago than allowed.
+    pub(crate) fn count_stale_start(&self) {
+        self.stale_starts.increment(1);
+    }
+
     pub(crate) fn count_abandoned(&mut self) {
         self.abandoned.increment(1);
     }
--- a/crates/gateway/src/json_log.rs
+++ b/crates/gateway/src/json_log.rs
@@ -20,6 +20,8 @@
 const FLUSH_INTERVAL: Duration = Duration::from_millis(400);
 /// Buffer size from which on it is handed over at once.
 const FULL_BUFFER_BYTES: usize = 16 * 1024;
+/// Lines per second that [`Log::priority_line`] may write beyond the rate limit.
+const PRIORITY_LINES_PER_S: u32 = 40;
 /// Buffers that may wait for the writer thread: 256 KB together with the one being filled.
 const MAX_QUEUED_BUFFERS: usize = 15;
 
@@ -36,6 +38,7 @@
     max_lines_per_s: u32,
     current_second: u64,
     lines_this_second: u32,
+    priority_lines_this_second: u32,
     dropped: u64,
     reported_dropped: u64,
 }
@@ -61,6 +64,7 @@
             max_lines_per_s,
             current_second: 0,
             lines_this_second: 0,
+            priority_lines_this_second: 0,
             dropped: 0,
             reported_dropped: 0,
         })
@@ -68,16 +72,36 @@
 
     /// Starts a line about `event`.
     pub fn line(&mut self, now: Time, event: &str) -> Line<'_> {
-        let second = now.as_millis() / 1_000;
-        if self.current_second != second {
-            self.current_second = second;
-            self.lines_this_second = 0;
-        }
+        self.start_second(now);
         self.lines_this_second += 1;
         if self.max_lines_per_s < self.lines_this_second {
             self.dropped += 1;
             return Line { log: None };
         }
+        self.start_line(now, event)
+    }
+
+    /// Starts a line about `event`, which shows a fault of its own and so isn't dropped for the number of other
+    /// lines. Without a rate limit above zero the log is off.
+    pub fn priority_line(&mut self, now: Time, event: &str) -> Line<'_> {
+        self.start_second(now);
+        if self.max_lines_per_s == 0 || self.priority_lines_this_second == PRIORITY_LINES_PER_S {
+            return self.line(now, event);
+        }
+        self.priority_lines_this_second += 1;
+        self.start_line(now, event)
+    }
+
+    fn start_second(&mut self, now: Time) {
+        let second = now.as_millis() / 1_000;
+        if self.current_second != second {
+            self.current_second = second;
+            self.lines_this_second = 0;
+            self.priority_lines_this_second = 0;
+        }
+    }
+
+    fn start_line(&mut self, now: Time, event: &str) -> Line<'_> {
         let ms = self.unix_offset_ms + now.as_millis();
         let Self { buffer, instance, .. } = self;
         // Writing to a string can't fail.
