Keep and pass on the history of published weights, not only the newest version

What callers saw: answers from weights that had been replaced longer ago than the limit.

Cause: publications travelled as the newest one alone, in the lease record, between instances and in the store's list, and one below the newest was dropped. An instance that started after version 3 was published knew nothing of 2, and took version 1 for replaced when 3 was published. Class: a fact passed on as its latest value only, while decisions need its history.

Evidence: the killed instances' weights_named lines name 3 with before 0; only they send the late prompts.

Change: pool::Versions keeps each publication with the version that it replaced directly, merged in any order. Where that isn't known, older versions count as replaced long ago until the instance is told, or since the lease record shows the newest before. Messages and the record carry the publications that still decide something (replaced less than the limit ago) and the version before them, oldest first: earlier releases read such a list one after the other and learn the history too, and a list of theirs is the newest alone, which proves nothing about the versions before. No format changes, and in quiet times nothing more is sent. The presumed age of 1.5 s and the 0.5 s wait for the record at a start are gone: what isn't known is not used.

The lease's tests keep each of their checks, with the history in the record.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -22,6 +22,7 @@
 mod state;
 mod stats;
 mod storage;
+mod weights;
 
 use std::{
     cmp::Reverse,
@@ -156,12 +157,8 @@
     log: Log,
     stats: Stats,
     signals: Signals,
-    started: Time,
-    /// Version of each model's weights that the lease's record has, and when it was published.
-    recorded_weights: Map<Arc<str>, (u64, Time)>,
-    /// Versions of weights that were in the store before the lease's record was read, so that the time of
-    /// their publication isn't known yet.
-    undated_weights: Vec<(Arc<str>, u64)>,
+    /// Publications of each model's weights in the lease record, oldest first; each one replaced the one before.
+    recorded_weights: Map<Arc<str>, Vec<(u64, Time)>>,
     /// When the graceful shutdown began.
     shutdown_since: Option<Time>,
     /// When the last sweep ran.
@@ -275,9 +272,7 @@
             signals,
             shutdown_since: None,
             last_sweep: now,
-            started: now,
             recorded_weights: Map::default(),
-            undated_weights: Vec::new(),
             uplink: Uplink::new(settings.link_bytes_per_s),
             settings,
         })
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -296,7 +296,7 @@
             centre: &self.settings.centre,
             reach: Reach::Local,
             is_suspect: false,
-            max_stale_weights: self.max_stale_weights(),
+            max_stale_weights: self.settings.max_stale_weights,
             excluded: &exchange.excluded,
         }
     }
--- a/crates/gateway/src/core/ingest.rs
+++ b/crates/gateway/src/core/ingest.rs
@@ -1,39 +1,34 @@
 //! Applies objects that were read from the store, or received from instances that can reach it.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use shallotlead_base::{
     id::Version,
     store::{Change, Key, Object},
-    time::Time,
 };
 
 use crate::{
     adapter::{ObjectKind, ServerEntry},
-    broadcast::Reach,
-    clock,
     config::{Config, Service},
     core::{
         Core,
-        storage::{Document, Entry, Source, Topic},
+        storage::{Basis, Document, Entry, Source, Topic},
     },
     gossip::{self, Member},
-    lease,
     pool::{self, Presence},
-    publication::{self, Evidence},
 };
 
-/// Time after the start in which weights that no other instance mentions are dated by the lease
-/// record. Later, other instances have reported what they know, and the record's times are stale.
-const STARTUP_PERIOD: Duration = Duration::from_secs(10);
-/// Longest wait after the start for the lease record, as the store may be unreachable.
-const LEASE_READ_TIMEOUT: Duration = Duration::from_millis(500);
-
 impl Core {
     /// Applies a full list of one kind. Servers that aren't in it are removed.
-    pub(crate) fn apply_list(&mut self, topic: Topic, objects: &[Object], version: Version) {
+    pub(crate) fn apply_list(
+        &mut self,
+        topic: Topic,
+        objects: &[Object],
+        version: Version,
+        basis: Basis,
+    ) {
         for object in objects {
-            self.apply_object(topic, object);
+            self.apply_object(topic, object, basis);
         }
         if topic == Topic::Platform(ObjectKind::Servers) {
             let names: Vec<Arc<str>> = objects.iter().map(|it| it.key.name.clone()).collect();
@@ -46,14 +41,14 @@
         }
     }
 
-    pub(crate) fn apply_object(&mut self, topic: Topic, object: &Object) {
+    pub(crate) fn apply_object(&mut self, topic: Topic, object: &Object, basis: Basis) {
         match topic {
             Topic::Platform(ObjectKind::Configuration) => {
                 if *object.key.name == *self.adapter.configuration_name() {
                     self.apply_configuration(&object.value, None, Source::Store);
                 }
             }
-            Topic::Platform(ObjectKind::Weights) => self.apply_weights(&object.value),
+            Topic::Platform(ObjectKind::Weights) => self.apply_weights(&object.value, basis),
             Topic::Platform(ObjectKind::Servers) => {
                 let value = Some(&object.value);
                 self.apply_entry(&object.key.name, object.version.0, value, Source::Store);
@@ -111,115 +106,6 @@
         self.announce_configuration(source);
     }
 
-    fn apply_weights(&mut self, value: &[u8]) {
-        match self.adapter.parse_weights(value) {
-            Ok(it) => {
-                let is_news =
-                    self.storage.has_read_weights || self.pool.weight_versions(&it.model).is_some();
-                let at = self.published_at(&it.model, it.version, is_news);
-                if !is_news {
-                    self.undated_weights.push((it.model.clone(), it.version));
-                }
-                self.apply_publication(at, &it.model, it.version, Source::Store);
-            }
-            Err(err) => {
-                self.log.line(self.now, "weights_unreadable").text("error", &err.to_string());
-            }
-        }
-    }
-
-    /// Applies the publication of a model's weights at the time `at`.
-    pub(crate) fn apply_publication(
-        &mut self,
-        at: Time,
-        model: &Arc<str>,
-        version: u64,
-        source: Source,
-    ) {
-        let newest = self.pool.weight_versions(model).map_or(0, |it| it.newest());
-        let is_news = self.pool.add_version(at, model, version);
-        let unix_ms = clock::unix_ms().saturating_sub(self.now.since(at).as_millis() as u64);
-        self.lease.add_publication(lease::Publication { model: model.clone(), version, unix_ms });
-        if is_news {
-            self.log
-                .line(self.now, "weights_named")
-                .text("model", model)
-                .number("version", version)
-                .number("before", newest)
-                .text("source", source.name())
-                .ms("age_ms", self.now.since(at));
-            if source == Source::Store {
-                self.peers.broadcasts.announce_versions(Reach::Fleet);
-            }
-        }
-    }
-
-    /// When the weights that were read from the store were published. `is_news`: this instance
-    /// already knew the weights published before them.
-    fn published_at(&self, model: &str, version: u64, is_news: bool) -> Time {
-        let recorded = self.recorded_weights.get(model).filter(|it| it.0 == version);
-        let is_starting = self.now.since(self.started) < STARTUP_PERIOD;
-        let known_until = self.lease.record_known_until().filter(|_| is_starting);
-        let evidence = Evidence {
-            is_new: is_news,
-            recorded: recorded.map(|it| it.1),
-            known_until: known_until.map(|it| clock::at_unix_ms(self.now, it)),
-        };
-        publication::published_at(self.now, &evidence)
-    }
-
-    /// Applies the publication times of the lease record. Versions that the store or an instance
-    /// hasn't reported as well are not taken as published, as the store may have been restored from
-    /// an older copy.
-    pub(crate) fn apply_recorded_publications(&mut self, recorded: &[lease::Publication]) {
-        for it in recorded {
-            let at = clock::at_unix_ms(self.now, it.unix_ms);
-            let before = self.recorded_weights.insert(it.model.clone(), (it.version, at));
-            if before.is_none_or(|before| before.0 != it.version) {
-                self.log
-                    .line(self.now, "weights_recorded")
-                    .text("model", &it.model)
-                    .number("version", it.version)
-                    .ms("age_ms", self.now.since(at));
-            }
-            let is_older = |known: &pool::Versions| {
-                known.newest() == it.version && at + lease::CLOCK_TOLERANCE < known.newest_at()
-            };
-            if self.pool.weight_versions(&it.model).is_some_and(is_older) {
-                self.apply_publication(at, &it.model, it.version, Source::Store);
-                self.peers.broadcasts.announce_versions(Reach::Fleet);
-            }
-        }
-        if self.lease.record_known_until().is_some() {
-            self.redate_publications();
-        }
-    }
-
-    /// Dates publications again that were read before the lease record.
-    fn redate_publications(&mut self) {
-        for (model, version) in std::mem::take(&mut self.undated_weights) {
-            let at = self.published_at(&model, version, false);
-            self.log
-                .line(self.now, "weights_dated")
-                .text("model", &model)
-                .number("version", version)
-                .ms("age_ms", self.now.since(at));
-            self.apply_publication(at, &model, version, Source::Store);
-        }
-    }
-
-    /// How long after their replacement requests may still begin on older weights.
-    ///
-    /// If all instances restart right after a publication, none remembers when it happened, and
-    /// prompts would begin on replaced weights seconds after the limit. The lease record, which
-    /// each instance reads first, keeps the publication time. Until it is read, no replaced weights
-    /// are used.
-    pub(crate) fn max_stale_weights(&self) -> Duration {
-        let is_lease_read =
-            self.lease.has_read_record() || LEASE_READ_TIMEOUT <= self.now.since(self.started);
-        if is_lease_read { self.settings.max_stale_weights } else { Duration::ZERO }
-    }
-
     /// The version of the configuration in force; zero before the first one.
     pub(crate) fn config_version(&self) -> u64 {
         self.config.as_ref().map_or(0, |it| it.version)
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -312,13 +312,12 @@
         self.broadcast(Update::Loading(loading));
     }
 
-    /// The newest published weights of each model.
+    /// The publications of each model's weights that still matter, oldest first.
     pub(crate) fn publications(&self) -> Vec<Publication> {
-        let publication = |it: (&Arc<str>, &pool::Versions)| Publication {
-            model: it.0.clone(),
-            version: it.1.newest(),
-            age_ms: self.now.since(it.1.newest_at()).as_millis() as u64,
-        };
-        self.pool.all_weight_versions().map(publication).collect()
+        let age_ms = |at| self.now.since(at).as_millis() as u64;
+        let recent = self.recent_publications();
+        recent
+            .map(|(model, version, at)| Publication { model, version, age_ms: age_ms(at) })
+            .collect()
     }
 }
--- a/crates/gateway/src/core/peers/receive.rs
+++ b/crates/gateway/src/core/peers/receive.rs
@@ -57,9 +57,13 @@
 
     /// Applies another instance's publications of weights, whose ages refer to `received_at`.
     pub(crate) fn apply_publications(&mut self, received_at: Time, publications: &[Publication]) {
-        for it in publications {
-            let at = received_at - Duration::from_millis(it.age_ms);
-            self.apply_publication(at, &it.model, it.version, Source::Instance);
+        for of_model in publications.chunk_by(|a, b| a.model == b.model) {
+            let dated =
+                |it: &Publication| (it.version, received_at - Duration::from_millis(it.age_ms));
+            let list: Vec<_> = of_model.iter().map(dated).collect();
+            for it in pool::linked(&list) {
+                self.apply_publication(&of_model[0].model, it, Source::Instance);
+            }
         }
     }
 
--- a/crates/gateway/src/core/staleness.rs
+++ b/crates/gateway/src/core/staleness.rs
@@ -2,14 +2,17 @@
 
 use std::time::Duration;
 
-use crate::core::Core;
+use crate::{core::Core, pool::Currency};
 
 impl Core {
-    /// How long ago the weights `version` of `model` were replaced, as far as known; `None` if they are the newest.
+    /// How long ago the weights `version` of `model` were replaced; the limit if that isn't known. `None` if they are
+    /// the newest.
     pub(crate) fn staleness(&self, model: Option<&str>, version: Option<u64>) -> Option<Duration> {
-        let versions = self.pool.weight_versions(model?)?;
-        let replaced_at = versions.replaced_at(version?)?;
-        Some(self.now.since(replaced_at))
+        match self.pool.weight_versions(model?)?.currency(version?) {
+            Currency::Newest => None,
+            Currency::Replaced(at) => Some(self.now.since(at)),
+            Currency::Outdated => Some(self.settings.max_stale_weights),
+        }
     }
 
     /// Logs that the current attempt's first event has arrived, if its weights have been replaced, and counts it if
--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -44,7 +44,7 @@
     configuration: Option<Vec<u8>>,
     /// Servers' entries; `None` if the uplink is busy.
     entries: Option<Entries>,
-    /// The published weights.
+    /// The published weights, as in [`crate::gossip::Message::weights`].
     weights: Vec<Publication>,
 }
 
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -35,7 +35,7 @@
 use era::Era;
 use quarantine::Records;
 use subscription::Subscription;
-pub(crate) use subscription::Topic;
+pub(crate) use subscription::{Basis, Topic};
 
 /// Kind of the instances' own records.
 const INSTANCE_KIND: &str = "instance";
@@ -69,6 +69,8 @@
     pub(crate) entries_synced_to: u64,
     /// Whether the published weights have been read at least once.
     pub(crate) has_read_weights: bool,
+    /// The version of each model's weights that the store listed or reported last.
+    pub(crate) stored_weights: Map<Arc<str>, u64>,
     /// Whether this instance watches the store, for itself or on behalf of others.
     pub(crate) is_watcher: bool,
     registration: Registration,
@@ -96,6 +98,8 @@
     Store,
     /// Received from another instance.
     Instance,
+    /// Read from the lease record.
+    Record,
 }
 
 impl Source {
@@ -104,6 +108,7 @@
         match self {
             Self::Store => "store",
             Self::Instance => "instance",
+            Self::Record => "record",
         }
     }
 }
@@ -158,6 +163,7 @@
             entries: Map::default(),
             entries_synced_to: 0,
             has_read_weights: false,
+            stored_weights: Map::default(),
             is_watcher: true,
             registration: Registration::Due(Version(0), now),
             quarantine: Records::default(),
@@ -262,6 +268,7 @@
             if self.storage.has_read_weights { self.members.lease_rank(now) } else { usize::MAX };
         if self.lease.may_write(now, rank) && !self.storage.is_unreachable() {
             self.lease.set_known_until(clock::unix_ms());
+            self.record_publications();
         }
         if let Some(call) = self.lease.tick(now, rank) {
             self.storage.submit(now, Pending::Lease, call);
@@ -350,15 +357,17 @@
         let before = subscription.revision;
         match reply {
             Reply::Listed { objects, version } => {
+                let basis = Basis { is_live: false };
                 subscription.revision = Some(*version);
                 self.storage.era.mark_listed(&subscription.kind);
                 if topic == Topic::Platform(ObjectKind::Configuration) {
                     self.peers.catchup.reset();
                 }
-                self.apply_list(topic, objects, *version);
+                self.apply_list(topic, objects, *version, basis);
                 self.finish_read(topic, before, *version);
             }
             Reply::Changed { changes, version } => {
+                let basis = Basis { is_live: true };
                 subscription.revision = Some(*version);
                 let is_removal = |it: &&Change| matches!(it, Change::Delete(..));
                 let removals = changes.iter().filter(is_removal).count();
@@ -368,7 +377,7 @@
                 }
                 for change in changes {
                     match change {
-                        Change::Put(object) => self.apply_object(topic, object),
+                        Change::Put(object) => self.apply_object(topic, object, basis),
                         Change::Delete(key, version) => self.apply_removal(topic, key, *version),
                     }
                 }
--- a/crates/gateway/src/core/storage/subscription.rs
+++ b/crates/gateway/src/core/storage/subscription.rs
@@ -48,6 +48,13 @@
     pub(super) last_answer: Time,
 }
 
+/// What an answer of the store shows about when its changes were made.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Basis {
+    /// The changes come from a watch, which shows all of them.
+    pub(crate) is_live: bool,
+}
+
 impl Subscription {
     pub(super) fn new(kind: &str, topic: Topic, now: Time) -> Self {
         Self {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -198,7 +198,8 @@
     pub era: u64,
     /// Servers that are not used although an outdated copy of the store lists them as ready.
     pub withheld: Vec<Withheld>,
-    /// Weight publications known to the sender.
+    /// The latest weight publications known to the sender, those of each model together and oldest first. Each one
+    /// replaced the one before directly. Earlier releases send only the newest.
     pub weights: Vec<Publication>,
     /// Recent changes to servers and instances.
     pub updates: Vec<broadcast::Aged>,
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -99,7 +99,7 @@
     holdoff: Holdoff,
     /// End of the period in which the record is read often.
     read_often_until: Time,
-    /// The newest weights, which are written to the record for instances that start.
+    /// The latest publications of weights, which are written to the record for instances that start.
     publications: Vec<Publication>,
     /// Time in Unix milliseconds up to which this instance knows of all weights that were published.
     known_until: Option<u64>,
@@ -164,14 +164,16 @@
         self.next_call_at = now;
     }
 
-    /// Records that weights were published. The holder writes it to the record at once if it is new.
-    pub fn add_publication(&mut self, publication: Publication) {
-        match self.publications.iter_mut().find(|it| it.model == publication.model) {
-            Some(it) if !publication.supersedes(it) => return,
-            Some(it) => *it = publication,
-            None => self.publications.push(publication),
+    /// Sets the publications of weights that the record has. The holder writes it at once if one of them is new, or
+    /// clearly earlier than recorded.
+    pub fn set_publications(&mut self, publications: Vec<Publication>) {
+        let is_news =
+            publications.iter().any(|it| self.publications.iter().all(|known| it.adds_to(known)));
+        if !is_news && publications.len() == self.publications.len() {
+            return;
         }
-        if matches!(self.stage, Stage::Holding { .. }) {
+        self.publications = publications;
+        if is_news && matches!(self.stage, Stage::Holding { .. }) {
             self.next_call_at = Time::ZERO;
         }
     }
--- a/crates/gateway/src/lease/record.rs
+++ b/crates/gateway/src/lease/record.rs
@@ -22,10 +22,11 @@
 }
 
 impl Publication {
-    /// Whether this adds to `known`: a later version, or a clearly earlier time for the same version.
-    pub(crate) fn supersedes(&self, known: &Self) -> bool {
-        let is_older = self.unix_ms + (CLOCK_TOLERANCE.as_millis() as u64) < known.unix_ms;
-        known.version < self.version || (known.version == self.version && is_older)
+    /// Whether this tells something that `known` doesn't: another publication, or a clearly earlier time.
+    pub(crate) fn adds_to(&self, known: &Self) -> bool {
+        let is_same = (&known.model, known.version) == (&self.model, self.version);
+        let is_earlier = self.unix_ms + (CLOCK_TOLERANCE.as_millis() as u64) < known.unix_ms;
+        !is_same || is_earlier
     }
 }
 
@@ -44,7 +45,8 @@
     /// Era of the version that the write was conditional on.
     #[serde(default)]
     era: u64,
-    /// The newest weights, for instances that start when no other instance knows their age.
+    /// The latest publications of each model's weights, for instances that start when no other instance knows them.
+    /// Oldest first; each one replaced the one before directly. Earlier releases record only the newest.
     #[serde(default)]
     named: Vec<Publication>,
     /// Time in Unix milliseconds, by the holder's clock, up to which it knew of all weights that were published.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -13,7 +13,7 @@
     adapter::Part,
     cost::Estimate,
     gossip::Placement,
-    pool::{self, Pool, Server, Versions},
+    pool::{self, Currency, Pool, Server, Versions},
 };
 
 pub use prefix_index::PrefixIndex;
@@ -462,11 +462,15 @@
     max_stale: Duration,
 ) -> Option<f64> {
     let usable_for = max_stale.saturating_sub(STALE_WEIGHTS_MARGIN);
-    let replaced_at = weights.and_then(|it| versions?.replaced_at(it));
-    match replaced_at.map(|it| now.since(it)) {
-        Some(age) if usable_for <= age => None,
-        Some(age) if STALE_WEIGHTS_AFTER <= age => Some(STALE_WEIGHTS_PRICE_MS),
-        _ => Some(0.0),
+    let currency = weights.and_then(|it| Some(versions?.currency(it)));
+    match currency.unwrap_or(Currency::Newest) {
+        Currency::Newest => Some(0.0),
+        Currency::Outdated => None,
+        Currency::Replaced(at) if usable_for <= now.since(at) => None,
+        Currency::Replaced(at) if STALE_WEIGHTS_AFTER <= now.since(at) => {
+            Some(STALE_WEIGHTS_PRICE_MS)
+        }
+        Currency::Replaced(_) => Some(0.0),
     }
 }
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,6 +2,7 @@
 
 mod health;
 mod server;
+mod versions;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -18,14 +19,12 @@
 
 pub use health::Health;
 pub use server::{Presence, Server, Switch};
+pub use versions::{Currency, News, Publication, Versions, linked};
 
 /// How long an entry that is missing after an outage of the store is kept: servers write their
 /// entries again within about two seconds of the store's recovery.
 const RECOVERY_GRACE: Duration = Duration::from_millis(2_200);
 
-/// Number of versions of a model's weights that are remembered: servers are only a few behind.
-const MAX_VERSIONS: usize = 16;
-
 /// Fraction of the servers whose entries must expire together to look like an outage of the store.
 const MASS_EXPIRY_FRACTION: f64 = 0.25;
 /// How long entries that expired together are kept: servers renew their entries every 1.2 s, and
@@ -50,35 +49,6 @@
     services: Option<Set<Arc<str>>>,
 }
 
-/// The published versions of one model's weights, with the times at which they were published as
-/// far as this instance knows, oldest first.
-#[derive(Clone, Debug, Default)]
-pub struct Versions(Vec<(u64, Time)>);
-
-impl Versions {
-    /// The newest version.
-    pub fn newest(&self) -> u64 {
-        self.0.last().map_or(0, |it| it.0)
-    }
-
-    /// When `version` was replaced by a newer one, if it was.
-    pub fn replaced_at(&self, version: u64) -> Option<Time> {
-        self.0.iter().find(|it| version < it.0).map(|it| it.1)
-    }
-
-    /// When the newest version was published.
-    pub fn newest_at(&self) -> Time {
-        self.0.last().map_or(Time::ZERO, |it| it.1)
-    }
-
-    fn push(&mut self, version: u64, at: Time) {
-        self.0.push((version, at));
-        if MAX_VERSIONS < self.0.len() {
-            self.0.remove(0);
-        }
-    }
-}
-
 /// What a change of an entry meant.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -181,22 +151,17 @@
         self.versions.iter()
     }
 
-    /// Records that weights were published. Returns whether the version is new; versions only
-    /// grow.
-    ///
-    /// `at`: when they were published, as far as known. An instance that starts late must not take
-    /// them for new: it would start requests on weights that were replaced long ago.
+    /// Records that `version` was published at the time `at`, directly after the newest known one. Returns whether it
+    /// is new.
     pub fn add_version(&mut self, at: Time, model: &Arc<str>, version: u64) -> bool {
-        let versions = self.versions.entry(model.clone()).or_default();
-        if let Some(entry) = versions.0.iter_mut().find(|it| it.0 == version) {
-            entry.1 = entry.1.min(at);
-            return false;
-        }
-        if version <= versions.newest() {
-            return false;
-        }
-        versions.push(version, at);
-        true
+        let newest = self.weight_versions(model).map_or(0, Versions::newest);
+        let replaces = Some(newest).filter(|it| *it < version);
+        self.add_publication(model, Publication::new(version, at, replaces)) == News::Newest
+    }
+
+    /// Records a publication of weights, in any order.
+    pub fn add_publication(&mut self, model: &Arc<str>, publication: Publication) -> News {
+        self.versions.entry(model.clone()).or_default().insert(publication)
     }
 
     /// Records that the store is available again after an outage.
--- a/crates/gateway/src/publication.rs
+++ b/crates/gateway/src/publication.rs
@@ -1,37 +1,32 @@
-//! Estimates when weights that the store lists were published. Does no I/O.
-
-use std::time::Duration;
+//! Dates weights that the store lists. Does no I/O.
 
 use shallotlead_base::time::Time;
 
-use crate::lease::CLOCK_TOLERANCE;
-
-/// Minimum age of weights that the store already lists when an instance starts, unless the lease record has an exact
-/// time.
-const MIN_AGE_AT_START: Duration = Duration::from_millis(1_500);
+use crate::pool::Publication;
 
-/// What an instance knows of the publication time of weights that it reads from the store.
+/// What an instance knows of weights that it reads from the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Evidence {
-    /// It knew the weights published before, so these are newer.
-    pub is_new: bool,
-    /// Publication time in the lease record.
-    pub recorded: Option<Time>,
-    /// The writer of the lease record knew all weights published until then, and the record lacks these.
-    pub known_until: Option<Time>,
+pub struct Evidence<'a> {
+    /// The version that they directly replaced, if a watch has shown that; zero if there was none.
+    pub replaces: Option<u64>,
+    /// A version that was the newest until the given time at least; zero if there was none.
+    pub newest_until: Option<(u64, Time)>,
+    /// The model's publications in the lease record, oldest first; each one replaced the one before.
+    pub recorded: &'a [(u64, Time)],
 }
 
-/// When the weights were published, or the earliest possible time.
+/// The publication of `version`, which was read from the store.
 ///
-/// Guards against a power loss of all instances, after which weights would count as published at the restart, and
-/// prompts would start on replaced weights for seconds after the limit.
-pub fn published_at(now: Time, evidence: &Evidence) -> Time {
-    match *evidence {
-        Evidence { recorded: Some(at), .. } => at,
-        Evidence { is_new: true, .. } => now,
-        Evidence { known_until: Some(until), .. } => {
-            (now - MIN_AGE_AT_START).min(until - CLOCK_TOLERANCE)
-        }
-        Evidence { .. } => now - MIN_AGE_AT_START,
+/// Its time is that of the lease record, or `now` at the latest. Where the version that it replaced isn't known, older
+/// ones count as replaced since it is known of one of them that it was the newest, or else since long ago. If they
+/// counted as replaced `now`, prompts would start on them for seconds after the limit: after a restart of all
+/// instances, or where an instance missed a publication.
+pub fn dated(now: Time, version: u64, evidence: &Evidence<'_>) -> Publication {
+    let Evidence { replaces, newest_until, recorded } = *evidence;
+    if let Some(index) = recorded.iter().position(|it| it.0 == version) {
+        let before = index.checked_sub(1).map(|it| recorded[it].0);
+        return Publication::new(version, recorded[index].1, replaces.or(before));
     }
+    let newest_until = newest_until.filter(|it| it.0 < version).map(|it| (it.0, it.1.min(now)));
+    Publication { newest_until, ..Publication::new(version, now, replaces) }
 }
--- a/crates/gateway/tests/lease.rs
+++ b/crates/gateway/tests/lease.rs
@@ -187,19 +187,22 @@
 fn record_has_publication_times_at_once() {
     let (mut store, mut holder) = (Memory::default(), open("a"));
     assert_eq!(read(&mut store, at(0)), []);
-    holder.add_publication(publication(1, 1_000));
+    holder.set_publications(vec![publication(1, 1_000)]);
     let start = take(&mut holder, &mut store, 0);
     assert_eq!(read(&mut store, at(start)), [publication(1, 1_000)]);
     step(&mut holder, &mut store, at(start + 10), 0);
-    holder.add_publication(publication(2, 9_000));
+    let both = [publication(1, 1_000), publication(2, 9_000)];
+    holder.set_publications(both.to_vec());
     step(&mut holder, &mut store, at(start + 20), 0);
-    assert_eq!(read(&mut store, at(start + 20)), [publication(2, 9_000)]);
-    // Later times of the same publication and older versions add nothing and cost no write.
-    for known in [publication(2, 9_400), publication(2, 30_000), publication(1, 500)] {
-        holder.add_publication(known);
+    assert_eq!(read(&mut store, at(start + 20)), both);
+    // Later times of the same publications add nothing and cost no write, and neither does forgetting one.
+    for (first, second) in [(1_000, 9_400), (1_000, 30_000), (600, 9_000)] {
+        holder.set_publications(vec![publication(1, first), publication(2, second)]);
         assert!(holder.tick(at(start + 30), 0).is_none());
     }
-    holder.add_publication(publication(2, 7_000));
+    holder.set_publications(vec![publication(2, 9_000)]);
+    assert!(holder.tick(at(start + 30), 0).is_none());
+    holder.set_publications(vec![publication(2, 7_000)]);
     step(&mut holder, &mut store, at(start + 40), 0);
     assert_eq!(read(&mut store, at(start + 40)), [publication(2, 7_000)]);
 }
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -7,7 +7,7 @@
 use shallotlead_base::time::Time;
 use shallotlead_gateway::{
     adapter::ServerEntry,
-    pool::{Change, Health, Presence},
+    pool::{Change, Currency, Health, Presence},
 };
 use support::{at, entry, pool};
 
@@ -189,5 +189,5 @@
     assert!(pool.add_version(at(9_000), &model, 2));
     assert!(!pool.add_version(at(1_000), &model, 2));
     let versions = pool.weight_versions(support::MODEL).unwrap();
-    assert_eq!(versions.replaced_at(1), Some(at(1_000)));
+    assert_eq!(versions.currency(1), Currency::Replaced(at(1_000)));
 }
