Don't take weights for new that were published while the store wasn't watched

What callers saw: nothing reported; found while looking for other causes of prompts that begin on weights replaced too long ago. An instance that the store didn't answer for six seconds took weights that were published meanwhile for new when it heard of them, and sent prompts to replaced ones six seconds past the limit, if no other instance told it better.

Cause: a publication read from the store counted from the moment of reading. Class: an age that counts from hearing.

Change: a subscription knows whether a call has failed, or none was sent for a second, since its last answer. Changes that come then have only bounds: at most as old as the last answer. Versions before count as replaced since then, until another instance tells the time. The first watch of weights after a failure asks for an answer at once, which confirms the state, so that what later watches report is known to be new; that is one call to the store for each interruption.

--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -258,7 +258,7 @@
             if !is_active {
                 it.revision = None;
             }
-            it.is_in_flight = true;
+            it.start_call(now);
             let call = it.next_call(is_large);
             self.storage.submit(now, Pending::Read(index), call);
         }
@@ -351,13 +351,10 @@
         subscription.is_in_flight = false;
         subscription.next_at = now + subscription.delay(is_large);
         let topic = subscription.topic;
-        if matches!(reply, Reply::Listed { .. } | Reply::Changed { .. }) {
-            subscription.last_answer = now;
-        }
         let before = subscription.revision;
         match reply {
             Reply::Listed { objects, version } => {
-                let basis = Basis { is_live: false };
+                let basis = subscription.finish_call(now, false);
                 subscription.revision = Some(*version);
                 self.storage.era.mark_listed(&subscription.kind);
                 if topic == Topic::Platform(ObjectKind::Configuration) {
@@ -367,7 +364,7 @@
                 self.finish_read(topic, before, *version);
             }
             Reply::Changed { changes, version } => {
-                let basis = Basis { is_live: true };
+                let basis = subscription.finish_call(now, true);
                 subscription.revision = Some(*version);
                 let is_removal = |it: &&Change| matches!(it, Change::Delete(..));
                 let removals = changes.iter().filter(is_removal).count();
@@ -385,15 +382,20 @@
             }
             Reply::Failed(Failure::Compacted) => {
                 self.log.line(now, "history_lost").text("kind", &subscription.kind);
+                subscription.fail_call();
                 subscription.revision = None;
             }
             Reply::Failed(Failure::NotApplied { retry_after }) => {
+                subscription.fail_call();
                 subscription.next_at = now + (*retry_after).min(RETRY_DELAY * 4);
             }
             Reply::Failed(Failure::Unknown)
             | Reply::Got(_)
             | Reply::Done(_)
-            | Reply::Conflict(_) => subscription.next_at = now + RETRY_DELAY,
+            | Reply::Conflict(_) => {
+                subscription.fail_call();
+                subscription.next_at = now + RETRY_DELAY;
+            }
         }
     }
 
--- a/crates/gateway/src/core/storage/subscription.rs
+++ b/crates/gateway/src/core/storage/subscription.rs
@@ -14,6 +14,12 @@
 /// confirm the configuration more often than that.
 const CONFIGURATION_WATCH_WAIT: Duration = Duration::from_secs(1);
 
+/// Wait of the watch that follows a failed call for weights: its answer confirms that nothing was published meanwhile,
+/// or shows what was, so that whatever a later watch reports is known to be new.
+const CONFIRMING_WATCH_WAIT: Duration = Duration::from_millis(1);
+/// Time between an answer and the next call from which on the store counts as not watched in between.
+const MAX_UNWATCHED: Duration = Duration::from_secs(1);
+
 /// Delay after the first list of a kind. By then most instances of a large fleet know that others
 /// watch.
 const SETTLE_DELAY: Duration = Duration::from_millis(500);
@@ -46,13 +52,21 @@
     pub(super) next_at: Time,
     /// Time of the store's last answer; zero before the first one.
     pub(super) last_answer: Time,
+    /// Until when nothing had changed that wasn't read.
+    confirmed_at: Option<Time>,
+    /// When the call in flight was sent.
+    sent_at: Time,
+    /// A call has failed, or none was sent for a while, since the last answer.
+    is_interrupted: bool,
 }
 
 /// What an answer of the store shows about when its changes were made.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Basis {
-    /// The changes come from a watch, which shows all of them.
+    /// The changes have just been made, and none before them was missed.
     pub(crate) is_live: bool,
+    /// Until when nothing had changed; `None` if the kind wasn't read before.
+    pub(crate) unchanged_until: Option<Time>,
 }
 
 impl Subscription {
@@ -64,9 +78,37 @@
             is_in_flight: false,
             next_at: now,
             last_answer: Time::ZERO,
+            confirmed_at: None,
+            sent_at: Time::ZERO,
+            is_interrupted: false,
         }
     }
 
+    /// Marks the next call as sent.
+    pub(super) fn start_call(&mut self, now: Time) {
+        self.is_in_flight = true;
+        self.sent_at = now;
+        self.is_interrupted |=
+            self.last_answer != Time::ZERO && MAX_UNWATCHED < now.since(self.last_answer);
+    }
+
+    /// Marks the call as failed.
+    pub(super) fn fail_call(&mut self) {
+        self.is_interrupted = true;
+    }
+
+    /// Marks the call as answered by a list or, if `is_watch`, by a watch. Returns what that shows about the changes
+    /// in it.
+    pub(super) fn finish_call(&mut self, now: Time, is_watch: bool) -> Basis {
+        let is_live = is_watch && !self.is_interrupted;
+        // An answer that wasn't awaited may have been under way since the call.
+        let confirmed_at = if is_live { now } else { self.sent_at };
+        let unchanged_until = self.confirmed_at.replace(confirmed_at);
+        self.last_answer = now;
+        self.is_interrupted = false;
+        Basis { is_live, unchanged_until }
+    }
+
     /// Whether this instance may call the store for it. After the first list only watchers do; the
     /// others hear of changes from them, and list again if nobody does.
     pub(super) fn is_active(&self, is_watcher: bool) -> bool {
@@ -90,6 +132,7 @@
         let kind = self.kind.clone();
         let wait = match self.topic {
             Topic::Platform(ObjectKind::Configuration) if is_large => CONFIGURATION_WATCH_WAIT,
+            Topic::Platform(ObjectKind::Weights) if self.is_interrupted => CONFIRMING_WATCH_WAIT,
             Topic::Platform(_) | Topic::Instances | Topic::Records => WATCH_WAIT,
         };
         match self.revision {
--- a/crates/gateway/src/core/weights.rs
+++ b/crates/gateway/src/core/weights.rs
@@ -28,7 +28,8 @@
         };
         let before = self.storage.stored_weights.insert(model.clone(), version).unwrap_or(0);
         let replaces = Some(before).filter(|it| basis.is_live && *it < version);
-        let evidence = Evidence { replaces, ..self.evidence(&model) };
+        let newest_until = basis.unchanged_until.map(|it| (before, it));
+        let evidence = Evidence { replaces, newest_until, ..self.evidence(&model) };
         let publication = publication::dated(self.now, version, &evidence);
         self.apply_publication(&model, publication, Source::Store);
         self.apply_recorded_history(&model);
