Withdraw prompts that haven't begun shortly before the limit on replaced weights

What callers saw: answers from weights that had been replaced longer ago than the limit.

Cause: a prompt is sent up to 1.7 s before the limit, and nothing looks again. The limit binds the first token; when other servers crash, hundreds of streams go on at the same few servers within a tenth of a second, and wait there for 1.8 to 1.95 s. Class: a wait of fixed length that stands for a proof.

Change: 0.4 s before the limit the connection of an attempt that hasn't begun is closed, and the server drops it from its queue. Where the request may be repeated, it goes on elsewhere as after a failure, within the route's attempts and the retry budget; otherwise it fails as one that may have run, at once. A server at which the prompt is expected to begin later than that isn't chosen, so that it is refused, not run, on arrival. A run that goes on from its copy began before and is left alone.

--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -90,6 +90,15 @@
         }
     }
 
+    /// Whether its server has begun to run it, as far as its answer shows.
+    pub(crate) fn has_started(&self, exchange: &Exchange) -> bool {
+        // A run that goes on from a copy began at another server, and a stream's head may be sent while the request is
+        // queued.
+        self.is_from_copy
+            || self.run.is_some()
+            || (self.reply.is_some() && !exchange.route.is_stream)
+    }
+
     /// The measured latency of the first token, which arrives now.
     pub(crate) fn latency_sample(&self, now: Time) -> Sample {
         Sample {
@@ -197,6 +206,7 @@
             self.set_timer(now + CONNECT_TIMEOUT, Timer::Exchange(index, serial));
         }
         self.set_timer(answer_due, Timer::Exchange(index, serial));
+        self.watch_start(index);
     }
 
     /// Ends the attempt, if there is one. `closes`: its connection can't be reused.
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -347,9 +347,13 @@
             self.handle_unrun_attempt(index, "connect-timeout", true);
             return;
         }
-        if attempt.reply.is_some() {
+        if self.withdraw_stale(index) {
             return;
         }
+        let Some(exchange) = self.exchanges.get(index) else { return };
+        let Some(attempt) = exchange.attempt.as_ref().filter(|it| it.reply.is_none()) else {
+            return;
+        };
         let server = attempt.server;
         let may_rerun = exchange.is_repeatable() && exchange.runs < exchange.route.max_attempts;
         let response_due = attempt.sent + exchange.response_timeout();
--- a/crates/gateway/src/core/staleness.rs
+++ b/crates/gateway/src/core/staleness.rs
@@ -1,8 +1,17 @@
-//! Reports prompts that begin on replaced weights.
+//! Keeps prompts from beginning on weights that were replaced too long ago.
 
 use std::time::Duration;
 
-use crate::{core::Core, pool::Currency};
+use shallotlead_base::time::Time;
+
+use crate::{
+    core::{Core, Timer, exchange::Exchange},
+    placement,
+    pool::Currency,
+};
+
+/// Why an attempt ends that would begin on weights replaced too long ago.
+const REASON_STALE: &str = "old-weights";
 
 impl Core {
     /// How long ago the weights `version` of `model` were replaced; the limit if that isn't known. `None` if they are
@@ -15,6 +24,67 @@
         }
     }
 
+    /// Sets a timer for the time by which the current attempt has to have begun, if its weights were replaced.
+    pub(crate) fn watch_start(&mut self, index: usize) {
+        let Some(exchange) = self.exchanges.get(index) else { return };
+        if let Some(due) = self.begin_by(exchange) {
+            let serial = exchange.serial;
+            self.set_timer(due, Timer::Exchange(index, serial));
+        }
+    }
+
+    /// The same for all attempts that haven't begun, after weights of `model` were published.
+    pub(crate) fn watch_starts(&mut self, model: &str) {
+        let is_concerned = |it: &Exchange| it.info.model.as_deref() == Some(model);
+        let indices = self.exchanges.iter().filter(|it| is_concerned(it.1)).map(|it| it.0);
+        for index in indices.collect::<Vec<_>>() {
+            self.watch_start(index);
+        }
+    }
+
+    /// Withdraws the current attempt from its server's queue if it hasn't begun in time, and sends the request
+    /// elsewhere if it may be repeated. Returns whether it was withdrawn.
+    ///
+    /// A prompt that is sent in time may wait for longer than expected, as when a crash of other servers sends
+    /// hundreds of streams to its server at once, and would begin on weights that must not be used any more.
+    pub(crate) fn withdraw_stale(&mut self, index: usize) -> bool {
+        let Some(exchange) = self.exchanges.get(index) else { return false };
+        let Some(attempt) = &exchange.attempt else { return false };
+        if self.begin_by(exchange).is_none_or(|due| self.now < due) {
+            return false;
+        }
+        let staleness = self.staleness(exchange.info.model.as_deref(), attempt.weights);
+        self.log
+            .line(self.now, "withdrawn")
+            .text("request", exchange.id())
+            .text("server", &self.pool.get(attempt.server).name)
+            .number("weights", attempt.weights.unwrap_or(0))
+            .ms("replaced_ms", staleness.unwrap_or_default())
+            .ms("sent_replaced_ms", attempt.staleness.unwrap_or_default())
+            .ms("waited_ms", self.now.since(attempt.sent))
+            .number("has_begun", exchange.delivery.has_begun)
+            .number("is_repeatable", exchange.is_repeatable());
+        self.stats.count_broken(REASON_STALE);
+        if !self.retry_elsewhere(index, REASON_STALE) && !self.resume_later(index, REASON_STALE) {
+            self.fail_exchange(index, 502, REASON_STALE);
+        }
+        true
+    }
+
+    /// When the current attempt has to have begun, if it hasn't and its weights were replaced.
+    fn begin_by(&self, exchange: &Exchange) -> Option<Time> {
+        let attempt = exchange.attempt.as_ref().filter(|it| !it.has_started(exchange))?;
+        let versions = self.pool.weight_versions(exchange.info.model.as_deref()?)?;
+        let max_stale = self.settings.max_stale_weights;
+        if versions.currency(attempt.weights?) == Currency::Outdated {
+            // A later publication is known, and not yet which ones came before it: what was known at the time of
+            // sending holds on.
+            let left = max_stale.saturating_sub(attempt.staleness.unwrap_or_default());
+            return Some(attempt.sent + left.saturating_sub(placement::STALE_START_LEAD));
+        }
+        placement::begin_by(Some(versions), attempt.weights, max_stale)
+    }
+
     /// Logs that the current attempt's first event has arrived, if its weights have been replaced, and counts it if
     /// that was longer ago than allowed.
     pub(crate) fn record_stale_start(&mut self, index: usize) {
--- a/crates/gateway/src/core/weights.rs
+++ b/crates/gateway/src/core/weights.rs
@@ -56,6 +56,7 @@
             .text("source", source.name())
             .ms("age_ms", self.now.since(publication.at));
         self.record_publications();
+        self.watch_starts(model);
         if source != Source::Instance {
             self.peers.broadcasts.announce_versions(Reach::Fleet);
         }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -71,6 +71,9 @@
 /// limit counts from the store's acknowledgement, of which this instance learns later, to the start
 /// of the request, which follows the queue at the server.
 const STALE_WEIGHTS_MARGIN: Duration = Duration::from_millis(1_700);
+/// How long before that limit a request has to have begun. Within it the connection of one that hasn't is closed, and
+/// the server learns of that; it also covers how much later than the operator this instance learned of newer weights.
+pub(crate) const STALE_START_LEAD: Duration = Duration::from_millis(400);
 
 /// The request to place and the constraints on its server.
 #[derive(Clone, Copy, Debug)]
@@ -213,6 +216,7 @@
         let weights = criteria.model.and_then(|it| server.version(it));
         match staleness_price_ms(now, versions, weights, criteria.max_stale_weights) {
             Some(staleness_ms) => {
+                let begin_by = begin_by(versions, weights, criteria.max_stale_weights);
                 let scope = cache_scope_id(weights, criteria.cache_owner);
                 let cached = prefixes.prefix(
                     pool,
@@ -221,7 +225,7 @@
                     id,
                     criteria.capacity_tokens,
                 );
-                ready.push(Candidate { id, server, weights, staleness_ms, cached });
+                ready.push(Candidate { id, server, weights, staleness_ms, begin_by, cached });
             }
             None => shortage = Shortage::StaleWeights,
         }
@@ -236,12 +240,19 @@
     // Servers at their rate limit can't run the request, but the parts they have cached can be
     // fetched.
     let available: Vec<_> = ready.iter().filter(|it| !it.server.limit.is_closed(now)).collect();
-    let evaluated =
-        available.iter().map(|it| evaluate(now, criteria, &prompt, it, &sources, random));
+    let evaluated = available.iter().filter_map(|it| {
+        let choice = evaluate(now, criteria, &prompt, it, &sources, random);
+        let is_in_time = it.begin_by.is_none_or(|by| now + choice.first_token() <= by);
+        is_in_time.then_some(choice)
+    });
     let best = evaluated.min_by(|a, b| a.score.total_cmp(&b.score));
     best.map(|it| Choice { candidates: available.len() as u32, ..it }).ok_or_else(|| {
         let opens_at = ready.iter().map(|it| it.server.limit.opens_at()).min();
-        opens_at.map_or(shortage, |it| Shortage::Limited { after: it.since(now) })
+        match opens_at {
+            Some(_) if !available.is_empty() => Shortage::StaleWeights,
+            Some(at) => Shortage::Limited { after: at.since(now) },
+            None => shortage,
+        }
     })
 }
 
@@ -263,6 +274,8 @@
     server: &'a Server,
     weights: Option<u64>,
     staleness_ms: f64,
+    /// When the request has to have begun, if the weights were replaced.
+    begin_by: Option<Time>,
     cached: Prefix,
 }
 
@@ -290,7 +303,7 @@
     random: u64,
 ) -> Choice {
     let Prompt { total_tokens, shared_tokens, cost, .. } = *prompt;
-    let Candidate { id, server, weights, staleness_ms, cached } = *candidate;
+    let Candidate { id, server, weights, staleness_ms, cached, .. } = *candidate;
     let cached_elsewhere = cached_elsewhere(candidate, sources);
     let fetch = fetch(now, criteria, candidate, sources);
     let uncached_tokens = total_tokens - cached.tokens - fetch.tokens;
@@ -474,6 +487,19 @@
     }
 }
 
+/// When a request on these weights has to have begun at the latest; `None` if they are the newest, and as long as it
+/// isn't known when they were replaced.
+pub(crate) fn begin_by(
+    versions: Option<&Versions>,
+    weights: Option<u64>,
+    max_stale: Duration,
+) -> Option<Time> {
+    match versions?.currency(weights?) {
+        Currency::Replaced(at) => Some(at + max_stale.saturating_sub(STALE_START_LEAD)),
+        Currency::Newest | Currency::Outdated => None,
+    }
+}
+
 /// Scope within which cached prompts are shared: the weights and, for organisations that share
 /// their cached prompts with no other, the organisation.
 pub fn cache_scope_id(weights: Option<u64>, cache_owner: Option<&str>) -> u64 {
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -173,6 +173,21 @@
     assert_eq!(chosen(15, 14_000).unwrap_err(), Shortage::StaleWeights);
 }
 
+// A prompt that would begin after the limit is refused at once, though it could still be sent.
+#[test]
+fn prompt_expected_to_begin_after_the_limit_is_not_sent() {
+    let mut pool = pool(2);
+    pool.add_version(at(0), &Arc::from(MODEL), 2);
+    let parts = [Part { id: 5, tokens: 300 }];
+    let chosen = |pool: &Pool| {
+        choose(pool, &PrefixIndex::default(), at(6_000), &criteria(&parts), 7).map(|it| it.server)
+    };
+    pool.get_mut(0).busy_until = at(8_000);
+    assert_eq!(chosen(&pool), Ok(1));
+    pool.get_mut(1).busy_until = at(8_000);
+    assert_eq!(chosen(&pool), Err(Shortage::StaleWeights));
+}
+
 #[test]
 fn unusable_servers_are_passed_over() {
     let mut pool = pool(3);
