Don't vouch in the lease record for weights that its writer may have missed

The holder of the lease recorded with each renewal that it knew all published weights until then, also while its watches of the store failed and its writes succeeded. Instances that started after it took weights that it had missed for published after its last record, and sent prompts to replaced ones up to six seconds past the limit.

Cause: a claim about the store's state that was dated by the time of writing, not by the store's last answer.

Change: the record's time is that of the last confirmation while the watch of weights is interrupted.

--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -23,7 +23,6 @@
 
 use crate::{
     adapter::{Adapter, EntryVersion, ObjectKind},
-    clock,
     connectivity::Connectivity,
     core::Core,
     gossip::Member,
@@ -193,6 +192,27 @@
         self.withheld.remove(server);
     }
 
+    /// How long the watch of a kind that is about to be sent may wait; at most `wait`.
+    fn watch_timeout(&self, kind: &str, wait: Duration) -> Duration {
+        let subscription = self.subscriptions.iter().find(|it| *it.kind == *kind);
+        let wait = subscription.map_or(wait, |it| it.watch_timeout(wait));
+        self.connectivity.watch_timeout(wait)
+    }
+
+    /// Records that a call for a kind has failed.
+    fn mark_interrupted(&mut self, kind: &str) {
+        let subscription = self.subscriptions.iter_mut().find(|it| *it.kind == *kind);
+        if let Some(it) = subscription {
+            it.fail_call();
+        }
+    }
+
+    /// Until when all published weights are known.
+    pub(crate) fn weights_known_until(&self, now: Time) -> Option<Time> {
+        let is_weights = |it: &&Subscription| it.topic == Topic::Platform(ObjectKind::Weights);
+        self.subscriptions.iter().find(is_weights)?.known_until(now)
+    }
+
     /// Whether all entries are known, from the store or from an instance that has read them.
     pub(crate) fn has_all_entries(&self) -> bool {
         0 < self.entries_synced_to
@@ -267,7 +287,6 @@
         let rank =
             if self.storage.has_read_weights { self.members.lease_rank(now) } else { usize::MAX };
         if self.lease.may_write(now, rank) && !self.storage.is_unreachable() {
-            self.lease.set_known_until(clock::unix_ms());
             self.record_publications();
         }
         if let Some(call) = self.lease.tick(now, rank) {
--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -27,8 +27,8 @@
             return;
         }
         let timeout = match &mut call {
-            Call::Watch { wait, .. } => {
-                *wait = self.storage.connectivity.watch_timeout(*wait);
+            Call::Watch { kind, wait, .. } => {
+                *wait = self.storage.watch_timeout(kind, *wait);
                 let answer_time =
                     if self.members.is_large() { LARGE_FLEET_WATCH_TIMEOUT } else { CALL_TIMEOUT };
                 *wait + answer_time
@@ -107,6 +107,9 @@
     /// Records whether the store answers this instance.
     fn update_connectivity(&mut self, call: &Call, outcome: &Outcome) {
         let now = self.now;
+        if !matches!(outcome, Outcome::Answered(_)) {
+            self.storage.mark_interrupted(call_kind(call));
+        }
         let connectivity = &mut self.storage.connectivity;
         let is_lost = match (outcome, call) {
             (Outcome::Answered(_), _) => {
--- a/crates/gateway/src/core/storage/subscription.rs
+++ b/crates/gateway/src/core/storage/subscription.rs
@@ -14,9 +14,6 @@
 /// confirm the configuration more often than that.
 const CONFIGURATION_WATCH_WAIT: Duration = Duration::from_secs(1);
 
-/// Wait of the watch that follows a failed call for weights: its answer confirms that nothing was published meanwhile,
-/// or shows what was, so that whatever a later watch reports is known to be new.
-const CONFIRMING_WATCH_WAIT: Duration = Duration::from_millis(1);
 /// Time between an answer and the next call from which on the store counts as not watched in between.
 const MAX_UNWATCHED: Duration = Duration::from_secs(1);
 
@@ -92,7 +89,23 @@
             self.last_answer != Time::ZERO && MAX_UNWATCHED < now.since(self.last_answer);
     }
 
-    /// Marks the call as failed.
+    /// Until when this instance knows all changes, from its own calls or, where it leaves the watch to others, from
+    /// them; `None` if it doesn't.
+    pub(super) fn known_until(&self, now: Time) -> Option<Time> {
+        if self.is_interrupted { self.confirmed_at } else { self.confirmed_at.and(Some(now)) }
+    }
+
+    /// How long the watch that is about to be sent may wait; at most `wait`. The watch of weights that follows a failed
+    /// call doesn't: its answer shows what was published meanwhile, so that whatever a later watch reports is known
+    /// to be new.
+    pub(super) fn watch_timeout(&self, wait: Duration) -> Duration {
+        match self.topic {
+            Topic::Platform(ObjectKind::Weights) if self.is_interrupted => Duration::ZERO,
+            Topic::Platform(_) | Topic::Instances | Topic::Records => wait,
+        }
+    }
+
+    /// Marks a call as failed, which may be sent again.
     pub(super) fn fail_call(&mut self) {
         self.is_interrupted = true;
     }
@@ -132,7 +145,6 @@
         let kind = self.kind.clone();
         let wait = match self.topic {
             Topic::Platform(ObjectKind::Configuration) if is_large => CONFIGURATION_WATCH_WAIT,
-            Topic::Platform(ObjectKind::Weights) if self.is_interrupted => CONFIRMING_WATCH_WAIT,
             Topic::Platform(_) | Topic::Instances | Topic::Records => WATCH_WAIT,
         };
         match self.revision {
--- a/crates/gateway/src/core/weights.rs
+++ b/crates/gateway/src/core/weights.rs
@@ -131,18 +131,20 @@
         Evidence { replaces: None, newest_until, recorded }
     }
 
-    /// Hands the publications that still matter to the lease, whose record keeps them.
+    /// Hands the publications that still matter to the lease, whose record keeps them, and until when they are all
+    /// that there were.
     pub(crate) fn record_publications(&mut self) {
-        let unix_ms = clock::unix_ms();
-        let age_ms = |at| self.now.since(at).as_millis() as u64;
+        let wall_clock_ms = clock::unix_ms();
+        let unix_ms = |at| wall_clock_ms.saturating_sub(self.now.since(at).as_millis() as u64);
         let publications = self
             .recent_publications()
-            .map(|(model, version, at)| {
-                let unix_ms = unix_ms.saturating_sub(age_ms(at));
-                lease::Publication { model, version, unix_ms }
-            })
+            .map(|(model, version, at)| lease::Publication { model, version, unix_ms: unix_ms(at) })
             .collect();
+        let known_until = self.storage.weights_known_until(self.now).map(unix_ms);
         self.lease.set_publications(publications);
+        if let Some(known_until) = known_until {
+            self.lease.set_known_until(known_until);
+        }
     }
 
     /// The publications of each model's weights that decide whether a version may still be used, oldest first.
