Learn how late prompts begin, instead of a fixed margin before the limit on weights

What callers saw: where servers load new weights slowly, prompts were refused from 1.7 s before the limit on, though nearly all would have begun in time.

Cause: one figure stood for the longest wait between sending and start, at any server and load. Since prompts that haven't begun are withdrawn before the limit, it need not be a bound any more where a prompt may be repeated.

Prompts that may run only once keep the fixed margin as well, since they can't be sent elsewhere.

--- a/crates/gateway/benches/policy/simulation.rs
+++ b/crates/gateway/benches/policy/simulation.rs
@@ -238,6 +238,7 @@
             capacity_tokens: self.deployment.memory_tokens as f64,
             store: Some(STORE_ADDRESS),
             max_stale_weights: MAX_STALE_WEIGHTS,
+            is_repeatable: true,
             excluded: &excluded,
         };
         let shortest_target =
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -147,6 +147,7 @@
         }
         delivery.last_event = last_event;
         if is_first {
+            self.record_start_delay(index);
             self.record_stale_start(index);
         }
         let Some(exchange) = self.exchanges.get_mut(index) else { return false };
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -71,6 +71,8 @@
     pub(crate) uncached_tokens: u32,
     /// Expected time until the prefill began, ms.
     wait_ms: f64,
+    /// Expected time to the first token.
+    first_token: Duration,
     /// The head of the answer, once received.
     pub(crate) reply: Option<Reply>,
     /// The times of the run's events, once there is one.
@@ -90,6 +92,11 @@
         }
     }
 
+    /// Expected time to the first token, and the time since it was sent.
+    pub(crate) fn start_times(&self, now: Time) -> (Duration, Duration) {
+        (self.first_token, now.since(self.sent))
+    }
+
     /// Whether its server has begun to run it, as far as its answer shows.
     pub(crate) fn has_started(&self, exchange: &Exchange) -> bool {
         // A run that goes on from a copy began at another server, and a stream's head may be sent while the request is
@@ -162,6 +169,7 @@
             staleness,
             uncached_tokens: choice.uncached_tokens,
             wait_ms: choice.wait_ms,
+            first_token: choice.first_token(),
             reply: None,
             run: None,
             is_from_copy: resume_from.is_some(),
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -297,6 +297,7 @@
             reach: Reach::Local,
             is_suspect: false,
             max_stale_weights: self.settings.max_stale_weights,
+            is_repeatable: exchange.is_repeatable(),
             excluded: &exchange.excluded,
         }
     }
--- a/crates/gateway/src/core/staleness.rs
+++ b/crates/gateway/src/core/staleness.rs
@@ -65,12 +65,21 @@
             .number("has_begun", exchange.delivery.has_begun)
             .number("is_repeatable", exchange.is_repeatable());
         self.stats.count_broken(REASON_STALE);
+        self.record_start_delay(index);
         if !self.retry_elsewhere(index, REASON_STALE) && !self.resume_later(index, REASON_STALE) {
             self.fail_exchange(index, 502, REASON_STALE);
         }
         true
     }
 
+    /// Learns from a prompt that begins now, or that still hasn't, how late prompts begin.
+    pub(crate) fn record_start_delay(&mut self, index: usize) {
+        let Some(exchange) = self.exchanges.get(index) else { return };
+        let Some(attempt) = exchange.attempt.as_ref().filter(|it| !it.is_from_copy) else { return };
+        let (expected, took) = attempt.start_times(self.now);
+        self.pool.start_delay_mut(&exchange.service).observe(expected, took);
+    }
+
     /// When the current attempt has to have begun, if it hasn't and its weights were replaced.
     fn begin_by(&self, exchange: &Exchange) -> Option<Time> {
         let attempt = exchange.attempt.as_ref().filter(|it| !it.has_started(exchange))?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod rate_limit;
 pub mod rollout;
 pub mod settings;
+pub mod start_delay;
 pub mod uplink;
 
 use std::{
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -67,9 +67,8 @@
 const STALE_WEIGHTS_AFTER: Duration = Duration::from_millis(1_300);
 /// Price of an answer from stale weights, ms: a fifth of its worth.
 const STALE_WEIGHTS_PRICE_MS: f64 = 60.0;
-/// How long before the limit on weights' staleness requests are no longer sent to stale ones. The
-/// limit counts from the store's acknowledgement, of which this instance learns later, to the start
-/// of the request, which follows the queue at the server.
+/// How long before the limit on weights' staleness requests that may run only once are no longer sent to stale ones:
+/// unlike others, they can't be sent elsewhere if they haven't begun by then.
 const STALE_WEIGHTS_MARGIN: Duration = Duration::from_millis(1_700);
 /// How long before that limit a request has to have begun. Within it the connection of one that hasn't is closed, and
 /// the server learns of that; it also covers how much later than the operator this instance learned of newer weights.
@@ -102,6 +101,8 @@
     pub store: Option<SocketAddr>,
     /// How long after newer weights were published requests may still start on older ones.
     pub max_stale_weights: Duration,
+    /// Whether the request may be sent to another server if it hasn't begun.
+    pub is_repeatable: bool,
     /// Servers that have declined or failed the request.
     pub excluded: &'a [pool::Id],
 }
@@ -214,7 +215,12 @@
             continue;
         }
         let weights = criteria.model.and_then(|it| server.version(it));
-        match staleness_price_ms(now, versions, weights, criteria.max_stale_weights) {
+        let margin = match criteria.is_repeatable {
+            true => STALE_START_LEAD,
+            false => STALE_WEIGHTS_MARGIN,
+        };
+        let usable_for = criteria.max_stale_weights.saturating_sub(margin);
+        match staleness_price_ms(now, versions, weights, usable_for) {
             Some(staleness_ms) => {
                 let begin_by = begin_by(versions, weights, criteria.max_stale_weights);
                 let scope = cache_scope_id(weights, criteria.cache_owner);
@@ -240,9 +246,11 @@
     // Servers at their rate limit can't run the request, but the parts they have cached can be
     // fetched.
     let available: Vec<_> = ready.iter().filter(|it| !it.server.limit.is_closed(now)).collect();
+    let start_delay = pool.start_delay(criteria.service);
     let evaluated = available.iter().filter_map(|it| {
         let choice = evaluate(now, criteria, &prompt, it, &sources, random);
-        let is_in_time = it.begin_by.is_none_or(|by| now + choice.first_token() <= by);
+        let begins_at = now + choice.first_token() + start_delay;
+        let is_in_time = it.begin_by.is_none_or(|by| begins_at <= by);
         is_in_time.then_some(choice)
     });
     let best = evaluated.min_by(|a, b| a.score.total_cmp(&b.score));
@@ -467,14 +475,13 @@
     LATE_PRICE_MS * ((fraction - LATE_FROM_FRACTION) / (1.0 - LATE_FROM_FRACTION)).clamp(0.0, 1.0)
 }
 
-/// Price of the weights' staleness, ms, or `None` when they are too stale.
+/// Price of the weights' staleness, ms, or `None` when they were replaced longer ago than `usable_for`.
 fn staleness_price_ms(
     now: Time,
     versions: Option<&Versions>,
     weights: Option<u64>,
-    max_stale: Duration,
+    usable_for: Duration,
 ) -> Option<f64> {
-    let usable_for = max_stale.saturating_sub(STALE_WEIGHTS_MARGIN);
     let currency = weights.and_then(|it| Some(versions?.currency(it)));
     match currency.unwrap_or(Currency::Newest) {
         Currency::Newest => Some(0.0),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -15,6 +15,7 @@
     adapter::{Incarnation, Load, ServerEntry},
     cost::Estimate,
     quarantine::IncarnationId,
+    start_delay::StartDelay,
 };
 
 pub use health::Health;
@@ -45,6 +46,8 @@
     versions: Map<Arc<str>, Versions>,
     /// Cost of prompts by service.
     costs: Map<Arc<str>, Estimate>,
+    /// How late prompts begin, by service.
+    start_delays: Map<Arc<str>, StartDelay>,
     /// The services of the configuration, once it is known.
     services: Option<Set<Arc<str>>>,
 }
@@ -136,6 +139,16 @@
         self.costs.entry(service.clone()).or_default()
     }
 
+    /// How much later than expected prompts of `service` may begin.
+    pub fn start_delay(&self, service: &str) -> Duration {
+        self.start_delays.get(service).copied().unwrap_or_default().get()
+    }
+
+    /// The same, for updates.
+    pub fn start_delay_mut(&mut self, service: &Arc<str>) -> &mut StartDelay {
+        self.start_delays.entry(service.clone()).or_default()
+    }
+
     /// The costs of prompts of all services.
     pub fn costs(&self) -> impl Iterator<Item = (&Arc<str>, &Estimate)> {
         self.costs.iter()
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -71,6 +71,7 @@
         capacity_tokens: 112_000.0,
         store: None,
         max_stale_weights: Duration::from_secs(8),
+        is_repeatable: true,
         excluded: &[],
     }
 }
