Don't count a server that has ended against a stream's attempts

What callers see: a stream of which they have a part is broken off when a second server crashes under it, though a third could finish it. The route's attempts counted the servers that had crashed before; only the last one was left out, and only while no other crash spoke against the request.

Cause: a count of runs, without the servers behind it. An exchange now keeps the servers at which it may have run, and a server whose process is known to have ended (it refuses connections, its next incarnation is known, or another server has its address) doesn't count, whichever attempt it had. Whether a request may have run at all is told as before. The bounds of the retry budget and of the quarantine stay.

--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -157,7 +157,7 @@
         self.adapter.write_request(&exchange.head, &options, &mut bytes);
         bytes.extend_from_slice(&exchange.body);
         server.inflight += 1;
-        exchange.runs += 1;
+        exchange.ran_at.push(choice.server);
         exchange.attempts_made += 1;
         exchange.attempt = Some(Attempt {
             server: choice.server,
@@ -279,7 +279,7 @@
     ) {
         let Some(attempt) = self.release_attempt(index, true) else { return };
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
-        exchange.runs -= 1;
+        exchange.ran_at.pop();
         exchange.excluded.push(attempt.server);
         let is_rerun_forbidden = exchange.is_rerun_forbidden();
         self.stats.servers.at(self.pool.get(attempt.server).address).count_not_run();
@@ -376,7 +376,7 @@
         if !exchange.is_repeatable() {
             return false;
         }
-        if exchange.route.max_attempts <= exchange.runs {
+        if !exchange.has_attempts_left(&self.pool) {
             self.log_no_attempt(index, reason);
             return false;
         }
@@ -434,7 +434,7 @@
             .text("request", exchange.id())
             .text("reason", reason)
             .number("has_begun", exchange.delivery.has_begun)
-            .number("runs", exchange.runs)
+            .number("runs", exchange.ran_at.len())
             .number("sends", exchange.attempts_made)
             .number("attempts", exchange.route.max_attempts);
     }
@@ -445,7 +445,7 @@
         let is_migratable = |it: &Exchange| {
             let at_server =
                 it.attempt.as_ref().is_some_and(|it| it.server == server && it.reply.is_some());
-            let may_rerun = it.is_repeatable() && it.runs < it.route.max_attempts;
+            let may_rerun = it.is_repeatable() && it.has_attempts_left(&self.pool);
             at_server && it.delivery.has_begun && may_rerun && self.is_worth_migrating(it)
         };
         let indices = self.exchanges.iter().filter(|it| is_migratable(it.1)).map(|it| it.0);
--- a/crates/gateway/src/core/ending.rs
+++ b/crates/gateway/src/core/ending.rs
@@ -20,7 +20,7 @@
             return;
         }
         // Callers take a refusal as a guarantee that the request didn't run, also if it is idempotent.
-        if 0 < exchange.runs {
+        if !exchange.ran_at.is_empty() {
             self.fail_exchange(index, 502, refusal.reason());
             return;
         }
@@ -45,7 +45,7 @@
             .text("request", exchange.id())
             .text("reason", reason)
             .number("status", status)
-            .number("runs", exchange.runs)
+            .number("runs", exchange.ran_at.len())
             .number("sends", exchange.attempts_made)
             .ms("after_ms", self.now.since(exchange.arrived));
         self.stats.count_failure(&exchange.route);
@@ -74,7 +74,7 @@
         self.log
             .line(self.now, "abandoned")
             .text("request", exchange.id())
-            .number("runs", exchange.runs)
+            .number("runs", exchange.ran_at.len())
             .ms("after_ms", self.now.since(exchange.arrived));
         self.stats.count_abandoned();
     }
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -19,7 +19,7 @@
     http::head::Request,
     net::Key,
     placement::{self, Criteria, Reach, Shortage},
-    pool,
+    pool::{self, Pool},
     quarantine::{Identity, Verdict},
 };
 
@@ -57,8 +57,8 @@
     pub(crate) arrived: Time,
     /// Time after which an answer is of no use, set by the caller or the route.
     pub(crate) deadline: Time,
-    /// Number of servers on which it may have run.
-    pub(crate) runs: u8,
+    /// The servers on which it may have run, in order.
+    pub(crate) ran_at: Vec<pool::Id>,
     /// Number of servers that it was sent to, whatever the result.
     pub(crate) attempts_made: u8,
     /// How often its stream was sent again after a server declined it.
@@ -112,7 +112,7 @@
             deadline: exchange.info.deadline,
             timeout: exchange.route.timeout,
             is_new_prompt: exchange.info.model.is_some()
-                && exchange.runs == 0
+                && exchange.ran_at.is_empty()
                 && !exchange.delivery.has_begun,
         }
     }
@@ -126,7 +126,14 @@
 
     /// Whether it may have run already and must not run again.
     pub(crate) fn is_rerun_forbidden(&self) -> bool {
-        0 < self.runs && !self.is_repeatable()
+        !self.ran_at.is_empty() && !self.is_repeatable()
+    }
+
+    /// Whether its route allows another attempt. A server that has ended runs nothing any more, so that attempts there
+    /// don't count.
+    pub(crate) fn has_attempts_left(&self, pool: &Pool) -> bool {
+        let counted = self.ran_at.iter().filter(|it| !pool.get(**it).has_ended).count();
+        counted < usize::from(self.route.max_attempts)
     }
 
     /// Its priority: the organisation's, else the route's.
@@ -204,7 +211,7 @@
             organisation,
             arrived,
             deadline,
-            runs: 0,
+            ran_at: Vec::new(),
             attempts_made: 0,
             resends: 0,
             excluded: Vec::new(),
@@ -356,7 +363,7 @@
             return;
         };
         let server = attempt.server;
-        let may_rerun = exchange.is_repeatable() && exchange.runs < exchange.route.max_attempts;
+        let may_rerun = exchange.is_repeatable() && exchange.has_attempts_left(&self.pool);
         let response_due = attempt.sent + exchange.response_timeout();
         if may_rerun && response_due <= now && !self.has_queue(server) {
             self.handle_broken_attempt(index, REASON_UNRESPONSIVE);
@@ -397,10 +404,10 @@
         let connection = exchange.attempt.as_ref().map(|it| it.connection);
         let was_never_sent = connection.is_none_or(|it| self.is_connecting(it));
         // An attempt whose connection was never established counts as a run until it is released.
-        let earlier_runs = exchange.runs - u8::from(connection.is_some());
+        let earlier_runs = exchange.ran_at.len() - usize::from(connection.is_some());
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
         if was_never_sent && earlier_runs == 0 {
-            exchange.runs = 0;
+            exchange.ran_at.clear();
             self.refuse_or_fail(index, Refusal::TimeOut);
         } else {
             self.record_cut_answer(index);
--- a/crates/gateway/src/core/quarantine.rs
+++ b/crates/gateway/src/core/quarantine.rs
@@ -99,6 +99,7 @@
     /// Handles a server that is known to have ended: counts this as a crash against the requests whose
     /// runs were lost there.
     pub(crate) fn handle_crash(&mut self, id: pool::Id) {
+        self.pool.get_mut(id).has_ended = true;
         if self.quarantine.is_empty() {
             return;
         }
--- a/crates/gateway/src/core/retry.rs
+++ b/crates/gateway/src/core/retry.rs
@@ -52,7 +52,7 @@
             return false;
         }
         let give_up_at = exchange.give_up_at();
-        let is_used_up = exchange.route.max_attempts <= exchange.runs;
+        let is_used_up = !exchange.has_attempts_left(&self.pool);
         if is_used_up && !self.may_have_ended(index, lost, reason) {
             return false;
         }
@@ -98,7 +98,6 @@
             let Some(retry) = &mut exchange.retry else { continue };
             if has_ended {
                 (retry.due, retry.unless_ended) = (self.now, None);
-                exchange.runs -= 1;
                 self.retry_if_due(index);
             } else {
                 let reason = retry.reason;
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -61,6 +61,8 @@
     pub models: Vec<(Arc<str>, u64)>,
     /// The store's revision of what is known of it.
     pub revision: u64,
+    /// Its process is known to have ended, so that it runs nothing any more.
+    pub(crate) has_ended: bool,
     /// Its entry is missing, and may come back.
     pub is_missing: bool,
     /// The weights that it is loading.
@@ -105,6 +107,7 @@
             presence: if is_draining { Presence::Draining } else { Presence::Ready },
             models,
             revision,
+            has_ended: false,
             is_missing: false,
             switch: None,
             health: Health::default(),
