Take only a server's end for its end, not the loss of its entry

What callers would have seen: nothing in a release.

Now a server has ended only if its address refuses connections or its next incarnation is known, and an entry under the same incarnation takes that back. The loss of an entry, or another server at its address, no longer counts.

--- a/crates/gateway/src/core/quarantine.rs
+++ b/crates/gateway/src/core/quarantine.rs
@@ -52,6 +52,7 @@
 
     /// Records the runs that were lost when a server restarted.
     pub(crate) fn record_restart(&mut self, id: pool::Id) {
+        self.pool.get_mut(id).has_ended = true;
         let incarnation = self.pool.get(id).incarnation_id();
         let lost: Vec<Identity> = self.exchanges_at(id).map(|it| *it.1.identity()).collect();
         for identity in lost {
@@ -82,6 +83,7 @@
         self.apply_report(id, outcome);
         match outcome {
             Outcome::Refused => {
+                self.pool.get_mut(id).has_ended = true;
                 self.handle_crash(id);
                 self.handle_unresponsive_server(id);
             }
@@ -99,7 +101,6 @@
     /// Handles a server that is known to have ended: counts this as a crash against the requests whose
     /// runs were lost there.
     pub(crate) fn handle_crash(&mut self, id: pool::Id) {
-        self.pool.get_mut(id).has_ended = true;
         if self.quarantine.is_empty() {
             return;
         }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -210,6 +210,8 @@
         }
         server.revision = revision;
         server.is_missing = false;
+        // It may run under its name again, without a new incarnation where servers report none.
+        server.has_ended = false;
         let previous = server.presence;
         let has_loaded = server.apply_entry(now, entry);
         match (previous, server.presence) {
