--- a/crates/gateway/src/start_delay.rs
+++ b/crates/gateway/src/start_delay.rs
@@ -8,7 +8,7 @@
 const QUANTILE: f64 = 0.99;
 /// How far one start moves the delay: late ones up by nearly this, others down by the rest.
 const STEP_MS: f64 = 400.0;
-/// The longest delay that is learned: the time after which a request without a response counts as lost elsewhere.
+/// The longest delay that is learned. A longer one comes from a server that hangs, and says nothing about queues.
 const MAX_MS: f64 = 5_000.0;
 
 /// The delay within which nearly all prompts of a service begin, beyond the expected time.
