Log and count answers whose body ends with their connection

What callers saw: streams that a crash had cut off arrived as complete. The logs said nothing of how the server's answer was framed and where it ended, so that an end inside an event couldn't be told from one at an event's boundary, or from a fault of our own framing.

Change: 'unframed_end' with the kind of end, the position in the body, its bytes and the last event; the same as a counter; 'framing' in 'answered'. No decision changes.

--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -232,6 +232,8 @@
     /// Ends an exchange whose answer is complete.
     pub(crate) fn finish_exchange(&mut self, index: usize) {
         let is_exonerated = self.exchanges.get(index).is_some_and(is_exonerating);
+        let framing = self.exchanges.get(index).and_then(Exchange::reply);
+        let framing = framing.map_or("", |it| it.head.framing.name());
         let attempt = self.release_attempt(index, false);
         let Some(exchange) = self.exchanges.try_remove(index) else { return };
         if exchange.delivery.has_begun {
@@ -251,6 +253,7 @@
             .line(now, "answered")
             .text("request", exchange.id())
             .text("route", &exchange.route.name)
+            .text("framing", framing)
             .number("tries", exchange.attempts_made)
             .ms("first_ms", first)
             .ms("after_ms", now.since(exchange.arrived));
@@ -292,3 +295,16 @@
 fn is_stream(exchange: &Exchange) -> bool {
     exchange.route.is_stream && exchange.reply().is_some_and(Reply::is_success)
 }
+
+impl Exchange {
+    /// Where the received part of the current answer's body ends, for logs and metrics.
+    pub(crate) fn body_position(&self) -> &'static str {
+        let has_events = self.attempt.as_ref().is_some_and(|it| it.run.is_some());
+        match is_stream(self) {
+            false => "body",
+            true if events::is_inside_event(&self.delivery.pending) => "inside-event",
+            true if has_events => "after-event",
+            true => "no-event",
+        }
+    }
+}
--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -39,6 +39,8 @@
     /// Whether the connection can't be reused after it.
     closes: bool,
     framing: Framing,
+    /// Number of body bytes that were received.
+    body_bytes: u64,
     /// Whether it answers another request and is skipped.
     is_foreign: bool,
 }
@@ -129,6 +131,7 @@
             };
             let mut body = Vec::new();
             let done = reading.framing.decode(&mut socket.input, &mut body);
+            reading.body_bytes += body.len() as u64;
             let is_foreign = reading.is_foreign;
             let done = match done {
                 Ok(done) => done,
@@ -185,8 +188,12 @@
                 .text("server", name)
                 .text("answers", answer.id.as_deref().unwrap_or_default());
         }
-        backend.reading =
-            Some(Reading { closes: head.closes_connection, framing: head.framing, is_foreign });
+        backend.reading = Some(Reading {
+            closes: head.closes_connection,
+            framing: head.framing,
+            body_bytes: 0,
+            is_foreign,
+        });
         if !is_foreign {
             self.receive_head(index, Reply { head, answer });
         }
@@ -215,11 +222,15 @@
             self.close_backend(key);
             return;
         };
-        let until_close = backend
+        let unframed = backend
             .reading
             .as_ref()
-            .is_some_and(|it| it.framing == Framing::UntilClose && !it.is_foreign);
-        if until_close && kind.is_none() {
+            .filter(|it| it.framing == Framing::UntilClose && !it.is_foreign);
+        let body_bytes = unframed.map(|it| it.body_bytes);
+        if let Some(body_bytes) = body_bytes {
+            self.record_unframed_end(index, body_bytes, kind);
+        }
+        if body_bytes.is_some() && kind.is_none() {
             if self.receive_body(index, &[], true) {
                 self.end_response(key, index);
             }
@@ -234,6 +245,27 @@
         }
     }
 
+    /// Logs and counts the end of an answer that has neither a length nor chunks.
+    fn record_unframed_end(&mut self, index: usize, body_bytes: u64, kind: Option<ErrorKind>) {
+        let Some(exchange) = self.exchanges.get(index) else { return };
+        let Some(attempt) = &exchange.attempt else { return };
+        let position = exchange.body_position();
+        let end = match kind {
+            None => "closed",
+            Some(ErrorKind::ConnectionReset) => "reset",
+            Some(_) => "lost",
+        };
+        self.log
+            .line(self.now, "unframed_end")
+            .text("request", exchange.id())
+            .text("server", &self.pool.get(attempt.server).name)
+            .text("end", end)
+            .text("position", position)
+            .number("bytes", body_bytes)
+            .number("last_event", exchange.delivery.last_event.unwrap_or(0));
+        self.stats.count_unframed_end(end, position);
+    }
+
     /// Closes a connection to a server and updates the server's count.
     pub(crate) fn close_backend(&mut self, key: Key) {
         if let Some(Role::Backend(it)) = self.roles.get(&key) {
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -167,6 +167,13 @@
         metrics::counter!("shallotlead_attempts_broken_total", "reason" => reason).increment(1);
     }
 
+    /// Counts the end of an answer that has neither a length nor chunks: how its connection ended, and where in
+    /// the body.
+    pub(crate) fn count_unframed_end(&mut self, end: &'static str, position: &'static str) {
+        metrics::counter!("shallotlead_unframed_ends_total", "end" => end, "position" => position)
+            .increment(1);
+    }
+
     /// Records the error of the predicted time to the first token, which arrived after `took`.
     pub(crate) fn record_prediction(&self, expected_ms: f64, took: Duration) {
         self.first_token_error.record((expected_ms / 1e3 - took.as_secs_f64()).abs());
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -47,6 +47,16 @@
     Ok(chunk)
 }
 
+/// Whether `pending`, the bytes after a stream's last complete event, are a part of a further one. Blank lines and
+/// whole lines of comment are none.
+pub fn is_inside_event(pending: &[u8]) -> bool {
+    let is_event = |line: &[u8]| match line.strip_suffix(b"\n") {
+        Some(line) => !line.is_empty() && line != b"\r" && !line.starts_with(b":"),
+        None => true,
+    };
+    pending.split_inclusive(|it| *it == b'\n').any(is_event)
+}
+
 /// Length of the first event including the blank line that ends it, if it is complete.
 fn event_length(bytes: &[u8]) -> Option<usize> {
     let mut at = 0;
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -34,6 +34,16 @@
 }
 
 impl Framing {
+    /// Its name in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Empty => "empty",
+            Self::Length(_) => "length",
+            Self::Chunked(_) => "chunks",
+            Self::UntilClose => "none",
+        }
+    }
+
     /// The start of a chunked body.
     pub const fn chunked() -> Self {
         Self::Chunked(Chunk::Size)
