Take an answer that ends with its connection for complete only if its server lives on

Cause: a body with neither a length nor chunks counted as complete when its connection was closed without an error. A crash closes connections in the same way. The rest of an event was passed on as it was, and the last chunk, or a length of the instance's own for an answer that is no stream, vouched for what nobody had vouched for. Class: an end that is taken for success.

Change: a stream that ends inside an event was broken off, whatever its framing; it goes on elsewhere or its caller's connection is closed. At an event's boundary, and for an answer that is no stream, nothing in the bytes shows whether it was whole: its server is asked for its report after the end, and only if the same incarnation answers, the answer is complete. Where that stays unknown, the answer counts as broken. Checks of one server are shared by the answers that wait for it. A framed body that declares another content type than a stream of events is passed on as before.

Evidence: the five tests of tests/unframed.rs failed before and pass now; whole answers are still complete and run once.

Why it works: the check begins after the end was seen, so that a crash that caused the end comes before it; a process that has crashed refuses connections, and one that was started again reports another incarnation.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -22,6 +22,7 @@
 mod state;
 mod stats;
 mod storage;
+mod unframed;
 mod weights;
 
 use std::{
@@ -99,6 +100,8 @@
     Control(usize, u64),
     /// A liveness check of a server that lost its runs.
     Liveness(pool::Id),
+    /// A check of a server for answers that ended with their connections.
+    UnframedEnd(pool::Id),
     /// A report to the other instances of the requests that ran at a server when it crashed.
     CrashReport(pool::Id),
 }
@@ -360,6 +363,7 @@
                 Timer::Exchange(index, serial) => self.handle_exchange_timer(index, serial),
                 Timer::Control(index, serial) => self.handle_control_timer(index, serial),
                 Timer::Liveness(id) => self.check_liveness(id),
+                Timer::UnframedEnd(id) => self.check_unframed_ends(id),
                 Timer::CrashReport(id) => self.broadcast_crash(id),
             }
         }
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -54,7 +54,7 @@
         let Some(exchange) = self.exchanges.get_mut(index) else { return false };
         let Some(attempt) = &exchange.attempt else { return false };
         if is_stream(exchange) {
-            return self.relay(index, body, done);
+            return self.relay(index, body) && (!done || self.finish_stream(index));
         }
         exchange.delivery.pending.extend_from_slice(body);
         // Tests `is_passed_through` and not whether the caller already has a head: a stream that continues
@@ -127,12 +127,12 @@
     }
 
     /// Forwards the complete events of a stream. Returns whether the attempt continues.
-    fn relay(&mut self, index: usize, body: &[u8], done: bool) -> bool {
+    fn relay(&mut self, index: usize, body: &[u8]) -> bool {
         let Some(exchange) = self.exchanges.get_mut(index) else { return false };
         let Some(attempt) = &mut exchange.attempt else { return false };
         let delivery = &mut exchange.delivery;
         delivery.pending.extend_from_slice(body);
-        let chunk = events::take_complete(&mut delivery.pending, delivery.last_event, done);
+        let chunk = events::take_complete(&mut delivery.pending, delivery.last_event);
         let Chunk { bytes, last_event, weights } = match chunk {
             Ok(it) => it,
             Err(events::OutOfOrder) => {
@@ -156,7 +156,7 @@
             self.pool.get_mut(server).set_version(self.now, model, version);
         }
         if !exchange.delivery.has_begun {
-            if bytes.is_empty() && !done {
+            if bytes.is_empty() {
                 return true;
             }
             let is_unsigned = attempt.reply.as_ref().is_none_or(Reply::is_unsigned);
@@ -183,6 +183,33 @@
         true
     }
 
+    /// Forwards what follows the last event of a stream that has ended. Returns whether the exchange is to be
+    /// finished with this answer.
+    fn finish_stream(&mut self, index: usize) -> bool {
+        let Some(exchange) = self.exchanges.get_mut(index) else { return false };
+        if exchange.reply().is_none_or(Reply::is_unsigned) {
+            self.handle_broken_attempt(index, "unsigned");
+            return false;
+        }
+        let has_other_body = exchange.reply().is_some_and(Reply::has_framed_other_body);
+        let rest = match events::take_rest(&mut exchange.delivery.pending) {
+            Ok(rest) => rest,
+            Err(events::BrokenOff) if has_other_body => {
+                std::mem::take(&mut exchange.delivery.pending)
+            }
+            Err(events::BrokenOff) => {
+                self.handle_broken_attempt(index, "inside-event");
+                return false;
+            }
+        };
+        let caller = exchange.caller;
+        self.begin_stream(index);
+        let mut out = Vec::new();
+        write::chunk(&mut out, &rest);
+        self.net.send(caller, &out);
+        true
+    }
+
     /// Updates the cost estimate of the service's prompts and the server's measured wait when a first token
     /// arrives.
     fn record_first_token(&mut self, server: pool::Id, service: &Arc<str>, sample: &Sample) {
@@ -302,9 +329,14 @@
         let has_events = self.attempt.as_ref().is_some_and(|it| it.run.is_some());
         match is_stream(self) {
             false => "body",
-            true if events::is_inside_event(&self.delivery.pending) => "inside-event",
+            true if self.is_cut_inside_event() => "inside-event",
             true if has_events => "after-event",
             true => "no-event",
         }
     }
+
+    /// Whether the received part of the current answer ends inside an event of a stream.
+    pub(crate) fn is_cut_inside_event(&self) -> bool {
+        is_stream(self) && events::is_inside_event(&self.delivery.pending)
+    }
 }
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -8,7 +8,7 @@
     adapter::{ForwardOptions, ResponseInfo},
     budget::Purpose,
     copies,
-    core::{Core, Timer, copy, exchange::Exchange, refusal::Refusal},
+    core::{Core, Timer, copy, exchange::Exchange, refusal::Refusal, unframed},
     cost::Sample,
     http::{body::Framing, head::Response},
     net::Key,
@@ -31,6 +31,8 @@
 const MAX_RESENDS: u8 = 6;
 /// Pause before a declined stream is sent again.
 const RESEND_PAUSE: Duration = Duration::from_millis(80);
+/// Content type of streams of events.
+const EVENT_STREAM: &str = "text/event-stream";
 /// Why a stream is migrated from a working server; it may also stay there.
 const REASON_LOADING: &str = "loading";
 /// Why an attempt ends whose server doesn't respond.
@@ -50,6 +52,13 @@
         (200..300).contains(&self.head.status)
     }
 
+    /// Whether its framing shows the end of a body that it declares to be no stream of events.
+    pub(crate) fn has_framed_other_body(&self) -> bool {
+        let content_type = self.head.fields.get("content-type");
+        let is_other = content_type.is_some_and(|it| !it.trim().starts_with(EVENT_STREAM));
+        is_other && self.head.framing != Framing::UntilClose
+    }
+
     /// Whether it claims success without the server's signature, so that it can't come from the server.
     pub(crate) fn is_unsigned(&self) -> bool {
         self.is_success() && !self.answer.is_signed
@@ -81,6 +90,8 @@
     pub(crate) is_from_copy: bool,
     /// Whether the answer is too long to be buffered and is forwarded as it arrives.
     pub(crate) is_passed_through: bool,
+    /// Set once its connection has ended with an answer that has neither a length nor chunks.
+    pub(crate) end: Option<unframed::End>,
 }
 
 impl Attempt {
@@ -174,6 +185,7 @@
             run: None,
             is_from_copy: resume_from.is_some(),
             is_passed_through: false,
+            end: None,
         });
         let server = self.pool.get(choice.server);
         let load_age = server.load.map_or(Duration::ZERO, |it| now.since(it.1));
--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -231,9 +231,8 @@
             self.record_unframed_end(index, body_bytes, kind);
         }
         if body_bytes.is_some() && kind.is_none() {
-            if self.receive_body(index, &[], true) {
-                self.end_response(key, index);
-            }
+            self.close_backend(key);
+            self.handle_unframed_end(index);
             return;
         }
         let is_connecting = self.is_connecting(key);
@@ -245,27 +244,6 @@
         }
     }
 
-    /// Logs and counts the end of an answer that has neither a length nor chunks.
-    fn record_unframed_end(&mut self, index: usize, body_bytes: u64, kind: Option<ErrorKind>) {
-        let Some(exchange) = self.exchanges.get(index) else { return };
-        let Some(attempt) = &exchange.attempt else { return };
-        let position = exchange.body_position();
-        let end = match kind {
-            None => "closed",
-            Some(ErrorKind::ConnectionReset) => "reset",
-            Some(_) => "lost",
-        };
-        self.log
-            .line(self.now, "unframed_end")
-            .text("request", exchange.id())
-            .text("server", &self.pool.get(attempt.server).name)
-            .text("end", end)
-            .text("position", position)
-            .number("bytes", body_bytes)
-            .number("last_event", exchange.delivery.last_event.unwrap_or(0));
-        self.stats.count_unframed_end(end, position);
-    }
-
     /// Closes a connection to a server and updates the server's count.
     pub(crate) fn close_backend(&mut self, key: Key) {
         if let Some(Role::Backend(it)) = self.roles.get(&key) {
--- a/crates/gateway/src/core/control.rs
+++ b/crates/gateway/src/core/control.rs
@@ -34,6 +34,8 @@
     Probe(pool::Id),
     /// Checks whether a backend server that lost its runs is still alive.
     Liveness(pool::Id),
+    /// Checks whether a backend server has lived on after the end of an answer, and when that was sent.
+    UnframedEnd(pool::Id, Time),
     /// Checks whether the store of cached prompts at this address is alive.
     CacheStore(SocketAddr),
     /// Orders a backend server to load weights.
@@ -59,6 +61,7 @@
             Self::Report(_) => "report",
             Self::Probe(_) => "probe",
             Self::Liveness(_) => "liveness",
+            Self::UnframedEnd(..) => "unframed-end",
             Self::CacheStore(_) => "cache-store",
             Self::Order(_) => "order",
             Self::State(_) => "state",
@@ -294,6 +297,7 @@
             Purpose::Report(id) => self.handle_report(id, &outcome),
             Purpose::Probe(id) => self.handle_probe_reply(id, &outcome),
             Purpose::Liveness(id) => self.handle_liveness_reply(id, &outcome),
+            Purpose::UnframedEnd(id, sent) => self.handle_unframed_check(id, sent, &outcome),
             Purpose::CacheStore(address) => self.handle_cache_store_reply(address, &outcome),
             Purpose::Order(id) => self.handle_order_reply(id, &outcome),
             Purpose::State(query) => self.handle_state_reply(&query, &outcome),
--- a/crates/gateway/src/core/probe.rs
+++ b/crates/gateway/src/core/probe.rs
@@ -96,7 +96,7 @@
         }
     }
 
-    fn is_engine(&self, id: pool::Id) -> bool {
+    pub(super) fn is_engine(&self, id: pool::Id) -> bool {
         self.service(&self.pool.get(id).service).is_some_and(|it| it.engine.is_some())
     }
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -15,13 +15,12 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct OutOfOrder;
 
+/// The stream has ended inside an event, so that it was broken off.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BrokenOff;
+
 /// Takes the complete events from the front of `pending`. Events up to `last` are dropped, as the caller has them.
-/// `has_ended`: the stream has ended, so the remaining bytes are taken too.
-pub fn take_complete(
-    pending: &mut Vec<u8>,
-    last: Option<u64>,
-    has_ended: bool,
-) -> Result<Chunk, OutOfOrder> {
+pub fn take_complete(pending: &mut Vec<u8>, last: Option<u64>) -> Result<Chunk, OutOfOrder> {
     let mut chunk = Chunk { last_event: last, ..Chunk::default() };
     let mut at = 0;
     while let Some(len) = event_length(&pending[at..]) {
@@ -41,12 +40,17 @@
         chunk.bytes.extend_from_slice(event);
     }
     pending.drain(..at);
-    if has_ended {
-        chunk.bytes.append(pending);
-    }
     Ok(chunk)
 }
 
+/// Takes what remains after the last event of a stream that has ended.
+pub fn take_rest(pending: &mut Vec<u8>) -> Result<Vec<u8>, BrokenOff> {
+    match is_inside_event(pending) {
+        true => Err(BrokenOff),
+        false => Ok(std::mem::take(pending)),
+    }
+}
+
 /// Whether `pending`, the bytes after a stream's last complete event, are a part of a further one. Blank lines and
 /// whole lines of comment are none.
 pub fn is_inside_event(pending: &[u8]) -> bool {
