Parse what is buffered of an answer before its connection's end is handled

What callers saw: a slow reader of a long answer gets it framed as complete with its last part missing; with a length in the server's answer, it is broken off although all of it has arrived.

Cause: while a caller reads slowly, the parsing of its answer pauses, and up to 256 KB wait in the connection's input buffer. The end of the connection was handled at once and dropped them. Class: an end that is taken for success, before what precedes it is read.

Change: a proper close parses the rest of the buffer first. The output grows by at most the input buffer's bound.

Evidence: slow_caller_gets_the_whole_of_an_answer_whose_server_has_closed failed before (4,176,808 of 4,200,000 bytes, framed as complete) and passes now, with and without a length.

--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -45,6 +45,15 @@
     is_foreign: bool,
 }
 
+/// What the parsing of a response waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Pacing {
+    /// Nothing. The input buffer bounds what is parsed.
+    None,
+    /// Its caller, while that reads slowly.
+    ByCaller,
+}
+
 impl Core {
     /// Returns an idle or a new connection to `server`, or `None` if this instance's share of the server's
     /// connections is in use or no new one could be opened.
@@ -99,6 +108,11 @@
     }
 
     pub(crate) fn read_backend(&mut self, key: Key) {
+        self.read_response(key, Pacing::ByCaller);
+    }
+
+    /// Parses what was received on the connection.
+    fn read_response(&mut self, key: Key, pacing: Pacing) {
         loop {
             let Some(Role::Backend(backend)) = self.roles.get_mut(&key) else { return };
             let Some(index) = backend.exchange else {
@@ -106,7 +120,8 @@
                 self.close_backend(key);
                 return;
             };
-            if backend.reading.is_some() && self.is_backpressured(index) {
+            let is_paced = pacing == Pacing::ByCaller;
+            if is_paced && backend.reading.is_some() && self.is_backpressured(index) {
                 // Reading resumes once the caller has taken what it was sent.
                 return;
             }
@@ -217,6 +232,10 @@
     /// Handles a connection to a server that ended. `kind` is the error, or `None` if the server closed it
     /// properly.
     pub(crate) fn handle_backend_end(&mut self, key: Key, kind: Option<ErrorKind>) {
+        if kind.is_none() {
+            // What a slow caller has kept from being parsed still belongs to the answer.
+            self.read_response(key, Pacing::None);
+        }
         let Some(Role::Backend(backend)) = self.roles.get(&key) else { return };
         let Some(index) = backend.exchange else {
             self.close_backend(key);
