Reset the connection of an HTTP/1.0 caller whose stream broke off

Found while looking for other ends that are taken for success. What callers saw: HTTP/1.0 callers got answers of unknown length with chunk framing, which their protocol lacks; a broken stream ended with a proper close, as a complete one does.

Change: such answers are sent as they are and end with the connection; a broken one ends with a reset.

--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -121,7 +121,7 @@
         let body = std::mem::take(&mut exchange.delivery.pending);
         let caller = exchange.caller;
         let mut bytes = Vec::with_capacity(body.len() + 16);
-        write::chunk(&mut bytes, &body);
+        exchange.write_piece(&mut bytes, &body);
         self.net.send(caller, &bytes);
         true
     }
@@ -178,7 +178,7 @@
         delivery.last_sent = now;
         let caller = exchange.caller;
         let mut out = Vec::with_capacity(bytes.len() + 24);
-        write::chunk(&mut out, &bytes);
+        exchange.write_piece(&mut out, &bytes);
         self.net.send(caller, &out);
         true
     }
@@ -203,9 +203,9 @@
             }
         };
         let caller = exchange.caller;
-        self.begin_stream(index);
         let mut out = Vec::new();
-        write::chunk(&mut out, &rest);
+        exchange.write_piece(&mut out, &rest);
+        self.begin_stream(index);
         self.net.send(caller, &out);
         true
     }
@@ -235,14 +235,18 @@
         }
     }
 
-    /// The head of the answer to the caller. `len`: the body's length; without it, the body is sent chunked.
+    /// The head of the answer to the caller. `len`: the body's length; without it, the body is sent in chunks, or ends with the
+    /// connection.
     fn answer_head(&self, exchange: &Exchange, head: &Response, len: Option<usize>) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(512 + len.unwrap_or(0));
         write::status_line(&mut bytes, head.status);
         self.adapter.write_response_fields(&head.fields, &mut bytes);
         match len {
             Some(len) => write::number_field(&mut bytes, "Content-Length", len as u64),
-            None => write::field(&mut bytes, "Transfer-Encoding", b"chunked"),
+            None if exchange.is_chunked() => {
+                write::field(&mut bytes, "Transfer-Encoding", b"chunked");
+            }
+            None => {}
         }
         if !self.keeps_connection(exchange) {
             write::field(&mut bytes, "Connection", b"close");
@@ -263,7 +267,7 @@
         let framing = framing.map_or("", |it| it.head.framing.name());
         let attempt = self.release_attempt(index, false);
         let Some(exchange) = self.exchanges.try_remove(index) else { return };
-        if exchange.delivery.has_begun {
+        if exchange.delivery.has_begun && exchange.is_chunked() {
             self.net.send(exchange.caller, write::LAST_CHUNK);
         }
         let now = self.now;
--- a/crates/gateway/src/core/ending.rs
+++ b/crates/gateway/src/core/ending.rs
@@ -53,7 +53,7 @@
         self.answer_caller(exchange.caller, status, &body, &extra, keeps_alive);
     }
 
-    /// Closes the caller's connection in the middle of an answer, so that the answer doesn't look complete.
+    /// Ends the caller's connection in the middle of an answer, so that the answer doesn't look complete.
     pub(crate) fn abort_stream(&mut self, index: usize, reason: &'static str) {
         self.release_attempt(index, true);
         let exchange = self.exchanges.remove(index);
@@ -64,6 +64,10 @@
             .number("last_event", exchange.delivery.last_event.unwrap_or(0))
             .ms("after_ms", self.now.since(exchange.arrived));
         self.stats.count_failure(&exchange.route);
+        if !exchange.is_chunked() {
+            // Only a reset tells the caller that more was to come.
+            self.net.reset(exchange.caller);
+        }
         self.close_connection(exchange.caller);
     }
 
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -16,7 +16,7 @@
         refusal::Refusal,
         retry::Retry,
     },
-    http::head::Request,
+    http::{head::Request, write},
     net::Key,
     placement::{self, Criteria, Reach, Shortage},
     pool::{self, Pool},
@@ -124,6 +124,19 @@
         self.route.execution == Execution::Idempotent
     }
 
+    /// Whether an answer of unknown length is sent to its caller in chunks. Otherwise it ends with the connection.
+    pub(crate) fn is_chunked(&self) -> bool {
+        self.head.is_http11
+    }
+
+    /// Appends a piece of an answer of unknown length.
+    pub(crate) fn write_piece(&self, out: &mut Vec<u8>, piece: &[u8]) {
+        match self.is_chunked() {
+            true => write::chunk(out, piece),
+            false => out.extend_from_slice(piece),
+        }
+    }
+
     /// Whether it may have run already and must not run again.
     pub(crate) fn is_rerun_forbidden(&self) -> bool {
         !self.ran_at.is_empty() && !self.is_repeatable()
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -194,6 +194,17 @@
         }
     }
 
+    /// Closes the socket so that its peer gets a reset.
+    pub(crate) fn reset(&mut self, key: Key) {
+        if let Some(socket) = self.get_mut(key) {
+            let raw = SockRef::from(&*socket.stream());
+            if let Err(err) = raw.set_linger(Some(Duration::ZERO)) {
+                log::warn!("failed to prepare a reset: {err}");
+            }
+        }
+        self.close(key);
+    }
+
     /// Waits up to `timeout` for events and appends them to `events`.
     pub(crate) fn poll(&mut self, timeout: Duration, events: &mut Vec<Event>) -> io::Result<()> {
         let timeout = if self.unfinished_reads.is_empty() { timeout } else { Duration::ZERO };
