Log and count when an instance loses all paths to a service's servers

What callers saw: refusals at instances that had lost their links to the servers. Each server that was left out had a line, but nothing said that none was reached any more, since when, and when that ended.

Change: the reach of each service's servers, judged by what becomes of requests and probes: 'reach_lost' after failures of three servers in a row without an answer between them (or of all, if there are fewer), 'reach_regained' after answers of as many; a gauge and a counter. No decision uses it yet.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -15,6 +15,7 @@
 mod probe;
 mod quarantine;
 mod rate_limit;
+mod reach;
 mod refusal;
 mod retry;
 mod rollout;
@@ -55,6 +56,7 @@
     placement::PrefixIndex,
     pool::{self, Pool},
     quarantine::Quarantine,
+    reach::Reach,
     rollout::Rollout,
     settings::Settings,
     uplink::Uplink,
@@ -151,6 +153,8 @@
     prefixes: PrefixIndex,
     cache_stores: cache::Stores,
     quarantine: Quarantine,
+    /// Reach of the servers, by service.
+    reach: Map<Arc<str>, Reach>,
     budget: Budget,
     storage: storage::Storage,
     members: Members,
@@ -271,6 +275,7 @@
             prefixes: PrefixIndex::default(),
             cache_stores: cache::Stores::default(),
             quarantine: Quarantine::new(settings.quarantine),
+            reach: Map::default(),
             rollout: Rollout::default(),
             signals,
             shutdown_since: None,
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -297,6 +297,8 @@
         self.stats.servers.at(self.pool.get(attempt.server).address).count_not_run();
         if is_failure {
             exchange.attempts_made -= 1;
+            self.record_unreached(attempt.server);
+            let Some(exchange) = self.exchanges.get(index) else { return };
             self.log
                 .line(self.now, "not_sent")
                 .text("request", exchange.id())
@@ -501,6 +503,7 @@
             return;
         }
         self.log_ejected(server, "silent");
+        self.record_unreached(server);
         self.close_idle(server);
         self.broadcast_unresponsive(server);
         let indices = self.exchanges_at(server).filter(|it| it.1.is_repeatable());
--- a/crates/gateway/src/core/probe.rs
+++ b/crates/gateway/src/core/probe.rs
@@ -81,6 +81,11 @@
             Outcome::Lost => !self.is_engine(id),
         };
         self.apply_report(id, outcome);
+        match outcome {
+            Outcome::Answered { .. } => self.record_reached(id),
+            _ if !is_responsive => self.record_unreached(id),
+            _ => {}
+        }
         let server = self.pool.get_mut(id);
         if server.health.is_in_rotation() {
             if !is_responsive {
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -49,6 +49,7 @@
     store_answer_age: Gauge,
     configuration_age: Gauge,
     ejected: Gauge,
+    out_of_reach: Gauge,
     servers_limited: Gauge,
     servers_current: Gauge,
     is_watching: Gauge,
@@ -125,6 +126,7 @@
             store_answer_age: metrics::gauge!("shallotlead_store_answer_age_seconds"),
             configuration_age: metrics::gauge!("shallotlead_configuration_confirmed_age_seconds"),
             ejected: metrics::gauge!("shallotlead_servers_left_out"),
+            out_of_reach: metrics::gauge!("shallotlead_services_out_of_reach"),
             servers_limited: metrics::gauge!("shallotlead_servers_limited"),
             servers_current: metrics::gauge!("shallotlead_servers_current"),
             is_watching: metrics::gauge!("shallotlead_watching"),
@@ -167,6 +169,11 @@
         metrics::counter!("shallotlead_attempts_broken_total", "reason" => reason).increment(1);
     }
 
+    /// Counts a change of a service's reach.
+    pub(crate) fn count_reach_change(&mut self, change: &'static str) {
+        metrics::counter!("shallotlead_reach_changes_total", "change" => change).increment(1);
+    }
+
     /// Counts the end of an answer that has neither a length nor chunks: how its connection ended, and where in
     /// the body.
     pub(crate) fn count_unframed_end(&mut self, end: &'static str, position: &'static str) {
@@ -307,7 +314,9 @@
         }
         self.refresh_budget();
         let open_requests = self.pool.listed().map(|it| (it.1.address, it.1.inflight));
+        let out_of_reach = self.services_out_of_reach();
         let stats = &mut self.stats;
+        stats.out_of_reach.set(out_of_reach as f64);
         stats.servers.set_open(open_requests);
         stats.is_watching.set(f64::from(u8::from(self.members.me().is_watching)));
         stats.ejected.set(ejected as f64);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod publication;
 pub mod quarantine;
 pub mod rate_limit;
+pub mod reach;
 pub mod rollout;
 pub mod settings;
 pub mod start_delay;
--- /dev/null
+++ b/crates/gateway/tests/reach.rs
@@ -0,0 +1,68 @@
+//! Reach of a service's servers: lost after several failures without an answer, regained after several answers.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use shallotlead_base::time::Time;
+use shallotlead_gateway::reach::{Change, Reach};
+
+fn at(ms: u64) -> Time {
+    Time::ZERO + Duration::from_millis(ms)
+}
+
+#[test]
+fn reach_is_lost_only_after_failures_of_several_servers_in_a_row() {
+    let mut reach = Reach::default();
+    assert_eq!(reach.record_failure(at(1), 1, 20), None);
+    assert_eq!(reach.record_failure(at(2), 1, 20), None);
+    assert_eq!(reach.record_failure(at(3), 2, 20), None);
+    assert_eq!(reach.record_answer(at(4), 3, 20), None);
+    assert_eq!(reach.record_failure(at(5), 4, 20), None);
+    assert_eq!(reach.record_failure(at(6), 5, 20), None);
+    assert_eq!(reach.record_failure(at(7), 6, 20), Some(Change::Lost));
+    assert_eq!(reach.lost_since(), Some(at(7)));
+}
+
+// An answer that was under way when the paths were lost must not count as their return.
+#[test]
+fn reach_is_regained_only_after_answers_of_several_servers() {
+    let mut reach = Reach::default();
+    for server in 0..3 {
+        reach.record_failure(at(1), server, 20);
+    }
+    assert_eq!(reach.record_answer(at(2), 4, 20), None);
+    assert_eq!(reach.record_answer(at(3), 4, 20), None);
+    assert_eq!(reach.record_answer(at(4), 5, 20), None);
+    assert_eq!(reach.record_failure(at(5), 5, 20), None);
+    assert_eq!(reach.record_answer(at(6), 6, 20), None);
+    assert_eq!(reach.record_answer(at(7), 7, 20), Some(Change::Regained));
+    assert_eq!(reach.lost_since(), None);
+}
+
+#[test]
+fn small_services_need_less_evidence() {
+    let mut reach = Reach::default();
+    assert_eq!(reach.record_failure(at(1), 1, 1), Some(Change::Lost));
+    assert_eq!(reach.record_answer(at(2), 1, 1), Some(Change::Regained));
+}
+
+proptest! {
+    #[test]
+    fn reach_changes_alternate(events in proptest::collection::vec((any::<bool>(), 0usize..6), 0..200)) {
+        let mut reach = Reach::default();
+        let mut was_lost = false;
+        for (number, (is_answer, server)) in events.into_iter().enumerate() {
+            let now = at(number as u64);
+            let change = match is_answer {
+                true => reach.record_answer(now, server, 6),
+                false => reach.record_failure(now, server, 6),
+            };
+            match change {
+                Some(Change::Lost) => prop_assert!(!std::mem::replace(&mut was_lost, true)),
+                Some(Change::Regained) => prop_assert!(std::mem::replace(&mut was_lost, false)),
+                None => {}
+            }
+            prop_assert_eq!(reach.lost_since().is_some(), was_lost);
+        }
+    }
+}
