Hand requests over to another instance while none of a service's servers is reached

Cause: a request had one way, from the instance that its caller chose to a server. An instance that knew that it reached none could only refuse, although the other instances reached the servers and it reached them. Class: an instance that answers by what it sees alone, where others see more.

Change: once three servers of a service have failed in a row without an answer between them, its requests go to another ready instance, of the same data centre if there is one, which serves them like its own callers' and never hands them on. The request keeps what its caller sent, key included; its deadline is what is left, and the attempts and the last event are told. The other instance's retries come out of its own budget, requests are counted once. What it refuses as not run goes to one more instance, and is refused then; what is lost under way may have run and isn't sent again. If no instance takes requests, they go the old way for 0.3 s and are refused as before. Servers out of reach are probed each 0.4 s; the reach is back once three of them have answered, and then all that were left out are probed at once.

Why it works: a lost path is between one instance and the servers. Directory answers that callers hold for seconds don't matter, as the instance that they still choose serves them.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -18,15 +18,19 @@
     fn parse_request(&self, head: &Request) -> RequestInfo;
     /// Appends the head of the request that is forwarded to a backend server.
     fn write_request(&self, head: &Request, options: &ForwardOptions<'_>, out: &mut Vec<u8>);
+    /// Appends the head of a caller's request that is handed over to another instance.
+    fn write_handover(&self, head: &Request, options: &HandoverOptions, out: &mut Vec<u8>);
     /// Parses the head of a backend server's response.
     fn parse_response(&self, head: &Response) -> ResponseInfo;
     /// Appends those fields of a backend server's response that are passed on to the caller.
     fn write_response_fields(&self, fields: &Fields, out: &mut Vec<u8>);
-    /// The header fields of a refusal: the request's id, and when the caller may retry.
+    /// The header fields of a refusal: the request's id, and when the caller may retry. `is_handover`: another instance
+    /// has handed the request over.
     fn refusal_fields(
         &self,
         id: Option<&str>,
         retry_after: Option<Duration>,
+        is_handover: bool,
     ) -> Vec<(&'static str, String)>;
     /// The request for a backend server's state report.
     fn report_request(&self) -> ControlRequest;
@@ -89,6 +93,8 @@
     pub parts: Vec<Part>,
     /// The number of the last event that the caller received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// Number of attempts that are left, if another instance has handed the request over.
+    pub handover: Option<u8>,
 }
 
 /// One part of a prompt; prompts may share parts.
@@ -130,6 +136,19 @@
     pub body_len: Option<usize>,
 }
 
+/// What this instance changes in a caller's request that it hands over to another instance.
+#[derive(Clone, Debug)]
+pub struct HandoverOptions {
+    /// How long the caller waits for the response.
+    pub time_left: Duration,
+    /// Number of attempts that are left.
+    pub attempts: u8,
+    /// The number of the last event that the caller received; the stream continues after it.
+    pub last_event: Option<u64>,
+    /// Length of the body in bytes, if the request has one.
+    pub body_len: Option<usize>,
+}
+
 /// Information from the head of a backend server's response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseInfo {
@@ -137,6 +156,8 @@
     pub id: Option<Box<str>>,
     /// Whether the server declares that it didn't run the request and never will.
     pub is_declined: bool,
+    /// Whether another instance declares that neither it nor a server ran the request that was handed over to it.
+    pub is_handover_refused: bool,
     /// The name of the server that answered, if given.
     pub server: Option<Box<str>>,
     /// The server's load when it answered.
@@ -145,6 +166,8 @@
     pub rate_limit: RateLimit,
     /// The version of the weights that the server runs.
     pub weights: Option<u64>,
+    /// After which time a refused request may be sent again.
+    pub retry_after: Option<Duration>,
     /// How long the server keeps an idle connection open.
     pub keep_alive: Option<Duration>,
     /// Whether the response carries the server's signature.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -11,6 +11,7 @@
 mod control;
 mod exchange;
 mod endpoints;
+mod handover;
 mod peers;
 mod probe;
 mod quarantine;
@@ -402,6 +403,7 @@
             }
             self.handle_server_gone(id, "missing after the store's return");
         }
+        self.probe_reach();
         let is_ready = self.is_ready();
         if self.members.me().is_ready != is_ready {
             self.members.me_mut().is_ready = is_ready;
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -26,6 +26,13 @@
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
         let Some(attempt) = &mut exchange.attempt else { return };
+        if self.pool.get(attempt.server).is_instance {
+            let health = &mut self.pool.get_mut(attempt.server).health;
+            health.record_success();
+            health.finish_probe(now, true);
+            attempt.reply = Some(reply);
+            return;
+        }
         let Reply { head, answer } = &reply;
         if let Some(load) = answer.load {
             self.pool.update_load(attempt.server, now, load);
@@ -75,6 +82,10 @@
     fn finish_buffered(&mut self, index: usize) -> bool {
         let Some(exchange) = self.exchanges.get(index) else { return false };
         let Some(reply) = exchange.reply() else { return false };
+        if self.is_handed_over(exchange) && reply.answer.is_handover_refused {
+            self.handle_refused_handover(index);
+            return false;
+        }
         if reply.answer.is_declined {
             self.handle_declined_attempt(index);
             return false;
@@ -214,6 +225,9 @@
     /// Updates the cost estimate of the service's prompts and the server's measured wait when a first token
     /// arrives.
     fn record_first_token(&mut self, server: pool::Id, service: &Arc<str>, sample: &Sample) {
+        if self.pool.get(server).is_instance {
+            return;
+        }
         let cost = self.pool.cost_mut(service);
         let queueing_time = cost.queueing_time(sample.uncached_tokens, sample.elapsed);
         let expected_ms = cost.observe_first_token(sample);
@@ -266,6 +280,11 @@
         let is_exonerated = self.exchanges.get(index).is_some_and(is_exonerating);
         let framing = self.exchanges.get(index).and_then(Exchange::reply);
         let framing = framing.map_or("", |it| it.head.framing.name());
+        let handed_over = self.exchanges.get(index).filter(|it| self.is_handed_over(it));
+        let covered = handed_over.filter(|it| it.reply().is_some_and(|it| it.answer.is_signed));
+        if let Some(service) = covered.map(|it| it.service.clone()) {
+            self.record_handover(&service);
+        }
         let attempt = self.release_attempt(index, false);
         let Some(exchange) = self.exchanges.try_remove(index) else { return };
         if exchange.delivery.has_begun && exchange.is_chunked() {
@@ -276,6 +295,7 @@
         self.clear_suspicion(&exchange, is_exonerated);
         let first_piece = exchange.delivery.first_sent.unwrap_or(now);
         let first = first_piece.since(exchange.arrived);
+        let attempt = attempt.filter(|it| !self.pool.get(it.server).is_instance);
         if let Some(attempt) = attempt {
             let address = self.pool.get(attempt.server).address;
             let own = (attempt.sent <= first_piece).then(|| first_piece.since(attempt.sent));
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -20,7 +20,7 @@
 
 /// Time limit for opening a connection. TCP sends a lost SYN again only after a second, so that trying
 /// another server is faster.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// How much later than expected an answer may begin before its server is probed.
 const LATE_MARGIN: Duration = Duration::from_millis(250);
 /// Retries that the budget keeps when streams are migrated from a working server, for migrated streams that
@@ -95,6 +95,27 @@
 }
 
 impl Attempt {
+    /// An attempt at another instance, which chooses the server.
+    pub(super) fn handed_over(instance: pool::Id, connection: Key, now: Time) -> Self {
+        Self {
+            server: instance,
+            connection,
+            sent: now,
+            connect_deadline: now + CONNECT_TIMEOUT,
+            answer_due: Time::MAX,
+            weights: None,
+            staleness: None,
+            uncached_tokens: 0,
+            wait_ms: 0.0,
+            first_token: Duration::ZERO,
+            reply: None,
+            run: None,
+            is_from_copy: false,
+            is_passed_through: false,
+            end: None,
+        }
+    }
+
     /// Records that an event arrived.
     pub(crate) fn record_event(&mut self, now: Time) {
         match &mut self.run {
@@ -450,7 +471,8 @@
             .number("has_begun", exchange.delivery.has_begun)
             .number("runs", exchange.ran_at.len())
             .number("sends", exchange.attempts_made)
-            .number("attempts", exchange.route.max_attempts);
+            .number("attempts", exchange.route.max_attempts)
+            .number("handovers", exchange.handovers);
     }
 
     /// Migrates resumable streams from a server that is about to load weights. The server waits for the last
--- a/crates/gateway/src/core/ending.rs
+++ b/crates/gateway/src/core/ending.rs
@@ -39,7 +39,7 @@
         }
         let exchange = self.exchanges.remove(index);
         let body = error_body(reason);
-        let extra = self.adapter.refusal_fields(exchange.info.id.as_deref(), None);
+        let extra = self.adapter.refusal_fields(exchange.info.id.as_deref(), None, false);
         self.log
             .line(self.now, "failed")
             .text("request", exchange.id())
@@ -102,7 +102,8 @@
             .number("configuration", version)
             .ms("after_ms", self.now.since(arrived));
         self.stats.count_refusal(refusal.reason());
-        let extra = self.adapter.refusal_fields(info.id.as_deref(), refusal.retry_after());
+        let (after, is_handover) = (refusal.retry_after(), info.handover.is_some());
+        let extra = self.adapter.refusal_fields(info.id.as_deref(), after, is_handover);
         let body = error_body(refusal.reason());
         self.answer_caller(caller, refusal.status(), &body, &extra, keeps_alive);
     }
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -63,6 +63,8 @@
     pub(crate) attempts_made: u8,
     /// How often its stream was sent again after a server declined it.
     pub(crate) resends: u8,
+    /// How often it was handed over to another instance.
+    pub(crate) handovers: u8,
     /// Servers that declined it or failed.
     pub(crate) excluded: Vec<pool::Id>,
     /// Identifies the request when it is repeated; computed on first use.
@@ -145,8 +147,19 @@
     /// Whether its route allows another attempt. A server that has ended runs nothing any more, so that attempts there
     /// don't count.
     pub(crate) fn has_attempts_left(&self, pool: &Pool) -> bool {
+        0 < self.attempts_left(pool)
+    }
+
+    /// Number of further attempts that its route allows. Another instance to which it was handed over may have used
+    /// all of them.
+    pub(crate) fn attempts_left(&self, pool: &Pool) -> u8 {
+        if self.ran_at.iter().any(|it| pool.get(*it).is_instance) {
+            return 0;
+        }
         let counted = self.ran_at.iter().filter(|it| !pool.get(**it).has_ended).count();
-        counted < usize::from(self.route.max_attempts)
+        let counted = u8::try_from(counted).unwrap_or(u8::MAX);
+        let allowed = self.info.handover.unwrap_or(u8::MAX).min(self.route.max_attempts);
+        allowed.saturating_sub(counted)
     }
 
     /// Its priority: the organisation's, else the route's.
@@ -208,7 +221,10 @@
                 return;
             }
         };
-        self.budget.count_request(self.now, &service);
+        if info.handover.is_none() {
+            // The instance that handed it over has counted it.
+            self.budget.count_request(self.now, &service);
+        }
         let bound = info.deadline.map_or(route.timeout, |it| it.min(route.timeout));
         let deadline = arrived + bound.saturating_sub(DELIVERY_MARGIN);
         let serial = self.allocate_serial();
@@ -227,6 +243,7 @@
             ran_at: Vec::new(),
             attempts_made: 0,
             resends: 0,
+            handovers: 0,
             excluded: Vec::new(),
             identity: OnceCell::new(),
             copy: None,
@@ -267,9 +284,14 @@
             self.refuse_or_fail(index, self.refuse_quarantined(verdict));
             return;
         }
+        if let Some(exchange) = self.exchanges.get_mut(index) {
+            exchange.permit_wait = None;
+        }
+        // Other instances hear of a suspect late, and might have it crash their servers as well.
+        if verdict == Verdict::Clear && self.hand_over(index) {
+            return;
+        }
         let random = self.random();
-        let Some(exchange) = self.exchanges.get_mut(index) else { return };
-        exchange.permit_wait = None;
         let Some(exchange) = self.exchanges.get(index) else { return };
         let criteria =
             Criteria { is_suspect: verdict == Verdict::Suspect, ..self.criteria(exchange) };
--- /dev/null
+++ b/crates/gateway/src/core/handover.rs
@@ -0,0 +1,155 @@
+//! Hands requests over to another instance while this one reaches none of the servers.
+//!
+//! The other instance serves such a request like one of its own callers'. It never hands it over again.
+
+use std::sync::Arc;
+
+use rand::seq::IndexedRandom;
+
+use crate::{
+    adapter::HandoverOptions,
+    core::{
+        Core, Timer,
+        attempt::{Attempt, CONNECT_TIMEOUT},
+        exchange::Exchange,
+        refusal::{RETRY_AFTER, Refusal},
+    },
+    http::body::Framing,
+    pool,
+};
+
+/// Number of instances to which one request may be handed over one after the other, as long as it hasn't run.
+const MAX_HANDOVERS: u8 = 2;
+
+impl Core {
+    /// Hands the request over if this instance doesn't reach its service. Returns whether that settles the request for
+    /// now.
+    pub(crate) fn hand_over(&mut self, index: usize) -> bool {
+        let Some(exchange) = self.exchanges.get(index) else { return false };
+        let reach = self.reach.get(&exchange.service);
+        if !reach.is_some_and(|it| it.needs_handover(self.now)) {
+            return false;
+        }
+        if exchange.info.handover.is_some() {
+            self.refuse_or_fail(index, Refusal::OutOfReach { after: RETRY_AFTER });
+            return true;
+        }
+        while let Some(id) = self.handover_target(index) {
+            if self.send_handover(index, id) {
+                return true;
+            }
+        }
+        self.record_no_handover(index);
+        false
+    }
+
+    /// An instance that reaches the servers, as far as known: one of this data centre, if there is one.
+    fn handover_target(&mut self, index: usize) -> Option<pool::Id> {
+        let exchange = self.exchanges.get(index).filter(|it| it.handovers < MAX_HANDOVERS)?;
+        let ready = self.members.alive(self.now).filter(|it| it.is_ready && !it.is_leaving);
+        let is_local = |centre: &Arc<str>| *centre == self.settings.centre;
+        let ready: Vec<_> =
+            ready.map(|it| (it.name.clone(), it.callers, is_local(&it.centre))).collect();
+        let ids = ready.iter().map(|it| (self.pool.instance(&it.0, it.1), it.2));
+        let ids: Vec<_> = ids.filter(|it| !exchange.excluded.contains(&it.0)).collect();
+        let is_usable = |id: pool::Id| {
+            let health = &self.pool.get(id).health;
+            health.is_in_rotation() || health.is_probe_due(self.now)
+        };
+        let (local, remote): (Vec<_>, Vec<_>) =
+            ids.into_iter().filter(|it| is_usable(it.0)).partition(|it| it.1);
+        let candidates = if local.is_empty() { remote } else { local };
+        candidates.choose(&mut self.rng).map(|it| it.0)
+    }
+
+    /// Sends the request to the instance. Returns false if it has no connection left.
+    fn send_handover(&mut self, index: usize, id: pool::Id) -> bool {
+        let connection = self.acquire_connection(id, index);
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get_mut(index) else { return false };
+        let Some(connection) = connection else {
+            exchange.excluded.push(id);
+            return false;
+        };
+        let options = HandoverOptions {
+            time_left: exchange.deadline.since(now),
+            attempts: exchange.attempts_left(&self.pool),
+            last_event: exchange.delivery.last_event,
+            body_len: (exchange.head.framing != Framing::Empty).then_some(exchange.body.len()),
+        };
+        let mut bytes = Vec::with_capacity(1024 + exchange.body.len());
+        self.adapter.write_handover(&exchange.head, &options, &mut bytes);
+        bytes.extend_from_slice(&exchange.body);
+        exchange.handovers += 1;
+        exchange.copy = None;
+        exchange.ran_at.push(id);
+        exchange.attempts_made += 1;
+        exchange.attempt = Some(Attempt::handed_over(id, connection, now));
+        self.pool.get_mut(id).inflight += 1;
+        self.log
+            .line(now, "handed_over")
+            .text("request", exchange.id())
+            .text("route", &exchange.route.name)
+            .text("to", &self.pool.get(id).name)
+            .number("attempts", options.attempts)
+            .number("last_event", options.last_event.unwrap_or(0))
+            .ms("left_ms", options.time_left)
+            .ms("after_ms", now.since(exchange.arrived));
+        let serial = exchange.serial;
+        self.stats.count_handover("sent");
+        let is_connecting = self.is_connecting(connection);
+        self.net.send(connection, &bytes);
+        if is_connecting {
+            self.set_timer(now + CONNECT_TIMEOUT, Timer::Exchange(index, serial));
+        }
+        true
+    }
+
+    /// Whether the exchange's attempt is at another instance.
+    pub(crate) fn is_handed_over(&self, exchange: &Exchange) -> bool {
+        exchange.attempt.as_ref().is_some_and(|it| self.pool.get(it.server).is_instance)
+    }
+
+    /// Handles the answer of another instance that it hasn't run the request, nor has a server: tries another instance,
+    /// or refuses the request.
+    pub(crate) fn handle_refused_handover(&mut self, index: usize) {
+        let Some(exchange) = self.exchanges.get(index) else { return };
+        let Some(reply) = exchange.reply() else { return };
+        let (status, after) = (reply.head.status, reply.answer.retry_after);
+        let Some(attempt) = self.release_attempt(index, true) else { return };
+        let Some(exchange) = self.exchanges.get_mut(index) else { return };
+        exchange.ran_at.pop();
+        exchange.excluded.push(attempt.server);
+        exchange.delivery.pending.clear();
+        self.log
+            .line(self.now, "handover_refused")
+            .text("request", exchange.id())
+            .text("by", &self.pool.get(attempt.server).name)
+            .number("status", status)
+            .ms("after_ms", self.now.since(exchange.arrived));
+        self.stats.count_handover("refused");
+        while let Some(id) = self.handover_target(index) {
+            if self.send_handover(index, id) {
+                return;
+            }
+        }
+        self.record_no_handover(index);
+        let after = after.unwrap_or(RETRY_AFTER);
+        self.refuse_or_fail(index, Refusal::OutOfReach { after });
+    }
+
+    /// Records that another instance has brought a server's answer.
+    pub(crate) fn record_handover(&mut self, service: &Arc<str>) {
+        self.stats.count_handover("answered");
+        if let Some(reach) = self.reach.get_mut(service) {
+            reach.record_handover();
+        }
+    }
+
+    fn record_no_handover(&mut self, index: usize) {
+        let Some(service) = self.exchanges.get(index).map(|it| it.service.clone()) else { return };
+        if let Some(reach) = self.reach.get_mut(&service) {
+            reach.record_no_handover(self.now);
+        }
+    }
+}
--- a/crates/gateway/src/core/probe.rs
+++ b/crates/gateway/src/core/probe.rs
@@ -41,6 +41,13 @@
         }
     }
 
+    /// Probes a server of a service that is out of reach.
+    pub(super) fn probe_reachable(&mut self, id: pool::Id) {
+        if self.may_probe(id) {
+            self.probe(id);
+        }
+    }
+
     /// Probes a server that is late with an answer, or that another instance reports as unresponsive, unless it
     /// was probed a moment ago. A server that limits its rate is expected to be late, and a probe would take the
     /// place of a request there.
@@ -48,7 +55,8 @@
         let now = self.now;
         let server = self.pool.get_mut(id);
         let is_limited = server.limit.per_second().is_some();
-        if is_limited
+        if server.is_instance
+            || is_limited
             || !server.health.is_in_rotation()
             || now.since(server.checked_at) < MIN_PROBE_INTERVAL
         {
--- a/crates/gateway/src/core/reach.rs
+++ b/crates/gateway/src/core/reach.rs
@@ -1,6 +1,8 @@
 //! Reach of the services' servers, from what becomes of requests and probes.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
+
+use rand::seq::IteratorRandom;
 
 use crate::{
     core::Core,
@@ -8,36 +10,53 @@
     reach::{Change, Reach},
 };
 
+/// Interval between probes of servers of a service that is out of reach.
+const PROBE_INTERVAL: Duration = Duration::from_millis(400);
+/// Number of servers that are probed at a time. Those that are ejected have probes of their own.
+const PROBED_SERVERS: usize = 3;
+
 impl Core {
     /// Records that a server answered.
     pub(crate) fn record_reached(&mut self, id: pool::Id) {
-        let (service, servers) = self.service_of(id);
-        let change =
-            self.reach.entry(service.clone()).or_default().record_answer(self.now, id, servers);
-        self.log_reach(&service, change);
+        let service = self.pool.get(id).service.clone();
+        let is_lost = self.reach.get(&service).is_some_and(|it| it.lost_since().is_some());
+        let servers = if is_lost { self.pool.usable(&service).count() } else { 0 };
+        let reach = self.reach.entry(service.clone()).or_default();
+        let change = reach.record_answer(self.now, id, servers);
+        self.handle_reach_change(&service, change);
     }
 
     /// Records that a server couldn't be reached, or is silent.
     pub(crate) fn record_unreached(&mut self, id: pool::Id) {
-        let (service, servers) = self.service_of(id);
-        let change =
-            self.reach.entry(service.clone()).or_default().record_failure(self.now, id, servers);
-        self.log_reach(&service, change);
-    }
-
-    /// The server's service, and how many usable servers that has.
-    fn service_of(&self, id: pool::Id) -> (Arc<str>, usize) {
+        if self.pool.get(id).is_instance {
+            return;
+        }
         let service = self.pool.get(id).service.clone();
         let servers = self.pool.usable(&service).count();
-        (service, servers)
+        let reach = self.reach.entry(service.clone()).or_default();
+        let change = reach.record_failure(self.now, id, servers);
+        self.handle_reach_change(&service, change);
     }
 
-    fn log_reach(&mut self, service: &Arc<str>, change: Option<Change>) {
-        let Some(change) = change else { return };
-        let event = match change {
-            Change::Lost => "reach_lost",
-            Change::Regained => "reach_regained",
-        };
+    fn handle_reach_change(&mut self, service: &Arc<str>, change: Option<Change>) {
+        match change {
+            None => {}
+            Some(Change::Lost) => {
+                self.log_reach(service, "reach_lost");
+                self.probe_reach();
+            }
+            Some(Change::Regained) => {
+                self.log_reach(service, "reach_regained");
+                // One server at a time would get all requests.
+                let ids: Vec<pool::Id> = self.pool.usable(service).map(|it| it.0).collect();
+                for id in ids {
+                    self.pool.get_mut(id).health.end_pause(self.now);
+                }
+            }
+        }
+    }
+
+    fn log_reach(&mut self, service: &Arc<str>, event: &'static str) {
         let (answered_at, failed) =
             self.reach.get(service).map_or((self.now, 0), |it| (it.answered_at(), it.failed()));
         let usable = self.pool.usable(service);
@@ -51,6 +70,22 @@
         self.stats.count_reach_change(event);
     }
 
+    /// Probes some servers of services that are out of reach, which get no requests that would show their return.
+    pub(crate) fn probe_reach(&mut self) {
+        let now = self.now;
+        let due = self.reach.iter_mut().filter_map(|(service, reach)| {
+            reach.begin_probe(now, PROBE_INTERVAL).then(|| service.clone())
+        });
+        let services: Vec<Arc<str>> = due.collect();
+        for service in services {
+            let usable = self.pool.usable(&service).filter(|it| it.1.health.is_in_rotation());
+            let ids = usable.map(|it| it.0).choose_multiple(&mut self.rng, PROBED_SERVERS);
+            for id in ids {
+                self.probe_reachable(id);
+            }
+        }
+    }
+
     /// Number of services whose servers are out of reach.
     pub(crate) fn services_out_of_reach(&self) -> usize {
         self.reach.values().filter(|it: &&Reach| it.lost_since().is_some()).count()
--- a/crates/gateway/src/core/refusal.rs
+++ b/crates/gateway/src/core/refusal.rs
@@ -5,7 +5,7 @@
 use crate::{config::Denial, placement::Shortage};
 
 /// After which time a caller should retry that was refused because no server was available.
-const RETRY_AFTER: Duration = Duration::from_millis(300);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// After which time a caller should retry that was refused because no configuration was known.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -36,6 +36,11 @@
         /// Remaining time in quarantine.
         after: Duration,
     },
+    /// This instance reaches no server, and no other instance has taken the request.
+    OutOfReach {
+        /// After which time the caller should retry.
+        after: Duration,
+    },
     /// Servers declined the request, and no further attempt is allowed.
     Declined,
     /// The deadline passed before the request was sent.
@@ -54,6 +59,7 @@
             | Self::Shortage(_)
             | Self::Overload { .. }
             | Self::Quarantined { .. }
+            | Self::OutOfReach { .. }
             | Self::Declined
             | Self::TimeOut => 503,
         }
@@ -73,6 +79,7 @@
             Self::Shortage(Shortage::Limited { .. }) => "rate-limited",
             Self::Overload { .. } => "overload",
             Self::Quarantined { .. } => "quarantined",
+            Self::OutOfReach { .. } => "out-of-reach",
             Self::Declined => "turned-away",
             Self::TimeOut => "time-out",
         }
@@ -92,7 +99,9 @@
             Self::NoRoute | Self::NoKey | Self::NoId => None,
             Self::Starting => Some(STARTING_RETRY_AFTER),
             Self::ShuttingDown => Some(Duration::ZERO),
-            Self::Overload { after, .. } | Self::Quarantined { after } => Some(after),
+            Self::Overload { after, .. }
+            | Self::Quarantined { after }
+            | Self::OutOfReach { after } => Some(after),
             Self::Shortage(Shortage::Limited { after }) => Some(after.max(RETRY_AFTER)),
             Self::Shortage(_) | Self::Declined | Self::TimeOut => Some(RETRY_AFTER),
         }
--- a/crates/gateway/src/core/staleness.rs
+++ b/crates/gateway/src/core/staleness.rs
@@ -76,6 +76,9 @@
     pub(crate) fn record_start_delay(&mut self, index: usize) {
         let Some(exchange) = self.exchanges.get(index) else { return };
         let Some(attempt) = exchange.attempt.as_ref().filter(|it| !it.is_from_copy) else { return };
+        if self.is_handed_over(exchange) {
+            return;
+        }
         let (expected, took) = attempt.start_times(self.now);
         self.pool.start_delay_mut(&exchange.service).observe(expected, took);
     }
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -169,6 +169,11 @@
         metrics::counter!("shallotlead_attempts_broken_total", "reason" => reason).increment(1);
     }
 
+    /// Counts a step of a request's handover to another instance.
+    pub(crate) fn count_handover(&mut self, step: &'static str) {
+        metrics::counter!("shallotlead_handovers_total", "step" => step).increment(1);
+    }
+
     /// Counts a change of a service's reach.
     pub(crate) fn count_reach_change(&mut self, change: &'static str) {
         metrics::counter!("shallotlead_reach_changes_total", "change" => change).increment(1);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -40,6 +40,8 @@
 pub struct Pool {
     servers: Vec<Server>,
     ids_by_name: Map<Arc<str>, Id>,
+    /// Other instances, by name.
+    instances: Map<Arc<str>, Id>,
     /// Entries that are missing until then may come back.
     lenient_until: Time,
     /// Published weights by model.
@@ -106,6 +108,30 @@
         self.find(name).filter(|it| self.servers[*it].incarnation == incarnation)
     }
 
+    /// The instance `name` at `address`, to which requests are handed over. It belongs to no service and is never
+    /// listed.
+    pub fn instance(&mut self, name: &Arc<str>, address: SocketAddr) -> Id {
+        let known = self.instances.get(name).filter(|it| self.servers[**it].address == address);
+        if let Some(id) = known {
+            return *id;
+        }
+        let entry = ServerEntry {
+            service: Arc::from(""),
+            address,
+            centre: Arc::from(""),
+            is_draining: false,
+            models: Vec::new(),
+            incarnation: None,
+            sequence: 0,
+        };
+        let id = self.servers.len();
+        let mut server = Server::new(name.clone(), 0, entry);
+        (server.presence, server.is_instance) = (Presence::Gone, true);
+        self.servers.push(server);
+        self.instances.insert(name.clone(), id);
+        id
+    }
+
     /// All servers that are registered, of services in the configuration.
     pub fn listed(&self) -> impl Iterator<Item = (Id, &Server)> {
         self.registered().filter(|it| self.has_service(&it.1.service))
--- a/crates/gateway/src/pool/health.rs
+++ b/crates/gateway/src/pool/health.rs
@@ -69,6 +69,14 @@
         self.ejected_until.is_some_and(|it| it <= now) && !self.is_probing
     }
 
+    /// Ends the pause of an ejected server, so that it is probed next.
+    pub fn end_pause(&mut self, now: Time) {
+        if let Some(until) = &mut self.ejected_until {
+            *until = now.min(*until);
+        }
+        self.pause = Duration::ZERO;
+    }
+
     /// Whether the server should be probed now; if so, a probe counts as running.
     pub fn begin_probe(&mut self, now: Time) -> bool {
         let is_due = self.is_probe_due(now);
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -61,6 +61,8 @@
     pub models: Vec<(Arc<str>, u64)>,
     /// The store's revision of what is known of it.
     pub revision: u64,
+    /// It is another instance, to which requests are handed over.
+    pub(crate) is_instance: bool,
     /// Its process is known to have ended, so that it runs nothing any more.
     pub(crate) has_ended: bool,
     /// Its entry is missing, and may come back.
@@ -107,6 +109,7 @@
             presence: if is_draining { Presence::Draining } else { Presence::Ready },
             models,
             revision,
+            is_instance: false,
             has_ended: false,
             is_missing: false,
             switch: None,
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -1,5 +1,7 @@
 //! Whether this instance reaches the servers of one service.
 
+use std::time::Duration;
+
 use shallotlead_base::time::Time;
 
 use crate::pool;
@@ -8,6 +10,10 @@
 /// has as many. A single server may have crashed, or be the only one left.
 const MIN_EVIDENCE: usize = 3;
 
+/// Time in which no request is handed over after other instances have refused one, until one of them has served
+/// one. They may have lost the servers as well.
+const HANDOVER_PAUSE: Duration = Duration::from_millis(300);
+
 /// A change of reach.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -32,6 +38,13 @@
     answered_at: Time,
     /// When the reach was lost, if it is.
     lost_since: Option<Time>,
+    /// Whether another instance has served a request that was handed over since then. This proves that the servers
+    /// work, and that the paths to them are at fault.
+    is_covered: bool,
+    /// Until when no request is handed over.
+    handover_paused_until: Time,
+    /// When servers were last probed to learn whether they are reached again.
+    probed_at: Time,
 }
 
 impl Reach {
@@ -50,6 +63,37 @@
         self.failed.len()
     }
 
+    /// Whether servers should be probed now, `interval` after the last time; if so, they count as probed.
+    pub fn begin_probe(&mut self, now: Time, interval: Duration) -> bool {
+        let is_due = self.lost_since.is_some() && interval <= now.since(self.probed_at);
+        if is_due {
+            self.probed_at = now;
+        }
+        is_due
+    }
+
+    /// Whether requests should be handed over to other instances.
+    pub fn needs_handover(&self, now: Time) -> bool {
+        self.lost_since.is_some() && self.handover_paused_until <= now
+    }
+
+    /// Whether other instances are known to reach servers of the service that this one doesn't reach.
+    pub fn is_cut_off(&self) -> bool {
+        self.is_covered
+    }
+
+    /// Records that another instance served a request that was handed over.
+    pub fn record_handover(&mut self) {
+        self.is_covered = self.lost_since.is_some();
+    }
+
+    /// Records that no other instance has taken a request.
+    pub fn record_no_handover(&mut self, now: Time) {
+        if !self.is_covered {
+            self.handover_paused_until = now + HANDOVER_PAUSE;
+        }
+    }
+
     /// Records that `server`, one of `servers`, couldn't be reached or is silent.
     pub fn record_failure(
         &mut self,
@@ -69,7 +113,7 @@
         Some(Change::Lost)
     }
 
-    /// Records an answer of `server`, one of `servers`.
+    /// Records an answer of `server`, one of `servers`. That number only counts while the reach is lost.
     pub fn record_answer(&mut self, now: Time, server: pool::Id, servers: usize) -> Option<Change> {
         self.answered_at = now;
         if self.lost_since.is_none() {
--- a/crates/gateway/tests/reach.rs
+++ b/crates/gateway/tests/reach.rs
@@ -46,6 +46,55 @@
     assert_eq!(reach.record_answer(at(2), 1, 1), Some(Change::Regained));
 }
 
+fn lost_at(ms: u64) -> Reach {
+    let mut reach = Reach::default();
+    for server in 0..3 {
+        reach.record_failure(at(ms), server, 20);
+    }
+    assert_eq!(reach.lost_since(), Some(at(ms)));
+    reach
+}
+
+// All instances may have lost the servers. Handing each request over in vain would only add to the load.
+#[test]
+fn requests_are_handed_over_rarely_while_no_instance_takes_them() {
+    let mut reach = lost_at(1_000);
+    assert!(reach.needs_handover(at(1_000)));
+    reach.record_no_handover(at(1_010));
+    assert!(!reach.needs_handover(at(1_300)));
+    assert!(reach.needs_handover(at(1_310)));
+    assert!(!reach.is_cut_off());
+}
+
+// Only an answer by way of another instance proves that the paths are at fault and not the servers.
+#[test]
+fn instance_is_cut_off_once_another_one_has_served_its_request() {
+    let mut reach = Reach::default();
+    reach.record_handover();
+    assert!(!reach.is_cut_off());
+    let mut reach = lost_at(1_000);
+    assert!(!reach.is_cut_off());
+    reach.record_handover();
+    assert!(reach.is_cut_off());
+    reach.record_no_handover(at(1_010));
+    assert!(reach.needs_handover(at(1_010)));
+    for server in 0..3 {
+        reach.record_answer(at(2_000), server, 20);
+    }
+    assert!(!reach.is_cut_off() && !reach.needs_handover(at(2_000)));
+}
+
+// Once no request is sent to the servers, only probes can show that they are reached again.
+#[test]
+fn servers_out_of_reach_are_probed_at_intervals() {
+    let interval = Duration::from_millis(400);
+    assert!(!Reach::default().begin_probe(at(5_000), interval));
+    let mut reach = lost_at(1_000);
+    assert!(reach.begin_probe(at(1_000), interval));
+    assert!(!reach.begin_probe(at(1_399), interval));
+    assert!(reach.begin_probe(at(1_400), interval));
+}
+
 proptest! {
     #[test]
     fn reach_changes_alternate(events in proptest::collection::vec((any::<bool>(), 0usize..6), 0..200)) {
