Leave instances out of the directory that reach no server while others do

What callers saw: they went on choosing an instance that had lost its links to the servers, for as long as the cut lasted.

Cause: an instance counted as ready in the directory once it had a configuration.

Change: an instance that reaches none of a service's servers, and has had a request served by way of another instance since, says that it isn't ready, and so leaves the directory and the candidates for the lease. It goes on to answer its readiness probe and to serve its callers. Where no other instance is ready, it names itself. Without an answer by way of another instance nothing shows that the paths are at fault and not the servers, so that a service that fails as a whole empties no directory.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -404,7 +404,8 @@
             self.handle_server_gone(id, "missing after the store's return");
         }
         self.probe_reach();
-        let is_ready = self.is_ready();
+        // Callers should choose instances that reach the servers. This one goes on to serve those that it has.
+        let is_ready = self.is_ready() && !self.is_cut_off();
         if self.members.me().is_ready != is_ready {
             self.members.me_mut().is_ready = is_ready;
             self.log.line(self.now, "ready").number("is_ready", is_ready);
--- a/crates/gateway/src/core/endpoints.rs
+++ b/crates/gateway/src/core/endpoints.rs
@@ -105,11 +105,12 @@
 
     /// The addresses that callers in the data centre should use: instances there, and others if those are too
     /// few.
-    fn addresses(&mut self, centre: &str) -> Vec<SocketAddr> {
-        let is_ready = self.is_ready();
-        let me = self.members.me().clone();
-        let others = self.members.alive(self.now).filter(|it| it.is_ready && !it.is_leaving);
-        let own = is_ready.then_some(&me);
+    fn addresses(&self, centre: &str) -> Vec<SocketAddr> {
+        let me = self.members.me();
+        let mut others =
+            self.members.alive(self.now).filter(|it| it.is_ready && !it.is_leaving).peekable();
+        let is_needed = !self.is_cut_off() || others.peek().is_none();
+        let own = (self.is_ready() && is_needed).then_some(me);
         let (mut local, mut remote): (Vec<_>, Vec<_>) =
             others.chain(own).partition(|it| *it.centre == *centre);
         local.sort_by_key(|it| it.callers);
--- a/crates/gateway/src/core/reach.rs
+++ b/crates/gateway/src/core/reach.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Whether other instances reach servers that this one doesn't reach.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.reach.values().any(Reach::is_cut_off)
+    }
+
     /// Number of services whose servers are out of reach.
     pub(crate) fn services_out_of_reach(&self) -> usize {
         self.reach.values().filter(|it: &&Reach| it.lost_since().is_some()).count()
