Count attempts again at a server that answers after it refused connections

What callers saw: nothing; servers saw too much. After a cut whose connections are reset or refused, requests that met errors ran on up to four servers (seven in the test) where their route allows two (BUDGET).

Cause: a refused connection was taken for the end of the server's process, which frees the attempts made there, and nothing took that back. A cut refuses connections, too, and its servers live on. Class: a belief that nothing renews.

Change: any answer of that incarnation, to a request, a probe or a liveness check, takes it back.

Why it works: a server that has ended never answers again as the same incarnation, and one that hasn't is asked by the probes that bring it back before it gets requests.

--- a/crates/gateway/src/core/quarantine.rs
+++ b/crates/gateway/src/core/quarantine.rs
@@ -90,6 +90,7 @@
             Outcome::Answered { .. } | Outcome::Reset
                 if self.pool.get(id).presence != Presence::Gone =>
             {
+                self.pool.get_mut(id).has_ended = false;
                 self.quarantine.record_alive(self.pool.get(id).incarnation_id());
             }
             // The server's entry will show whether it ended.
--- a/crates/gateway/src/core/reach.rs
+++ b/crates/gateway/src/core/reach.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     core::Core,
-    pool,
+    pool::{self, Presence},
     reach::{Change, Reach},
 };
 
@@ -18,7 +18,12 @@
 impl Core {
     /// Records that a server answered.
     pub(crate) fn record_reached(&mut self, id: pool::Id) {
-        let service = self.pool.get(id).service.clone();
+        let server = self.pool.get_mut(id);
+        if server.presence != Presence::Gone {
+            // A connection that is refused on the way looks like the end of the process.
+            server.has_ended = false;
+        }
+        let service = server.service.clone();
         let is_lost = self.reach.get(&service).is_some_and(|it| it.lost_since().is_some());
         let servers = if is_lost { self.pool.usable(&service).count() } else { 0 };
         let reach = self.reach.entry(service.clone()).or_default();
