--- a/crates/gateway/src/core/reach.rs
+++ b/crates/gateway/src/core/reach.rs
@@ -12,7 +12,7 @@
 
 /// Interval between probes of servers of a service that is out of reach.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
-/// Number of servers that are probed at a time. Those that are ejected have probes of their own.
+/// Number of servers that are probed at a time.
 const PROBED_SERVERS: usize = 3;
 
 impl Core {
@@ -75,7 +75,8 @@
         self.stats.count_reach_change(event);
     }
 
-    /// Probes some servers of services that are out of reach, which get no requests that would show their return.
+    /// Probes some servers of services that are out of reach, which get no requests that would show their return. The
+    /// probes of ejected ones come too rarely for that.
     pub(crate) fn probe_reach(&mut self) {
         let now = self.now;
         let due = self.reach.iter_mut().filter_map(|(service, reach)| {
@@ -83,10 +84,13 @@
         });
         let services: Vec<Arc<str>> = due.collect();
         for service in services {
-            let usable = self.pool.usable(&service).filter(|it| it.1.health.is_in_rotation());
-            let ids = usable.map(|it| it.0).choose_multiple(&mut self.rng, PROBED_SERVERS);
-            for id in ids {
-                self.probe_reachable(id);
+            let usable = self.pool.usable(&service).map(|it| it.0);
+            for id in usable.choose_multiple(&mut self.rng, PROBED_SERVERS) {
+                let health = &mut self.pool.get_mut(id).health;
+                match health.is_in_rotation() {
+                    true => self.probe_reachable(id),
+                    false => health.end_pause(now),
+                }
             }
         }
     }
--- a/crates/gateway/src/pool/health.rs
+++ b/crates/gateway/src/pool/health.rs
@@ -74,7 +74,6 @@
         if let Some(until) = &mut self.ejected_until {
             *until = now.min(*until);
         }
-        self.pause = Duration::ZERO;
     }
 
     /// Whether the server should be probed now; if so, a probe counts as running.
