Release the lease while the servers are out of reach

Found while looking for what else an instance does that reaches no server. What callers saw: nothing; weights that were named while the lease's holder was cut off from the servers were loaded only after the cut.

Change: an instance that leaves the directory for being cut off releases the lease as at its shutdown, and may take it again once it reaches servers.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -404,16 +404,33 @@
             self.handle_server_gone(id, "missing after the store's return");
         }
         self.probe_reach();
-        // Callers should choose instances that reach the servers. This one goes on to serve those that it has.
-        let is_ready = self.is_ready() && !self.is_cut_off();
-        if self.members.me().is_ready != is_ready {
-            self.members.me_mut().is_ready = is_ready;
-            self.log.line(self.now, "ready").number("is_ready", is_ready);
-            self.announce_to_few();
-        }
+        self.update_readiness();
         self.update_watching();
     }
 
+    /// Announces whether callers should choose this instance: if it accepts requests and reaches the servers. If it
+    /// doesn't reach them it goes on to serve the callers that it has, and leaves the lease to an instance that can
+    /// order servers.
+    fn update_readiness(&mut self) {
+        let is_cut_off = self.is_cut_off();
+        let is_ready = self.is_ready() && !is_cut_off;
+        if self.members.me().is_ready == is_ready {
+            return;
+        }
+        self.members.me_mut().is_ready = is_ready;
+        self.log
+            .line(self.now, "ready")
+            .number("is_ready", is_ready)
+            .number("is_cut_off", is_cut_off);
+        self.announce_to_few();
+        if is_ready {
+            self.lease.rejoin();
+        } else if is_cut_off {
+            self.lease.release();
+            self.rollout.clear();
+        }
+    }
+
     /// Decides whether this instance watches the store for others, and announces changes.
     fn update_watching(&mut self) {
         let is_away = self.is_store_unreachable();
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -207,6 +207,11 @@
         self.next_call_at = Time::ZERO;
     }
 
+    /// Takes part again after a release.
+    pub fn rejoin(&mut self) {
+        self.is_releasing = false;
+    }
+
     /// The holder is about to release the lease, so read the record soon and often.
     pub fn expect_release(&mut self, now: Time) {
         if matches!(self.stage, Stage::Watching(_)) {
--- a/crates/gateway/tests/lease.rs
+++ b/crates/gateway/tests/lease.rs
@@ -105,6 +105,24 @@
     assert!(start + 3_000 <= again);
 }
 
+// A holder that can't order the servers for a while releases the lease. It must be able to take the lease again when the
+// other holder releases it.
+#[test]
+fn lease_is_taken_again_after_a_release_and_a_rejoin() {
+    let (mut store, mut first, mut second) = (Memory::default(), open("a"), open("b"));
+    let start = take(&mut first, &mut store, 0);
+    first.release();
+    step(&mut first, &mut store, at(start), usize::MAX);
+    let taken = take(&mut second, &mut store, start);
+    assert!(first.grant(at(taken)).is_none());
+    first.rejoin();
+    step(&mut first, &mut store, at(taken), 0);
+    assert!(first.grant(at(taken)).is_none(), "the lease is held by the other instance");
+    second.release();
+    step(&mut second, &mut store, at(taken + 1_000), 1);
+    take(&mut first, &mut store, taken + 1_000);
+}
+
 // The store is unavailable for longer than a term while its record names the holder. The holder resumes as soon as it
 // has read or written the record; waiting like any other candidate would delay weights by four seconds.
 #[test]
