Try a refused handover in another data centre, and don't try servers that are known to be out of reach

A data centre may lose the servers as a whole: the second instance that a request is handed over to is now one of another data centre, and instances that refuse are left out for a while like servers that fail. An instance that is known to be cut off and finds no other one waits for one, or refuses, instead of sending to servers in vain.

--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -344,7 +344,7 @@
         }
     }
 
-    fn wait_or_refuse(&mut self, index: usize, shortage: Shortage) {
+    pub(crate) fn wait_or_refuse(&mut self, index: usize, shortage: Shortage) {
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
         let give_up_at = exchange.give_up_at();
         let is_final = match shortage {
--- a/crates/gateway/src/core/handover.rs
+++ b/crates/gateway/src/core/handover.rs
@@ -15,6 +15,7 @@
         refusal::{RETRY_AFTER, Refusal},
     },
     http::body::Framing,
+    placement::Shortage,
     pool,
 };
 
@@ -27,9 +28,8 @@
     pub(crate) fn hand_over(&mut self, index: usize) -> bool {
         let Some(exchange) = self.exchanges.get(index) else { return false };
         let reach = self.reach.get(&exchange.service);
-        if !reach.is_some_and(|it| it.needs_handover(self.now)) {
-            return false;
-        }
+        let Some(reach) = reach.filter(|it| it.needs_handover(self.now)) else { return false };
+        let is_cut_off = reach.is_cut_off();
         if exchange.info.handover.is_some() {
             self.refuse_or_fail(index, Refusal::OutOfReach { after: RETRY_AFTER });
             return true;
@@ -40,10 +40,15 @@
             }
         }
         self.record_no_handover(index);
-        false
+        if is_cut_off {
+            // The servers would be tried in vain.
+            self.wait_or_refuse(index, Shortage::NoneReady);
+        }
+        is_cut_off
     }
 
-    /// An instance that reaches the servers, as far as known: one of this data centre, if there is one.
+    /// An instance that reaches the servers, as far as known: at first one of this data centre, if there is one. Its
+    /// instances may all have lost the servers together.
     fn handover_target(&mut self, index: usize) -> Option<pool::Id> {
         let exchange = self.exchanges.get(index).filter(|it| it.handovers < MAX_HANDOVERS)?;
         let ready = self.members.alive(self.now).filter(|it| it.is_ready && !it.is_leaving);
@@ -58,7 +63,12 @@
         };
         let (local, remote): (Vec<_>, Vec<_>) =
             ids.into_iter().filter(|it| is_usable(it.0)).partition(|it| it.1);
-        let candidates = if local.is_empty() { remote } else { local };
+        let prefers_local = exchange.handovers == 0;
+        let candidates = match (local.is_empty(), remote.is_empty()) {
+            (false, false) if prefers_local => local,
+            (_, false) => remote,
+            (_, true) => local,
+        };
         candidates.choose(&mut self.rng).map(|it| it.0)
     }
 
@@ -121,6 +131,7 @@
         exchange.ran_at.pop();
         exchange.excluded.push(attempt.server);
         exchange.delivery.pending.clear();
+        self.pool.get_mut(attempt.server).health.record_failure(self.now);
         self.log
             .line(self.now, "handover_refused")
             .text("request", exchange.id())
