Judge reach by requests sent since the loss, and stand back from shared duties while cut off

One answer to something sent since the loss is enough now. Idle connections are closed at the loss, so that such an answer comes on a new one, and servers that aren't known to have ended are probed first, at once. - Where answers on open connections came between the failures, all servers could be left out one by one without the reach being lost, and requests were refused. All servers left out means lost, too.

Besides, a suspect of crashes is handed over once other instances are known to reach the servers: a cut that refuses connections looks like crashes. An instance that isn't known to be cut off tries its servers for a request that was handed to it.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -442,9 +442,10 @@
             Some(rank) => self.peers.freshness.is_overdue(self.now, rank),
         };
         let is_watching = self.storage.is_watcher && !is_away;
+        let stands_back = is_away || self.is_cut_off();
         let me = self.members.me_mut();
-        let has_changed = me.is_away != is_away;
-        me.is_away = is_away;
+        let has_changed = me.is_away != stands_back;
+        me.is_away = stands_back;
         if me.is_watching != is_watching {
             me.is_watching = is_watching;
             self.log
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -51,7 +51,7 @@
             500 <= head.status && !answer.is_declined && server.health.record_error(now);
         attempt.reply = Some(reply);
         self.apply_limit(id, sent, advertised);
-        self.record_reached(id);
+        self.record_reached(id, sent);
         if is_ejected {
             self.log_ejected(id, "errors");
         }
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -287,8 +287,7 @@
         if let Some(exchange) = self.exchanges.get_mut(index) {
             exchange.permit_wait = None;
         }
-        // Other instances hear of a suspect late, and might have it crash their servers as well.
-        if verdict == Verdict::Clear && self.hand_over(index) {
+        if self.hand_over_checked(index, verdict) {
             return;
         }
         let random = self.random();
@@ -318,7 +317,14 @@
                 self.refuse_or_fail(index, Refusal::Overload { after, wait });
             }
             Ok(choice) => self.send_permitted(index, &choice),
-            Err(shortage) => self.wait_or_refuse(index, shortage),
+            Err(shortage) => {
+                let service = self.exchanges.get(index).map(|it| it.service.clone());
+                let is_lost = shortage == Shortage::NoneReady
+                    && service.is_some_and(|it| self.check_all_ejected(&it));
+                if !is_lost || !self.hand_over_checked(index, verdict) {
+                    self.wait_or_refuse(index, shortage);
+                }
+            }
         }
     }
 
--- a/crates/gateway/src/core/handover.rs
+++ b/crates/gateway/src/core/handover.rs
@@ -17,22 +17,33 @@
     http::body::Framing,
     placement::Shortage,
     pool,
+    quarantine::Verdict,
+    reach::Reach,
 };
 
 /// Number of instances to which one request may be handed over one after the other, as long as it hasn't run.
 const MAX_HANDOVERS: u8 = 2;
 
 impl Core {
-    /// Hands the request over if this instance doesn't reach its service. Returns whether that settles the request for
-    /// now.
-    pub(crate) fn hand_over(&mut self, index: usize) -> bool {
+    /// Hands the request over if this instance doesn't reach its service, unless `verdict` speaks against it. Returns
+    /// whether that settles the request for now.
+    pub(crate) fn hand_over_checked(&mut self, index: usize, verdict: Verdict) -> bool {
+        // Other instances hear of a suspect late, and might have it crash their servers as well. If the paths are at
+        // fault, what looked like crashes were none.
+        (verdict == Verdict::Clear || self.is_cut_off_from_service(index)) && self.hand_over(index)
+    }
+
+    fn hand_over(&mut self, index: usize) -> bool {
         let Some(exchange) = self.exchanges.get(index) else { return false };
         let reach = self.reach.get(&exchange.service);
         let Some(reach) = reach.filter(|it| it.needs_handover(self.now)) else { return false };
         let is_cut_off = reach.is_cut_off();
         if exchange.info.handover.is_some() {
-            self.refuse_or_fail(index, Refusal::OutOfReach { after: RETRY_AFTER });
-            return true;
+            // Without proof, the servers may be within reach all the same, and the request has come for them.
+            if is_cut_off {
+                self.refuse_or_fail(index, Refusal::OutOfReach { after: RETRY_AFTER });
+            }
+            return is_cut_off;
         }
         while let Some(id) = self.handover_target(index) {
             if self.send_handover(index, id) {
@@ -47,6 +58,12 @@
         is_cut_off
     }
 
+    /// Whether other instances are known to reach servers of the request's service that this one doesn't reach.
+    fn is_cut_off_from_service(&self, index: usize) -> bool {
+        let reach = self.exchanges.get(index).and_then(|it| self.reach.get(&it.service));
+        reach.is_some_and(Reach::is_cut_off)
+    }
+
     /// An instance that reaches the servers, as far as known: at first one of this data centre, if there is one. Its
     /// instances may all have lost the servers together.
     fn handover_target(&mut self, index: usize) -> Option<pool::Id> {
--- a/crates/gateway/src/core/probe.rs
+++ b/crates/gateway/src/core/probe.rs
@@ -90,7 +90,7 @@
         };
         self.apply_report(id, outcome);
         match outcome {
-            Outcome::Answered { .. } => self.record_reached(id),
+            Outcome::Answered { .. } => self.record_reached(id, self.now),
             _ if !is_responsive => self.record_unreached(id),
             _ => {}
         }
--- a/crates/gateway/src/core/reach.rs
+++ b/crates/gateway/src/core/reach.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use rand::seq::IteratorRandom;
+use shallotlead_base::time::Time;
 
 use crate::{
     core::Core,
@@ -16,18 +17,16 @@
 const PROBED_SERVERS: usize = 3;
 
 impl Core {
-    /// Records that a server answered.
-    pub(crate) fn record_reached(&mut self, id: pool::Id) {
+    /// Records that a server answered a request that was sent at `sent`.
+    pub(crate) fn record_reached(&mut self, id: pool::Id, sent: Time) {
         let server = self.pool.get_mut(id);
         if server.presence != Presence::Gone {
             // A connection that is refused on the way looks like the end of the process.
             server.has_ended = false;
         }
         let service = server.service.clone();
-        let is_lost = self.reach.get(&service).is_some_and(|it| it.lost_since().is_some());
-        let servers = if is_lost { self.pool.usable(&service).count() } else { 0 };
         let reach = self.reach.entry(service.clone()).or_default();
-        let change = reach.record_answer(self.now, id, servers);
+        let change = reach.record_answer(self.now, sent);
         self.handle_reach_change(&service, change);
     }
 
@@ -43,24 +42,50 @@
         self.handle_reach_change(&service, change);
     }
 
+    /// Records that requests of the service can't be sent to any server, if all are ejected. Answers on connections that
+    /// live on may keep failures from being seen in a row. Returns whether the reach was lost by that.
+    pub(crate) fn check_all_ejected(&mut self, service: &Arc<str>) -> bool {
+        let servers = self.usable_ids(service);
+        let is_in_rotation = |id: &pool::Id| self.pool.get(*id).health.is_in_rotation();
+        if servers.is_empty() || servers.iter().any(is_in_rotation) {
+            return false;
+        }
+        let change = self.reach.entry(service.clone()).or_default().record_loss(self.now);
+        self.handle_reach_change(service, change);
+        change.is_some()
+    }
+
     fn handle_reach_change(&mut self, service: &Arc<str>, change: Option<Change>) {
         match change {
             None => {}
             Some(Change::Lost) => {
                 self.log_reach(service, "reach_lost");
+                self.close_idle_to(service);
                 self.probe_reach();
             }
             Some(Change::Regained) => {
                 self.log_reach(service, "reach_regained");
                 // One server at a time would get all requests.
-                let ids: Vec<pool::Id> = self.pool.usable(service).map(|it| it.0).collect();
-                for id in ids {
+                for id in self.usable_ids(service) {
                     self.pool.get_mut(id).health.end_pause(self.now);
                 }
+                self.sweep_probes();
             }
         }
     }
 
+    fn usable_ids(&self, service: &str) -> Vec<pool::Id> {
+        self.pool.usable(service).map(|it| it.0).collect()
+    }
+
+    /// Closes all idle connections to the service's servers: that they are open says nothing about new ones.
+    fn close_idle_to(&mut self, service: &str) {
+        for id in self.usable_ids(service) {
+            self.close_idle(id);
+            self.close_idle_control(self.pool.get(id).address);
+        }
+    }
+
     fn log_reach(&mut self, service: &Arc<str>, event: &'static str) {
         let (answered_at, failed) =
             self.reach.get(service).map_or((self.now, 0), |it| (it.answered_at(), it.failed()));
@@ -84,8 +109,11 @@
         });
         let services: Vec<Arc<str>> = due.collect();
         for service in services {
-            let usable = self.pool.usable(&service).map(|it| it.0);
-            for id in usable.choose_multiple(&mut self.rng, PROBED_SERVERS) {
+            let all = self.usable_ids(&service);
+            let live = all.iter().copied().filter(|it| !self.pool.get(*it).has_ended);
+            let live: Vec<pool::Id> = live.collect();
+            let candidates = if live.is_empty() { all } else { live };
+            for id in candidates.into_iter().choose_multiple(&mut self.rng, PROBED_SERVERS) {
                 let health = &mut self.pool.get_mut(id).health;
                 match health.is_in_rotation() {
                     true => self.probe_reachable(id),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -48,7 +48,7 @@
     pub is_leaving: bool,
     /// Whether it watches the store and the store answers it.
     pub is_watching: bool,
-    /// Whether the store does not answer it.
+    /// Whether the store does not answer it, or it does not reach the servers. Others take its shared duties then.
     pub is_away: bool,
 }
 
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -6,8 +6,8 @@
 
 use crate::pool;
 
-/// Number of servers that must fail or answer to show that the service is out of reach or within reach again, if it
-/// has as many. A single server may have crashed, or be the only one left.
+/// Number of servers that must fail without an answer between them to show that the service is out of reach, if it has
+/// as many. A single one may have crashed.
 const MIN_EVIDENCE: usize = 3;
 
 /// Time in which no request is handed over after other instances have refused one, until one of them has served
@@ -32,8 +32,6 @@
 pub struct Reach {
     /// Servers that failed since one last answered.
     failed: Vec<pool::Id>,
-    /// Servers that answered since the reach was lost.
-    answered: Vec<pool::Id>,
     /// When a server last answered.
     answered_at: Time,
     /// When the reach was lost, if it is.
@@ -101,33 +99,33 @@
         server: pool::Id,
         servers: usize,
     ) -> Option<Change> {
-        self.answered.retain(|it| *it != server);
         if !self.failed.contains(&server) {
             self.failed.push(server);
         }
-        if self.lost_since.is_some() || self.failed.len() < min_evidence(servers) {
+        if self.failed.len() < min_evidence(servers) {
             return None;
         }
-        self.lost_since = Some(now);
-        self.answered.clear();
-        Some(Change::Lost)
+        self.record_loss(now)
     }
 
-    /// Records an answer of `server`, one of `servers`. That number only counts while the reach is lost.
-    pub fn record_answer(&mut self, now: Time, server: pool::Id, servers: usize) -> Option<Change> {
-        self.answered_at = now;
-        if self.lost_since.is_none() {
-            self.failed.clear();
+    /// Records that no server is left that requests could be sent to.
+    pub fn record_loss(&mut self, now: Time) -> Option<Change> {
+        if self.lost_since.is_some() {
             return None;
         }
-        if !self.answered.contains(&server) {
-            self.answered.push(server);
-        }
-        if self.answered.len() < min_evidence(servers) {
+        self.lost_since = Some(now);
+        Some(Change::Lost)
+    }
+
+    /// Records that a server answered a request that was sent at `sent`. Once the reach is lost, only what was sent
+    /// since then counts: answers may come on open connections while new ones are refused.
+    pub fn record_answer(&mut self, now: Time, sent: Time) -> Option<Change> {
+        if self.lost_since.is_some_and(|it| sent < it) {
             return None;
         }
+        let change = self.lost_since.map(|_| Change::Regained);
         *self = Self { answered_at: now, ..Self::default() };
-        Some(Change::Regained)
+        change
     }
 }
 
