--- a/crates/gateway/src/core/reach.rs
+++ b/crates/gateway/src/core/reach.rs
@@ -8,7 +8,7 @@
 use crate::{
     core::Core,
     pool::{self, Presence},
-    reach::{Change, Reach},
+    reach::Change,
 };
 
 /// Interval between probes of servers of a service that is out of reach.
@@ -123,13 +123,15 @@
         }
     }
 
-    /// Whether other instances reach servers that this one doesn't reach.
+    /// Whether other instances reach servers that this one doesn't reach. A service without servers tells nothing.
     pub(crate) fn is_cut_off(&self) -> bool {
-        self.reach.values().any(Reach::is_cut_off)
+        let mut cut_off = self.reach.iter().filter(|it| it.1.is_cut_off());
+        cut_off.any(|it| self.pool.usable(it.0).next().is_some())
     }
 
     /// Number of services whose servers are out of reach.
     pub(crate) fn services_out_of_reach(&self) -> usize {
-        self.reach.values().filter(|it: &&Reach| it.lost_since().is_some()).count()
+        let lost = self.reach.iter().filter(|it| it.1.lost_since().is_some());
+        lost.filter(|it| self.pool.usable(it.0).next().is_some()).count()
     }
 }
