Leave the directory only when no service is reached, and ask instances that refused last

An instance now leaves the directory when it reaches no server of any service; while one service is out of reach, the others are probed as well, so that this is known without requests. It stands back from the lease when it is cut off from engines. Instances that refused a request within the last second are asked last, those that aren't ready after the others, up to three in all.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -161,6 +161,8 @@
     members: Members,
     peers: peers::Peers,
     lease: Lease,
+    /// Whether this instance leaves the lease to others, as it can't order servers.
+    stands_back: bool,
     rollout: Rollout,
     log: Log,
     stats: Stats,
@@ -257,6 +259,7 @@
             storage: storage::Storage::new(&settings, &*adapter, seed, now),
             log: Log::open(&settings.name, settings.log_lines_per_s)?,
             lease: Lease::new(LEASE_NAME, holder, settings.order_gap),
+            stands_back: false,
             members: Members::new(me),
             peers: peers::Peers::default(),
             stats: Stats::open().map_err(io::Error::other)?,
@@ -405,12 +408,12 @@
         }
         self.probe_reach();
         self.update_readiness();
+        self.update_lease_candidacy();
         self.update_watching();
     }
 
-    /// Announces whether callers should choose this instance: if it accepts requests and reaches the servers. If it
-    /// doesn't reach them it goes on to serve the callers that it has, and leaves the lease to an instance that can
-    /// order servers.
+    /// Announces whether callers should choose this instance: if it accepts requests, unless it is cut off from all
+    /// servers. Then it goes on to serve the callers that it has.
     fn update_readiness(&mut self) {
         let is_cut_off = self.is_cut_off();
         let is_ready = self.is_ready() && !is_cut_off;
@@ -423,11 +426,20 @@
             .number("is_ready", is_ready)
             .number("is_cut_off", is_cut_off);
         self.announce_to_few();
-        if is_ready {
-            self.lease.rejoin();
-        } else if is_cut_off {
+    }
+
+    /// Leaves the lease to an instance that can order servers, while this one can't.
+    fn update_lease_candidacy(&mut self) {
+        let stands_back = self.is_cut_off_from_engines();
+        if std::mem::replace(&mut self.stands_back, stands_back) == stands_back {
+            return;
+        }
+        self.log.line(self.now, "lease").number("stands_back", stands_back);
+        if stands_back {
             self.lease.release();
             self.rollout.clear();
+        } else if self.shutdown_since.is_none() {
+            self.lease.rejoin();
         }
     }
 
@@ -442,7 +454,7 @@
             Some(rank) => self.peers.freshness.is_overdue(self.now, rank),
         };
         let is_watching = self.storage.is_watcher && !is_away;
-        let stands_back = is_away || self.is_cut_off();
+        let stands_back = is_away || self.stands_back;
         let me = self.members.me_mut();
         let has_changed = me.is_away != stands_back;
         me.is_away = stands_back;
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -282,8 +282,10 @@
         let framing = framing.map_or("", |it| it.head.framing.name());
         let handed_over = self.exchanges.get(index).filter(|it| self.is_handed_over(it));
         let covered = handed_over.filter(|it| it.reply().is_some_and(|it| it.answer.is_signed));
-        if let Some(service) = covered.map(|it| it.service.clone()) {
-            self.record_handover(&service);
+        let covered =
+            covered.and_then(|it| Some((it.service.clone(), it.attempt.as_ref()?.server)));
+        if let Some((service, instance)) = covered {
+            self.record_handover(&service, instance);
         }
         let attempt = self.release_attempt(index, false);
         let Some(exchange) = self.exchanges.try_remove(index) else { return };
--- a/crates/gateway/src/core/handover.rs
+++ b/crates/gateway/src/core/handover.rs
@@ -22,7 +22,7 @@
 };
 
 /// Number of instances to which one request may be handed over one after the other, as long as it hasn't run.
-const MAX_HANDOVERS: u8 = 2;
+const MAX_HANDOVERS: u8 = 3;
 
 impl Core {
     /// Hands the request over if this instance doesn't reach its service, unless `verdict` speaks against it. Returns
@@ -64,29 +64,30 @@
         reach.is_some_and(Reach::is_cut_off)
     }
 
-    /// An instance that reaches the servers, as far as known: at first one of this data centre, if there is one. Its
-    /// instances may all have lost the servers together.
+    /// An instance that reaches the servers, as far as known.
+    ///
+    /// Ready ones of this data centre come first. After a refusal it is one of another data centre, as a data centre may
+    /// lose the servers as a whole, and after that also one that isn't ready: it may be cut off from another service only.
     fn handover_target(&mut self, index: usize) -> Option<pool::Id> {
+        let now = self.now;
         let exchange = self.exchanges.get(index).filter(|it| it.handovers < MAX_HANDOVERS)?;
-        let ready = self.members.alive(self.now).filter(|it| it.is_ready && !it.is_leaving);
-        let is_local = |centre: &Arc<str>| *centre == self.settings.centre;
-        let ready: Vec<_> =
-            ready.map(|it| (it.name.clone(), it.callers, is_local(&it.centre))).collect();
-        let ids = ready.iter().map(|it| (self.pool.instance(&it.0, it.1), it.2));
-        let ids: Vec<_> = ids.filter(|it| !exchange.excluded.contains(&it.0)).collect();
-        let is_usable = |id: pool::Id| {
-            let health = &self.pool.get(id).health;
-            health.is_in_rotation() || health.is_probe_due(self.now)
-        };
-        let (local, remote): (Vec<_>, Vec<_>) =
-            ids.into_iter().filter(|it| is_usable(it.0)).partition(|it| it.1);
+        let reach = self.reach.get(&exchange.service)?;
         let prefers_local = exchange.handovers == 0;
-        let candidates = match (local.is_empty(), remote.is_empty()) {
-            (false, false) if prefers_local => local,
-            (_, false) => remote,
-            (_, true) => local,
-        };
-        candidates.choose(&mut self.rng).map(|it| it.0)
+        let mut ranked = Vec::new();
+        for member in self.members.alive(now).filter(|it| !it.is_leaving) {
+            let id = self.pool.instance(&member.name, member.callers);
+            let health = &self.pool.get(id).health;
+            let is_usable = health.is_in_rotation() || health.is_probe_due(now);
+            if is_usable && !exchange.excluded.contains(&id) {
+                let is_local = *member.centre == *self.settings.centre;
+                let rank = (!member.is_ready, reach.is_avoided(now, id), is_local != prefers_local);
+                ranked.push((rank, id));
+            }
+        }
+        let best = ranked.iter().map(|it| it.0).min()?;
+        let candidates: Vec<pool::Id> =
+            ranked.into_iter().filter(|it| it.0 == best).map(|it| it.1).collect();
+        candidates.choose(&mut self.rng).copied()
     }
 
     /// Sends the request to the instance. Returns false if it has no connection left.
@@ -148,7 +149,9 @@
         exchange.ran_at.pop();
         exchange.excluded.push(attempt.server);
         exchange.delivery.pending.clear();
-        self.pool.get_mut(attempt.server).health.record_failure(self.now);
+        if let Some(reach) = self.reach.get_mut(&exchange.service) {
+            reach.record_refusal(self.now, attempt.server);
+        }
         self.log
             .line(self.now, "handover_refused")
             .text("request", exchange.id())
@@ -167,10 +170,10 @@
     }
 
     /// Records that another instance has brought a server's answer.
-    pub(crate) fn record_handover(&mut self, service: &Arc<str>) {
+    pub(crate) fn record_handover(&mut self, service: &Arc<str>, instance: pool::Id) {
         self.stats.count_handover("answered");
         if let Some(reach) = self.reach.get_mut(service) {
-            reach.record_handover();
+            reach.record_handover(instance);
         }
     }
 
--- a/crates/gateway/src/core/reach.rs
+++ b/crates/gateway/src/core/reach.rs
@@ -8,7 +8,7 @@
 use crate::{
     core::Core,
     pool::{self, Presence},
-    reach::Change,
+    reach::{Change, Reach},
 };
 
 /// Interval between probes of servers of a service that is out of reach.
@@ -101,14 +101,18 @@
     }
 
     /// Probes some servers of services that are out of reach, which get no requests that would show their return. The
-    /// probes of ejected ones come too rarely for that.
+    /// probes of ejected ones come too rarely for that. While one service is out of reach, the others are probed as well:
+    /// one that gets no requests may be out of reach, too.
     pub(crate) fn probe_reach(&mut self) {
         let now = self.now;
-        let due = self.reach.iter_mut().filter_map(|(service, reach)| {
-            reach.begin_probe(now, PROBE_INTERVAL).then(|| service.clone())
-        });
-        let services: Vec<Arc<str>> = due.collect();
+        if self.reach.values().all(|it| it.lost_since().is_none()) {
+            return;
+        }
+        let services: Vec<Arc<str>> = self.services_with_servers().cloned().collect();
         for service in services {
+            if !self.reach.entry(service.clone()).or_default().begin_probe(now, PROBE_INTERVAL) {
+                continue;
+            }
             let all = self.usable_ids(&service);
             let live = all.iter().copied().filter(|it| !self.pool.get(*it).has_ended);
             let live: Vec<pool::Id> = live.collect();
@@ -123,15 +127,31 @@
         }
     }
 
-    /// Whether other instances reach servers that this one doesn't reach. A service without servers tells nothing.
+    /// Whether this instance reaches no server at all while others do.
     pub(crate) fn is_cut_off(&self) -> bool {
-        let mut cut_off = self.reach.iter().filter(|it| it.1.is_cut_off());
-        cut_off.any(|it| self.pool.usable(it.0).next().is_some())
+        let reach = |it: &Arc<str>| self.reach.get(it);
+        let is_lost = |it| reach(it).is_some_and(|it| it.lost_since().is_some());
+        let is_covered = |it| reach(it).is_some_and(Reach::is_cut_off);
+        self.services_with_servers().any(is_covered) && self.services_with_servers().all(is_lost)
+    }
+
+    /// Whether this instance can't order servers to load weights while others can.
+    pub(crate) fn is_cut_off_from_engines(&self) -> bool {
+        let has_engine = |it: &Arc<str>| self.service(it).is_some_and(|it| it.engine.is_some());
+        let is_cut_off = |it: &Arc<str>| self.reach.get(it).is_some_and(Reach::is_cut_off);
+        self.services_with_servers().any(|it| has_engine(it) && is_cut_off(it))
+    }
+
+    /// Services that have usable servers. The others can't show whether they are reached.
+    fn services_with_servers(&self) -> impl Iterator<Item = &Arc<str>> {
+        let services = self.config.iter().flat_map(|it| it.services.keys());
+        services.filter(|it| self.pool.usable(it).next().is_some())
     }
 
     /// Number of services whose servers are out of reach.
     pub(crate) fn services_out_of_reach(&self) -> usize {
-        let lost = self.reach.iter().filter(|it| it.1.lost_since().is_some());
-        lost.filter(|it| self.pool.usable(it.0).next().is_some()).count()
+        let is_lost =
+            |it: &&Arc<str>| self.reach.get(&**it).is_some_and(|it| it.lost_since().is_some());
+        self.services_with_servers().filter(is_lost).count()
     }
 }
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -14,6 +14,9 @@
 /// one. They may have lost the servers as well.
 const HANDOVER_PAUSE: Duration = Duration::from_millis(300);
 
+/// How long an instance that refused a request is asked last.
+const AVOIDED_FOR: Duration = Duration::from_secs(1);
+
 /// A change of reach.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -41,6 +44,8 @@
     is_covered: bool,
     /// Until when no request is handed over.
     handover_paused_until: Time,
+    /// Instances that refused a request, and when.
+    refused_by: Vec<(pool::Id, Time)>,
     /// When servers were last probed to learn whether they are reached again.
     probed_at: Time,
 }
@@ -61,9 +66,11 @@
         self.failed.len()
     }
 
-    /// Whether servers should be probed now, `interval` after the last time; if so, they count as probed.
+    /// Whether servers should be probed now: `interval` after the last time, and unless one has answered since then. If
+    /// so, they count as probed.
     pub fn begin_probe(&mut self, now: Time, interval: Duration) -> bool {
-        let is_due = self.lost_since.is_some() && interval <= now.since(self.probed_at);
+        let heard_at = if self.lost_since.is_some() { Time::ZERO } else { self.answered_at };
+        let is_due = interval <= now.since(self.probed_at.max(heard_at));
         if is_due {
             self.probed_at = now;
         }
@@ -81,8 +88,20 @@
     }
 
     /// Records that another instance served a request that was handed over.
-    pub fn record_handover(&mut self) {
+    pub fn record_handover(&mut self, instance: pool::Id) {
         self.is_covered = self.lost_since.is_some();
+        self.refused_by.retain(|it| it.0 != instance);
+    }
+
+    /// Records that an instance refused a request that was handed over.
+    pub fn record_refusal(&mut self, now: Time, instance: pool::Id) {
+        self.refused_by.retain(|it| it.0 != instance && now.since(it.1) < AVOIDED_FOR);
+        self.refused_by.push((instance, now));
+    }
+
+    /// Whether an instance refused a request a short while ago. It may not reach the service either.
+    pub fn is_avoided(&self, now: Time, instance: pool::Id) -> bool {
+        self.refused_by.iter().any(|it| it.0 == instance && now.since(it.1) < AVOIDED_FOR)
     }
 
     /// Records that no other instance has taken a request.
--- a/crates/gateway/tests/reach.rs
+++ b/crates/gateway/tests/reach.rs
@@ -60,15 +60,27 @@
     assert!(!reach.is_cut_off());
 }
 
+// Some instances may have lost the servers as well. They are asked last for a while.
+#[test]
+fn instance_that_refused_a_request_is_avoided() {
+    let mut reach = lost_at(1_000);
+    reach.record_refusal(at(1_100), 7);
+    assert!(reach.is_avoided(at(2_099), 7) && !reach.is_avoided(at(1_200), 8));
+    assert!(!reach.is_avoided(at(2_100), 7));
+    reach.record_refusal(at(2_200), 7);
+    reach.record_handover(7);
+    assert!(!reach.is_avoided(at(2_200), 7));
+}
+
 // Only an answer by way of another instance proves that the paths are at fault and not the servers.
 #[test]
 fn instance_is_cut_off_once_another_one_has_served_its_request() {
     let mut reach = Reach::default();
-    reach.record_handover();
+    reach.record_handover(100);
     assert!(!reach.is_cut_off());
     let mut reach = lost_at(1_000);
     assert!(!reach.is_cut_off());
-    reach.record_handover();
+    reach.record_handover(100);
     assert!(reach.is_cut_off());
     reach.record_no_handover(at(1_010));
     assert!(reach.needs_handover(at(1_010)));
@@ -80,7 +92,9 @@
 #[test]
 fn servers_out_of_reach_are_probed_at_intervals() {
     let interval = Duration::from_millis(400);
-    assert!(!Reach::default().begin_probe(at(5_000), interval));
+    let mut reach = Reach::default();
+    reach.record_answer(at(4_700), at(4_690));
+    assert!(!reach.begin_probe(at(5_000), interval));
     let mut reach = lost_at(1_000);
     assert!(reach.begin_probe(at(1_000), interval));
     assert!(!reach.begin_probe(at(1_399), interval));
