Don't take failures right after an answer for a lost reach

Each loss closed all idle connections to the service and probed its servers.

Failures count as a loss only if no server has answered for 150 ms, as long as a connection may take.

--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -10,6 +10,9 @@
 /// as many. A single one may have crashed.
 const MIN_EVIDENCE: usize = 3;
 
+/// Time without an answer after which failures show that the service is out of reach: as long as a connection may take.
+/// When servers crash together, their streams are all sent again within a millisecond, and several fail in a row.
+const MIN_SILENCE: Duration = Duration::from_millis(150);
 /// Time in which no request is handed over after other instances have refused one, until one of them has served
 /// one. They may have lost the servers as well.
 const HANDOVER_PAUSE: Duration = Duration::from_millis(300);
@@ -121,7 +124,8 @@
         if !self.failed.contains(&server) {
             self.failed.push(server);
         }
-        if self.failed.len() < min_evidence(servers) {
+        let is_silent = MIN_SILENCE <= now.since(self.answered_at);
+        if !is_silent || self.failed.len() < min_evidence(servers) {
             return None;
         }
         self.record_loss(now)
