Handover and reach: one way to begin an attempt, one check of each kind

Found in reading the whole change once more; nothing that callers, servers or operators see is different.

- Attempts at servers and at other instances were set up and sent by twin code: Attempt::new and begin_attempt serve both.
- The loop over instances that may take a request stood twice: send_to_instance.
What is learnt from an answer that came by way of another instance is decided in handover.rs, not in finish_exchange.
- close_idle_control and sweep_control share their loop; the comparison of incarnations of Pool::check_incarnation serves the check of answers without framing as well (Server::may_be).
- The silence that shows a lost reach is the time limit of a connection: one constant, where connections are opened.

--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -250,8 +250,8 @@
         }
     }
 
-    /// The head of the answer to the caller. `len`: the body's length; without it, the body is sent in chunks, or ends with the
-    /// connection.
+    /// The head of the answer to the caller. `len`: the body's length; without it, the body is sent in chunks, or ends
+    /// with the connection.
     fn answer_head(&self, exchange: &Exchange, head: &Response, len: Option<usize>) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(512 + len.unwrap_or(0));
         write::status_line(&mut bytes, head.status);
@@ -280,13 +280,7 @@
         let is_exonerated = self.exchanges.get(index).is_some_and(is_exonerating);
         let framing = self.exchanges.get(index).and_then(Exchange::reply);
         let framing = framing.map_or("", |it| it.head.framing.name());
-        let handed_over = self.exchanges.get(index).filter(|it| self.is_handed_over(it));
-        let covered = handed_over.filter(|it| it.reply().is_some_and(|it| it.answer.is_signed));
-        let covered =
-            covered.and_then(|it| Some((it.service.clone(), it.attempt.as_ref()?.server)));
-        if let Some((service, instance)) = covered {
-            self.record_handover(&service, instance);
-        }
+        self.record_handover(index);
         let attempt = self.release_attempt(index, false);
         let Some(exchange) = self.exchanges.try_remove(index) else { return };
         if exchange.delivery.has_begun && exchange.is_chunked() {
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -11,16 +11,13 @@
     core::{Core, Timer, copy, exchange::Exchange, refusal::Refusal, unframed},
     cost::Sample,
     http::{body::Framing, head::Response},
-    net::Key,
+    net::{CONNECT_TIMEOUT, Key},
     placement::Choice,
     pool::{self, Switch},
     quarantine::Verdict,
     rollout,
 };
 
-/// Time limit for opening a connection. TCP sends a lost SYN again only after a second, so that trying
-/// another server is faster.
-pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// How much later than expected an answer may begin before its server is probed.
 const LATE_MARGIN: Duration = Duration::from_millis(250);
 /// Retries that the budget keeps when streams are migrated from a working server, for migrated streams that
@@ -95,10 +92,10 @@
 }
 
 impl Attempt {
-    /// An attempt at another instance, which chooses the server.
-    pub(super) fn handed_over(instance: pool::Id, connection: Key, now: Time) -> Self {
+    /// An attempt that is sent now and of which nothing is expected yet.
+    pub(super) fn new(server: pool::Id, connection: Key, now: Time) -> Self {
         Self {
-            server: instance,
+            server,
             connection,
             sent: now,
             connect_deadline: now + CONNECT_TIMEOUT,
@@ -166,7 +163,7 @@
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
         exchange.copy = copy;
         let resume_from = exchange.resume_from.take();
-        let server = self.pool.get_mut(choice.server);
+        let server = self.pool.get(choice.server);
         let scope = choice.weights.map(|it| cache_scope(it, exchange.cache_owner()));
         let time_left = exchange.deadline.since(now);
         let options = ForwardOptions {
@@ -183,31 +180,22 @@
             last_event: exchange.delivery.last_event.or(resume_from.map(|_| 0)),
             body_len: (exchange.head.framing != Framing::Empty).then_some(exchange.body.len()),
         };
-        let expected = choice.first_token() + LATE_MARGIN;
-        let answer_due = now + expected;
+        let answer_due = now + choice.first_token() + LATE_MARGIN;
         let mut bytes = Vec::with_capacity(1024 + exchange.body.len());
         self.adapter.write_request(&exchange.head, &options, &mut bytes);
         bytes.extend_from_slice(&exchange.body);
-        server.inflight += 1;
-        exchange.ran_at.push(choice.server);
-        exchange.attempts_made += 1;
-        exchange.attempt = Some(Attempt {
-            server: choice.server,
-            connection,
-            sent: now,
-            connect_deadline: now + CONNECT_TIMEOUT,
-            answer_due: now + expected,
+        let attempt = Attempt {
+            answer_due,
             weights: choice.weights,
             staleness,
             uncached_tokens: choice.uncached_tokens,
             wait_ms: choice.wait_ms,
             first_token: choice.first_token(),
-            reply: None,
-            run: None,
             is_from_copy: resume_from.is_some(),
-            is_passed_through: false,
-            end: None,
-        });
+            ..Attempt::new(choice.server, connection, now)
+        };
+        self.begin_attempt(index, attempt, &bytes);
+        let Some(exchange) = self.exchanges.get(index) else { return };
         let server = self.pool.get(choice.server);
         let load_age = server.load.map_or(Duration::ZERO, |it| now.since(it.1));
         self.log
@@ -241,13 +229,24 @@
             self.peers.add_placement(placement);
         }
         let serial = exchange.serial;
+        self.set_timer(answer_due, Timer::Exchange(index, serial));
+        self.watch_start(index);
+    }
+
+    /// Sends the request's `bytes` and records the attempt.
+    pub(super) fn begin_attempt(&mut self, index: usize, attempt: Attempt, bytes: &[u8]) {
+        let Some(exchange) = self.exchanges.get_mut(index) else { return };
+        let (connection, connect_deadline) = (attempt.connection, attempt.connect_deadline);
+        self.pool.get_mut(attempt.server).inflight += 1;
+        exchange.ran_at.push(attempt.server);
+        exchange.attempts_made += 1;
+        exchange.attempt = Some(attempt);
+        let serial = exchange.serial;
         let is_connecting = self.is_connecting(connection);
-        self.net.send(connection, &bytes);
+        self.net.send(connection, bytes);
         if is_connecting {
-            self.set_timer(now + CONNECT_TIMEOUT, Timer::Exchange(index, serial));
+            self.set_timer(connect_deadline, Timer::Exchange(index, serial));
         }
-        self.set_timer(answer_due, Timer::Exchange(index, serial));
-        self.watch_start(index);
     }
 
     /// Ends the attempt, if there is one. `closes`: its connection can't be reused.
--- a/crates/gateway/src/core/control.rs
+++ b/crates/gateway/src/core/control.rs
@@ -306,19 +306,19 @@
 
     /// Closes the idle connections to the address.
     pub(crate) fn close_idle_control(&mut self, address: SocketAddr) {
-        let is_idle = |it: &Role| matches!(it, Role::Control(it) if it.request.is_none() && it.address == address);
-        let keys: Vec<Key> = self.roles.iter().filter(|it| is_idle(it.1)).map(|it| *it.0).collect();
-        for key in keys {
-            self.close_connection(key);
-        }
+        self.close_idle_control_where(|it| it.address == address);
     }
 
     /// Closes connections that have been idle for too long.
     pub(crate) fn sweep_control(&mut self) {
         let now = self.now;
-        let is_expired = |it: &Role| matches!(it, Role::Control(it) if it.request.is_none() && it.idle_until <= now);
-        let keys: Vec<Key> =
-            self.roles.iter().filter(|it| is_expired(it.1)).map(|it| *it.0).collect();
+        self.close_idle_control_where(|it| it.idle_until <= now);
+    }
+
+    fn close_idle_control_where(&mut self, is_chosen: impl Fn(&Connection) -> bool) {
+        let is_idle =
+            |it: &Role| matches!(it, Role::Control(it) if it.request.is_none() && is_chosen(it));
+        let keys: Vec<Key> = self.roles.iter().filter(|it| is_idle(it.1)).map(|it| *it.0).collect();
         for key in keys {
             self.close_connection(key);
         }
--- a/crates/gateway/src/core/handover.rs
+++ b/crates/gateway/src/core/handover.rs
@@ -2,15 +2,13 @@
 //!
 //! The other instance serves such a request like one of its own callers'. It never hands it over again.
 
-use std::sync::Arc;
-
 use rand::seq::IndexedRandom;
 
 use crate::{
     adapter::HandoverOptions,
     core::{
-        Core, Timer,
-        attempt::{Attempt, CONNECT_TIMEOUT},
+        Core,
+        attempt::Attempt,
         exchange::Exchange,
         refusal::{RETRY_AFTER, Refusal},
     },
@@ -18,7 +16,6 @@
     placement::Shortage,
     pool,
     quarantine::Verdict,
-    reach::Reach,
 };
 
 /// Number of instances to which one request may be handed over one after the other, as long as it hasn't run.
@@ -45,12 +42,9 @@
             }
             return is_cut_off;
         }
-        while let Some(id) = self.handover_target(index) {
-            if self.send_handover(index, id) {
-                return true;
-            }
+        if self.send_to_instance(index) {
+            return true;
         }
-        self.record_no_handover(index);
         if is_cut_off {
             // The servers would be tried in vain.
             self.wait_or_refuse(index, Shortage::NoneReady);
@@ -58,10 +52,23 @@
         is_cut_off
     }
 
+    /// Sends the request to another instance. Returns false if none can take it.
+    fn send_to_instance(&mut self, index: usize) -> bool {
+        while let Some(id) = self.handover_target(index) {
+            if self.send_handover(index, id) {
+                return true;
+            }
+        }
+        let service = self.exchanges.get(index).map(|it| it.service.clone());
+        if let Some(reach) = service.and_then(|it| self.reach.get_mut(&it)) {
+            reach.record_no_handover(self.now);
+        }
+        false
+    }
+
     /// Whether other instances are known to reach servers of the request's service that this one doesn't reach.
     fn is_cut_off_from_service(&self, index: usize) -> bool {
-        let reach = self.exchanges.get(index).and_then(|it| self.reach.get(&it.service));
-        reach.is_some_and(Reach::is_cut_off)
+        self.exchanges.get(index).is_some_and(|it| self.is_cut_off_from(&it.service))
     }
 
     /// An instance that reaches the servers, as far as known.
@@ -110,10 +117,6 @@
         bytes.extend_from_slice(&exchange.body);
         exchange.handovers += 1;
         exchange.copy = None;
-        exchange.ran_at.push(id);
-        exchange.attempts_made += 1;
-        exchange.attempt = Some(Attempt::handed_over(id, connection, now));
-        self.pool.get_mut(id).inflight += 1;
         self.log
             .line(now, "handed_over")
             .text("request", exchange.id())
@@ -123,13 +126,8 @@
             .number("last_event", options.last_event.unwrap_or(0))
             .ms("left_ms", options.time_left)
             .ms("after_ms", now.since(exchange.arrived));
-        let serial = exchange.serial;
         self.stats.count_handover("sent");
-        let is_connecting = self.is_connecting(connection);
-        self.net.send(connection, &bytes);
-        if is_connecting {
-            self.set_timer(now + CONNECT_TIMEOUT, Timer::Exchange(index, serial));
-        }
+        self.begin_attempt(index, Attempt::new(id, connection, now), &bytes);
         true
     }
 
@@ -159,28 +157,25 @@
             .number("status", status)
             .ms("after_ms", self.now.since(exchange.arrived));
         self.stats.count_handover("refused");
-        while let Some(id) = self.handover_target(index) {
-            if self.send_handover(index, id) {
-                return;
-            }
+        if !self.send_to_instance(index) {
+            let after = after.unwrap_or(RETRY_AFTER);
+            self.refuse_or_fail(index, Refusal::OutOfReach { after });
         }
-        self.record_no_handover(index);
-        let after = after.unwrap_or(RETRY_AFTER);
-        self.refuse_or_fail(index, Refusal::OutOfReach { after });
     }
 
-    /// Records that another instance has brought a server's answer.
-    pub(crate) fn record_handover(&mut self, service: &Arc<str>, instance: pool::Id) {
-        self.stats.count_handover("answered");
-        if let Some(reach) = self.reach.get_mut(service) {
-            reach.record_handover(instance);
+    /// Records a complete answer, if another instance has brought it from a server.
+    pub(crate) fn record_handover(&mut self, index: usize) {
+        let Some(exchange) = self.exchanges.get(index) else { return };
+        let Some(attempt) = exchange.attempt.as_ref().filter(|_| self.is_handed_over(exchange))
+        else {
+            return;
+        };
+        if !attempt.reply.as_ref().is_some_and(|it| it.answer.is_signed) {
+            return;
         }
-    }
-
-    fn record_no_handover(&mut self, index: usize) {
-        let Some(service) = self.exchanges.get(index).map(|it| it.service.clone()) else { return };
-        if let Some(reach) = self.reach.get_mut(&service) {
-            reach.record_no_handover(self.now);
+        self.stats.count_handover("answered");
+        if let Some(reach) = self.reach.get_mut(&exchange.service) {
+            reach.record_handover(attempt.server);
         }
     }
 }
--- a/crates/gateway/src/core/reach.rs
+++ b/crates/gateway/src/core/reach.rs
@@ -129,29 +129,44 @@
 
     /// Whether this instance reaches no server at all while others do.
     pub(crate) fn is_cut_off(&self) -> bool {
-        let reach = |it: &Arc<str>| self.reach.get(it);
-        let is_lost = |it| reach(it).is_some_and(|it| it.lost_since().is_some());
-        let is_covered = |it| reach(it).is_some_and(Reach::is_cut_off);
-        self.services_with_servers().any(is_covered) && self.services_with_servers().all(is_lost)
+        let has_lost = |it: &Arc<str>| self.is_out_of_reach(it);
+        self.cut_off_services().next().is_some() && self.services_with_servers().all(has_lost)
     }
 
     /// Whether this instance can't order servers to load weights while others can.
     pub(crate) fn is_cut_off_from_engines(&self) -> bool {
         let has_engine = |it: &Arc<str>| self.service(it).is_some_and(|it| it.engine.is_some());
-        let is_cut_off = |it: &Arc<str>| self.reach.get(it).is_some_and(Reach::is_cut_off);
-        self.services_with_servers().any(|it| has_engine(it) && is_cut_off(it))
+        self.cut_off_services().any(has_engine)
+    }
+
+    /// Number of services whose servers are out of reach.
+    pub(crate) fn services_out_of_reach(&self) -> usize {
+        self.services_with_servers().filter(|it| self.is_out_of_reach(it)).count()
+    }
+
+    /// Whether no server of the service is reached.
+    fn is_out_of_reach(&self, service: &str) -> bool {
+        self.reach.get(service).is_some_and(|it| it.lost_since().is_some())
+    }
+
+    /// Whether other instances are known to reach servers of the service that this one doesn't reach.
+    pub(crate) fn is_cut_off_from(&self, service: &str) -> bool {
+        self.reach.get(service).is_some_and(Reach::is_cut_off)
+    }
+
+    /// Services with usable servers from which this instance is cut off.
+    fn cut_off_services(&self) -> impl Iterator<Item = &Arc<str>> {
+        let services = self.reach.keys().filter(|it| self.is_cut_off_from(it));
+        services.filter(|it| self.has_servers(it))
     }
 
     /// Services that have usable servers. The others can't show whether they are reached.
     fn services_with_servers(&self) -> impl Iterator<Item = &Arc<str>> {
         let services = self.config.iter().flat_map(|it| it.services.keys());
-        services.filter(|it| self.pool.usable(it).next().is_some())
+        services.filter(|it| self.has_servers(it))
     }
 
-    /// Number of services whose servers are out of reach.
-    pub(crate) fn services_out_of_reach(&self) -> usize {
-        let is_lost =
-            |it: &&Arc<str>| self.reach.get(&**it).is_some_and(|it| it.lost_since().is_some());
-        self.services_with_servers().filter(is_lost).count()
+    fn has_servers(&self, service: &str) -> bool {
+        self.pool.usable(service).next().is_some()
     }
 }
--- a/crates/gateway/src/core/unframed.rs
+++ b/crates/gateway/src/core/unframed.rs
@@ -145,9 +145,10 @@
         match outcome {
             Outcome::Answered { status: 200, body, .. } => {
                 let reported = self.adapter.parse_report(body).and_then(|it| it.incarnation);
-                let known = self.pool.get(server).incarnation;
-                let is_other = known.is_some() && reported.is_some() && known != reported;
-                if is_other { Evidence::MayHaveEnded } else { Evidence::Alive }
+                match self.pool.get(server).may_be(reported) {
+                    true => Evidence::Alive,
+                    false => Evidence::MayHaveEnded,
+                }
             }
             Outcome::Answered { .. } => Evidence::Alive,
             Outcome::Reset => Evidence::Resetting,
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -20,6 +20,9 @@
 
 pub(crate) use socket::Socket;
 
+/// Time limit for opening a connection. TCP sends a lost SYN again only after a second, so that trying
+/// another peer is faster.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Length of the kernel's queue of connections to accept.
 const LISTEN_BACKLOG: i32 = 1024;
 /// Bytes read from one socket per round; more are read in further rounds.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -308,7 +308,7 @@
         if is_newer && server.incarnation.is_some() {
             server.presence = Presence::Gone;
         }
-        incarnation.is_none() || server.incarnation.is_none() || server.incarnation == incarnation
+        server.may_be(incarnation)
     }
 
     /// A whole list was read at `revision`: servers that aren't in `names` are missing.
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -139,6 +139,11 @@
         has_loaded
     }
 
+    /// Whether a report of `incarnation` may come from this incarnation. Servers need not name theirs.
+    pub(crate) fn may_be(&self, incarnation: Option<Incarnation>) -> bool {
+        incarnation.is_none() || self.incarnation.is_none() || self.incarnation == incarnation
+    }
+
     /// The hash that identifies this incarnation among instances.
     pub fn incarnation_id(&self) -> IncarnationId {
         hash::weight(&self.name, self.incarnation.unwrap_or_default())
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -4,7 +4,7 @@
 
 use shallotlead_base::time::Time;
 
-use crate::pool;
+use crate::{net::CONNECT_TIMEOUT, pool};
 
 /// Number of servers that must fail without an answer between them to show that the service is out of reach, if it has
 /// as many. A single one may have crashed.
@@ -12,7 +12,8 @@
 
 /// Time without an answer after which failures show that the service is out of reach: as long as a connection may take.
 /// When servers crash together, their streams are all sent again within a millisecond, and several fail in a row.
-const MIN_SILENCE: Duration = Duration::from_millis(150);
+const MIN_SILENCE: Duration = CONNECT_TIMEOUT;
+
 /// Time in which no request is handed over after other instances have refused one, until one of them has served
 /// one. They may have lost the servers as well.
 const HANDOVER_PAUSE: Duration = Duration::from_millis(300);
