Log and count each retry that is drawn from the budget

Only refused retries were logged, so that a log couldn't tell an instance that divides the slack by too few from one whose earlier process has spent its share already, nor find an attempt that drew nothing. All draws go through one function now, which logs what decided and the process's age. A retry that is refused is no longer counted as sent again in shallotlead_resends_total.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -19,6 +19,7 @@
 mod reach;
 mod refusal;
 mod retry;
+mod retry_budget;
 mod rollout;
 mod staleness;
 mod state;
@@ -141,6 +142,8 @@
     /// Listening sockets for callers; closed during shutdown.
     listeners: Vec<Key>,
     now: Time,
+    /// When the process started.
+    started: Time,
     /// Upper bound of the time that datagrams read in this turn of the loop waited in the socket's buffer,
     /// for example while the process was paused.
     receive_delay: Duration,
@@ -268,6 +271,7 @@
             roles: Map::default(),
             listeners,
             now,
+            started: now,
             receive_delay: Duration::ZERO,
             rng: SmallRng::seed_from_u64(seed),
             timers: BinaryHeap::new(),
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -31,7 +31,7 @@
 /// Content type of streams of events.
 const EVENT_STREAM: &str = "text/event-stream";
 /// Why a stream is migrated from a working server; it may also stay there.
-const REASON_LOADING: &str = "loading";
+pub(super) const REASON_LOADING: &str = "loading";
 /// Why an attempt ends whose server doesn't respond.
 pub(super) const REASON_UNRESPONSIVE: &str = "silent";
 /// How long a server that declined a request because of its weights is assumed to be loading the next
@@ -345,13 +345,9 @@
             }
             return;
         }
-        self.stats.count_resend(reason);
-        let instances = self.members.budget_sharers();
-        let service = exchange.service.clone();
-        if self.budget.withdraw(self.now, &service, instances, Purpose::Request) {
+        if self.draw_retry(index, reason) {
             self.dispatch(index);
         } else {
-            self.log_no_budget(index, reason, Purpose::Request);
             self.refuse_or_fail(index, Refusal::Declined);
         }
     }
@@ -405,7 +401,6 @@
     /// Sends an idempotent request to another server, if attempts and retry budget allow it. Returns
     /// whether it was sent.
     pub(crate) fn retry_elsewhere(&mut self, index: usize, reason: &'static str) -> bool {
-        let instances = self.members.budget_sharers();
         let Some(exchange) = self.exchanges.get(index) else { return false };
         if !exchange.is_repeatable() {
             return false;
@@ -414,16 +409,9 @@
             self.log_no_attempt(index, reason);
             return false;
         }
-        let service = exchange.service.clone();
-        let purpose = match exchange.delivery.has_begun && reason != REASON_LOADING {
-            true => Purpose::Stream,
-            false => Purpose::Request,
-        };
-        if !self.budget.withdraw(self.now, &service, instances, purpose) {
-            self.log_no_budget(index, reason, purpose);
+        if !self.draw_retry(index, reason) {
             return false;
         }
-        self.stats.count_resend(reason);
         let attempt = self.release_attempt(index, true);
         let Some(exchange) = self.exchanges.get_mut(index) else { return false };
         exchange.delivery.pending.clear();
@@ -442,24 +430,6 @@
         self.exchanges.iter().filter(move |it| is_there(it.1))
     }
 
-    /// Logs that the retry budget doesn't allow another attempt.
-    pub(crate) fn log_no_budget(&mut self, index: usize, reason: &str, purpose: Purpose) {
-        let instances = self.members.budget_sharers();
-        let Some(exchange) = self.exchanges.get(index) else { return };
-        let left = self.budget.remaining(self.now, &exchange.service, instances, purpose);
-        let (requests, retries) = self.budget.counts(self.now, &exchange.service);
-        self.log
-            .line(self.now, "no_budget")
-            .text("request", exchange.id())
-            .text("reason", reason)
-            .number("has_begun", exchange.delivery.has_begun)
-            .number("resends", exchange.resends)
-            .number("requests", requests)
-            .number("retries", retries)
-            .number("instances", instances)
-            .number("left", format_args!("{left:.2}"));
-    }
-
     /// Logs that an idempotent request has run as often as its route allows.
     fn log_no_attempt(&mut self, index: usize, reason: &str) {
         let Some(exchange) = self.exchanges.get(index) else { return };
--- a/crates/gateway/src/core/copy.rs
+++ b/crates/gateway/src/core/copy.rs
@@ -2,7 +2,6 @@
 //! lost.
 
 use crate::{
-    budget::Purpose,
     copies,
     core::Core,
     placement::Choice,
@@ -42,12 +41,7 @@
         if self.acquire_permit(copy) != Permission::Granted {
             return false;
         }
-        let instances = self.members.budget_sharers();
-        let Some(service) = self.exchanges.get(index).map(|it| it.service.clone()) else {
-            return false;
-        };
-        if !self.budget.withdraw(self.now, &service, instances, Purpose::Stream) {
-            self.log_no_budget(index, reason, Purpose::Stream);
+        if !self.draw_retry(index, reason) {
             return false;
         }
         let lost = self.release_attempt(index, true);
@@ -63,7 +57,7 @@
             .text("reason", reason)
             .number("last_event", exchange.delivery.last_event.unwrap_or(0));
         self.stats.count_copy_used();
-        let first_token_ms = self.pool.cost(&service).response_ms();
+        let first_token_ms = self.pool.cost(&exchange.service).response_ms();
         self.send_attempt(index, &continuation(copy, weights, first_token_ms));
         true
     }
--- a/crates/gateway/src/core/retry.rs
+++ b/crates/gateway/src/core/retry.rs
@@ -5,7 +5,6 @@
 use shallotlead_base::time::Time;
 
 use crate::{
-    budget::Purpose,
     core::{Core, Timer, copy, exchange::Exchange},
     pool,
     quarantine::Verdict,
@@ -110,18 +109,18 @@
     /// too long.
     pub(crate) fn retry_if_due(&mut self, index: usize) {
         let now = self.now;
-        let Some(exchange) = self.exchanges.get_mut(index) else { return };
+        let Some(exchange) = self.exchanges.get(index) else { return };
         let Some(retry) = exchange.retry.filter(|it| it.due <= now) else { return };
-        let (service, give_up_at) = (exchange.service.clone(), exchange.give_up_at());
-        let instances = self.members.budget_sharers();
+        let give_up_at = exchange.give_up_at();
         if retry.unless_ended.is_some() {
             self.fail_exchange(index, 502, retry.reason);
-        } else if self.budget.withdraw(now, &service, instances, Purpose::Stream) {
-            exchange.retry = None;
-            self.stats.count_resend(retry.reason);
+        } else if self.try_draw_retry(index, retry.reason) {
+            if let Some(exchange) = self.exchanges.get_mut(index) {
+                exchange.retry = None;
+            }
             self.dispatch(index);
         } else if give_up_at <= now {
-            self.log_no_budget(index, retry.reason, Purpose::Stream);
+            self.log_no_budget(index, retry.reason);
             self.fail_exchange(index, 502, retry.reason);
         } else {
             self.schedule_retry(index, Retry { due: now + BUDGET_RETRY_INTERVAL, ..retry });
--- /dev/null
+++ b/crates/gateway/src/core/retry_budget.rs
@@ -0,0 +1,65 @@
+//! Draws on the retry budget, the only way to send a request again that a server may have received.
+
+use crate::{
+    budget::Purpose,
+    core::{Core, attempt::REASON_LOADING},
+};
+
+impl Core {
+    /// Takes a retry for the request from its service's budget, if one is left, and logs either outcome.
+    pub(crate) fn draw_retry(&mut self, index: usize, reason: &'static str) -> bool {
+        let is_drawn = self.try_draw_retry(index, reason);
+        if !is_drawn {
+            self.log_no_budget(index, reason);
+        }
+        is_drawn
+    }
+
+    /// The same, without logging that none is left, for a request that will ask again.
+    pub(crate) fn try_draw_retry(&mut self, index: usize, reason: &'static str) -> bool {
+        let instances = self.members.budget_sharers();
+        let Some(exchange) = self.exchanges.get(index) else { return false };
+        let (service, purpose) = (exchange.service.clone(), self.retry_purpose(index, reason));
+        if !self.budget.withdraw(self.now, &service, instances, purpose) {
+            return false;
+        }
+        self.stats.count_resend(reason);
+        self.stats.count_retry(&service);
+        self.log_draw("retry", index, reason);
+        true
+    }
+
+    /// Logs that the retry budget doesn't allow another attempt.
+    pub(crate) fn log_no_budget(&mut self, index: usize, reason: &'static str) {
+        self.log_draw("no_budget", index, reason);
+    }
+
+    fn retry_purpose(&self, index: usize, reason: &'static str) -> Purpose {
+        let has_begun = self.exchanges.get(index).is_some_and(|it| it.delivery.has_begun);
+        match has_begun && reason != REASON_LOADING {
+            true => Purpose::Stream,
+            false => Purpose::Request,
+        }
+    }
+
+    /// Logs the outcome of a draw with what decided it.
+    fn log_draw(&mut self, line: &'static str, index: usize, reason: &'static str) {
+        let instances = self.members.budget_sharers();
+        let purpose = self.retry_purpose(index, reason);
+        let Some(exchange) = self.exchanges.get(index) else { return };
+        let left = self.budget.remaining(self.now, &exchange.service, instances, purpose);
+        let (requests, retries) = self.budget.counts(self.now, &exchange.service);
+        self.log
+            .line(self.now, line)
+            .text("request", exchange.id())
+            .text("service", &exchange.service)
+            .text("reason", reason)
+            .number("has_begun", exchange.delivery.has_begun)
+            .number("resends", exchange.resends)
+            .number("requests", requests)
+            .number("retries", retries)
+            .number("instances", instances)
+            .ms("up_ms", self.now.since(self.started))
+            .number("left", format_args!("{left:.2}"));
+    }
+}
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -261,6 +261,12 @@
         metrics::counter!("shallotlead_resends_total", "reason" => reason).increment(1);
     }
 
+    /// Counts a retry that was taken from the service's budget.
+    pub(crate) fn count_retry(&mut self, service: &Arc<str>) {
+        metrics::counter!("shallotlead_retries_drawn_total", "service" => service.to_string())
+            .increment(1);
+    }
+
     /// Counts a step of the quarantine.
     pub(crate) fn count_quarantine_step(&mut self, step: &'static str) {
         metrics::counter!("shallotlead_quarantine_total", "step" => step).increment(1);
