Known red: the retry budget is exceeded when instances restart, know no others or are cut off for long

Callers' requests reach a service more often than its retry budget allows, which loads servers that are in need already.

--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -62,6 +62,9 @@
     loss: f64,
     /// Each instance's record in the store.
     records: Vec<Member>,
+    is_store_available: bool,
+    /// Instances that started while the store was not available.
+    unread: BTreeSet<usize>,
 }
 
 impl Fleet {
@@ -79,6 +82,8 @@
             rng,
             loss,
             records: Vec::new(),
+            is_store_available: true,
+            unread: BTreeSet::new(),
         };
         (0..count).for_each(|_| fleet.join());
         fleet
@@ -100,11 +105,29 @@
 
     /// The instance reads the records of all instances that ever existed from the store.
     pub(crate) fn read_records(&mut self, index: usize) {
+        if !self.is_store_available {
+            self.unread.insert(index);
+            return;
+        }
         for it in self.records.clone() {
             self.nodes[index].members.add_record(at(self.now_ms), it);
         }
     }
 
+    /// Instances that start while the store isn't available read its records once it is.
+    pub(crate) fn set_store_available(&mut self, is_available: bool) {
+        self.is_store_available = is_available;
+        if is_available {
+            for index in std::mem::take(&mut self.unread) {
+                self.read_records(index);
+            }
+        }
+    }
+
+    pub(crate) fn members(&self, index: usize) -> &Members {
+        &self.nodes[index].members
+    }
+
     pub(crate) fn end(&mut self, index: usize) {
         let node = &mut self.nodes[index];
         (node.ended_at, node.paused_until) = (Some(self.now_ms), 0);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub(crate) mod fleet;
+pub(crate) mod retries;
 
 use std::{sync::Arc, time::Duration};
 
