Keep to the retry budget across restarts, partitions and instances that know no others

Cause: the budget is an allowance of all instances that each spent from what it alone remembered.

Now a process has a share of the slack only once it is registered, has read who else is, and what earlier processes have spent has left the window. Those that may live on behind a partition count for ten minutes.

The assert that a forgotten member no longer counts for the budget was the fault itself; it now asks that it counts for ten minutes and not longer.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -5,12 +5,17 @@
 use shallotlead_base::{hash::Map, time::Time};
 
 /// Width of the buckets in which requests and retries are counted.
-const BUCKET_WIDTH: Duration = Duration::from_millis(500);
-/// Fraction of the allowed retries that is used, so that requests at the edge of the window, or
-/// instances that learn of each other late, can't exceed the limit.
-const REQUEST_MARGIN: f64 = 0.75;
-/// The same for streams that have begun: the rest is reserved for them.
-const STREAM_MARGIN: f64 = 0.93;
+const BUCKET_WIDTH: Duration = Duration::from_millis(100);
+/// Longest time from a draw until the retry reaches a server that is covered: until a connection is established and
+/// what was lost on the way is sent again.
+const ARRIVAL_DELAY: Duration = Duration::from_secs(1);
+/// Weights of the requests within a window, and of those within the window before it. They add up to one and are the
+/// same at all instances, so that what all instances draw adds up to at most what the busier window allows.
+const WINDOW_WEIGHT: f64 = 0.6;
+const EARLIER_WEIGHT: f64 = 1.0 - WINDOW_WEIGHT;
+/// Fraction of the budget for requests whose callers have received nothing yet. The rest is reserved for streams that
+/// have begun.
+const REQUEST_FRACTION: f64 = 0.8;
 
 /// What a retry is for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -32,56 +37,68 @@
     pub slack: f64,
 }
 
-#[derive(Debug, Default)]
-struct Window {
-    /// Start of each bucket, and its numbers of requests and retries, oldest first.
-    buckets: VecDeque<(Time, u32, u32)>,
+/// What was counted during [`BUCKET_WIDTH`].
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    start: Time,
+    requests: u32,
+    retries: u32,
 }
 
 /// Counts of requests and retries by service.
 ///
-/// Guards against retry storms, in which a service receives many more attempts than there are
-/// requests, while fewer and fewer are answered. The limit holds over all instances without
-/// coordination: each spends the ratio of its own requests and an equal part of the slack.
+/// Guards against retry storms, in which a service receives many more attempts than there are requests, while fewer
+/// and fewer are answered. The limit holds for all instances together, however often they restart, without
+/// coordination: each process spends the ratio of the requests that it has received itself, and a share of the slack.
+///
+/// Let `W` be any window, and `V` the one before it. A process draws a retry only if, for each `W` that the retry may
+/// reach a server in, its retries in `W` stay within a share of the slack and `ratio` times the weighted sum of its
+/// requests in `V` and `W`, by what it has counted so far. Summed over all processes that is at most the slack and
+/// `ratio` times the requests in `V` or `W`, whichever has more.
 #[derive(Debug)]
 pub struct Budget {
     policy: Policy,
-    windows: Map<Arc<str>, Window>,
+    buckets: Map<Arc<str>, VecDeque<Bucket>>,
 }
 
 impl Budget {
     /// An unused budget under `policy`.
     pub fn new(policy: Policy) -> Self {
-        Self { policy, windows: Map::default() }
+        Self { policy, buckets: Map::default() }
+    }
+
+    /// The time within which retries may reach a server in the same window.
+    pub fn span(&self) -> Duration {
+        self.policy.window + ARRIVAL_DELAY + BUCKET_WIDTH
     }
 
     /// Counts a request to `service`.
     pub fn count_request(&mut self, now: Time, service: &Arc<str>) {
-        self.bucket(now, service).1 += 1;
+        self.bucket(now, service).requests += 1;
     }
 
-    /// Takes one retry at `service` from the budget, if one is left. `instances`: number of those
-    /// that share the slack, rounded up when unsure.
+    /// Takes one retry at `service` from the budget, if one is left. `share`: the fraction of the slack that this
+    /// process may spend.
     pub fn withdraw(
         &mut self,
         now: Time,
         service: &Arc<str>,
-        instances: u32,
+        share: f64,
         purpose: Purpose,
     ) -> bool {
-        if self.remaining(now, service, instances, purpose) < 1.0 {
+        if self.remaining(now, service, share, purpose) < 1.0 {
             return false;
         }
-        self.bucket(now, service).2 += 1;
+        self.bucket(now, service).retries += 1;
         true
     }
 
     /// Requests and retries at `service` within the current window.
     pub fn counts(&mut self, now: Time, service: &Arc<str>) -> (u32, u32) {
-        let counted = self.policy.window + BUCKET_WIDTH;
         self.bucket(now, service);
-        let recent = self.windows[service].buckets.iter().filter(|it| now.since(it.0) <= counted);
-        recent.fold((0, 0), |sum, it| (sum.0 + it.1, sum.1 + it.2))
+        let window = self.policy.window;
+        let recent = self.buckets[service].iter().filter(|it| now.since(it.start) <= window);
+        recent.fold((0, 0), |sum, it| (sum.0 + it.requests, sum.1 + it.retries))
     }
 
     /// Retries at `service` that are left now.
@@ -89,27 +106,50 @@
         &mut self,
         now: Time,
         service: &Arc<str>,
-        instances: u32,
+        share: f64,
         purpose: Purpose,
     ) -> f64 {
-        let margin = match purpose {
-            Purpose::Request => REQUEST_MARGIN,
-            Purpose::Stream => STREAM_MARGIN,
+        let fraction = match purpose {
+            Purpose::Request => REQUEST_FRACTION,
+            Purpose::Stream => 1.0,
         };
-        let Policy { ratio, slack, .. } = self.policy;
-        let (requests, retries) = self.counts(now, service);
-        let (requests, retries) = (f64::from(requests), f64::from(retries));
-        margin * (ratio * requests + slack / f64::from(instances.max(1))) - retries
+        let (span, Policy { ratio, window, slack }) = (self.span(), self.policy);
+        self.bucket(now, service);
+        let buckets = &self.buckets[service];
+        // Buckets from these indices on lie in the window, and in it or the one before.
+        let (mut within, mut before) = (buckets.len(), buckets.len());
+        let (mut requests, mut earlier, mut retries) = (0, 0, 0);
+        let mut left = f64::INFINITY;
+        // The latest window that a bucket's retries may still count in holds those of all later buckets as well.
+        for bucket in buckets.iter().rev().take_while(|it| now.since(it.start) <= span) {
+            retries += bucket.retries;
+            let start = bucket.start + BUCKET_WIDTH + ARRIVAL_DELAY;
+            while 0 < before && start <= buckets[before - 1].start + window {
+                before -= 1;
+                earlier += buckets[before].requests;
+            }
+            while before < within && start <= buckets[within - 1].start {
+                within -= 1;
+                requests += buckets[within].requests;
+                earlier -= buckets[within].requests;
+            }
+            let weighted =
+                WINDOW_WEIGHT * f64::from(requests) + EARLIER_WEIGHT * f64::from(earlier);
+            let allowed = fraction * (ratio * weighted + share * slack);
+            left = left.min(allowed - f64::from(retries));
+        }
+        left
     }
 
-    fn bucket(&mut self, now: Time, service: &Arc<str>) -> &mut (Time, u32, u32) {
-        let counted = self.policy.window + BUCKET_WIDTH;
-        let buckets = &mut self.windows.entry(service.clone()).or_default().buckets;
-        while buckets.front().is_some_and(|it| counted < now.since(it.0)) {
+    /// The current bucket.
+    fn bucket(&mut self, now: Time, service: &Arc<str>) -> &mut Bucket {
+        let kept = self.span() + self.policy.window;
+        let buckets = self.buckets.entry(service.clone()).or_default();
+        while buckets.front().is_some_and(|it| kept < now.since(it.start)) {
             buckets.pop_front();
         }
-        if buckets.back().is_none_or(|it| BUCKET_WIDTH <= now.since(it.0)) {
-            buckets.push_back((now, 0, 0));
+        if buckets.back().is_none_or(|it| BUCKET_WIDTH <= now.since(it.start)) {
+            buckets.push_back(Bucket { start: now, requests: 0, retries: 0 });
         }
         let last = buckets.len() - 1;
         &mut buckets[last]
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -455,12 +455,11 @@
         };
         let indices = self.exchanges.iter().filter(|it| is_migratable(it.1)).map(|it| it.0);
         for index in indices.collect::<Vec<_>>() {
-            let instances = self.members.budget_sharers();
+            let share = self.retry_share();
             let Some(service) = self.exchanges.get(index).map(|it| it.service.clone()) else {
                 continue;
             };
-            if self.budget.remaining(self.now, &service, instances, Purpose::Request)
-                < RESERVED_RETRIES
+            if self.budget.remaining(self.now, &service, share, Purpose::Request) < RESERVED_RETRIES
             {
                 return;
             }
--- a/crates/gateway/src/core/retry_budget.rs
+++ b/crates/gateway/src/core/retry_budget.rs
@@ -17,10 +17,10 @@
 
     /// The same, without logging that none is left, for a request that will ask again.
     pub(crate) fn try_draw_retry(&mut self, index: usize, reason: &'static str) -> bool {
-        let instances = self.members.budget_sharers();
+        let share = self.retry_share();
         let Some(exchange) = self.exchanges.get(index) else { return false };
         let (service, purpose) = (exchange.service.clone(), self.retry_purpose(index, reason));
-        if !self.budget.withdraw(self.now, &service, instances, purpose) {
+        if !self.budget.withdraw(self.now, &service, share, purpose) {
             return false;
         }
         self.stats.count_resend(reason);
@@ -34,6 +34,11 @@
         self.log_draw("no_budget", index, reason);
     }
 
+    /// The fraction of the budget's slack that this process may spend.
+    pub(crate) fn retry_share(&self) -> f64 {
+        self.members.allowance_share(self.now.since(self.started), self.budget.span())
+    }
+
     fn retry_purpose(&self, index: usize, reason: &'static str) -> Purpose {
         let has_begun = self.exchanges.get(index).is_some_and(|it| it.delivery.has_begun);
         match has_begun && reason != REASON_LOADING {
@@ -44,10 +49,10 @@
 
     /// Logs the outcome of a draw with what decided it.
     fn log_draw(&mut self, line: &'static str, index: usize, reason: &'static str) {
-        let instances = self.members.budget_sharers();
+        let (instances, share) = (self.members.budget_sharers(), self.retry_share());
         let purpose = self.retry_purpose(index, reason);
         let Some(exchange) = self.exchanges.get(index) else { return };
-        let left = self.budget.remaining(self.now, &exchange.service, instances, purpose);
+        let left = self.budget.remaining(self.now, &exchange.service, share, purpose);
         let (requests, retries) = self.budget.counts(self.now, &exchange.service);
         self.log
             .line(self.now, line)
@@ -59,6 +64,7 @@
             .number("requests", requests)
             .number("retries", retries)
             .number("instances", instances)
+            .number("share", format_args!("{share:.3}"))
             .ms("up_ms", self.now.since(self.started))
             .number("left", format_args!("{left:.2}"));
     }
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -351,9 +351,9 @@
 
     fn refresh_budget(&mut self) {
         let Some(config) = self.config.clone() else { return };
-        let instances = self.members.budget_sharers();
+        let share = self.retry_share();
         for service in config.services.keys() {
-            let left = self.budget.remaining(self.now, service, instances, Purpose::Request);
+            let left = self.budget.remaining(self.now, service, share, Purpose::Request);
             metrics::gauge!("shallotlead_retry_budget_left", "service" => service.to_string())
                 .set(left.max(0.0));
         }
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -73,6 +73,8 @@
     /// Whether this instance watches the store, for itself or on behalf of others.
     pub(crate) is_watcher: bool,
     registration: Registration,
+    /// Whether no record of this instance was found when it was registered.
+    is_new_instance: bool,
     quarantine: Records,
     pub(crate) era: Era,
     /// Servers that must not be used although the store lists them as ready.
@@ -165,6 +167,7 @@
             stored_weights: Map::default(),
             is_watcher: true,
             registration: Registration::Due(Version(0), now),
+            is_new_instance: true,
             quarantine: Records::default(),
             era: Era::default(),
             withheld: withheld::Servers::default(),
@@ -348,8 +351,19 @@
                 Registration::Due(Version(0), self.now + RETRY_DELAY)
             }
         };
+        self.storage.is_new_instance &= matches!(reply, Reply::Done(_));
         if matches!(self.storage.registration, Registration::Done) {
             self.storage.list_instances_now(self.now);
+            self.enter_fleet_if_listed();
+        }
+    }
+
+    /// Takes a share of the fleet's allowances once this instance is registered and knows who else is.
+    fn enter_fleet_if_listed(&mut self) {
+        let is_registered = matches!(self.storage.registration, Registration::Done);
+        let instances = self.storage.subscriptions.iter().find(|it| it.topic == Topic::Instances);
+        if is_registered && instances.is_some_and(|it| it.last_answer != Time::ZERO) {
+            self.members.enter_fleet(self.storage.is_new_instance);
         }
     }
 
@@ -429,6 +443,7 @@
             // The list shows the size of the fleet, which decides whether this instance keeps
             // watching.
             Topic::Instances => {
+                self.enter_fleet_if_listed();
                 self.update_watching();
                 if !self.members.is_large() {
                     self.storage.skip_settle_delay(self.now);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -4,6 +4,7 @@
 mod change;
 mod entries;
 mod members;
+mod sharers;
 mod withheld;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -12,7 +12,7 @@
     time::Time,
 };
 
-use super::{Age, Change, Heartbeat, Member, Sighting, Source, Status};
+use super::{Age, Change, Heartbeat, Member, Sighting, Source, Status, sharers::Sharers};
 
 /// Members contacted per gossip round in a small fleet.
 const FANOUT: usize = 2;
@@ -36,7 +36,7 @@
 /// How long a new instance of a large fleet presumes members alive that it knows from their store records only: four
 /// gossip periods, within which all live members are heard of.
 const PRESUMED_ALIVE_FOR: Duration = Duration::from_millis(2_400);
-/// Silence after which a dead member is removed and no longer counts for the shared budget.
+/// Silence after which a dead member is removed.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Maximum number of members described in full per message: 20 of about 60 bytes stay near 1 KB.
 const MAX_SIGHTINGS: usize = 20;
@@ -126,12 +126,19 @@
     by_id: Map<u32, Arc<str>>,
     /// When the first member record was read from the store.
     first_record_at: Option<Time>,
+    sharers: Sharers,
 }
 
 impl Members {
     /// Knows only this instance.
     pub fn new(me: Member) -> Self {
-        Self { me, others: Map::default(), by_id: Map::default(), first_record_at: None }
+        Self {
+            me,
+            others: Map::default(),
+            by_id: Map::default(),
+            first_record_at: None,
+            sharers: Sharers::default(),
+        }
     }
 
     /// This instance.
@@ -180,6 +187,7 @@
     }
 
     fn insert(&mut self, known: Known) {
+        self.sharers.remove_absent(&known.member.name);
         self.by_id.insert(incarnation_id(&known.member), known.member.name.clone());
         let before = self.others.insert(known.member.name.clone(), known);
         if let Some(it) = before {
@@ -238,14 +246,20 @@
     pub fn expire(&mut self, now: Time) -> Vec<Change> {
         let mut changes = Vec::new();
         let is_large = self.is_large();
-        self.others.retain(|name, it| {
+        let Self { others, sharers, .. } = self;
+        sharers.expire(now);
+        others.retain(|name, it| {
             let status = it.status_at(now, is_large);
             if it.status != status {
                 it.status = status;
                 let silent = now.since(it.seen_at);
                 changes.push(Change { name: name.clone(), status, source: it.source, silent });
             }
-            status != Status::Forgotten
+            let is_forgotten = status == Status::Forgotten;
+            if is_forgotten && !it.member.is_leaving {
+                sharers.add_absent(name.clone(), it.seen_at);
+            }
+            !is_forgotten
         });
         self.by_id.retain(|_, it| self.others.contains_key(it));
         changes
@@ -383,9 +397,26 @@
         alive / known
     }
 
-    /// Number of instances that share the budget, including this one.
+    /// Number of instances that share the fleet's allowances, including this one and those that may live on behind a
+    /// partition.
     pub fn budget_sharers(&self) -> u32 {
-        u32::try_from(self.others.len()).unwrap_or(u32::MAX).saturating_add(1)
+        let others = self.others.len() + self.sharers.absent();
+        u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
+    /// Records that this process is registered in the store and has read there which others are. `is_new`: no
+    /// process of this instance was registered before.
+    pub fn enter_fleet(&mut self, is_new: bool) {
+        self.sharers.enter(is_new && self.budget_sharers() == 1);
+    }
+
+    /// Fraction of an allowance of the whole fleet that this process may spend, `uptime` after its start. `span`: the
+    /// time that the allowance covers.
+    pub fn allowance_share(&self, uptime: Duration, span: Duration) -> f64 {
+        match self.sharers.has_share(uptime, span) {
+            true => 1.0 / f64::from(self.budget_sharers()),
+            false => 0.0,
+        }
     }
 
     /// Members to describe in full: those that changed since they were last sent, then those sent longest ago, for
--- /dev/null
+++ b/crates/gateway/src/gossip/sharers.rs
@@ -0,0 +1,68 @@
+//! Which instances an allowance of the whole fleet is divided among.
+
+use std::{sync::Arc, time::Duration};
+
+use shallotlead_base::{hash::Map, time::Time};
+
+/// How long an instance that fell silent without announcing its shutdown, or that is known from the store only, still
+/// counts. It may live on behind a partition, and spend its share there. A longer partition isn't covered.
+const ABSENCE_TTL: Duration = Duration::from_secs(600);
+/// Time until all other instances have heard of a new one and have given up its share: four gossip periods.
+const INTRODUCTION_TIME: Duration = Duration::from_millis(2_400);
+
+/// What one process knows of those that it shares with.
+#[derive(Debug, Default)]
+pub(super) struct Sharers {
+    /// Members that are no longer known otherwise, and when they were last heard of.
+    absent: Map<Arc<str>, Time>,
+    entry: Option<Entry>,
+}
+
+/// How a process has entered the fleet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Entry {
+    /// As the first process ever: no other one can have spent anything.
+    Founder,
+    /// Its instance, or another one, may have spent shares before.
+    Successor,
+}
+
+impl Sharers {
+    /// Number of absent members.
+    pub(super) fn absent(&self) -> usize {
+        self.absent.len()
+    }
+
+    /// Keeps a silent member for a while.
+    pub(super) fn add_absent(&mut self, name: Arc<str>, seen_at: Time) {
+        self.absent.insert(name, seen_at);
+    }
+
+    /// Removes a member that is heard of again.
+    pub(super) fn remove_absent(&mut self, name: &str) {
+        self.absent.remove(name);
+    }
+
+    /// Forgets members that have been absent for too long.
+    pub(super) fn expire(&mut self, now: Time) {
+        self.absent.retain(|_, seen_at| now.since(*seen_at) < ABSENCE_TTL);
+    }
+
+    /// Records that this process has entered the fleet: it is registered and has read who else is.
+    pub(super) fn enter(&mut self, is_founder: bool) {
+        let entry = if is_founder { Entry::Founder } else { Entry::Successor };
+        self.entry.get_or_insert(entry);
+    }
+
+    /// Whether this process may spend its share, `uptime` after its start, of an allowance that covers `span`.
+    ///
+    /// Guards against a fleet that exceeds its allowance when instances restart: the process before may have spent
+    /// the share within the span, and nobody has kept account of it.
+    pub(super) fn has_share(&self, uptime: Duration, span: Duration) -> bool {
+        match self.entry {
+            None => false,
+            Some(Entry::Founder) => true,
+            Some(Entry::Successor) => span + INTRODUCTION_TIME <= uptime,
+        }
+    }
+}
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -9,6 +9,8 @@
 use support::at;
 
 const POLICY: Policy = Policy { ratio: 0.2, window: Duration::from_secs(10), slack: 54.0 };
+/// Share of the slack of one of seven instances.
+const SHARE: f64 = 1.0 / 7.0;
 
 // Servers slow down, and requests fail repeatedly at each of seven instances. Together the
 // instances must not retry more often than the ratio and the slack allow, in any window of ten
@@ -23,7 +25,7 @@
         budget.count_request(at(ms), &service);
         requests.push(ms);
         for _ in 0..3 {
-            if budget.withdraw(at(ms), &service, 7, Purpose::Stream) {
+            if budget.withdraw(at(ms), &service, SHARE, Purpose::Stream) {
                 retries.push(ms);
             }
         }
@@ -48,8 +50,8 @@
 fn budget_is_reserved_for_streams() {
     let service: Arc<str> = Arc::from("s");
     let mut budget = Budget::new(POLICY);
-    while budget.withdraw(at(0), &service, 7, Purpose::Request) {}
-    assert!(budget.withdraw(at(0), &service, 7, Purpose::Stream));
+    while budget.withdraw(at(0), &service, SHARE, Purpose::Request) {}
+    assert!(budget.withdraw(at(0), &service, SHARE, Purpose::Stream));
 }
 
 proptest! {
@@ -57,11 +59,11 @@
     fn services_have_separate_budgets(count in 1usize..200) {
         let (one, other): (Arc<str>, Arc<str>) = (Arc::from("a"), Arc::from("b"));
         let mut budget = Budget::new(POLICY);
-        let before = budget.remaining(at(0), &other, 1, Purpose::Request);
+        let before = budget.remaining(at(0), &other, 1.0, Purpose::Request);
         for _ in 0..count {
             budget.count_request(at(0), &one);
-            budget.withdraw(at(0), &one, 1, Purpose::Request);
+            budget.withdraw(at(0), &one, 1.0, Purpose::Request);
         }
-        prop_assert_eq!(budget.remaining(at(0), &other, 1, Purpose::Request), before);
+        prop_assert_eq!(budget.remaining(at(0), &other, 1.0, Purpose::Request), before);
     }
 }
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::{collections::BTreeSet, iter, net::SocketAddr, sync::Arc};
+use std::{collections::BTreeSet, iter, net::SocketAddr, sync::Arc, time::Duration};
 
 use proptest::{collection::vec, prelude::*};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -23,8 +23,10 @@
     assert_eq!(members.alive(at(3_500)).count(), 0);
     assert_eq!(members.budget_sharers(), 2, "it still counts for the shared budget");
     members.expire(at(31_000));
+    assert_eq!(members.budget_sharers(), 2, "it may live on behind a partition");
+    members.expire(at(600_000));
     assert_eq!(members.budget_sharers(), 1);
-    assert!(members.receive(at(31_000), member("b", 2, 0)), "a new incarnation is new");
+    assert!(members.receive(at(600_000), member("b", 2, 0)), "a new incarnation is new");
 }
 
 // The clock is set back while an instance restarts, so its incarnation is lower than the last one and the others
@@ -99,6 +101,24 @@
     assert!((members.alive_fraction(at(31_000)) - 1.0).abs() < 1e-9, "one is gone for good");
 }
 
+// The process before may have spent the instance's share of an allowance, and nobody has kept account of it.
+#[test]
+fn restarted_process_has_no_share_until_earlier_ones_have_lapsed() {
+    let (span, young, old) = (Duration::from_secs(10), Duration::ZERO, Duration::from_secs(13));
+    let share = |is_new: Option<bool>, others: &[&str], uptime: Duration| {
+        let mut members = Members::new(member("me", 2, 0));
+        others.iter().for_each(|it| members.add_record(at(0), member(it, 1, 0)));
+        is_new.into_iter().for_each(|it| members.enter_fleet(it));
+        members.allowance_share(uptime, span)
+    };
+    assert_eq!(share(None, &[], old), 0.0, "it doesn't know who else there is");
+    assert_eq!(share(Some(true), &[], young), 1.0, "there was no process before");
+    assert_eq!(share(Some(true), &["a"], young), 0.0, "others may not know of it");
+    assert_eq!(share(Some(false), &[], young), 0.0);
+    assert_eq!(share(Some(false), &[], old), 1.0);
+    assert_eq!(share(Some(false), &["a", "b", "c"], old), 0.25);
+}
+
 /// Heartbeats that a third instance sends after hearing of `member`.
 fn heartbeats_of_third(member: &Member, beat: u64) -> Vec<Heartbeat> {
     let mut third = Members::new(support::member("c", 1, 0));
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -4,6 +4,7 @@
     collections::{BTreeMap, BTreeSet},
     iter,
     net::SocketAddr,
+    time::Duration,
 };
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -34,6 +35,8 @@
 
 struct Node {
     members: Members,
+    /// When it started, in ms.
+    started_at: u64,
     /// When it ended, in ms.
     ended_at: Option<u64>,
     /// When its process resumes, in ms.
@@ -97,7 +100,13 @@
     pub(crate) fn join(&mut self) {
         let index = self.nodes.len();
         let members = Members::new(member(index, self.now_ms));
-        let node = Node { members, ended_at: None, paused_until: 0, held: Vec::new() };
+        let node = Node {
+            members,
+            started_at: self.now_ms,
+            ended_at: None,
+            paused_until: 0,
+            held: Vec::new(),
+        };
         self.nodes.push(node);
         self.records.push(member(index, self.now_ms));
         self.read_records(index);
@@ -112,6 +121,7 @@
         for it in self.records.clone() {
             self.nodes[index].members.add_record(at(self.now_ms), it);
         }
+        self.nodes[index].members.enter_fleet(false);
     }
 
     /// Instances that start while the store isn't available read its records once it is.
@@ -124,6 +134,10 @@
         }
     }
 
+    pub(crate) fn uptime(&self, index: usize) -> Duration {
+        Duration::from_millis(self.now_ms - self.nodes[index].started_at)
+    }
+
     pub(crate) fn members(&self, index: usize) -> &Members {
         &self.nodes[index].members
     }
@@ -139,6 +153,7 @@
     pub(crate) fn start(&mut self, index: usize) {
         self.nodes[index].members = Members::new(member(index, self.now_ms));
         self.nodes[index].ended_at = None;
+        self.nodes[index].started_at = self.now_ms;
         self.records[index] = member(index, self.now_ms);
         self.read_records(index);
     }
--- a/crates/gateway/tests/support/retries.rs
+++ b/crates/gateway/tests/support/retries.rs
@@ -97,16 +97,17 @@
     }
 
     fn draw(&mut self, index: usize) -> bool {
-        let instances = self.fleet.members(index).budget_sharers();
-        let now = at(self.fleet.now_ms);
-        self.budgets[index].withdraw(now, &self.service, instances, Purpose::Stream)
+        let (now, budget) = (at(self.fleet.now_ms), &mut self.budgets[index]);
+        let share =
+            self.fleet.members(index).allowance_share(self.fleet.uptime(index), budget.span());
+        budget.withdraw(now, &self.service, share, Purpose::Stream)
     }
 
     /// Repeats in the window that begins at `from`, and how many are allowed.
     fn window(&self, from: u64) -> (f64, f64) {
         let count = |all: &[u64], from: i64| {
-            let to = from + WINDOW_MS as i64;
-            all.iter().filter(|it| (from..to).contains(&(**it as i64))).count() as f64
+            let before = |to: i64| all.partition_point(|it| (*it as i64) < to);
+            (before(from + WINDOW_MS as i64) - before(from)) as f64
         };
         let from = from as i64;
         let starts = [from, from - WINDOW_MS as i64, from - WINDOW_MS as i64 / 2];
@@ -129,7 +130,8 @@
     }
 
     /// Share of the allowed repeats that the window that ends now has used.
-    pub(crate) fn used(&self) -> f64 {
+    pub(crate) fn used(&mut self) -> f64 {
+        self.repeats.sort_unstable();
         let (repeats, allowed) = self.window(self.fleet.now_ms - WINDOW_MS);
         repeats / allowed
     }
