Draw a retry before a declined request is handed over to another instance once more

Servers in need got requests once more than the retry budget allows, from instances that don't reach them: an instance hands a request over, servers decline it there, that instance refuses it, and the first one hands it to the next, whose servers receive it again. Nobody drew for that: the second instance counts its first attempt as the request's first.

A refusal now says whether servers have received the request ('declined' beside 'refused'), and the instance that has it draws before it hands it on. An older instance takes 'declined' for an answer that the request was not run, and passes it on to its caller.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -24,13 +24,13 @@
     fn parse_response(&self, head: &Response) -> ResponseInfo;
     /// Appends those fields of a backend server's response that are passed on to the caller.
     fn write_response_fields(&self, fields: &Fields, out: &mut Vec<u8>);
-    /// The header fields of a refusal: the request's id, and when the caller may retry. `is_handover`: another instance
-    /// has handed the request over.
+    /// The header fields of a refusal: the request's id, when the caller may retry, and, if another instance has handed
+    /// the request over, what has become of it here.
     fn refusal_fields(
         &self,
         id: Option<&str>,
         retry_after: Option<Duration>,
-        is_handover: bool,
+        handover: Option<RefusedHandover>,
     ) -> Vec<(&'static str, String)>;
     /// The request for a backend server's state report.
     fn report_request(&self) -> ControlRequest;
@@ -156,8 +156,8 @@
     pub id: Option<Box<str>>,
     /// Whether the server declares that it didn't run the request and never will.
     pub is_declined: bool,
-    /// Whether another instance declares that neither it nor a server ran the request that was handed over to it.
-    pub is_handover_refused: bool,
+    /// Set if another instance declares that neither it nor a server ran the request that was handed over to it.
+    pub refused_handover: Option<RefusedHandover>,
     /// The name of the server that answered, if given.
     pub server: Option<Box<str>>,
     /// The server's load when it answered.
@@ -174,6 +174,15 @@
     pub is_signed: bool,
 }
 
+/// What has become of a handed-over request that the receiving instance refuses.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RefusedHandover {
+    /// No server has received it.
+    Unsent,
+    /// Servers have received and declined it.
+    Declined,
+}
+
 /// A rate limit in a server's response. It applies to the requests of all instances together.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum RateLimit {
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -82,7 +82,7 @@
     fn finish_buffered(&mut self, index: usize) -> bool {
         let Some(exchange) = self.exchanges.get(index) else { return false };
         let Some(reply) = exchange.reply() else { return false };
-        if self.is_handed_over(exchange) && reply.answer.is_handover_refused {
+        if self.is_handed_over(exchange) && reply.answer.refused_handover.is_some() {
             self.handle_refused_handover(index);
             return false;
         }
--- a/crates/gateway/src/core/ending.rs
+++ b/crates/gateway/src/core/ending.rs
@@ -3,8 +3,8 @@
 use shallotlead_base::time::Time;
 
 use crate::{
-    adapter::RequestInfo,
-    core::{Core, refusal::Refusal},
+    adapter::{RefusedHandover, RequestInfo},
+    core::{Core, exchange::Exchange, refusal::Refusal},
     http::write,
     net::Key,
 };
@@ -26,7 +26,9 @@
         }
         let exchange = self.exchanges.remove(index);
         let keeps_alive = exchange.head.keeps_alive();
-        self.refuse(exchange.caller, keeps_alive, &exchange.info, refusal, exchange.arrived);
+        let attempts = exchange.attempts_made;
+        let Exchange { caller, info, arrived, .. } = exchange;
+        self.refuse(caller, keeps_alive, &info, refusal, arrived, attempts);
     }
 
     /// Ends an exchange whose request may have run, with an error of the instance.
@@ -39,7 +41,7 @@
         }
         let exchange = self.exchanges.remove(index);
         let body = error_body(reason);
-        let extra = self.adapter.refusal_fields(exchange.info.id.as_deref(), None, false);
+        let extra = self.adapter.refusal_fields(exchange.info.id.as_deref(), None, None);
         self.log
             .line(self.now, "failed")
             .text("request", exchange.id())
@@ -83,7 +85,7 @@
         self.stats.count_abandoned();
     }
 
-    /// Answers a request that didn't run.
+    /// Answers a request that didn't run. `attempts`: number of servers that have received it.
     pub(crate) fn refuse(
         &mut self,
         caller: Key,
@@ -91,6 +93,7 @@
         info: &RequestInfo,
         refusal: Refusal,
         arrived: Time,
+        attempts: u8,
     ) {
         let version = self.config_version();
         self.log
@@ -102,8 +105,12 @@
             .number("configuration", version)
             .ms("after_ms", self.now.since(arrived));
         self.stats.count_refusal(refusal.reason());
-        let (after, is_handover) = (refusal.retry_after(), info.handover.is_some());
-        let extra = self.adapter.refusal_fields(info.id.as_deref(), after, is_handover);
+        let handover = info.handover.map(|_| match attempts {
+            0 => RefusedHandover::Unsent,
+            _ => RefusedHandover::Declined,
+        });
+        let after = refusal.retry_after();
+        let extra = self.adapter.refusal_fields(info.id.as_deref(), after, handover);
         let body = error_body(refusal.reason());
         self.answer_caller(caller, refusal.status(), &body, &extra, keeps_alive);
     }
--- a/crates/gateway/src/core/handover.rs
+++ b/crates/gateway/src/core/handover.rs
@@ -5,7 +5,7 @@
 use rand::seq::IndexedRandom;
 
 use crate::{
-    adapter::HandoverOptions,
+    adapter::{HandoverOptions, RefusedHandover},
     core::{
         Core,
         attempt::Attempt,
@@ -20,6 +20,8 @@
 
 /// Number of instances to which one request may be handed over one after the other, as long as it hasn't run.
 const MAX_HANDOVERS: u8 = 3;
+/// Why a request is handed over again.
+const REASON_REFUSED: &str = "handover-refused";
 
 impl Core {
     /// Hands the request over if this instance doesn't reach its service, unless `verdict` speaks against it. Returns
@@ -142,6 +144,7 @@
         let Some(exchange) = self.exchanges.get(index) else { return };
         let Some(reply) = exchange.reply() else { return };
         let (status, after) = (reply.head.status, reply.answer.retry_after);
+        let was_declined = reply.answer.refused_handover == Some(RefusedHandover::Declined);
         let Some(attempt) = self.release_attempt(index, true) else { return };
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
         exchange.ran_at.pop();
@@ -157,7 +160,9 @@
             .number("status", status)
             .ms("after_ms", self.now.since(exchange.arrived));
         self.stats.count_handover("refused");
-        if !self.send_to_instance(index) {
+        // Servers have received it, and the next instance would send it once more.
+        let may_send = !was_declined || self.draw_retry(index, REASON_REFUSED);
+        if !may_send || !self.send_to_instance(index) {
             let after = after.unwrap_or(RETRY_AFTER);
             self.refuse_or_fail(index, Refusal::OutOfReach { after });
         }
