Count members that may live on behind a partition when a rate limit is divided

A server that names a rate limit could get up to twice its rate in a partition of more than half a minute: the owner on each side had forgotten the other side's instances and handed out the whole limit. Members that fell silent without a goodbye count for ten minutes, unless they are known from the store only.

Costs a fleet of seven a seventh of a limit for ten minutes after an instance is lost.

--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -257,7 +257,7 @@
             }
             let is_forgotten = status == Status::Forgotten;
             if is_forgotten && !it.member.is_leaving {
-                sharers.add_absent(name.clone(), it.seen_at);
+                sharers.add_absent(name.clone(), it.seen_at, it.source != Source::Record);
             }
             !is_forgotten
         });
@@ -394,7 +394,7 @@
         let (alive, known) = others.fold((1.0, 1.0), |(alive, known), it| {
             (alive + f64::from(u8::from(self.is_alive(now, it))), known + 1.0)
         });
-        alive / known
+        alive / (known + self.sharers.absent_heard() as f64)
     }
 
     /// Number of instances that share the fleet's allowances, including this one and those that may live on behind a
--- a/crates/gateway/src/gossip/sharers.rs
+++ b/crates/gateway/src/gossip/sharers.rs
@@ -13,11 +13,19 @@
 /// What one process knows of those that it shares with.
 #[derive(Debug, Default)]
 pub(super) struct Sharers {
-    /// Members that are no longer known otherwise, and when they were last heard of.
-    absent: Map<Arc<str>, Time>,
+    /// Members that are no longer known otherwise.
+    absent: Map<Arc<str>, Absent>,
     entry: Option<Entry>,
 }
 
+#[derive(Debug)]
+struct Absent {
+    /// When it was last heard of, or its record was read.
+    seen_at: Time,
+    /// Whether it is known from more than its record, which remains in the store when an instance is gone for good.
+    was_heard: bool,
+}
+
 /// How a process has entered the fleet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Entry {
@@ -33,9 +41,14 @@
         self.absent.len()
     }
 
+    /// Number of absent members that this process has heard of.
+    pub(super) fn absent_heard(&self) -> usize {
+        self.absent.values().filter(|it| it.was_heard).count()
+    }
+
     /// Keeps a silent member for a while.
-    pub(super) fn add_absent(&mut self, name: Arc<str>, seen_at: Time) {
-        self.absent.insert(name, seen_at);
+    pub(super) fn add_absent(&mut self, name: Arc<str>, seen_at: Time, was_heard: bool) {
+        self.absent.insert(name, Absent { seen_at, was_heard });
     }
 
     /// Removes a member that is heard of again.
@@ -45,7 +58,7 @@
 
     /// Forgets members that have been absent for too long.
     pub(super) fn expire(&mut self, now: Time) {
-        self.absent.retain(|_, seen_at| now.since(*seen_at) < ABSENCE_TTL);
+        self.absent.retain(|_, it| now.since(it.seen_at) < ABSENCE_TTL);
     }
 
     /// Records that this process has entered the fleet: it is registered and has read who else is.
