--- a/crates/gateway/benches/policy/simulation.rs
+++ b/crates/gateway/benches/policy/simulation.rs
@@ -132,6 +132,7 @@
             instance.pool.add_version(Time::ZERO, &model, 1);
             for engine in 0..deployment.engines {
                 let entry = ServerEntry {
+                    build: Some(Arc::from("v1")),
                     service: Arc::from(SERVICE),
                     address: address(engine),
                     centre: centre(engine % deployment.centres),
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -93,6 +93,8 @@
     pub parts: Vec<Part>,
     /// The number of the last event that the caller received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// The id of the caller's attempt that brought the stream's first event, when it resumes a stream.
+    pub resumed_id: Option<Box<str>>,
     /// Number of attempts that are left, if another instance has handed the request over.
     pub handover: Option<u8>,
 }
@@ -303,6 +305,8 @@
     pub is_draining: bool,
     /// Loaded models with the versions of their weights.
     pub models: Vec<(Arc<str>, u64)>,
+    /// The version of the server's software, if given.
+    pub build: Option<Arc<str>>,
     /// The incarnation that wrote the entry, if given.
     pub incarnation: Option<Incarnation>,
     /// Counts the entries that this incarnation has written.
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -181,6 +181,7 @@
             body_len: (exchange.head.framing != Framing::Empty).then_some(exchange.body.len()),
         };
         let answer_due = now + choice.first_token() + LATE_MARGIN;
+        let last_event = options.last_event;
         let mut bytes = Vec::with_capacity(1024 + exchange.body.len());
         self.adapter.write_request(&exchange.head, &options, &mut bytes);
         bytes.extend_from_slice(&exchange.body);
@@ -204,6 +205,9 @@
             .text("route", &exchange.route.name)
             .number("try", exchange.attempts_made)
             .text("server", &server.name)
+            .text("build", server.build.as_deref().unwrap_or_default())
+            .text("resumed", exchange.info.resumed_id.as_deref().unwrap_or_default())
+            .number("last_event", last_event.unwrap_or(0))
             .number("candidates", choice.candidates)
             .number("score_ms", format_args!("{:.1}", choice.score))
             .number("wait_ms", format_args!("{:.1}", choice.wait_ms))
@@ -365,6 +369,7 @@
             .text("request", exchange.id())
             .text("identity", &exchange.identity().to_string())
             .text("server", &self.pool.get(server).name)
+            .text("build", self.pool.get(server).build.as_deref().unwrap_or_default())
             .text("reason", reason)
             .number("last_event", exchange.delivery.last_event.unwrap_or(0))
             .ms("sent_ms", self.now.since(attempt.sent))
--- a/crates/gateway/src/core/ingest.rs
+++ b/crates/gateway/src/core/ingest.rs
@@ -230,7 +230,9 @@
         let mut line = self.log.line(now, "server");
         line = line.text("server", &server.name).text("change", change_name).text("reason", reason);
         if matches!(change_name, "joined" | "restarted") {
-            line = line.text("address", &server.address.to_string());
+            line = line
+                .text("address", &server.address.to_string())
+                .text("build", server.build.as_deref().unwrap_or_default());
         }
         line.number("revision", server.revision)
             .number("born", server.incarnation.unwrap_or(0))
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -116,6 +116,7 @@
             return *id;
         }
         let entry = ServerEntry {
+            build: None,
             service: Arc::from(""),
             address,
             centre: Arc::from(""),
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -57,6 +57,8 @@
     pub centre: Arc<str>,
     /// Whether it takes new requests.
     pub presence: Presence,
+    /// The version of its software, if known.
+    pub build: Option<Arc<str>>,
     /// Its models and the versions of their weights, as far as known.
     pub models: Vec<(Arc<str>, u64)>,
     /// The store's revision of what is known of it.
@@ -98,8 +100,16 @@
 
 impl Server {
     pub(super) fn new(name: Arc<str>, revision: u64, entry: ServerEntry) -> Self {
-        let ServerEntry { service, address, centre, is_draining, models, incarnation, sequence: _ } =
-            entry;
+        let ServerEntry {
+            service,
+            address,
+            centre,
+            is_draining,
+            models,
+            build,
+            incarnation,
+            sequence: _,
+        } = entry;
         Self {
             name,
             incarnation,
@@ -107,6 +117,7 @@
             address,
             centre,
             presence: if is_draining { Presence::Draining } else { Presence::Ready },
+            build,
             models,
             revision,
             is_instance: false,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -26,6 +26,7 @@
 
 pub(crate) fn entry(number: u8, centre: &str, version: u64) -> ServerEntry {
     ServerEntry {
+        build: Some(Arc::from("v1")),
         service: Arc::from(SERVICE),
         address: format!("10.0.0.{number}:80").parse().expect("a valid socket address"),
         centre: Arc::from(centre),
