Let streams go on only at servers of the build that began them

Cause: the version in servers' entries was read, checked and thrown away, so that no decision knew it; the field by which a caller names the attempt that began its stream wasn't read. A stream that lost its server was placed anywhere, and so was one that its caller took up.

Now the first event binds a stream to its server's build: placement, copies, moves and handovers keep to it.

--- a/crates/gateway/benches/policy/simulation.rs
+++ b/crates/gateway/benches/policy/simulation.rs
@@ -240,6 +240,7 @@
             store: Some(STORE_ADDRESS),
             max_stale_weights: MAX_STALE_WEIGHTS,
             is_repeatable: true,
+            build: None,
             excluded: &excluded,
         };
         let shortest_target =
--- a/crates/gateway/benches/policy/strategy.rs
+++ b/crates/gateway/benches/policy/strategy.rs
@@ -82,7 +82,9 @@
         match placement::choose(&self.pool, &self.prefixes, now, criteria, random) {
             Ok(choice) if admission.refuses(&choice) => Decision::Refused,
             Ok(choice) => Decision::Server(choice),
-            Err(Shortage::StaleWeights | Shortage::Limited { .. }) => Decision::Refused,
+            Err(Shortage::NoBuild | Shortage::StaleWeights | Shortage::Limited { .. }) => {
+                Decision::Refused
+            }
             Err(Shortage::NoServer | Shortage::NoneReady) => Decision::Retry,
         }
     }
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -97,6 +97,8 @@
     pub resumed_id: Option<Box<str>>,
     /// Number of attempts that are left, if another instance has handed the request over.
     pub handover: Option<u8>,
+    /// The build of the servers at which the stream may go on, if another instance that has handed it over knows it.
+    pub build: Option<u32>,
 }
 
 /// One part of a prompt; prompts may share parts.
@@ -147,6 +149,8 @@
     pub attempts: u8,
     /// The number of the last event that the caller received; the stream continues after it.
     pub last_event: Option<u64>,
+    /// The build of the servers at which the stream may go on, if it has begun.
+    pub build: Option<u32>,
     /// Length of the body in bytes, if the request has one.
     pub body_len: Option<usize>,
 }
--- /dev/null
+++ b/crates/gateway/src/build.rs
@@ -0,0 +1,146 @@
+//! Builds of backend servers' software, and which one began each stream.
+//!
+//! The events of two builds don't fit together, so that a stream may only continue at a server of the build that began
+//! it, also when its caller takes it up later at another instance. Does no I/O.
+
+use std::{collections::VecDeque, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use shallotlead_base::{
+    hash::{self, Map},
+    time::Time,
+};
+
+/// Least time for which the build of a stream is remembered.
+const MIN_RETENTION: Duration = Duration::from_secs(30);
+/// Number of attempts of the longest kind that a caller may make one after the other for one stream.
+const ATTEMPTS: u32 = 2;
+
+/// Identifies one build of the software of a service's servers, the same at all instances.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Id(u32);
+
+impl Id {
+    /// The build `version` of the service's servers.
+    pub fn of(service: &str, version: &str) -> Self {
+        Self(hash::weight(service, hash::stable(version.as_bytes())) as u32)
+    }
+
+    /// The build of one incarnation of a server that doesn't name it: like no other's.
+    pub fn unnamed(incarnation: u64) -> Self {
+        Self(hash::weight("unnamed", incarnation) as u32)
+    }
+
+    /// The build whose [`Id::number`] this is.
+    pub fn from_number(number: u32) -> Self {
+        Self(number)
+    }
+
+    /// It as a number, for messages.
+    pub fn number(self) -> u32 {
+        self.0
+    }
+}
+
+/// Identifies a stream by the caller's attempt that brought its first event. Organisations don't share streams.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Stream(u64);
+
+impl Stream {
+    /// The stream that the organisation's attempt `id` began.
+    pub fn of(organisation: &str, id: &str) -> Self {
+        Self(hash::weight(id, hash::stable(organisation.as_bytes())))
+    }
+}
+
+/// A stream that was sent to a server of a build, which begins it unless it is sent elsewhere before its first event.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Begun {
+    /// The stream.
+    pub stream: Stream,
+    /// The build.
+    pub build: Id,
+}
+
+/// The builds of the streams that this instance or another one has sent recently.
+#[derive(Debug, Default)]
+pub struct Streams {
+    builds: Map<Stream, (Id, Time)>,
+    /// In the order of their times. A stream that was sent again has several.
+    order: VecDeque<(Time, Stream)>,
+}
+
+impl Streams {
+    /// Records that the stream was sent `at`. The latest record holds.
+    pub fn record(&mut self, at: Time, begun: Begun) {
+        if self.builds.get(&begun.stream).is_some_and(|it| at < it.1) {
+            return;
+        }
+        self.builds.insert(begun.stream, (begun.build, at));
+        self.order.push_back((at, begun.stream));
+    }
+
+    /// The build that began the stream, if it is known.
+    pub fn find(&self, stream: Stream) -> Option<Id> {
+        self.builds.get(&stream).map(|it| it.0)
+    }
+
+    /// Forgets streams that were sent longer than `retention` ago.
+    pub fn expire(&mut self, now: Time, retention: Duration) {
+        while let Some((at, stream)) = self.order.front().copied()
+            && retention < now.since(at)
+        {
+            self.order.pop_front();
+            if self.builds.get(&stream).is_some_and(|it| it.1 <= at) {
+                self.builds.remove(&stream);
+            }
+        }
+    }
+
+    /// Number of streams whose builds are known.
+    pub fn len(&self) -> usize {
+        self.builds.len()
+    }
+
+    /// Whether no stream's build is known.
+    pub fn is_empty(&self) -> bool {
+        self.builds.is_empty()
+    }
+}
+
+/// How long after its first attempt a stream may be taken up, if attempts last up to `longest`.
+pub fn retention(longest: Duration) -> Duration {
+    (longest * ATTEMPTS).max(MIN_RETENTION)
+}
+
+/// The builds that one service's servers have been known to run.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    builds: Vec<Id>,
+    since: Option<Time>,
+}
+
+impl History {
+    /// Records a server's build.
+    pub fn record(&mut self, now: Time, build: Id) {
+        self.since.get_or_insert(now);
+        if !self.builds.contains(&build) {
+            self.builds.push(build);
+        }
+    }
+
+    /// The only build that any server has been known to run.
+    pub fn only(&self) -> Option<Id> {
+        match &self.builds[..] {
+            [build] => Some(*build),
+            _ => None,
+        }
+    }
+
+    /// The same, if the servers have been known for longer than a stream lives, so that no stream that may still be
+    /// taken up can have begun at another build.
+    pub fn only_for(&self, now: Time, retention: Duration) -> Option<Id> {
+        let is_long = self.since.is_some_and(|it| retention <= now.since(it));
+        self.only().filter(|_| is_long)
+    }
+}
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -17,6 +17,7 @@
     hosts: Map<Box<str>, Vec<Arc<Route>>>,
     /// The shortest latency target of the streams of each service.
     shortest_targets: Map<Arc<str>, Duration>,
+    longest_stream: Duration,
     /// Organisations by API key; `None` if no route needs a key.
     keys: Option<Map<Box<str>, Arc<Organisation>>>,
 }
@@ -139,6 +140,8 @@
     ) -> Self {
         let mut hosts: Map<Box<str>, Vec<Arc<Route>>> = Map::default();
         let mut shortest_targets: Map<Arc<str>, Duration> = Map::default();
+        let streams = routes.iter().filter(|it| it.is_stream);
+        let longest_stream = streams.map(|it| it.timeout).max().unwrap_or_default();
         for route in routes {
             for (service, _) in route.split.iter().filter(|_| route.is_stream) {
                 let target =
@@ -153,7 +156,7 @@
         }
         let services = services.into_iter().map(|it| (it.name.clone(), it)).collect();
         let keys = keys.map(|it| it.into_iter().collect());
-        Self { version, services, limits, hosts, shortest_targets, keys }
+        Self { version, services, limits, hosts, shortest_targets, longest_stream, keys }
     }
 
     /// The shortest latency target of the streams that `service` runs.
@@ -161,6 +164,11 @@
         self.shortest_targets.get(service).copied()
     }
 
+    /// The longest time that an attempt of a stream may take.
+    pub fn longest_stream(&self) -> Duration {
+        self.longest_stream
+    }
+
     /// Sorted addresses of all stores of cached prompts.
     pub fn cache_stores(&self) -> Vec<SocketAddr> {
         let mut stores: Vec<_> = self.services.values().filter_map(|it| it.cache_store).collect();
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -33,9 +33,11 @@
     if criteria.capacity_tokens * MAX_MEMORY_FRACTION < f64::from(tokens) {
         return None;
     }
-    let centre = &pool.get(choice.server).centre;
+    let chosen = pool.get(choice.server);
+    let centre = &chosen.centre;
     let is_eligible = |id: pool::Id, server: &Server| {
         id != choice.server
+            && server.build_id == chosen.build_id
             && server.limit.per_second().is_none()
             && can_resume(now, criteria, choice.weights, id, server)
     };
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod attempt;
 mod backend;
+mod build;
 mod cache;
 mod caller;
 mod copy;
@@ -49,6 +50,7 @@
 use crate::{
     adapter::Adapter,
     budget::Budget,
+    build::Streams,
     clock,
     config::Config,
     gossip::{Member, Members},
@@ -159,6 +161,8 @@
     quarantine: Quarantine,
     /// Reach of the servers, by service.
     reach: Map<Arc<str>, Reach>,
+    /// The builds that began streams, which callers may take up.
+    streams: Streams,
     budget: Budget,
     storage: storage::Storage,
     members: Members,
@@ -284,6 +288,7 @@
             cache_stores: cache::Stores::default(),
             quarantine: Quarantine::new(settings.quarantine),
             reach: Map::default(),
+            streams: Streams::default(),
             rollout: Rollout::default(),
             signals,
             shutdown_since: None,
@@ -404,6 +409,7 @@
         self.sweep_probes();
         self.sweep_quarantine();
         self.sweep_withheld();
+        self.sweep_streams();
         for id in self.pool.expire(self.now, self.storage.is_unreachable()) {
             if self.storage.is_watcher {
                 self.relay_removal(id);
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -159,6 +159,7 @@
         }
         delivery.last_event = last_event;
         if is_first {
+            self.bind_to_attempt(index);
             self.record_start_delay(index);
             self.record_stale_start(index);
         }
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -196,6 +196,7 @@
             ..Attempt::new(choice.server, connection, now)
         };
         self.begin_attempt(index, attempt, &bytes);
+        self.announce_stream(index, choice.server);
         let Some(exchange) = self.exchanges.get(index) else { return };
         let server = self.pool.get(choice.server);
         let load_age = server.load.map_or(Duration::ZERO, |it| now.since(it.1));
@@ -456,7 +457,11 @@
             let at_server =
                 it.attempt.as_ref().is_some_and(|it| it.server == server && it.reply.is_some());
             let may_rerun = it.is_repeatable() && it.has_attempts_left(&self.pool);
-            at_server && it.delivery.has_begun && may_rerun && self.is_worth_migrating(it)
+            at_server
+                && it.delivery.has_begun
+                && may_rerun
+                && self.has_other_server(it, server)
+                && self.is_worth_migrating(it)
         };
         let indices = self.exchanges.iter().filter(|it| is_migratable(it.1)).map(|it| it.0);
         for index in indices.collect::<Vec<_>>() {
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -12,6 +12,7 @@
         Core, Timer,
         answer::record_answer_time,
         attempt::{Attempt, REASON_UNRESPONSIVE, Reply},
+        build::Binding,
         rate_limit::PermitWait,
         refusal::Refusal,
         retry::Retry,
@@ -69,6 +70,8 @@
     pub(crate) excluded: Vec<pool::Id>,
     /// Identifies the request when it is repeated; computed on first use.
     identity: OnceCell<Identity>,
+    /// The build of the servers at which its stream may go on.
+    pub(crate) binding: Binding,
     /// The server that holds a copy of the run's KV cache, to continue there if the attempt's
     /// server is lost.
     pub(crate) copy: Option<pool::Id>,
@@ -246,6 +249,7 @@
             handovers: 0,
             excluded: Vec::new(),
             identity: OnceCell::new(),
+            binding: Binding::Free,
             copy: None,
             resume_from: None,
             attempt: None,
@@ -256,7 +260,7 @@
         let index = self.exchanges.insert(exchange);
         self.mark_caller_busy(caller, index);
         self.set_timer(deadline, Timer::Exchange(index, serial));
-        self.dispatch(index);
+        self.dispatch_resumed(index);
     }
 
     fn admit(&self, head: &Request, info: &RequestInfo) -> Result<Admitted, Refusal> {
@@ -266,6 +270,8 @@
         let Some(config) = &self.config else { return Err(Refusal::Starting) };
         let (route, organisation) = config.route(&info.host, head.path(), info.key.as_deref())?;
         let Some(id) = &info.id else { return Err(Refusal::NoId) };
+        // A stream goes on at the service that began it.
+        let id = info.resumed_id.as_ref().unwrap_or(id);
         let service = route.service(id).ok_or(Refusal::Shortage(Shortage::NoServer))?;
         let service = service.clone();
         Ok(Admitted { route, organisation, service })
@@ -346,6 +352,7 @@
             is_suspect: false,
             max_stale_weights: self.settings.max_stale_weights,
             is_repeatable: exchange.is_repeatable(),
+            build: exchange.binding.build(),
             excluded: &exchange.excluded,
         }
     }
@@ -358,6 +365,7 @@
             Shortage::Limited { .. } => {
                 !exchange.delivery.has_begun && exchange.excluded.is_empty()
             }
+            Shortage::NoBuild => true,
             Shortage::NoServer | Shortage::NoneReady => false,
         };
         // A server that was excluded for a failure may be the only one left.
@@ -381,7 +389,7 @@
             self.time_out(index);
             return;
         }
-        if self.check_permit_wait(index) {
+        if self.check_permit_wait(index) || self.check_build_query(index) {
             return;
         }
         let Some(exchange) = self.exchanges.get(index) else { return };
--- a/crates/gateway/src/core/handover.rs
+++ b/crates/gateway/src/core/handover.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     adapter::{HandoverOptions, RefusedHandover},
+    build,
     core::{
         Core,
         attempt::Attempt,
@@ -112,6 +113,7 @@
             time_left: exchange.deadline.since(now),
             attempts: exchange.attempts_left(&self.pool),
             last_event: exchange.delivery.last_event,
+            build: exchange.binding.build().map(build::Id::number),
             body_len: (exchange.head.framing != Framing::Empty).then_some(exchange.body.len()),
         };
         let mut bytes = Vec::with_capacity(1024 + exchange.body.len());
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -11,6 +11,7 @@
 use crate::{
     adapter::Load,
     broadcast::{self, Push, Queue, Reach, Update},
+    build::Begun,
     catchup::Catchup,
     core::{Core, storage::Source},
     freshness::Freshness,
@@ -58,6 +59,8 @@
     pub(crate) outbox: Outbox,
     /// Prompts that were placed since the last message with placements.
     placements: Vec<Placement>,
+    /// Streams that were sent to servers since then.
+    streams: Vec<Begun>,
 }
 
 impl Peers {
@@ -66,6 +69,11 @@
         self.placements.push(placement);
     }
 
+    /// Adds a stream that was sent to a server, which is announced at the end of the tick.
+    pub(crate) fn add_stream(&mut self, begun: Begun) {
+        self.streams.push(begun);
+    }
+
     /// Adds a server's load report.
     pub(crate) fn add_load(&mut self, now: Time, server: pool::Id, load: Load) {
         self.loads.insert(server, (load, now));
@@ -139,10 +147,11 @@
     /// prefixes before the servers report them. Without it, 85% instead of 96% of 3,028 requests
     /// meet their latency target (seven instances and nine engines at 90 requests a second).
     fn send_placements(&mut self) {
-        if self.peers.placements.is_empty() {
+        if self.peers.placements.is_empty() && self.peers.streams.is_empty() {
             return;
         }
         let placements = std::mem::take(&mut self.peers.placements);
+        let streams = std::mem::take(&mut self.peers.streams);
         let targets = self.neighbour_addresses();
         let now = self.now;
         let loads = std::mem::take(&mut self.peers.loads).into_iter();
@@ -159,7 +168,7 @@
             }
         });
         let reports = reports.filter(|it| it.age_ms < MAX_LOAD_AGE_MS).collect();
-        self.send_to(&targets, &Datagram::Placed(placements, reports));
+        self.send_with(&targets, &Datagram::Placed(placements, reports), &streams);
     }
 
     /// Announces this instance's configuration and weights to a few neighbours at the end of the
@@ -221,7 +230,17 @@
 
     /// Sends a datagram to each target. Returns the number of bytes sent.
     pub(crate) fn send_to(&mut self, targets: &[SocketAddr], datagram: &Datagram) -> usize {
-        match postcard::to_stdvec(datagram) {
+        self.send_with(targets, datagram, &[])
+    }
+
+    /// The same with streams that were sent to servers.
+    fn send_with(
+        &mut self,
+        targets: &[SocketAddr],
+        datagram: &Datagram,
+        streams: &[Begun],
+    ) -> usize {
+        match datagram.encode(streams) {
             Ok(bytes) => {
                 self.stats.traffic.count_sent(datagram, targets.len(), bytes.len());
                 targets.iter().for_each(|it| self.net.send_datagram(*it, &bytes));
--- a/crates/gateway/src/core/peers/receive.rs
+++ b/crates/gateway/src/core/peers/receive.rs
@@ -18,11 +18,12 @@
     /// Handles a datagram that may have waited in the socket's buffer for `queued_for`.
     pub(crate) fn handle_datagram(&mut self, bytes: &[u8], queued_for: Duration) {
         let received_at = self.now - queued_for;
-        let datagram = postcard::from_bytes::<Datagram>(bytes);
-        if let Ok(datagram) = &datagram {
+        let decoded = Datagram::decode(bytes);
+        if let Ok((datagram, streams)) = &decoded {
             self.stats.traffic.count_received(datagram, bytes.len());
+            streams.iter().for_each(|it| self.streams.record(received_at, *it));
         }
-        match datagram {
+        match decoded.map(|it| it.0) {
             Ok(Datagram::News(message)) => self.handle_news(received_at, *message),
             Ok(Datagram::Placed(placed, loads)) => {
                 for it in loads {
@@ -43,6 +44,8 @@
                 self.handle_permit_request(&request, queued_for)
             }
             Ok(Datagram::PermitReply(reply)) => self.handle_permit_reply(&reply),
+            Ok(Datagram::BuildQuery(query)) => self.handle_build_query(&query),
+            Ok(Datagram::BuildReply(reply)) => self.handle_build_reply(&reply),
             Ok(Datagram::Confirmation(confirmation)) => {
                 self.apply_peer_confirmation(received_at, confirmation)
             }
--- a/crates/gateway/src/core/refusal.rs
+++ b/crates/gateway/src/core/refusal.rs
@@ -41,6 +41,8 @@
         /// After which time the caller should retry.
         after: Duration,
     },
+    /// It isn't known which build began the stream that the request takes up.
+    UnknownBuild,
     /// Servers declined the request, and no further attempt is allowed.
     Declined,
     /// The deadline passed before the request was sent.
@@ -60,6 +62,7 @@
             | Self::Overload { .. }
             | Self::Quarantined { .. }
             | Self::OutOfReach { .. }
+            | Self::UnknownBuild
             | Self::Declined
             | Self::TimeOut => 503,
         }
@@ -74,12 +77,14 @@
             Self::NoKey => "no-key",
             Self::NoId => "no-id",
             Self::Shortage(Shortage::NoServer) => "no-server",
+            Self::Shortage(Shortage::NoBuild) => "no-build",
             Self::Shortage(Shortage::NoneReady) => "none-ready",
             Self::Shortage(Shortage::StaleWeights) => "old-weights",
             Self::Shortage(Shortage::Limited { .. }) => "rate-limited",
             Self::Overload { .. } => "overload",
             Self::Quarantined { .. } => "quarantined",
             Self::OutOfReach { .. } => "out-of-reach",
+            Self::UnknownBuild => "unknown-build",
             Self::Declined => "turned-away",
             Self::TimeOut => "time-out",
         }
@@ -103,7 +108,9 @@
             | Self::Quarantined { after }
             | Self::OutOfReach { after } => Some(after),
             Self::Shortage(Shortage::Limited { after }) => Some(after.max(RETRY_AFTER)),
-            Self::Shortage(_) | Self::Declined | Self::TimeOut => Some(RETRY_AFTER),
+            Self::Shortage(_) | Self::UnknownBuild | Self::Declined | Self::TimeOut => {
+                Some(RETRY_AFTER)
+            }
         }
     }
 }
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -267,6 +267,11 @@
             .increment(1);
     }
 
+    /// Counts a step of the search for the build that began a stream.
+    pub(crate) fn count_build_query(&mut self, step: &'static str) {
+        metrics::counter!("shallotlead_build_queries_total", "step" => step).increment(1);
+    }
+
     /// Counts a step of the quarantine.
     pub(crate) fn count_quarantine_step(&mut self, step: &'static str) {
         metrics::counter!("shallotlead_quarantine_total", "step" => step).increment(1);
--- a/crates/gateway/src/core/stats/traffic.rs
+++ b/crates/gateway/src/core/stats/traffic.rs
@@ -11,7 +11,7 @@
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Kinds of datagrams, in the order of [`kind_index`].
-const DATAGRAM_KINDS: [&str; 5] = ["news", "placed", "entries", "permits", "confirmed"];
+const DATAGRAM_KINDS: [&str; 6] = ["news", "placed", "entries", "permits", "confirmed", "builds"];
 
 /// Datagrams of one kind in one direction.
 struct Flow {
@@ -86,6 +86,7 @@
         Datagram::Entries(_) => 2,
         Datagram::PermitRequest(_) | Datagram::PermitReply(_) => 3,
         Datagram::Confirmation(_) => 4,
+        Datagram::BuildQuery(_) | Datagram::BuildReply(_) => 5,
     }
 }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     adapter::{Incarnation, Load, Part},
-    broadcast,
+    broadcast, build,
     catchup::Peer,
     cost::Estimate,
     quarantine, rate_limit,
@@ -140,6 +140,54 @@
     PermitReply(PermitReply),
     /// The store has just confirmed the configuration of an instance that watches it.
     Confirmation(Confirmation),
+    /// Asks for the build that began a stream.
+    BuildQuery(BuildQuery),
+    /// The reply of an instance that knows it.
+    BuildReply(BuildReply),
+}
+
+impl Datagram {
+    /// Encodes it, followed by streams that the sender has sent to servers. Earlier releases ignore what follows.
+    ///
+    /// # Errors
+    ///
+    /// When a value can't be encoded.
+    pub fn encode(&self, streams: &[build::Begun]) -> postcard::Result<Vec<u8>> {
+        let mut bytes = postcard::to_stdvec(self)?;
+        if !streams.is_empty() {
+            bytes.extend(postcard::to_stdvec(streams)?);
+        }
+        Ok(bytes)
+    }
+
+    /// Decodes it and the streams that follow.
+    ///
+    /// # Errors
+    ///
+    /// When the bytes are no message.
+    pub fn decode(bytes: &[u8]) -> postcard::Result<(Self, Vec<build::Begun>)> {
+        let (datagram, rest) = postcard::take_from_bytes(bytes)?;
+        let streams = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+        Ok((datagram, streams))
+    }
+}
+
+/// A question for the build that began a stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BuildQuery {
+    /// The stream.
+    pub stream: build::Stream,
+    /// The service that began it.
+    pub service: Arc<str>,
+    /// Address for the reply.
+    pub reply_to: SocketAddr,
+}
+
+/// The build that began a stream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BuildReply {
+    /// The stream and its build.
+    pub begun: build::Begun,
 }
 
 /// The store's confirmation that a configuration is the newest one.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod broadcast;
 pub mod budget;
+pub mod build;
 pub mod catchup;
 mod clock;
 pub mod config;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     adapter::Part,
+    build,
     cost::Estimate,
     gossip::Placement,
     pool::{self, Currency, Pool, Server, Versions},
@@ -103,6 +104,8 @@
     pub max_stale_weights: Duration,
     /// Whether the request may be sent to another server if it hasn't begun.
     pub is_repeatable: bool,
+    /// The build that began the stream, if it has begun.
+    pub build: Option<build::Id>,
     /// Servers that have declined or failed the request.
     pub excluded: &'a [pool::Id],
 }
@@ -179,6 +182,8 @@
 pub enum Shortage {
     /// No server is listed.
     NoServer,
+    /// No server of the build that began the stream is listed.
+    NoBuild,
     /// All servers are ejected or loading weights.
     NoneReady,
     /// All servers have weights that are too stale.
@@ -204,12 +209,18 @@
     random: u64,
 ) -> Result<Choice, Shortage> {
     let versions = criteria.model.and_then(|it| pool.weight_versions(it));
-    let mut shortage = Shortage::NoServer;
+    let mut shortage = match criteria.build {
+        Some(_) => Shortage::NoBuild,
+        None => Shortage::NoServer,
+    };
     let mut ready = Vec::new();
     for (id, server) in pool.usable(criteria.service) {
         if criteria.reach == Reach::Local && *server.centre != *criteria.centre {
             continue;
         }
+        if criteria.build.is_some_and(|it| it != server.build_id) {
+            continue;
+        }
         if !server.takes_requests(now) || criteria.excluded.contains(&id) {
             shortage = Shortage::NoneReady;
             continue;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     adapter::{Incarnation, Load, ServerEntry},
+    build,
     cost::Estimate,
     quarantine::IncarnationId,
     start_delay::StartDelay,
@@ -50,6 +51,8 @@
     costs: Map<Arc<str>, Estimate>,
     /// How late prompts begin, by service.
     start_delays: Map<Arc<str>, StartDelay>,
+    /// The builds that servers have been known to run, by service.
+    builds: Map<Arc<str>, build::History>,
     /// The services of the configuration, once it is known.
     services: Option<Set<Arc<str>>>,
 }
@@ -225,15 +228,16 @@
     /// Applies a server's entry.
     pub fn put(&mut self, now: Time, name: &Arc<str>, revision: u64, entry: ServerEntry) -> Change {
         let Some(id) = self.find(name) else {
-            return Change::Joined(self.add(name, revision, entry));
+            return Change::Joined(self.add(now, name, revision, entry));
         };
         let server = &mut self.servers[id];
         if revision <= server.revision || entry.incarnation < server.incarnation {
             return Change::None;
         }
-        if server.incarnation < entry.incarnation {
+        // A process keeps its build, so that another one is another incarnation.
+        if server.incarnation < entry.incarnation || server.build != entry.build {
             server.presence = Presence::Gone;
-            return Change::Restarted(id, self.add(name, revision, entry));
+            return Change::Restarted(id, self.add(now, name, revision, entry));
         }
         server.revision = revision;
         server.is_missing = false;
@@ -249,13 +253,20 @@
         }
     }
 
-    fn add(&mut self, name: &Arc<str>, revision: u64, entry: ServerEntry) -> Id {
+    /// The builds that the service's servers have been known to run.
+    pub fn builds(&self, service: &str) -> Option<&build::History> {
+        self.builds.get(service)
+    }
+
+    fn add(&mut self, now: Time, name: &Arc<str>, revision: u64, entry: ServerEntry) -> Id {
         if self.has_service(&entry.service) {
             self.release_address(entry.address);
         }
         let id = self.servers.len();
         self.ids_by_name.insert(name.clone(), id);
-        self.servers.push(Server::new(name.clone(), revision, entry));
+        let server = Server::new(name.clone(), revision, entry);
+        self.builds.entry(server.service.clone()).or_default().record(now, server.build_id);
+        self.servers.push(server);
         id
     }
 
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     adapter::{Incarnation, Load, ServerEntry},
+    build,
     pool::Health,
     quarantine::IncarnationId,
     rate_limit::Limit,
@@ -59,6 +60,8 @@
     pub presence: Presence,
     /// The version of its software, if known.
     pub build: Option<Arc<str>>,
+    /// Identifies its build.
+    pub build_id: build::Id,
     /// Its models and the versions of their weights, as far as known.
     pub models: Vec<(Arc<str>, u64)>,
     /// The store's revision of what is known of it.
@@ -111,13 +114,14 @@
             sequence: _,
         } = entry;
         Self {
+            build_id: build_id(&name, &service, build.as_deref(), incarnation),
+            build,
             name,
             incarnation,
             service,
             address,
             centre,
             presence: if is_draining { Presence::Draining } else { Presence::Ready },
-            build,
             models,
             revision,
             is_instance: false,
@@ -236,3 +240,16 @@
         self.switch.is_some_and(|it| now < it.until)
     }
 }
+
+/// Identifies the build of a server. One that names none is like no other.
+fn build_id(
+    name: &str,
+    service: &str,
+    build: Option<&str>,
+    incarnation: Option<Incarnation>,
+) -> build::Id {
+    match build {
+        Some(it) => build::Id::of(service, it),
+        None => build::Id::unnamed(hash::weight(name, incarnation.unwrap_or_default())),
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/build.rs
@@ -0,0 +1,124 @@
+//! Which build of a server's software began a stream.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use proptest::prelude::*;
+use shallotlead_gateway::{
+    adapter::ServerEntry,
+    build::{self, Begun, History, Id, Stream, Streams},
+    copies,
+    gossip::Datagram,
+    placement::{self, Criteria, PrefixIndex, Shortage},
+    pool::{Change, Pool},
+};
+use support::{at, criteria, entry, pool};
+
+const RETENTION: Duration = Duration::from_secs(30);
+
+fn begun(stream: &str, version: &str) -> Begun {
+    Begun { stream: Stream::of("open", stream), build: Id::of("pool", version) }
+}
+
+/// Adds the server `name` of build `version`.
+fn put(pool: &mut Pool, name: &str, number: u8, version: Option<&str>) -> Change {
+    let entry = ServerEntry { build: version.map(Arc::from), ..entry(number, "a", 1) };
+    pool.put(at(0), &Arc::from(name), 100, entry)
+}
+
+// A stream is sent again before its first event, and word of the first sending arrives late.
+#[test]
+fn latest_sending_of_a_stream_holds() {
+    let mut streams = Streams::default();
+    streams.record(at(10), begun("r1", "v1"));
+    streams.record(at(30), begun("r1", "v2"));
+    streams.record(at(20), begun("r1", "v1"));
+    assert_eq!(streams.find(Stream::of("open", "r1")), Some(Id::of("pool", "v2")));
+    assert_eq!(streams.find(Stream::of("walled", "r1")), None, "another organisation's");
+    streams.expire(at(30_020), RETENTION);
+    assert_eq!(streams.len(), 1, "the later sending is not too old");
+    streams.expire(at(30_031), RETENTION);
+    assert!(streams.is_empty());
+}
+
+// An instance that has just started sees one build, but streams of another one may still be taken up.
+#[test]
+fn only_build_is_known_for_certain_after_a_stream_has_lived() {
+    let (one, other) = (Id::of("pool", "v1"), Id::of("pool", "v2"));
+    let mut history = History::default();
+    assert_eq!(history.only(), None);
+    history.record(at(0), one);
+    history.record(at(5), one);
+    assert_eq!(history.only(), Some(one));
+    assert_eq!(history.only_for(at(29_999), RETENTION), None);
+    assert_eq!(history.only_for(at(30_000), RETENTION), Some(one));
+    history.record(at(40_000), other);
+    assert_eq!(history.only_for(at(90_000), RETENTION), None);
+}
+
+// Attempts of routes with long timeouts follow each other.
+#[test]
+fn streams_are_remembered_for_longer_than_two_attempts() {
+    assert_eq!(build::retention(Duration::from_secs(1)), Duration::from_secs(30));
+    assert_eq!(build::retention(Duration::from_secs(60)), Duration::from_secs(120));
+}
+
+// A server starts again under its name and address as another build, and reports no incarnation.
+#[test]
+fn server_with_another_build_is_another_incarnation() {
+    let mut pool = pool(1);
+    assert!(matches!(put(&mut pool, "e0", 0, Some("v2")), Change::Restarted(0, 1)));
+    assert_eq!(pool.get(1).build_id, Id::of(support::SERVICE, "v2"));
+}
+
+// Servers that name no build could run any: each is like no other.
+#[test]
+fn servers_without_a_build_are_not_alike() {
+    let mut pool = pool(0);
+    put(&mut pool, "x", 1, None);
+    put(&mut pool, "y", 2, None);
+    assert_ne!(pool.get(0).build_id, pool.get(1).build_id);
+}
+
+// A stream that has begun is placed at its own build only, even if that has no room, and so is the copy of a run.
+#[test]
+fn begun_stream_and_copies_stay_at_their_build() {
+    let mut pool = pool(2);
+    put(&mut pool, "f0", 10, Some("v2"));
+    put(&mut pool, "f1", 11, Some("v2"));
+    let prefixes = PrefixIndex::default();
+    let of =
+        |build: &str| Criteria { build: Some(Id::of(support::SERVICE, build)), ..criteria(&[]) };
+    for random in 0..50 {
+        for (build, servers) in [("v1", 0..2), ("v2", 2..4)] {
+            let choice = placement::choose(&pool, &prefixes, at(0), &of(build), random);
+            let choice = choice.expect("there are servers of the build");
+            assert!(servers.contains(&choice.server), "{build} at {}", choice.server);
+            let copy = copies::target(&pool, at(0), &criteria(&[]), &choice);
+            assert!(copy.is_some_and(|it| servers.contains(&it) && it != choice.server));
+        }
+    }
+    let missing = placement::choose(&pool, &prefixes, at(0), &of("v3"), 0);
+    assert_eq!(missing.err(), Some(Shortage::NoBuild));
+}
+
+// Instances of an earlier release send no streams, and read messages that are followed by some.
+#[test]
+fn streams_follow_messages_without_hiding_them_from_earlier_releases() {
+    let datagram = Datagram::Placed(Vec::new(), Vec::new());
+    let streams = vec![begun("r1", "v1"), begun("r2", "v2")];
+    let bytes = datagram.encode(&streams).expect("it is encoded");
+    assert_eq!(postcard::from_bytes::<Datagram>(&bytes), Ok(datagram.clone()));
+    assert_eq!(Datagram::decode(&bytes), Ok((datagram.clone(), streams)));
+    let earlier = postcard::to_stdvec(&datagram).expect("it is encoded");
+    assert_eq!(Datagram::decode(&earlier), Ok((datagram, Vec::new())));
+}
+
+proptest! {
+    // A damaged message must not end the instance.
+    #[test]
+    fn any_bytes_are_decoded_or_rejected(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = Datagram::decode(&bytes);
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -74,6 +74,7 @@
         store: None,
         max_stale_weights: Duration::from_secs(8),
         is_repeatable: true,
+        build: None,
         excluded: &[],
     }
 }
