--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -365,8 +365,7 @@
             Shortage::Limited { .. } => {
                 !exchange.delivery.has_begun && exchange.excluded.is_empty()
             }
-            Shortage::NoBuild => true,
-            Shortage::NoServer | Shortage::NoneReady => false,
+            Shortage::NoServer | Shortage::NoBuild | Shortage::NoneReady => false,
         };
         // A server that was excluded for a failure may be the only one left.
         exchange.excluded.clear();
