Draw again for a retry that has waited long for a server

Retries that were drawn over up to 1.8 s, while a service had no server, waited together and reached the first one that came back within one window, beyond what the budget allows for it.

Found by listing when what is drawn arrives. The budget covers 1 s between a draw and its arrival; a stream that has begun may wait longer, and draws again after 0.7 s now.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -6,8 +6,10 @@
 
 /// Width of the buckets in which requests and retries are counted.
 const BUCKET_WIDTH: Duration = Duration::from_millis(100);
-/// Longest time from a draw until the retry reaches a server that is covered: until a connection is established and
-/// what was lost on the way is sent again.
+/// How long a retry that was drawn may wait for a server.
+pub const DRAW_VALIDITY: Duration = Duration::from_millis(700);
+/// Longest time from a draw until the retry reaches a server that is covered: its wait, and then until a connection is
+/// established.
 const ARRIVAL_DELAY: Duration = Duration::from_secs(1);
 /// Weights of the requests within a window, and of those within the window before it. They add up to one and are the
 /// same at all instances, so that what all instances draw adds up to at most what the busier window allows.
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -334,7 +334,9 @@
             }
             // Other requests may be about to be sent there; the probe's result spares them the attempt.
             self.probe_late(attempt.server);
-            self.dispatch(index);
+            if self.has_valid_draw(index) {
+                self.dispatch(index);
+            }
             return;
         }
         if is_rerun_forbidden {
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -80,6 +80,8 @@
     pub(crate) attempt: Option<Attempt>,
     /// Set while the stream has lost its server and waits to be sent again.
     pub(crate) retry: Option<Retry>,
+    /// When its last retry was drawn, and why.
+    pub(crate) drawn: Option<(Time, &'static str)>,
     /// Set while it waits for a permit of a rate-limited server.
     pub(crate) permit_wait: Option<PermitWait>,
     pub(crate) delivery: Delivery,
@@ -254,6 +256,7 @@
             resume_from: None,
             attempt: None,
             retry: None,
+            drawn: None,
             permit_wait: None,
             delivery: Delivery { last_event, ..Delivery::default() },
         };
@@ -395,7 +398,11 @@
         let Some(attempt) = &exchange.attempt else {
             match exchange.retry {
                 Some(_) => self.retry_if_due(index),
-                None => self.dispatch(index),
+                None => {
+                    if self.has_valid_draw(index) {
+                        self.dispatch(index);
+                    }
+                }
             }
             return;
         };
--- a/crates/gateway/src/core/retry_budget.rs
+++ b/crates/gateway/src/core/retry_budget.rs
@@ -1,8 +1,10 @@
 //! Draws on the retry budget, the only way to send a request again that a server may have received.
 
+use std::time::Duration;
+
 use crate::{
-    budget::Purpose,
-    core::{Core, attempt::REASON_LOADING},
+    budget::{DRAW_VALIDITY, Purpose},
+    core::{Core, attempt::REASON_LOADING, refusal::Refusal},
 };
 
 impl Core {
@@ -23,12 +25,34 @@
         if !self.budget.withdraw(self.now, &service, share, purpose) {
             return false;
         }
+        if let Some(exchange) = self.exchanges.get_mut(index) {
+            exchange.drawn = Some((self.now, reason));
+        }
         self.stats.count_resend(reason);
         self.stats.count_retry(&service);
         self.log_draw("retry", index, reason);
         true
     }
 
+    /// Whether the request, which no server has received since its last draw, may be sent now. If that draw is too old,
+    /// it draws again: a stream that has begun waits for that, another request is refused if no retry is left.
+    ///
+    /// Guards against retries of a whole window that wait for the same server and reach it together.
+    pub(crate) fn has_valid_draw(&mut self, index: usize) -> bool {
+        let Some(exchange) = self.exchanges.get(index) else { return false };
+        let expired = exchange.drawn.filter(|it| DRAW_VALIDITY <= self.now.since(it.0));
+        let Some((_, reason)) = expired else { return true };
+        if exchange.delivery.has_begun {
+            self.retry_stream_later(index, reason, Duration::ZERO);
+            return false;
+        }
+        let is_drawn = self.draw_retry(index, reason);
+        if !is_drawn {
+            self.refuse_or_fail(index, Refusal::Declined);
+        }
+        is_drawn
+    }
+
     /// Logs that the retry budget doesn't allow another attempt.
     pub(crate) fn log_no_budget(&mut self, index: usize, reason: &'static str) {
         self.log_draw("no_budget", index, reason);
