Quotas of organisations over all instances, in requests or tokens

What callers saw: nothing held an organisation to its quota; one that sent many times its usual took the room of all others. Cause: `ratePerS`, `burst`, `unit` and `plainTokens` of the configuration were read by nobody.

Change: up to three instances own a quota, each a share of its token bucket; a request takes its units from one of them right before it is first sent, and is refused with 429 otherwise.

--- a/crates/emulator/src/world/deployment.rs
+++ b/crates/emulator/src/world/deployment.rs
@@ -290,6 +290,7 @@
         link_bytes_per_s: LINKS.bytes_per_s,
         directory_ttl: Duration::from_secs(2),
         retries,
+        quota_window: Duration::from_secs(10),
         order_gap: Duration::from_millis(300),
         max_stale_weights: MAX_STALE_WEIGHTS,
         quarantine: quarantine::Policy { crash_threshold: 3, retention: Duration::from_secs(600) },
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -91,6 +91,8 @@
     pub model: Option<Arc<str>>,
     /// The parts of the prompt in order. The last one is specific to the request or its session.
     pub parts: Vec<Part>,
+    /// Tokens of the prompt and of the longest answer that it allows.
+    pub tokens: Option<u64>,
     /// The number of the last event that the caller received, when it resumes a stream.
     pub last_event: Option<u64>,
     /// The id of the caller's attempt that brought the stream's first event, when it resumes a stream.
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -4,6 +4,8 @@
 
 use shallotlead_base::hash::{self, Map};
 
+use crate::quota;
+
 /// One version of the configuration, indexed for lookups.
 #[derive(Debug, Default)]
 pub struct Config {
@@ -84,7 +86,7 @@
 }
 
 /// One organisation. Its callers are identified by their API keys.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Organisation {
     /// Name of the organisation.
     pub name: Arc<str>,
@@ -92,6 +94,8 @@
     pub priority: Option<u8>,
     /// Whether its cached prompts are shared with no other organisation.
     pub is_isolated: bool,
+    /// What it may use through all instances together; `None` if that isn't limited.
+    pub quota: Option<quota::Limit>,
 }
 
 /// Limits on the size of callers' requests and on the time that they take to arrive.
@@ -188,6 +192,12 @@
         stores
     }
 
+    /// The organisations with a quota. One with several API keys appears several times.
+    pub fn quotas(&self) -> impl Iterator<Item = (&Arc<str>, quota::Limit)> {
+        let organisations = self.keys.iter().flat_map(|it| it.values());
+        organisations.filter_map(|it| Some((&it.name, it.quota?)))
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -23,6 +23,7 @@
 mod peers;
 mod probe;
 mod quarantine;
+mod quota;
 mod rate_limit;
 mod reach;
 mod refusal;
@@ -77,6 +78,7 @@
     placement::PrefixIndex,
     pool::{self, Pool},
     quarantine::Quarantine,
+    quota::Account,
     rate_limit::Unsettled,
     reach::Reach,
     rollout::Rollout,
@@ -198,6 +200,8 @@
     /// Requests that were sent with permits to servers at risk from rejections.
     unsettled: Unsettled,
     budget: Budget,
+    /// Quotas by organisation.
+    quotas: Map<Arc<str>, Account>,
     storage: storage::Storage,
     members: Members,
     peers: peers::Peers,
@@ -294,6 +298,7 @@
         let holder = Arc::from(format!("{}#{incarnation}", settings.name));
         Ok(Self {
             budget: Budget::new(settings.retries),
+            quotas: Map::default(),
             storage: storage::Storage::new(&settings, &*adapter, seed, now),
             log: Log::new(&settings.name, settings.log_lines_per_s, clock.clone(), log),
             lease: Lease::new(LEASE_NAME, holder, settings.order_gap),
--- a/crates/gateway/src/core/dispatch.rs
+++ b/crates/gateway/src/core/dispatch.rs
@@ -59,7 +59,11 @@
                 let (after, wait) = (admission.retry_after(&choice), choice.wait());
                 self.refuse_or_fail(index, Refusal::Overload { after, wait });
             }
-            Ok(choice) => self.send_permitted(index, &choice),
+            Ok(choice) => {
+                if self.has_quota(index) {
+                    self.send_permitted(index, &choice);
+                }
+            }
             Err(shortage) => {
                 let service = self.exchanges.get(index).map(|it| it.service.clone());
                 let is_lost = shortage == Shortage::NoneReady
--- a/crates/gateway/src/core/ending.rs
+++ b/crates/gateway/src/core/ending.rs
@@ -30,6 +30,7 @@
             self.fail_exchange(index, 502, refusal.reason());
             return;
         }
+        self.return_quota(index);
         let exchange = self.exchanges.remove(index);
         let keeps_alive = exchange.head.keeps_alive();
         let attempts = exchange.attempts_made;
--- a/crates/gateway/src/core/endpoints.rs
+++ b/crates/gateway/src/core/endpoints.rs
@@ -1,7 +1,8 @@
 //! The instance's own HTTP endpoints: readiness, the directory of addresses for callers, metrics, requests in
-//! quarantine, servers that limit their rate, and the state for other instances.
+//! quarantine, servers that limit their rate, quotas of organisations, and the state for other instances.
 
 mod quarantine;
+mod quota;
 mod rate_limit;
 
 use std::net::SocketAddr;
@@ -81,7 +82,10 @@
                 None => (404, JSON, b"{}".to_vec()),
             },
             Endpoint::Metrics => {
-                let answer = self.answer_quarantine(head).or_else(|| self.answer_limits(head));
+                let answer = self
+                    .answer_quarantine(head)
+                    .or_else(|| self.answer_limits(head))
+                    .or_else(|| self.answer_quotas(head));
                 if let Some((status, body)) = answer {
                     return (status, JSON, body);
                 }
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -9,7 +9,7 @@
     config::{Execution, Organisation, Route},
     core::{
         Core, Timer, attempt::Attempt, build::Binding, check::Check, hedge::Standby,
-        rate_limit::PermitWait, refusal::Refusal, reply::Reply, retry::Retry,
+        quota::QuotaWait, rate_limit::PermitWait, refusal::Refusal, reply::Reply, retry::Retry,
     },
     http::{
         head::{Request, Response},
@@ -76,6 +76,12 @@
     pub(crate) drawn: Option<(Time, &'static str)>,
     /// Set while it waits for a permit of a rate-limited server.
     pub(crate) permit_wait: Option<PermitWait>,
+    /// Set while it waits for units of its organisation's quota.
+    pub(crate) quota_wait: Option<QuotaWait>,
+    /// How many times an owner of that quota was asked for it.
+    pub(crate) quota_questions: usize,
+    /// Units of its organisation's quota that it has taken.
+    pub(crate) quota_units: Option<f64>,
     pub(crate) delivery: Delivery,
     /// Whether its stream has stalled.
     pub(crate) stall_check: Check,
@@ -287,6 +293,9 @@
             retry: None,
             drawn: None,
             permit_wait: None,
+            quota_wait: None,
+            quota_questions: 0,
+            quota_units: None,
             delivery: Delivery { last_event, ..Delivery::default() },
             stall_check: Check::default(),
             kept_error: None,
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -92,6 +92,7 @@
             self.peers.last_gossip = now;
             let changes = self.members.expire(now);
             self.log_member_changes(&changes);
+            self.update_quota_owners();
             self.storage.set_sharers(self.members.budget_sharers(), now);
             let own = self.settings.listen.peers;
             let seeds = self.settings.seeds.iter().copied().filter(|it| *it != own);
--- a/crates/gateway/src/core/peers/receive.rs
+++ b/crates/gateway/src/core/peers/receive.rs
@@ -44,6 +44,8 @@
                 self.handle_permit_request(&request, queued_for)
             }
             Ok(Datagram::PermitReply(reply)) => self.handle_permit_reply(&reply),
+            Ok(Datagram::QuotaRequest(request)) => self.handle_quota_request(request),
+            Ok(Datagram::QuotaReply(reply)) => self.handle_quota_reply(&reply),
             Ok(Datagram::Settlement(settlement)) => self.apply_settlement(&settlement, queued_for),
             Ok(Datagram::BuildQuery(query)) => self.handle_build_query(&query),
             Ok(Datagram::BuildReply(begun)) => self.handle_build_reply(begun),
--- a/crates/gateway/src/core/refusal.rs
+++ b/crates/gateway/src/core/refusal.rs
@@ -46,6 +46,11 @@
     },
     /// It isn't known which build began the stream that the request takes up.
     UnknownBuild,
+    /// The organisation's quota is used up.
+    OverQuota {
+        /// After which time the caller should retry.
+        after: Duration,
+    },
     /// Servers declined the request, and no further attempt is allowed.
     Declined,
     /// The deadline passed before the request was sent.
@@ -59,6 +64,7 @@
             Self::NoRoute => 404,
             Self::NoKey => 401,
             Self::NoId => 400,
+            Self::OverQuota { .. } => 429,
             Self::Starting
             | Self::ShuttingDown
             | Self::Shortage(_)
@@ -91,6 +97,7 @@
             Self::Quarantined { .. } => "quarantined",
             Self::OutOfReach { .. } => "out-of-reach",
             Self::UnknownBuild => "unknown-build",
+            Self::OverQuota { .. } => "over-quota",
             Self::Declined => "turned-away",
             Self::TimeOut => "time-out",
         }
@@ -112,7 +119,8 @@
             Self::ShuttingDown => Some(Duration::ZERO),
             Self::Overload { after, .. }
             | Self::Quarantined { after }
-            | Self::OutOfReach { after } => Some(after),
+            | Self::OutOfReach { after }
+            | Self::OverQuota { after } => Some(after),
             Self::Shortage(Shortage::BackedOff { after }) => {
                 Some(after.clamp(RETRY_AFTER, MAX_BACKOFF_RETRY_AFTER))
             }
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -258,6 +258,11 @@
         metrics::counter!("shallotlead_permits_total", "result" => result).increment(1);
     }
 
+    /// Counts a request under a quota that was admitted, denied, or that asked an owner in vain.
+    pub(crate) fn count_quota(&mut self, result: &'static str) {
+        metrics::counter!("shallotlead_quota_requests_total", "result" => result).increment(1);
+    }
+
     /// Counts a rate limit that could not be parsed.
     pub(crate) fn count_unreadable_rate_limit(&mut self) {
         metrics::counter!("shallotlead_rate_limits_unreadable_total").increment(1);
--- a/crates/gateway/src/core/stats/traffic.rs
+++ b/crates/gateway/src/core/stats/traffic.rs
@@ -11,7 +11,8 @@
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Kinds of datagrams, in the order of [`kind_index`].
-const DATAGRAM_KINDS: [&str; 6] = ["news", "placed", "entries", "permits", "confirmed", "builds"];
+const DATAGRAM_KINDS: [&str; 7] =
+    ["news", "placed", "entries", "permits", "confirmed", "builds", "quotas"];
 
 /// Datagrams of one kind in one direction.
 struct Flow {
@@ -85,6 +86,7 @@
         Datagram::Placed(..) => 1,
         Datagram::Entries(_) => 2,
         Datagram::PermitRequest(_) | Datagram::PermitReply(_) | Datagram::Settlement(_) => 3,
+        Datagram::QuotaRequest(_) | Datagram::QuotaReply(_) => 6,
         Datagram::Confirmation(_) => 4,
         Datagram::BuildQuery(_) | Datagram::BuildReply(_) => 5,
     }
--- a/crates/gateway/src/core/time_limit.rs
+++ b/crates/gateway/src/core/time_limit.rs
@@ -32,7 +32,10 @@
             self.time_out(index);
             return;
         }
-        if self.check_permit_wait(index) || self.check_build_query(index) {
+        if self.check_permit_wait(index)
+            || self.check_quota_wait(index)
+            || self.check_build_query(index)
+        {
             return;
         }
         let Some(exchange) = self.exchanges.get(index) else { return };
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,7 +16,7 @@
     broadcast, build,
     catchup::Peer,
     cost::Estimate,
-    quarantine, rate_limit,
+    quarantine, quota, rate_limit,
 };
 
 pub use age::Age;
@@ -146,6 +146,32 @@
     pub heard_ms: u32,
 }
 
+/// A request's question to an owner of its organisation's quota.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct QuotaRequest {
+    /// The organisation.
+    pub organisation: Arc<str>,
+    /// Units that the request counts as.
+    pub cost: f64,
+    /// The owner that is asked.
+    pub owner: SocketAddr,
+    /// Address for the reply.
+    pub reply_to: SocketAddr,
+}
+
+/// An owner's reply.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct QuotaReply {
+    /// The organisation.
+    pub organisation: Arc<str>,
+    /// Units that were asked for.
+    pub cost: f64,
+    /// The owner that was asked.
+    pub owner: SocketAddr,
+    /// What it grants.
+    pub reply: quota::Reply,
+}
+
 /// One datagram between instances.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Datagram {
@@ -167,6 +193,10 @@
     BuildReply(build::Begun),
     /// What became of requests at a server that is at risk. Earlier releases ignore it.
     Settlement(Settlement),
+    /// Asks an owner of an organisation's quota for a part. Earlier releases ignore it.
+    QuotaRequest(QuotaRequest),
+    /// The reply to it. Earlier releases ignore it.
+    QuotaReply(QuotaReply),
 }
 
 impl Datagram {
--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -391,6 +391,25 @@
         others.filter(|it| own < hash::weight(&it.name, key)).count()
     }
 
+    /// The `count` owners of `key` by rendezvous hashing, wherever they are. Those that a new instance presumes alive
+    /// count, so that all instances that start together agree from the start.
+    pub fn owners(&self, now: Time, key: u64, count: usize) -> Vec<&Member> {
+        let candidates = self.presumed_alive(now).chain([&self.me]).filter(|it| !it.is_leaving);
+        let mut ranked: Vec<_> =
+            candidates.map(|it| (Reverse(hash::weight(&it.name, key)), it)).collect();
+        ranked.sort_unstable_by_key(|it| it.0);
+        ranked.into_iter().take(count).map(|it| it.1).collect()
+    }
+
+    /// The same as [`Members::alive_fraction`], with those that a new instance presumes alive; `None` while it isn't
+    /// known which instances there are.
+    pub fn presumed_fraction(&self, now: Time) -> Option<f64> {
+        let alive = self.presumed_alive(now).filter(|it| !it.is_leaving).count() as f64;
+        let known = self.others.values().filter(|it| !it.member.is_leaving).count() as f64;
+        let absent = self.sharers.absent_heard() as f64;
+        self.sharers.has_entered().then_some((1.0 + alive) / (1.0 + known + absent))
+    }
+
     /// Share of the recently known members that are alive, including this one; members that announced their shutdown
     /// do not count.
     ///
--- a/crates/gateway/src/gossip/sharers.rs
+++ b/crates/gateway/src/gossip/sharers.rs
@@ -67,6 +67,11 @@
         self.entry.get_or_insert(entry);
     }
 
+    /// Whether this process has entered the fleet.
+    pub(super) fn has_entered(&self) -> bool {
+        self.entry.is_some()
+    }
+
     /// Whether this process may spend its share, `uptime` after its start, of an allowance that covers `span`.
     ///
     /// Guards against a fleet that exceeds its allowance when instances restart: the process before may have spent
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! All that an instance takes from its machine is in [`host::Host`].
 //!
 //! The modules that make decisions do no I/O ([`placement`], [`budget`], [`lease`], [`rollout`], [`gossip`],
-//! [`broadcast`], [`pool`], [`publication`]); the reactor executes the decisions. All knowledge of the platform's
+//! [`broadcast`], [`pool`], [`publication`], [`quota`]); the reactor executes the decisions. All knowledge of the platform's
 //! names and formats is in the implementation of [`adapter::Adapter`].
 
 pub mod adapter;
@@ -33,6 +33,7 @@
 pub mod pool;
 pub mod publication;
 pub mod quarantine;
+pub mod quota;
 pub mod rate_limit;
 pub mod reach;
 pub mod reactor;
--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -9,7 +9,7 @@
 //! The same permits keep a server from more rejections than it bears. Each takes a token from a second bucket, which
 //! comes back only once the server is known to have taken the request.
 
-mod bucket;
+pub(crate) mod bucket;
 pub mod endpoint;
 mod ledger;
 mod statement;
@@ -29,13 +29,14 @@
 
 /// How long another request may use a permit if the request that it was obtained for has gone
 /// elsewhere. With a longer validity, permits of many instances would add up to a burst.
-const PERMIT_VALIDITY: Duration = Duration::from_millis(500);
+pub(crate) const PERMIT_VALIDITY: Duration = Duration::from_millis(500);
 /// How long a server counts as closed when its limit's owner didn't reply: the owner has ended, or
 /// can't be reached.
-const TIMEOUT_PAUSE: Duration = Duration::from_millis(500);
+pub(crate) const TIMEOUT_PAUSE: Duration = Duration::from_millis(500);
 /// How long a server counts as closed when the instance that was asked doesn't see itself as the
 /// limit's owner: such views converge within one or two periods of the gossip.
-const NOT_OWNER_PAUSE: Duration = Duration::from_millis(300);
+pub(crate) const NOT_OWNER_PAUSE: Duration = Duration::from_millis(300);
+
 /// Whether a request, or a probe, may be sent to a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Permission {
@@ -273,7 +274,7 @@
             buckets.push(&mut ledger.bucket);
         }
         let empty = buckets.iter_mut().filter(|it| !it.has_token());
-        if let Some(wait) = empty.map(|it| it.denial_wait(now)).max() {
+        if let Some(wait) = empty.map(|it| it.token_wait(now)).max() {
             return Err(wait);
         }
         let tokens = buckets.iter().map(|it| count(it)).fold(f64::INFINITY, f64::min);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -37,6 +37,8 @@
     pub directory_ttl: Duration,
     /// Policy of the shared retry budget.
     pub retries: budget::Policy,
+    /// The window over which quotas of organisations are checked.
+    pub quota_window: Duration,
     /// Minimum interval between orders of two successive holders of the lease.
     pub order_gap: Duration,
     /// How long after the publication of newer weights requests may still start on older ones.
@@ -125,12 +127,15 @@
 /// deployment.
 const DEFAULT_MAX_STALE_WEIGHTS: Duration = Duration::from_secs(8);
 
+/// The window over which quotas are checked if the setting is empty.
+const DEFAULT_QUOTA_WINDOW: Duration = Duration::from_secs(10);
+
 /// Bandwidth of the link in Mbit/s if the setting is empty: the lowest of any known deployment.
 const DEFAULT_LINK_MBIT_PER_S: f64 = 10.0;
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
 /// Names of all settings, by section.
-const KNOWN_KEYS: [(&str, &[&str]); 12] = [
+const KNOWN_KEYS: [(&str, &[&str]); 13] = [
     ("instance", &["name", "data_centre"]),
     ("listen", &["callers", "ready", "directory", "peers", "metrics"]),
     ("store", &["address", "reads_per_second", "writes_per_second"]),
@@ -138,6 +143,7 @@
     ("link", &["mbit_per_second"]),
     ("directory", &["ttl_ms"]),
     ("retries", &["ratio", "window_ms", "slack"]),
+    ("quotas", &["window_ms"]),
     ("orders", &["gap_ms"]),
     ("weights", &["oldest_ms"]),
     ("quarantine", &["crashes", "keep_s"]),
@@ -189,6 +195,7 @@
             window: millis("retries", "window_ms")?,
             slack: number(ini, "retries", "slack", "a number")?,
         },
+        quota_window: quota_window(ini)?,
         order_gap: millis("orders", "gap_ms")?,
         max_stale_weights: max_stale_weights(ini)?,
         quarantine: quarantine(ini)?,
@@ -197,6 +204,14 @@
     })
 }
 
+/// The setting is empty if the platform has no quotas.
+fn quota_window(ini: &Ini) -> Result<Duration, Error> {
+    if ini.get_from(Some("quotas"), "window_ms").is_none_or(str::is_empty) {
+        return Ok(DEFAULT_QUOTA_WINDOW);
+    }
+    number(ini, "quotas", "window_ms", "a number of milliseconds").map(from_ms)
+}
+
 /// The setting is empty if the platform states no limit.
 fn max_stale_weights(ini: &Ini) -> Result<Duration, Error> {
     if ini.get_from(Some("weights"), "oldest_ms").is_none_or(str::is_empty) {
--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -35,7 +35,7 @@
 }
 
 fn organisation() -> Arc<Organisation> {
-    Arc::new(Organisation { name: Arc::from("o"), priority: None, is_isolated: false })
+    Arc::new(Organisation { name: Arc::from("o"), priority: None, is_isolated: false, quota: None })
 }
 
 #[test]
--- /dev/null
+++ b/crates/gateway/tests/quota.rs
@@ -0,0 +1,204 @@
+//! Quotas of organisations over all instances, whatever happens to them.
+
+mod support;
+
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+
+use rand::Rng;
+use shallotlead_gateway::quota::{Account, Limit, Permission, Reply, Share, Unit};
+use support::{at, fleet::address, quotas::Quotas};
+
+const TOKENS: Unit = Unit::Tokens { plain: 200.0 };
+/// Tolerated beyond a quota in tokens: twice the largest request.
+const TOKENS_SLACK: f64 = 110_000.0;
+/// The same for one in requests.
+const REQUESTS_SLACK: f64 = 5.0;
+
+fn tokens(per_second: f64) -> Limit {
+    Limit { per_second, burst: per_second, unit: TOKENS }
+}
+
+fn requests(per_second: f64) -> Limit {
+    Limit { per_second, burst: per_second, unit: Unit::Requests }
+}
+
+/// The only owner's account, with a full bucket.
+fn owner(limit: Limit) -> Account {
+    let mut account = Account::new(limit, Duration::from_secs(8));
+    account.set_owners(at(0), Vec::new(), Some(Share::of(1, 1.0)));
+    account.set_owners(at(20_000), Vec::new(), Some(Share::of(1, 1.0)));
+    account
+}
+
+fn admitted(account: &mut Account, from_ms: u64, to_ms: u64, cost: f64) -> usize {
+    let is_granted = |it: &u64| account.acquire(at(*it), cost, 0) == Permission::Granted;
+    (from_ms..to_ms).filter(is_granted).count()
+}
+
+#[test]
+fn request_counts_by_its_tokens() {
+    let limit = tokens(1_000.0);
+    assert_eq!((limit.cost(Some(1_540)), limit.cost(None)), (1_540.0, 200.0));
+    assert_eq!(requests(5.0).cost(Some(1_540)), 1.0);
+}
+
+#[test]
+fn burst_and_then_the_rate_are_admitted() {
+    let mut account = owner(requests(10.0));
+    // The last one is taken in advance.
+    assert_eq!(admitted(&mut account, 20_000, 20_050, 1.0), 11);
+    assert_eq!(admitted(&mut account, 20_050, 30_050, 1.0), 100);
+}
+
+#[test]
+fn large_request_is_served_in_its_turn_like_a_small_one() {
+    let mut account = owner(tokens(10_000.0));
+    assert_eq!(account.acquire(at(20_000), 30_000.0, 0), Permission::Granted);
+    assert!(matches!(account.acquire(at(21_000), 200.0, 0), Permission::Denied(_)));
+    assert_eq!(account.acquire(at(22_001), 30_000.0, 0), Permission::Granted);
+}
+
+#[test]
+fn denial_says_when_there_are_units_again_and_spreads_those_who_ask() {
+    let mut account = owner(requests(1.0));
+    assert_eq!(account.grant(at(20_000), 1.0), Reply::Granted(1.0));
+    let Reply::Denied(first) = account.grant(at(20_000), 1.0) else { panic!("granted") };
+    let Reply::Denied(second) = account.grant(at(20_000), 1.0) else { panic!("granted") };
+    assert!((first, second) < (second, first) && second <= 2_000, "{first} ms, {second} ms");
+}
+
+#[test]
+fn owner_that_is_silent_or_denies_is_passed_over() {
+    let mut account = Account::new(requests(10.0), Duration::from_secs(8));
+    let owners = [address(1), address(2)];
+    account.set_owners(at(0), owners.to_vec(), None);
+    let ask = |it: &mut Account, ms: u64| match it.acquire(at(ms), 1.0, 0) {
+        Permission::Ask(owner) => Some(owner),
+        Permission::Granted | Permission::Denied(_) => None,
+    };
+    let first: Option<SocketAddr> = ask(&mut account, 0);
+    account.record_timeout(at(5), first.expect("an owner is asked"));
+    let second = ask(&mut account, 5);
+    assert_ne!(first, second);
+    account.apply_reply(at(7), second.expect("an owner is asked"), 1.0, Reply::Denied(300));
+    assert_eq!(ask(&mut account, 7), first, "its datagram may have been lost");
+    account.apply_reply(at(9), first.expect("an owner"), 1.0, Reply::Denied(400));
+    assert_eq!(account.acquire(at(9), 1.0, 0), Permission::Denied(Duration::from_millis(298)));
+    assert_eq!(ask(&mut account, 308), second);
+}
+
+#[test]
+fn units_of_a_request_that_has_not_run_serve_the_next_one_but_not_forever() {
+    let mut account = Account::new(requests(10.0), Duration::from_secs(8));
+    account.put_back(at(0), 1.0);
+    assert_eq!(account.acquire(at(400), 1.0, 0), Permission::Granted);
+    account.put_back(at(500), 1.0);
+    assert!(matches!(account.acquire(at(1_000), 1.0, 0), Permission::Denied(_)));
+}
+
+// Seven times what it may send, through all instances and through one: the quota holds, and almost all of it is used.
+#[test]
+fn almost_all_of_a_quota_is_used_and_no_more() {
+    for count in [1, 7, 66] {
+        for (limit, slack) in [(tokens(300_000.0), TOKENS_SLACK), (requests(40.0), REQUESTS_SLACK)]
+        {
+            for entry in [None, Some(count / 2)] {
+                let mut quotas = Quotas::open(count, limit, slack, 7);
+                (quotas.demand, quotas.entry) = (7.0 * limit.per_second, entry);
+                quotas.run(20_000);
+                let used = quotas.used(10_000);
+                let case = format!("{count} instances, {limit:?} through {entry:?}");
+                quotas.check().unwrap_or_else(|err| panic!("{case}: {err}"));
+                println!("{case}: {used:.3}, {} questions a second", quotas.asked / 20);
+                assert!((0.95..1.05).contains(&used), "{case}: {used:.2} of the quota");
+            }
+        }
+    }
+}
+
+// Nobody who stays within the quota may be refused, also right after an owner has ended.
+#[test]
+fn nobody_within_the_quota_is_denied_when_an_owner_ends() {
+    for count in [7, 66] {
+        let limit = tokens(300_000.0);
+        let mut quotas = Quotas::open(count, limit, TOKENS_SLACK, 11);
+        quotas.demand = 0.55 * limit.per_second;
+        quotas.run(10_000);
+        assert_eq!(quotas.denied, 0, "{count} instances");
+        let owner = quotas.owners()[0];
+        quotas.fleet.end(owner);
+        quotas.run(10_000);
+        assert_eq!(quotas.denied, 0, "{count} instances without an owner");
+    }
+}
+
+// All instances start anew at the same moment: those within the quota are served from the start.
+#[test]
+fn quota_is_at_hand_when_all_instances_start_anew() {
+    let limit = tokens(300_000.0);
+    let mut quotas = Quotas::open(66, limit, TOKENS_SLACK, 13);
+    quotas.demand = 0.55 * limit.per_second;
+    quotas.run(10_000);
+    (0..66).for_each(|it| quotas.restart(it));
+    quotas.run(600);
+    quotas.denied = 0;
+    quotas.run(10_000);
+    assert!(quotas.denied <= 3, "{} requests were denied", quotas.denied);
+    quotas.check().expect("within the quota");
+}
+
+/// A number from the environment, for long runs.
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok().and_then(|it| it.parse().ok())
+}
+
+fn seeds() -> std::ops::Range<u64> {
+    let first = number("QUOTA_FIRST").unwrap_or(0);
+    first..first + number("QUOTA_SEEDS").unwrap_or(40)
+}
+
+fn inject_fault(quotas: &mut Quotas) {
+    let index = quotas.rng.random_range(0..quotas.fleet.len());
+    match quotas.rng.random_range(0..9) {
+        0 | 1 if !quotas.fleet.has_ended(index) => quotas.restart(index),
+        2 => (0..quotas.fleet.len()).for_each(|it| quotas.restart(it)),
+        3 if index != 0 => quotas.fleet.end(index),
+        4 => quotas.fleet.pause(index, 6_000),
+        5 => {
+            let share = quotas.rng.random_range(0.1..0.9);
+            let is_cut_off: BTreeSet<usize> =
+                (1..quotas.fleet.len()).filter(|_| quotas.rng.random_bool(share)).collect();
+            quotas.fleet.partition(is_cut_off);
+        }
+        6 => quotas.fleet.heal(),
+        7 => {
+            let limit = quotas.limit().per_second * quotas.rng.random_range(0.1..3.0);
+            quotas.change(limit.clamp(2.0, 1e6));
+        }
+        _ => quotas.entry = quotas.rng.random_bool(0.3).then_some(index),
+    }
+}
+
+// Restarts, ends, freezes, partitions and changes of the limit in overlapping series: no window exceeds the quota.
+#[test]
+fn quota_holds_under_any_faults() {
+    let mut broken = Vec::new();
+    for seed in seeds() {
+        let size = [1, 2, 3, 7, 7, 16, 66][seed as usize % 7];
+        let count = number("QUOTA_INSTANCES").map_or(size, |it| it as usize);
+        let (limit, slack) = match seed % 3 {
+            0 => (requests(20.0), REQUESTS_SLACK),
+            1 => (tokens(30_000.0), TOKENS_SLACK),
+            _ => (tokens(600_000.0), TOKENS_SLACK),
+        };
+        let mut quotas = Quotas::open(count, limit, slack, seed);
+        quotas.demand = limit.per_second * [0.8, 2.0, 7.0][seed as usize / 7 % 3];
+        for _ in 0..12 {
+            inject_fault(&mut quotas);
+            let ms = [200, 1_200, 4_000, 9_000][quotas.rng.random_range(0..4)];
+            quotas.run(ms);
+        }
+        broken.extend(quotas.check().err().map(|err| format!("seed {seed}, {count}: {err}")));
+    }
+    assert!(broken.is_empty(), "{}: {}", broken.len(), broken.join("; "));
+}
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -220,7 +220,7 @@
             beats: node.members.recent_heartbeats(now, &mut self.rng),
         };
         for address in node.members.gossip_targets(now, iter::once(address(SEED)), &mut self.rng) {
-            let to = usize::from(address.port()) - 1;
+            let to = index_at(address);
             let is_partitioned = self.minority.contains(&index) != self.minority.contains(&to);
             if to != index && !is_partitioned && !self.rng.random_bool(self.loss) {
                 self.in_flight.push((to, gossip.clone()));
@@ -233,6 +233,12 @@
         node.ended_at.is_none() && node.paused_until <= self.now_ms
     }
 
+    /// Whether a datagram from one running instance reaches the other.
+    pub(crate) fn delivers(&mut self, from: usize, to: usize) -> bool {
+        let is_partitioned = self.minority.contains(&from) != self.minority.contains(&to);
+        self.is_running(to) && !is_partitioned && !self.rng.random_bool(self.loss)
+    }
+
     pub(crate) fn has_ended(&self, index: usize) -> bool {
         self.nodes[index].ended_at.is_some()
     }
@@ -299,12 +305,16 @@
     node.members.merge_heartbeats(received_at, &gossip.beats);
 }
 
-fn address(index: usize) -> SocketAddr {
+pub(crate) fn address(index: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], 1 + index as u16))
 }
 
 fn index(member: &Member) -> usize {
-    usize::from(member.peers.port()) - 1
+    index_at(member.peers)
+}
+
+pub(crate) fn index_at(peers: SocketAddr) -> usize {
+    usize::from(peers.port()) - 1
 }
 
 /// An instance that started at `started_ms`.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub(crate) mod fleet;
+pub(crate) mod quotas;
 pub(crate) mod retries;
 pub(crate) mod storm;
 
--- a/crates/shallotlead/src/command.rs
+++ b/crates/shallotlead/src/command.rs
@@ -10,6 +10,7 @@
 pub(crate) mod operator;
 pub(crate) mod page;
 pub(crate) mod quarantine;
+pub(crate) mod quotas;
 pub(crate) mod standin;
 pub(crate) mod status;
 pub(crate) mod table;
@@ -42,6 +43,7 @@
         Command::Limits(arguments) => limits::run(&arguments),
         Command::Load(arguments) => load::run(arguments),
         Command::Quarantine(arguments) => quarantine::run(&arguments),
+        Command::Quotas(arguments) => quotas::run(&arguments),
         Command::Status(arguments) => client().and_then(|it| status::run(&arguments, &it)),
         Command::Table(arguments) => table::run(arguments, client),
         Command::Top(arguments) => client().and_then(|it| top::run(&arguments, &it)),
@@ -89,6 +91,8 @@
     Load(load::Arguments),
     #[options(help = "list the requests that crashed servers, or release one")]
     Quarantine(quarantine::Arguments),
+    #[options(help = "list organisations with a quota")]
+    Quotas(quotas::Arguments),
     #[options(help = "show instances, versions in force, duties and the platform's health")]
     Status(status::Arguments),
     #[options(help = "read and change the operators' table")]
--- a/crates/shallotlead/tests/limits.rs
+++ b/crates/shallotlead/tests/limits.rs
@@ -2,37 +2,16 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
 
-use std::{
-    io::{BufRead, BufReader, Write},
-    net::TcpListener,
-    process::Command,
-    thread,
-};
+mod page;
 
 use shallotlead_gateway::rate_limit::endpoint::Entry;
 
-/// Exit status and text of the subcommand.
 fn limits(arguments: &[&str]) -> (Option<i32>, String) {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_shallotlead"));
-    let output = command.arg("limits").args(arguments).output().unwrap();
-    let text = String::from_utf8_lossy(&output.stdout) + String::from_utf8_lossy(&output.stderr);
-    (output.status.code(), text.into_owned())
+    page::run("limits", arguments)
 }
 
-/// A stand-in for an instance that answers one request for the page.
 fn standin(entries: &[Entry]) -> String {
-    let body = serde_json::to_string(entries).unwrap();
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        let (stream, _) = listener.accept().unwrap();
-        let mut lines = BufReader::new(&stream).lines().map(Result::unwrap);
-        assert_eq!(lines.next().unwrap(), "GET /limits HTTP/1.1");
-        lines.find(String::is_empty).unwrap();
-        let length = body.len();
-        write!(&stream, "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}").unwrap();
-    });
-    address.to_string()
+    page::serve("/limits", serde_json::to_string(entries).unwrap())
 }
 
 fn entry() -> Entry {
