--- a/crates/gateway/src/quota/share.rs
+++ b/crates/gateway/src/quota/share.rs
@@ -2,6 +2,8 @@
 
 /// Fraction of the known instances from which on a side of a partition counts as the larger one.
 const MAJORITY: f64 = 0.5;
+/// Fraction of a quota that nobody hands out, for the seconds in which instances differ about who its owners are.
+const RESERVE: f64 = 0.02;
 
 /// The part of a quota that one owner hands out.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -17,6 +19,7 @@
     /// The share of one of `owners`. `reachable`: the fraction of the known instances that it considers alive, so that
     /// the sides of a partition together hand out one quota.
     pub fn of(owners: usize, reachable: f64) -> Self {
-        Self { fraction: reachable / owners.max(1) as f64, may_overdraw: MAJORITY < reachable }
+        let fraction = (1.0 - RESERVE) * reachable / owners.max(1) as f64;
+        Self { fraction, may_overdraw: MAJORITY < reachable }
     }
 }
