--- a/crates/emulator/src/format/adapter.rs
+++ b/crates/emulator/src/format/adapter.rs
@@ -122,6 +122,7 @@
         let seconds = fields.get("retry-after").map(|it| it.parse().ok());
         let retry_after = seconds.map(|it| it.and_then(|it| Duration::try_from_secs_f64(it).ok()));
         ResponseInfo {
+            pace: None,
             id: fields.get(names::REQUEST).map(Box::from),
             is_declined: fields.get(names::DECLINED).is_some(),
             refused_handover: fields.get(names::HANDOVER).and_then(refused),
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -172,6 +172,8 @@
     pub is_draining: bool,
     /// The server's load when it answered.
     pub load: Option<Load>,
+    /// How long work takes on the server's machine at the moment, in percent of the usual, if it says so.
+    pub pace: Option<u16>,
     /// The rate limit that the server announces.
     pub rate_limit: RateLimit,
     /// How many requests a second the server can reject, from all instances together, before it falls over.
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -39,8 +39,12 @@
         }
         let Reply { head, answer } = &reply;
         if let Some(load) = answer.load {
+            if let Some(percent) = answer.pace {
+                self.pool.get_mut(attempt.server).pace.state(now, percent);
+            }
             self.pool.update_load(attempt.server, now, load);
             self.peers.add_load(now, attempt.server, load);
+            self.peers.add_pace(attempt.server, answer.pace);
         }
         let (id, sent) = (attempt.server, attempt.sent);
         if let Some(serial) = attempt.unsettled.filter(|_| !answer.is_declined) {
@@ -218,9 +222,9 @@
             if bytes.is_empty() {
                 return true;
             }
-            let sample = attempt.latency_sample(self.now);
+            let (sample, pace) = (attempt.latency_sample(self.now), attempt.pace());
             let service = exchange.service.clone();
-            self.record_first_token(server, &service, &sample);
+            self.record_first_token(server, &service, &sample, pace);
             self.begin_stream(index);
         }
         let now = self.now;
@@ -265,17 +269,29 @@
         true
     }
 
-    /// Updates the cost estimate of the service's prompts and the server's measured wait when a first token
-    /// arrives.
-    fn record_first_token(&mut self, server: pool::Id, service: &Arc<str>, sample: &Sample) {
+    /// Updates the cost estimate of the service's prompts, the server's pace and its measured wait when a first token
+    /// arrives. `pace`: the factor by which the server was expected to take longer.
+    fn record_first_token(
+        &mut self,
+        server: pool::Id,
+        service: &Arc<str>,
+        sample: &Sample,
+        pace: f64,
+    ) {
         if self.pool.get(server).is_instance {
             return;
         }
         let cost = self.pool.cost_mut(service);
         let queueing_time = cost.queueing_time(sample.uncached_tokens, sample.elapsed);
         let expected_ms = cost.observe_first_token(sample);
-        self.pool.get_mut(server).record_wait(self.now, queueing_time.as_millis() as u32);
-        self.stats.record_prediction(expected_ms, sample.elapsed);
+        let ratio = sample.elapsed.as_secs_f64() * 1e3 / expected_ms.max(1.0);
+        let known = self.pool.get_mut(server);
+        known.record_wait(self.now, queueing_time.mul_f64(pace).as_millis() as u32);
+        known.pace.observe(ratio);
+        if let Some(stated) = known.pace.stated_percent() {
+            self.peers.add_first_token(server, stated, ratio);
+        }
+        self.stats.record_prediction(pace * expected_ms, sample.elapsed.mul_f64(pace));
     }
 
     /// Sends the head of the answer to the caller, unless that was done before.
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -34,6 +34,8 @@
     pub(crate) uncached_tokens: u32,
     /// Expected time until the prefill began, ms.
     wait_ms: f64,
+    /// The factor by which work takes longer at its server than its service's estimate.
+    pace: f64,
     /// Expected time to the first token.
     first_token: Duration,
     /// The head of the answer, once received.
@@ -69,6 +71,7 @@
             staleness: None,
             uncached_tokens: 0,
             wait_ms: 0.0,
+            pace: 1.0,
             first_token: Duration::ZERO,
             reply: None,
             run: None,
@@ -108,10 +111,15 @@
     pub(crate) fn latency_sample(&self, now: Time) -> Sample {
         Sample {
             uncached_tokens: self.uncached_tokens,
-            wait_ms: self.wait_ms,
-            elapsed: now.since(self.sent),
+            wait_ms: self.wait_ms / self.pace,
+            elapsed: now.since(self.sent).div_f64(self.pace),
         }
     }
+
+    /// The factor by which work was expected to take longer at its server than its service's estimate.
+    pub(crate) fn pace(&self) -> f64 {
+        self.pace
+    }
 }
 
 impl Core {
@@ -166,6 +174,7 @@
             staleness,
             uncached_tokens: choice.uncached_tokens,
             wait_ms: choice.wait_ms,
+            pace: choice.pace,
             first_token: choice.first_token(),
             is_from_copy: resume_from.is_some(),
             ..Attempt::new(choice.server, connection, now)
@@ -189,6 +198,7 @@
             .number("score_ms", format_args!("{:.1}", choice.score))
             .number("wait_ms", format_args!("{:.1}", choice.wait_ms))
             .number("expected_ms", format_args!("{:.1}", choice.first_token_ms))
+            .number("pace", format_args!("{:.2}", choice.pace))
             .number("unread", choice.uncached_tokens)
             .number("weights", choice.weights.unwrap_or(0))
             .ms("replaced_ms", staleness.unwrap_or_default())
--- a/crates/gateway/src/core/copy.rs
+++ b/crates/gateway/src/core/copy.rs
@@ -80,6 +80,7 @@
         added_tokens: 0,
         wait_ms: 0.0,
         first_token_ms,
+        pace: 1.0,
         score: 0.0,
         fetch_from: None,
         save_to: None,
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -18,7 +18,7 @@
     gossip::{
         self, Confirmation, Datagram, LoadReport, Loading, Message, PERIOD, Placement, Publication,
     },
-    pool,
+    pool::{self, pace},
     quarantine::IncarnationId,
 };
 
@@ -58,6 +58,8 @@
     pub(crate) awaits_reply: bool,
     /// Load reports from servers since the last message with placements.
     loads: Map<pool::Id, (Load, Time)>,
+    /// What answers have shown of their pace since their last report was sent.
+    paces: Map<pool::Id, pace::Observation>,
     /// Whether this instance's state is to be announced to a few others.
     is_announcement_due: bool,
     /// Entries from the store that are to be sent.
@@ -79,6 +81,21 @@
         self.streams.push(begun);
     }
 
+    /// Adds what a server has stated of its pace, if anything.
+    pub(crate) fn add_pace(&mut self, server: pool::Id, stated: Option<u16>) {
+        if let Some(stated) = stated {
+            let first_token = self.paces.get(&server).and_then(|it| it.first_token);
+            self.paces.insert(server, pace::Observation { stated, first_token });
+        }
+    }
+
+    /// Adds when a first token came, relative to when it was expected.
+    pub(crate) fn add_first_token(&mut self, server: pool::Id, stated: u16, ratio: f64) {
+        let observation = pace::Observation { stated, first_token: None };
+        let observation = self.paces.entry(server).or_insert(observation);
+        *observation = observation.with_first_token(ratio);
+    }
+
     /// Adds a server's load report.
     pub(crate) fn add_load(&mut self, now: Time, server: pool::Id, load: Load) {
         self.loads.insert(server, (load, now));
@@ -161,6 +178,7 @@
         let targets = self.neighbour_addresses();
         let now = self.now;
         let loads = std::mem::take(&mut self.peers.loads).into_iter();
+        let paces = &mut self.peers.paces;
         let age_ms = |at: Time| now.since(at).as_millis() as u32;
         let reports = loads.map(|(id, (load, at))| {
             let server = self.pool.get(id);
@@ -171,6 +189,7 @@
                 load,
                 age_ms: age_ms(at),
                 waited_ms,
+                pace: paces.remove(&id),
             }
         });
         let reports = reports.filter(|it| it.age_ms < MAX_LOAD_AGE_MS).collect();
--- a/crates/gateway/src/core/peers/receive.rs
+++ b/crates/gateway/src/core/peers/receive.rs
@@ -85,6 +85,9 @@
         if let Some((waited_ms, at)) = waited {
             server.record_wait(at, waited_ms);
         }
+        if let Some(observation) = &report.pace {
+            server.pace.adopt(at, observation);
+        }
         if server.load.is_none_or(|it| it.1 < at) {
             self.pool.update_load(id, at, report.load);
         }
--- a/crates/gateway/src/cost.rs
+++ b/crates/gateway/src/cost.rs
@@ -79,7 +79,8 @@
     responses: u32,
 }
 
-/// What was expected of a prompt, and when its response began.
+/// What was expected of a prompt, and when its response began; times divided by the factor by which work takes longer
+/// at its server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Sample {
     /// Tokens that the server had to prefill.
@@ -104,6 +105,11 @@
 }
 
 impl Estimate {
+    /// The estimate for a server at which work takes `factor` times as long.
+    pub fn at_pace(&self, factor: f64) -> Self {
+        Self { token_ms: factor * self.token_ms, response_ms: factor * self.response_ms, ..*self }
+    }
+
     /// Prefill time of `tokens` without the fixed work per prompt, ms.
     pub fn prefill_ms(&self, tokens: u32) -> f64 {
         self.token_ms * f64::from(tokens)
@@ -136,7 +142,8 @@
         after.saturating_sub(Duration::from_secs_f64(service_ms / 1e3))
     }
 
-    /// Learns from the first token of a response. Returns the time at which it was expected, ms.
+    /// Learns from the first token of a response. Returns the time at which it was expected, ms, at a server of the
+    /// service's mean pace.
     pub fn observe_first_token(&mut self, sample: &Sample) -> f64 {
         let Sample { uncached_tokens, wait_ms, elapsed } = *sample;
         let prefill_ms = self.idle_prefill_ms(uncached_tokens);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,6 +16,7 @@
     broadcast, build,
     catchup::Peer,
     cost::Estimate,
+    pool::pace,
     quarantine, quota, rate_limit,
 };
 
@@ -236,6 +237,11 @@
             [] => Vec::new(),
             _ => postcard::from_bytes(rest)?,
         };
+        if let Self::Placed(_, loads) = &mut datagram {
+            let paces = extensions.first().and_then(|it| postcard::from_bytes(it).ok());
+            let paces: Vec<Option<pace::Observation>> = paces.unwrap_or_default();
+            loads.iter_mut().zip(paces).for_each(|(load, pace)| load.pace = pace);
+        }
         // Those of later releases are skipped.
         let mut known =
             extensions.iter().filter_map(|it| postcard::from_bytes::<broadcast::Aged>(it).ok());
@@ -264,6 +270,11 @@
                 let update = tolerance.iter().cloned().map(broadcast::Update::Tolerance);
                 update.map(|update| encode(&broadcast::Aged { update, age_ms: 0 })).collect()
             }
+            Self::Placed(_, loads) if loads.iter().any(|it| it.pace.is_some()) => {
+                let paces: Vec<Option<pace::Observation>> =
+                    loads.iter().map(|it| it.pace).collect();
+                Ok(vec![postcard::to_stdvec(&paces)?])
+            }
             _ => Ok(Vec::new()),
         }
     }
@@ -312,6 +323,9 @@
     /// How long the prompt that started most recently had waited at the server, and how long ago that was, both in
     /// ms.
     pub waited_ms: Option<(u32, u32)>,
+    /// What answers have shown of its pace, if it states one. Sent as an extension.
+    #[serde(skip)]
+    pub pace: Option<pace::Observation>,
 }
 
 /// A prompt that was sent to a server.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -139,6 +139,8 @@
     pub wait_ms: f64,
     /// Expected time to the first token, ms.
     pub first_token_ms: f64,
+    /// The factor by which work takes longer there than the service's estimate.
+    pub pace: f64,
     /// The score, ms; the lowest wins.
     pub score: f64,
     /// Where to fetch cached parts from: another server, or the store of cached parts.
@@ -358,8 +360,10 @@
     sources: &[&Candidate<'_>],
     random: u64,
 ) -> Choice {
-    let Prompt { total_tokens, shared_tokens, cost, .. } = *prompt;
+    let Prompt { total_tokens, shared_tokens, .. } = *prompt;
     let Candidate { id, server, weights, staleness_ms, cached, .. } = *candidate;
+    let pace = server.pace.factor(now);
+    let cost = prompt.cost.at_pace(pace);
     let cached_elsewhere = cached_elsewhere(candidate, sources);
     let fetch = fetch(now, criteria, candidate, sources);
     let uncached_tokens = total_tokens - cached.tokens - fetch.tokens;
@@ -395,6 +399,7 @@
         added_tokens: total_tokens - cached.tokens,
         wait_ms,
         first_token_ms,
+        pace,
         score: prefilled_ms
             + lateness_ms
             + shared_parts_ms
--- a/crates/gateway/src/placement/prefix_index.rs
+++ b/crates/gateway/src/placement/prefix_index.rs
@@ -49,7 +49,7 @@
 impl PrefixIndex {
     /// Records a prompt that this instance or another one has sent to a server.
     pub fn record(&mut self, now: Time, pool: &mut Pool, id: pool::Id, placement: &Placement) {
-        let cost = pool.cost(&pool.get(id).service);
+        let cost = pool.cost_at(now, id);
         let occupancy = Duration::from_secs_f64(cost.occupancy_ms(placement.uncached_tokens) / 1e3);
         let server = pool.get_mut(id);
         server.enqueue(now, occupancy, cost.prefill_share());
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -3,6 +3,7 @@
 mod availability;
 mod backoff;
 mod health;
+pub mod pace;
 mod server;
 mod versions;
 
@@ -24,6 +25,7 @@
 pub use availability::Unavailability;
 pub use backoff::Backoff;
 pub use health::Health;
+pub use pace::Pace;
 pub use server::{Presence, Server, Switch};
 pub use versions::{Currency, News, Publication, Versions, linked};
 
@@ -173,7 +175,13 @@
         self.costs.get(service).copied().unwrap_or_default()
     }
 
-    /// The same, for updates.
+    /// The cost of prompts at one server now.
+    pub fn cost_at(&self, now: Time, id: Id) -> Estimate {
+        let server = &self.servers[id];
+        self.cost(&server.service).at_pace(server.pace.factor(now))
+    }
+
+    /// The cost of a service's prompts, for updates.
     pub fn cost_mut(&mut self, service: &Arc<str>) -> &mut Estimate {
         self.costs.entry(service.clone()).or_default()
     }
@@ -291,7 +299,7 @@
 
     /// Applies a server's load report, made at `at`.
     pub fn update_load(&mut self, id: Id, at: Time, load: Load) {
-        let occupancy_ms = self.cost(&self.servers[id].service).mean_occupancy_ms();
+        let occupancy_ms = self.cost_at(at, id).mean_occupancy_ms();
         self.servers[id].apply_load(at, load, occupancy_ms);
     }
 
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -7,7 +7,7 @@
 use crate::{
     adapter::{Incarnation, Load, ServerEntry},
     build,
-    pool::{Backoff, Health},
+    pool::{Backoff, Health, Pace},
     quarantine::IncarnationId,
     rate_limit::Limit,
 };
@@ -82,6 +82,8 @@
     pub health: Health,
     /// The time for which it wants no requests.
     pub backoff: Backoff,
+    /// How long work takes there.
+    pub pace: Pace,
     /// Its last load report, and when it was made.
     pub load: Option<(Load, Time)>,
     /// The rate limit that it sets for all instances together.
@@ -140,6 +142,7 @@
             switch: None,
             health: Health::default(),
             backoff: Backoff::default(),
+            pace: Pace::default(),
             load: None,
             limit: Limit::default(),
             heard_at: Time::ZERO,
