--- a/crates/gateway/tests/admission.rs
+++ b/crates/gateway/tests/admission.rs
@@ -6,6 +6,7 @@
 
 fn choice(wait_ms: f64, uncached_tokens: u32) -> Choice {
     Choice {
+        pace: 1.0,
         server: 0,
         weights: Some(1),
         uncached_tokens,
