Quotas: a larger share counts once others have had time to hear of it

What was seen: 5 of 5,000 series of faults (seeds 20868, 20955, 21627, 22007, 26027) used up to 0.8 % more than is allowed. Cause, traced on two of them: at the beginning and the end of a partition instances notice one after the other that they own a part, or a larger one, while others still hand out theirs. Change: an owner's share grows only after 1.2 s, but for a process that has just started. Four of the seeds hold and stay in the test. The fifth has another cause (an instance that starts within a long partition takes the others for gone): known red.

--- a/crates/gateway/src/core/quota.rs
+++ b/crates/gateway/src/core/quota.rs
@@ -15,7 +15,7 @@
         refusal::{RETRY_AFTER, Refusal},
     },
     gossip::{Datagram, QuotaReply, QuotaRequest},
-    quota::{Account, MAX_QUESTIONS, Permission, Reply, Share},
+    quota::{Account, MAX_QUESTIONS, Permission, Reply, SETTLING_TIME, Share},
 };
 
 /// Longest time for which one owner's reply is awaited: ten times the round trip between nearby data centres.
@@ -63,13 +63,15 @@
         let Self { quotas, members, now, .. } = self;
         let own = &members.me().name;
         let reachable = members.presumed_fraction(*now);
+        // All that a new process hands out is more than before.
+        let settling = if members.is_new(*now) { Duration::ZERO } else { SETTLING_TIME };
         for (name, account) in quotas {
             let key = hash::stable(name.as_bytes());
             let owners = members.owners(*now, key, account.limit().owners());
             let is_owner = owners.iter().any(|it| it.name == *own);
             let share = reachable.filter(|_| is_owner).map(|it| Share::of(owners.len(), it));
             let others = owners.iter().filter(|it| it.name != *own).map(|it| it.peers);
-            account.set_owners(*now, others.collect(), share);
+            account.set_owners(*now, others.collect(), share, settling);
         }
     }
 
--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -282,8 +282,7 @@
     /// and take the lease. The presumption expires once live members have been heard of, so that instances that are
     /// gone are not waited for.
     pub fn presumed_alive(&self, now: Time) -> impl Iterator<Item = &Member> {
-        let presumed_for = if self.is_large() { PRESUMED_ALIVE_FOR } else { DEAD_AFTER };
-        let is_new = self.first_record_at.is_some_and(|it| now.since(it) < presumed_for);
+        let is_new = self.first_record_at.is_some() && self.is_new(now);
         let presumed = self
             .others
             .values()
@@ -291,6 +290,12 @@
         presumed.map(|it| &it.member)
     }
 
+    /// Whether this process has had no time yet to hear of all others.
+    pub fn is_new(&self, now: Time) -> bool {
+        let presumed_for = if self.is_large() { PRESUMED_ALIVE_FOR } else { DEAD_AFTER };
+        self.first_record_at.is_none_or(|it| now.since(it) < presumed_for)
+    }
+
     /// Whether the fleet counts as large.
     pub fn is_large(&self) -> bool {
         LARGE_FLEET <= self.others.len() + 1
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -12,11 +12,18 @@
 mod limit;
 mod share;
 
+use std::time::Duration;
+
 pub use account::{Account, Permission, Reply};
 pub use limit::{Limit, Unit};
 pub use share::Share;
 
 /// Most owners of one quota: any of them may end, and the rest hand out more than half of it meanwhile.
 pub const MAX_OWNERS: usize = 3;
+/// Time after which a larger share counts: two gossip periods, within which others hear that theirs is smaller.
+///
+/// Guards against instances that notice the end of a partition, or of an owner, one after the other: their shares add
+/// up to more than the quota meanwhile.
+pub const SETTLING_TIME: Duration = Duration::from_millis(1_200);
 /// Most questions to owners for one request: one of them may have ended, and a datagram be lost.
 pub const MAX_QUESTIONS: usize = MAX_OWNERS + 1;
--- a/crates/gateway/src/quota/account.rs
+++ b/crates/gateway/src/quota/account.rs
@@ -48,6 +48,8 @@
     closed: Map<SocketAddr, Closure>,
     /// The part that this instance hands out, if it is an owner.
     share: Option<Share>,
+    /// Since when it might hand out more.
+    raised_at: Option<Time>,
     bucket: Option<Bucket>,
     admitted: u64,
     denied: u64,
@@ -91,6 +93,7 @@
             others: Vec::new(),
             closed: Map::default(),
             share: None,
+            raised_at: None,
             bucket: None,
             admitted: 0,
             denied: 0,
@@ -110,12 +113,25 @@
         }
     }
 
-    /// Applies who owns the quota now. `share`: this instance's part, if it is an owner.
+    /// Applies who owns the quota now. `share`: this instance's part, if it is an owner; a larger one than before
+    /// counts once it has lasted for `settling`.
     ///
     /// The bucket of a new owner is empty, as another one may just have handed out a burst.
-    pub fn set_owners(&mut self, now: Time, others: Vec<SocketAddr>, share: Option<Share>) {
+    pub fn set_owners(
+        &mut self,
+        now: Time,
+        others: Vec<SocketAddr>,
+        share: Option<Share>,
+        settling: Duration,
+    ) {
         self.closed.retain(|owner, it| now < it.until && others.contains(owner));
-        (self.others, self.share) = (others, share);
+        self.others = others;
+        let fraction = |it: Option<Share>| it.map_or(0.0, |it| it.fraction);
+        if fraction(share) <= fraction(self.share) {
+            (self.share, self.raised_at) = (share, None);
+        } else if settling <= now.since(*self.raised_at.get_or_insert(now)) {
+            (self.share, self.raised_at) = (share, None);
+        }
         self.refill(now);
     }
 
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -25,8 +25,8 @@
 /// The only owner's account, with a full bucket.
 fn owner(limit: Limit) -> Account {
     let mut account = Account::new(limit, Duration::from_secs(8));
-    account.set_owners(at(0), Vec::new(), Some(Share::of(1, 1.0)));
-    account.set_owners(at(20_000), Vec::new(), Some(Share::of(1, 1.0)));
+    account.set_owners(at(0), Vec::new(), Some(Share::of(1, 1.0)), Duration::ZERO);
+    account.set_owners(at(20_000), Vec::new(), Some(Share::of(1, 1.0)), Duration::ZERO);
     account
 }
 
@@ -72,7 +72,7 @@
 fn owner_that_is_silent_or_denies_is_passed_over() {
     let mut account = Account::new(requests(10.0), Duration::from_secs(8));
     let owners = [address(1), address(2)];
-    account.set_owners(at(0), owners.to_vec(), None);
+    account.set_owners(at(0), owners.to_vec(), None, Duration::ZERO);
     let ask = |it: &mut Account, ms: u64| match it.acquire(at(ms), 1.0, 0) {
         Permission::Ask(owner) => Some(owner),
         Permission::Granted | Permission::Denied(_) => None,
@@ -133,6 +133,20 @@
     }
 }
 
+// The sides of a partition hear of each other one after the other: a larger share counts a moment later than a smaller.
+#[test]
+fn larger_share_counts_once_others_have_had_time_to_hear() {
+    let settling = Duration::from_millis(1_200);
+    let mut account = owner(requests(10.0));
+    account.set_owners(at(20_000), Vec::new(), Some(Share::of(2, 1.0)), settling);
+    let fraction = |it: &Account| it.held().map_or(0.0, |it| it.0);
+    let half = fraction(&account);
+    account.set_owners(at(21_000), Vec::new(), Some(Share::of(1, 1.0)), settling);
+    assert!((fraction(&account) - half).abs() < 1e-9);
+    account.set_owners(at(22_200), Vec::new(), Some(Share::of(1, 1.0)), settling);
+    assert!((fraction(&account) - 2.0 * half).abs() < 1e-9);
+}
+
 // All instances start anew at the same moment: those within the quota are served from the start.
 #[test]
 fn quota_is_at_hand_when_all_instances_start_anew() {
@@ -153,7 +167,7 @@
 }
 
 /// Seeds that showed a fault.
-const FAILED: [u64; 1] = [10_499];
+const FAILED: [u64; 5] = [10_499, 20_868, 20_955, 21_627, 22_007];
 
 fn seeds() -> impl Iterator<Item = u64> {
     let first = number("QUOTA_FIRST").unwrap_or(0);
@@ -185,23 +199,32 @@
 // Restarts, ends, freezes, partitions and changes of the limit in overlapping series: no window exceeds the quota.
 #[test]
 fn quota_holds_under_any_faults() {
-    let mut broken = Vec::new();
-    for seed in seeds() {
-        let size = [1, 2, 3, 7, 7, 16, 66][seed as usize % 7];
-        let count = number("QUOTA_INSTANCES").map_or(size, |it| it as usize);
-        let (limit, slack) = match seed % 3 {
-            0 => (requests(20.0), REQUESTS_SLACK),
-            1 => (tokens(30_000.0), TOKENS_SLACK),
-            _ => (tokens(600_000.0), TOKENS_SLACK),
-        };
-        let mut quotas = Quotas::open(count, limit, slack, seed);
-        quotas.demand = limit.per_second * [0.8, 2.0, 7.0][seed as usize / 7 % 3];
-        for _ in 0..12 {
-            inject_fault(&mut quotas);
-            let ms = [200, 1_200, 4_000, 9_000][quotas.rng.random_range(0..4)];
-            quotas.run(ms);
-        }
-        broken.extend(quotas.check().err().map(|err| format!("seed {seed}, {count}: {err}")));
-    }
+    let broken: Vec<String> = seeds().filter_map(|it| play(it).err()).collect();
     assert!(broken.is_empty(), "{}: {}", broken.len(), broken.join("; "));
 }
+
+// An instance starts while it is cut off from others, which it knows from their records only, and takes them for gone
+// half a minute later.
+#[test]
+fn quota_holds_when_an_instance_starts_within_a_long_partition() {
+    play(26_027).expect("within the quota");
+}
+
+/// Plays a series of faults, and checks each window.
+fn play(seed: u64) -> Result<(), String> {
+    let size = [1, 2, 3, 7, 7, 16, 66][seed as usize % 7];
+    let count = number("QUOTA_INSTANCES").map_or(size, |it| it as usize);
+    let (limit, slack) = match seed % 3 {
+        0 => (requests(20.0), REQUESTS_SLACK),
+        1 => (tokens(30_000.0), TOKENS_SLACK),
+        _ => (tokens(600_000.0), TOKENS_SLACK),
+    };
+    let mut quotas = Quotas::open(count, limit, slack, seed);
+    quotas.demand = limit.per_second * [0.8, 2.0, 7.0][seed as usize / 7 % 3];
+    for _ in 0..12 {
+        inject_fault(&mut quotas);
+        let ms = [200, 1_200, 4_000, 9_000][quotas.rng.random_range(0..4)];
+        quotas.run(ms);
+    }
+    quotas.check().map_err(|err| format!("seed {seed}, {count} instances: {err}"))
+}
--- a/crates/gateway/tests/support/quotas.rs
+++ b/crates/gateway/tests/support/quotas.rs
@@ -4,7 +4,9 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use shallotlead_base::hash;
-use shallotlead_gateway::quota::{Account, Limit, MAX_QUESTIONS, Permission, Share, Unit};
+use shallotlead_gateway::quota::{
+    Account, Limit, MAX_QUESTIONS, Permission, SETTLING_TIME, Share, Unit,
+};
 
 use super::{
     at,
@@ -120,7 +122,8 @@
             let reachable = members.presumed_fraction(at(now)).filter(|_| is_owner);
             let share = reachable.map(|it| Share::of(owners.len(), it));
             let others = owners.iter().map(|it| it.peers).filter(|it| *it != own).collect();
-            account.set_owners(at(now), others, share);
+            let settling = if members.is_new(at(now)) { Duration::ZERO } else { SETTLING_TIME };
+            account.set_owners(at(now), others, share, settling);
         }
     }
 
