--- a/crates/gateway/benches/policy/strategy.rs
+++ b/crates/gateway/benches/policy/strategy.rs
@@ -117,6 +117,7 @@
         let all = criteria.parts.iter().map(|it| it.tokens).sum();
         best.map_or(Decision::Retry, |it| {
             Decision::Server(Choice {
+                pace: 1.0,
                 server: it.0,
                 weights: criteria.model.and_then(|model| it.1.version(model)),
                 uncached_tokens: all,
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -356,10 +356,12 @@
         }
         self.refresh_budget();
         let open_requests = self.pool.listed().map(|it| (it.1.address, it.1.inflight));
+        let paces = self.pool.listed().map(|it| (it.1.address, it.1.pace.factor(self.now)));
         let out_of_reach = self.services_out_of_reach();
         let stats = &mut self.stats;
         stats.out_of_reach.set(out_of_reach as f64);
         stats.servers.set_open(open_requests);
+        stats.servers.set_paces(paces);
         stats.is_watching.set(f64::from(u8::from(self.members.me().is_watching)));
         stats.ejected.set(ejected as f64);
         stats.servers_limited.set(limited as f64);
--- a/crates/gateway/src/core/stats/server.rs
+++ b/crates/gateway/src/core/stats/server.rs
@@ -21,6 +21,7 @@
     broken: Counter,
     not_run: Counter,
     open_requests: Gauge,
+    pace: Gauge,
 }
 
 impl Server {
@@ -35,7 +36,8 @@
             answered: attempts("answered"),
             broken: attempts("broken"),
             not_run: attempts("not-run"),
-            open_requests: metrics::gauge!("shallotlead_server_requests_open", "server" => label),
+            open_requests: metrics::gauge!("shallotlead_server_requests_open", "server" => label.clone()),
+            pace: metrics::gauge!("shallotlead_server_pace", "server" => label),
         }
     }
 
@@ -73,6 +75,15 @@
         &self.overflow
     }
 
+    /// Sets how long work takes at each server, as a factor of its service's estimate.
+    pub(crate) fn set_paces(&self, paces: impl Iterator<Item = (SocketAddr, f64)>) {
+        for (address, pace) in paces {
+            if let Some(it) = self.by_address.get(&address) {
+                it.pace.set(pace);
+            }
+        }
+    }
+
     /// Sets the number of this instance's open requests at each server.
     pub(crate) fn set_open(&mut self, open: impl Iterator<Item = (SocketAddr, u32)>) {
         self.by_address.values().for_each(|it| it.open_requests.set(0.0));
--- a/crates/gateway/src/quota/account.rs
+++ b/crates/gateway/src/quota/account.rs
@@ -127,9 +127,8 @@
         self.closed.retain(|owner, it| now < it.until && others.contains(owner));
         self.others = others;
         let fraction = |it: Option<Share>| it.map_or(0.0, |it| it.fraction);
-        if fraction(share) <= fraction(self.share) {
-            (self.share, self.raised_at) = (share, None);
-        } else if settling <= now.since(*self.raised_at.get_or_insert(now)) {
+        let is_raised = fraction(self.share) < fraction(share);
+        if !is_raised || settling <= now.since(*self.raised_at.get_or_insert(now)) {
             (self.share, self.raised_at) = (share, None);
         }
         self.refill(now);
