Quotas: all instances that have a record count as known

What was seen: 6 more of 6,000 series of faults (40049, 40422, 40886, 41385, 46632, and 26027 before) used up to 0.6 % more than is allowed. Cause, traced on three: an instance that starts within a partition knows the others from their records only, takes them for gone after half a minute and hands out the whole quota beside the others' part.

--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -406,12 +406,15 @@
         ranked.into_iter().take(count).map(|it| it.1).collect()
     }
 
-    /// The same as [`Members::alive_fraction`], with those that a new instance presumes alive; `None` while it isn't
-    /// known which instances there are.
+    /// The same as [`Members::alive_fraction`], with those that a new instance presumes alive, and of all that are known,
+    /// also from their records only; `None` while it isn't known which instances there are.
+    ///
+    /// Guards against an instance that starts while it is cut off from the others: it knows them from their records,
+    /// and would take them for gone half a minute later.
     pub fn presumed_fraction(&self, now: Time) -> Option<f64> {
         let alive = self.presumed_alive(now).filter(|it| !it.is_leaving).count() as f64;
         let known = self.others.values().filter(|it| !it.member.is_leaving).count() as f64;
-        let absent = self.sharers.absent_heard() as f64;
+        let absent = self.sharers.absent() as f64;
         self.sharers.has_entered().then_some((1.0 + alive) / (1.0 + known + absent))
     }
 
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -167,7 +167,8 @@
 }
 
 /// Seeds that showed a fault.
-const FAILED: [u64; 5] = [10_499, 20_868, 20_955, 21_627, 22_007];
+const FAILED: [u64; 11] =
+    [10_499, 20_868, 20_955, 21_627, 22_007, 26_027, 40_049, 40_422, 40_886, 41_385, 46_632];
 
 fn seeds() -> impl Iterator<Item = u64> {
     let first = number("QUOTA_FIRST").unwrap_or(0);
@@ -203,13 +204,6 @@
     assert!(broken.is_empty(), "{}: {}", broken.len(), broken.join("; "));
 }
 
-// An instance starts while it is cut off from others, which it knows from their records only, and takes them for gone
-// half a minute later.
-#[test]
-fn quota_holds_when_an_instance_starts_within_a_long_partition() {
-    play(26_027).expect("within the quota");
-}
-
 /// Plays a series of faults, and checks each window.
 fn play(seed: u64) -> Result<(), String> {
     let size = [1, 2, 3, 7, 7, 16, 66][seed as usize % 7];
