--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -282,8 +282,7 @@
     /// and take the lease. The presumption expires once live members have been heard of, so that instances that are
     /// gone are not waited for.
     pub fn presumed_alive(&self, now: Time) -> impl Iterator<Item = &Member> {
-        let presumed_for = if self.is_large() { PRESUMED_ALIVE_FOR } else { DEAD_AFTER };
-        let is_new = self.first_record_at.is_some_and(|it| now.since(it) < presumed_for);
+        let is_new = self.first_record_at.is_some() && self.is_new(now);
         let presumed = self
             .others
             .values()
@@ -291,6 +290,12 @@
         presumed.map(|it| &it.member)
     }
 
+    /// Whether this process has had no time yet to hear of all others.
+    pub fn is_new(&self, now: Time) -> bool {
+        let presumed_for = if self.is_large() { PRESUMED_ALIVE_FOR } else { DEAD_AFTER };
+        self.first_record_at.is_none_or(|it| now.since(it) < presumed_for)
+    }
+
     /// Whether the fleet counts as large.
     pub fn is_large(&self) -> bool {
         LARGE_FLEET <= self.others.len() + 1
@@ -401,12 +406,15 @@
         ranked.into_iter().take(count).map(|it| it.1).collect()
     }
 
-    /// The same as [`Members::alive_fraction`], with those that a new instance presumes alive; `None` while it isn't
-    /// known which instances there are.
+    /// The same as [`Members::alive_fraction`], with those that a new instance presumes alive, and of all that are known,
+    /// also from their records only; `None` while it isn't known which instances there are.
+    ///
+    /// Guards against an instance that starts while it is cut off from the others: it knows them from their records,
+    /// and would take them for gone half a minute later.
     pub fn presumed_fraction(&self, now: Time) -> Option<f64> {
         let alive = self.presumed_alive(now).filter(|it| !it.is_leaving).count() as f64;
         let known = self.others.values().filter(|it| !it.member.is_leaving).count() as f64;
-        let absent = self.sharers.absent_heard() as f64;
+        let absent = self.sharers.absent() as f64;
         self.sharers.has_entered().then_some((1.0 + alive) / (1.0 + known + absent))
     }
 
