An event without end is cut off

What callers would see: a faulty server that sends bytes without end as one event of a stream is read until the deadline; the caller gets 504 after the route's timeout, and the instance keeps all of it in memory. Cause, found by reading: incomplete events were kept without a bound; heads, bodies, chunk lines and trailers had one. Change: an event of over 512 KB breaks the attempt (`event-too-long`), so that another server answers.

--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -187,8 +187,8 @@
         let chunk = events::take_complete(&mut delivery.pending, delivery.last_event);
         let Chunk { bytes, last_event, weights } = match chunk {
             Ok(it) => it,
-            Err(events::OutOfOrder) => {
-                self.handle_broken_attempt(index, "events-out-of-order");
+            Err(invalid) => {
+                self.handle_broken_attempt(index, invalid.name());
                 return false;
             }
         };
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -11,16 +11,34 @@
     pub weights: Option<u64>,
 }
 
-/// An event's number does not follow the previous one.
+/// Longest event, bytes. A faulty server may send bytes without end that never become one.
+pub const MAX_EVENT_BYTES: usize = 512 * 1024;
+
+/// Why what a stream has brought can't be forwarded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct OutOfOrder;
+pub enum Invalid {
+    /// An event's number does not follow the previous one.
+    OutOfOrder,
+    /// An event is longer than [`MAX_EVENT_BYTES`].
+    TooLong,
+}
+
+impl Invalid {
+    /// Its name in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::OutOfOrder => "events-out-of-order",
+            Self::TooLong => "event-too-long",
+        }
+    }
+}
 
 /// The stream has ended inside an event, so that it was broken off.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct BrokenOff;
 
 /// Takes the complete events from the front of `pending`. Events up to `last` are dropped, as the caller has them.
-pub fn take_complete(pending: &mut Vec<u8>, last: Option<u64>) -> Result<Chunk, OutOfOrder> {
+pub fn take_complete(pending: &mut Vec<u8>, last: Option<u64>) -> Result<Chunk, Invalid> {
     let mut chunk = Chunk { last_event: last, ..Chunk::default() };
     let mut at = 0;
     while let Some(len) = event_length(&pending[at..]) {
@@ -32,7 +50,7 @@
                 if last.is_some_and(|last| it <= last) {
                     continue;
                 }
-                return Err(OutOfOrder);
+                return Err(Invalid::OutOfOrder);
             }
             chunk.last_event = Some(it);
         }
@@ -40,7 +58,10 @@
         chunk.bytes.extend_from_slice(event);
     }
     pending.drain(..at);
-    Ok(chunk)
+    match pending.len() <= MAX_EVENT_BYTES || !chunk.bytes.is_empty() {
+        true => Ok(chunk),
+        false => Err(Invalid::TooLong),
+    }
 }
 
 /// Takes what remains after the last event of a stream that has ended.
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use shallotlead_gateway::events::{
-    BrokenOff, OutOfOrder, is_inside_event, take_complete, take_rest,
+    BrokenOff, Invalid, MAX_EVENT_BYTES, is_inside_event, take_complete, take_rest,
 };
 
 fn stream(numbers: &[u64]) -> Vec<u8> {
@@ -29,8 +29,8 @@
 // Events of two runs joined out of order would reach the caller as one response.
 #[test]
 fn decreasing_event_numbers_are_an_error() {
-    assert_eq!(take_complete(&mut stream(&[4, 6, 5]), Some(3)), Err(OutOfOrder));
-    assert_eq!(take_complete(&mut stream(&[4, 4]), Some(3)), Err(OutOfOrder));
+    assert_eq!(take_complete(&mut stream(&[4, 6, 5]), Some(3)), Err(Invalid::OutOfOrder));
+    assert_eq!(take_complete(&mut stream(&[4, 4]), Some(3)), Err(Invalid::OutOfOrder));
 }
 
 // A server crashes while it writes an event. The stream must not pass for complete.
@@ -93,3 +93,13 @@
         prop_assert_eq!(is_inside_event(&pending), cut != 0 && !bytes[..cut].ends_with(b"\n\n"));
     }
 }
+
+// A faulty server sends bytes without end, which never become an event: they must not be kept for ever.
+#[test]
+fn event_without_end_is_not_kept_for_ever() {
+    let mut pending = b"id: 1\ndata: a\n\nid: 2\ndata: ".to_vec();
+    pending.resize(pending.len() + MAX_EVENT_BYTES, b'x');
+    let chunk = take_complete(&mut pending, None).expect("the first event is forwarded");
+    assert_eq!(chunk.last_event, Some(1));
+    assert_eq!(take_complete(&mut pending, Some(1)), Err(Invalid::TooLong));
+}
