A request that waits for a quota is handed over once

Cause: a request stopped waiting for a quota's owner only where it took its units, after the handover of instances that reach no server. A second reply dispatched it again; the attempt before was forgotten with its connection open, and what came there counted for the exchange that had its index later. The request also ran at two servers.

Change: a dispatch ends every wait; what arrives on a connection of no attempt is closed unread and logged. The emulator knows a quota of requests.

--- a/crates/emulator/src/format.rs
+++ b/crates/emulator/src/format.rs
@@ -17,6 +17,8 @@
     pub(crate) version: u64,
     pub(crate) routes: Vec<Route>,
     pub(crate) services: Vec<Service>,
+    /// Requests a second that the callers' organisation may send.
+    pub(crate) quota_per_s: Option<f64>,
 }
 
 /// A route.
--- a/crates/emulator/src/format/adapter.rs
+++ b/crates/emulator/src/format/adapter.rs
@@ -1,6 +1,6 @@
 //! Translates the emulated platform's formats for the gateway.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use shallotlead_base::store::Call;
 use shallotlead_gateway::{
@@ -9,11 +9,12 @@
         ObjectKind, Order, OrderReply, RefusedHandover, Report, RequestInfo, ResponseInfo,
         RetryAfter, ServerEntry, StoreReply, Weights,
     },
-    config::{Config, Engine, Execution, Limits, Route, Service},
+    config::{Config, Engine, Execution, Limits, Organisation, Route, Service},
     http::{
         head::{Fields, Request, Response},
         write,
     },
+    quota,
 };
 use shallotlead_platform::outcome::Outcome;
 
@@ -76,7 +77,7 @@
         RequestInfo {
             id: fields.get(names::REQUEST).map(Box::from),
             host: fields.get("host").unwrap_or_default().into(),
-            key: None,
+            key: Some(names::KEY.into()),
             deadline: number(names::DEADLINE).map(Duration::from_millis),
             model: fields.get(names::MODEL).map(Into::into),
             parts: fields.get(names::PARTS).map(super::parse_parts).unwrap_or_default(),
@@ -254,7 +255,8 @@
         let it: super::Configuration = parse(value)?;
         let routes = it.routes.into_iter().map(to_route).collect();
         let services = it.services.into_iter().map(to_service).collect();
-        Ok(Config::new(it.version, routes, services, None, Limits::default()))
+        let keys = it.quota_per_s.map(|it| vec![(names::KEY.into(), organisation(it))]);
+        Ok(Config::new(it.version, routes, services, keys, Limits::default()))
     }
 
     fn parse_server_entry(&self, value: &[u8]) -> Result<ServerEntry, Malformed> {
@@ -290,6 +292,17 @@
     }
 }
 
+/// The organisation of all callers, with its quota of requests a second.
+fn organisation(per_second: f64) -> Arc<Organisation> {
+    let quota = quota::Limit { per_second, burst: per_second / 4.0, unit: quota::Unit::Requests };
+    Arc::new(Organisation {
+        name: names::ORGANISATION.into(),
+        priority: None,
+        is_isolated: false,
+        quota: Some(quota),
+    })
+}
+
 fn to_route(it: super::Route) -> Route {
     Route {
         host: names::HOST.into(),
--- a/crates/emulator/src/format/names.rs
+++ b/crates/emulator/src/format/names.rs
@@ -48,3 +48,7 @@
 
 /// The host of all routes.
 pub(crate) const HOST: &str = "emulated";
+
+/// The API key of all callers, and their organisation.
+pub(crate) const KEY: &str = "k";
+pub(crate) const ORGANISATION: &str = "o";
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -34,6 +34,8 @@
     pub power: Power,
     /// The retry budget that all instances share.
     pub retries: budget::Policy,
+    /// Requests a second that callers may send through all instances together, all of one organisation.
+    pub quota_per_s: Option<f64>,
     /// Fraction of packets that are lost.
     pub loss: f64,
     /// What goes wrong.
@@ -61,6 +63,7 @@
                 load: Duration::from_millis(800),
             },
             retries: budget::Policy { ratio: 0.2, window: Duration::from_secs(10), slack: 20.0 },
+            quota_per_s: None,
             loss: 0.0,
             faults: Vec::new(),
         }
--- a/crates/emulator/src/world/deployment.rs
+++ b/crates/emulator/src/world/deployment.rs
@@ -316,6 +316,7 @@
     };
     Configuration {
         version: 1,
+        quota_per_s: scenario.quota_per_s,
         routes: Kind::ALL.into_iter().map(route).collect(),
         services: vec![
             service(Kind::Stream, Some(scenario.power.capacity_tokens)),
--- a/crates/emulator/tests/emulation.rs
+++ b/crates/emulator/tests/emulation.rs
@@ -71,6 +71,25 @@
     assert_eq!(broken, 0, "seeds break a promise");
 }
 
+// Requests that wait for units of a quota while their instance loses its paths to the servers: each further reply sent
+// them to another instance once more, and the connection of the one before brought its answer to other callers.
+#[test]
+fn request_that_waits_for_a_quota_is_handed_over_once() {
+    let lasts = Duration::from_secs(3);
+    for seed in 0..8 {
+        let mut scenario = Scenario { quota_per_s: Some(120.0), ..Scenario::calm(3, seed) };
+        scenario.requests_per_s = 160.0;
+        let servers = (0..scenario.engines).map(Target::Engine);
+        let servers: Vec<_> = servers.chain((0..scenario.plain).map(Target::Plain)).collect();
+        for at in [4, 8, 12, 16].map(Duration::from_secs) {
+            let cuts = servers.iter().map(|it| Harm::Cut(*it, Target::Instance(0)));
+            scenario.faults.extend(cuts.map(|harm| Fault { harm, at, lasts }));
+        }
+        let report = world::run(&Scenario { duration: Duration::from_secs(20), ..scenario });
+        assert_eq!(report.violations, [], "{report}");
+    }
+}
+
 #[test]
 fn faults_that_are_not_needed_are_dropped() {
     let harms = [
--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -94,8 +94,9 @@
         if let Some(Role::Backend(backend)) = self.roles.get(&key) {
             self.pool.get_mut(backend.server).heard_at = self.now;
         }
-        self.focus_backend(key);
-        self.read_response(key, Pacing::ByCaller);
+        if self.focus_backend(key) {
+            self.read_response(key, Pacing::ByCaller);
+        }
     }
 
     /// Whether there is an idle connection to the server, or a new one may be opened.
@@ -128,11 +129,27 @@
         entry.connections < share
     }
 
-    /// Makes the attempt on the connection the current one of its exchange.
-    fn focus_backend(&mut self, key: Key) {
-        if let Some(Role::Backend(Backend { exchange: Some(index), .. })) = self.roles.get(&key) {
-            self.focus_connection(*index, key);
+    /// Makes the attempt on the connection the current one of its exchange. Returns whether it is; a connection that
+    /// belongs to no attempt is closed.
+    fn focus_backend(&mut self, key: Key) -> bool {
+        let Some(Role::Backend(Backend { exchange: Some(index), server, .. })) =
+            self.roles.get(&key)
+        else {
+            return true;
+        };
+        let (index, server) = (*index, *server);
+        self.focus_connection(index, key);
+        let exchange = self.exchanges.get(index);
+        let attempt = exchange.and_then(|it| it.attempt.as_ref());
+        if attempt.is_some_and(|it| it.connection == key) {
+            return true;
         }
+        self.log
+            .line(self.now, "stray_connection")
+            .text("request", exchange.map_or("", |it| it.id()))
+            .text("server", &self.pool.get(server).name);
+        self.close_backend(key);
+        false
     }
 
     /// Parses what was received on the connection.
@@ -264,7 +281,9 @@
     /// Handles a connection to a server that ended. `kind` is the error, or `None` if the server closed it
     /// properly.
     pub(crate) fn handle_backend_end(&mut self, key: Key, kind: Option<ErrorKind>) {
-        self.focus_backend(key);
+        if !self.focus_backend(key) {
+            return;
+        }
         if kind.is_none() {
             // What a slow caller has kept from being parsed still belongs to the answer.
             self.read_response(key, Pacing::None);
--- a/crates/gateway/src/core/dispatch.rs
+++ b/crates/gateway/src/core/dispatch.rs
@@ -44,7 +44,9 @@
             return;
         }
         if let Some(exchange) = self.exchanges.get_mut(index) {
+            // A further reply to either question must not dispatch it once more.
             exchange.permit_wait = None;
+            exchange.quota_wait = None;
         }
         if self.hand_over_checked(index, verdict) {
             return;
--- a/crates/gateway/src/core/quota.rs
+++ b/crates/gateway/src/core/quota.rs
@@ -78,8 +78,7 @@
     /// Takes what the request counts as from its organisation's quota. Otherwise the request waits for an owner's
     /// reply, or is refused.
     pub(crate) fn has_quota(&mut self, index: usize) -> bool {
-        let Some(exchange) = self.exchanges.get_mut(index) else { return false };
-        exchange.quota_wait = None;
+        let Some(exchange) = self.exchanges.get(index) else { return false };
         let Some((organisation, cost)) = exchange.unpaid_quota() else { return true };
         if self.quotas.get(&organisation).is_some_and(|it| !it.has_owners()) {
             // A new process learns within milliseconds who else is.
