Backlogs of servers: first tokens show how far a server has come

Cause: each instance adds up the expected times of all prompts that it hears of. They aim at the upper third, so that the sum grows beyond the queue while others send; a load report bounded it by two mean prompts for each running request, which bounds nothing where sixty streams run.

Change: prompts that were sent before one whose first token came have been prefilled, so that only what was sent since is left. Short prompts, which overtake, don't count. Load reports carry it to the other instances as an extension. The state moves into a type of its own, pool::Backlog.

--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -1,6 +1,6 @@
 //! Forwards backend servers' answers to callers.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use shallotlead_base::time::Time;
 
@@ -16,7 +16,7 @@
     cost::Sample,
     events::{self, Chunk},
     http::{head::Response, write},
-    pool::{self, Pool},
+    pool::{self, Pool, Progress},
 };
 
 /// Bytes that may wait to be sent to a slow caller before reading from its server stops.
@@ -285,8 +285,16 @@
         let queueing_time = cost.queueing_time(sample.uncached_tokens, sample.elapsed);
         let expected_ms = cost.observe_first_token(sample);
         let ratio = sample.elapsed.as_secs_f64() * 1e3 / expected_ms.max(1.0);
+        let (is_queued, response_ms) = (cost.is_queued(sample.uncached_tokens), cost.response_ms());
         let known = self.pool.get_mut(server);
         known.record_wait(self.now, queueing_time.mul_f64(pace).as_millis() as u32);
+        if is_queued {
+            let response = Duration::from_secs_f64(pace * response_ms / 1e3);
+            known.backlog.record_progress(Progress {
+                sent: self.now - sample.elapsed.mul_f64(pace),
+                prefilled: self.now - response,
+            });
+        }
         known.pace.observe(ratio);
         if let Some(stated) = known.pace.stated_percent() {
             self.peers.add_first_token(server, stated, ratio);
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -190,6 +190,10 @@
                 age_ms: age_ms(at),
                 waited_ms,
                 pace: paces.remove(&id),
+                progress: server
+                    .backlog
+                    .progress()
+                    .map(|it| (age_ms(it.sent), age_ms(it.prefilled))),
             }
         });
         let reports = reports.filter(|it| it.age_ms < MAX_LOAD_AGE_MS).collect();
--- a/crates/gateway/src/core/peers/receive.rs
+++ b/crates/gateway/src/core/peers/receive.rs
@@ -11,7 +11,7 @@
     gossip::{
         self, Confirmation, Datagram, LoadReport, Loading, Member, Message, Publication, Sighting,
     },
-    pool::{self, Switch},
+    pool::{self, Progress, Switch},
 };
 
 impl Core {
@@ -85,6 +85,9 @@
         if let Some((waited_ms, at)) = waited {
             server.record_wait(at, waited_ms);
         }
+        if let Some((sent, prefilled)) = report.progress {
+            server.backlog.record_progress(Progress { sent: ago(sent), prefilled: ago(prefilled) });
+        }
         if let Some(observation) = &report.pace {
             server.pace.adopt(at, observation);
         }
--- a/crates/gateway/src/cost.rs
+++ b/crates/gateway/src/cost.rs
@@ -142,6 +142,11 @@
         after.saturating_sub(Duration::from_secs_f64(service_ms / 1e3))
     }
 
+    /// Whether a prompt is long enough not to overtake others.
+    pub fn is_queued(&self, uncached_tokens: u32) -> bool {
+        self.mean_tokens <= f64::from(uncached_tokens)
+    }
+
     /// Learns from the first token of a response. Returns the time at which it was expected, ms, at a server of the
     /// service's mean pace.
     pub fn observe_first_token(&mut self, sample: &Sample) -> f64 {
@@ -154,7 +159,7 @@
         self.mean_tokens += MIN_STEP * (f64::from(uncached_tokens) - self.mean_tokens);
         // Each component is adjusted in proportion to its part of the expected time. Short prompts
         // overtake queues, and tell nothing about how long queued prompts take.
-        if self.mean_tokens <= f64::from(uncached_tokens) {
+        if self.is_queued(uncached_tokens) {
             let token_change =
                 quantile_step(is_late, step, TOKEN_QUANTILE) * prefill_ms / expected_ms;
             let contention_change =
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -241,6 +241,9 @@
             let paces = extensions.first().and_then(|it| postcard::from_bytes(it).ok());
             let paces: Vec<Option<pace::Observation>> = paces.unwrap_or_default();
             loads.iter_mut().zip(paces).for_each(|(load, pace)| load.pace = pace);
+            let progress = extensions.get(1).and_then(|it| postcard::from_bytes(it).ok());
+            let progress: Vec<Option<(u32, u32)>> = progress.unwrap_or_default();
+            loads.iter_mut().zip(progress).for_each(|(load, it)| load.progress = it);
         }
         // Those of later releases are skipped.
         let mut known =
@@ -270,10 +273,12 @@
                 let update = tolerance.iter().cloned().map(broadcast::Update::Tolerance);
                 update.map(|update| encode(&broadcast::Aged { update, age_ms: 0 })).collect()
             }
-            Self::Placed(_, loads) if loads.iter().any(|it| it.pace.is_some()) => {
-                let paces: Vec<Option<pace::Observation>> =
-                    loads.iter().map(|it| it.pace).collect();
-                Ok(vec![postcard::to_stdvec(&paces)?])
+            Self::Placed(_, loads)
+                if loads.iter().any(|it| it.pace.is_some() || it.progress.is_some()) =>
+            {
+                let paces: Vec<_> = loads.iter().map(|it| it.pace).collect();
+                let progress: Vec<_> = loads.iter().map(|it| it.progress).collect();
+                Ok(vec![postcard::to_stdvec(&paces)?, postcard::to_stdvec(&progress)?])
             }
             _ => Ok(Vec::new()),
         }
@@ -326,6 +331,10 @@
     /// What answers have shown of its pace, if it states one. Sent as an extension.
     #[serde(skip)]
     pub pace: Option<pace::Observation>,
+    /// How long ago the newest prompt that it is known to have prefilled was sent, and had been prefilled, both in ms. Sent
+    /// as an extension.
+    #[serde(skip)]
+    pub progress: Option<(u32, u32)>,
 }
 
 /// A prompt that was sent to a server.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -500,7 +500,7 @@
 /// would be late by seconds at servers that seem idle, for as long as the load lasts.
 fn expected_wait_ms(now: Time, server: &Server, cost: &Estimate, load_stale_ms: f64) -> f64 {
     let freshness = |at: Time| (1.0 - now.since(at).as_secs_f64() * 1e3 / load_stale_ms).max(0.0);
-    let queued_ms = server.busy_until.since(now).as_secs_f64() * 1e3;
+    let queued_ms = server.backlog.busy_until.since(now).as_secs_f64() * 1e3;
     let last_wait_ms = server.last_wait.map_or(0.0, |it| f64::from(it.0) * freshness(it.1));
     let load = server.load.unwrap_or_default();
     let reported_ms = f64::from(load.0.waiting) * cost.mean_occupancy_ms() * freshness(load.1);
@@ -523,7 +523,7 @@
 /// running responses. Beyond a short queue, prompts go to servers that have prefilled less, and
 /// long ones are refused.
 fn prefill_share_wait_ms(now: Time, criteria: &Criteria<'_>, server: &Server) -> f64 {
-    let backlog_ms = server.prefill_share_until.since(now).as_secs_f64() * 1e3;
+    let backlog_ms = server.backlog.share_until.since(now).as_secs_f64() * 1e3;
     backlog_ms - SHORT_QUEUE_FRACTION * criteria.latency_target.as_secs_f64() * 1e3
 }
 
--- a/crates/gateway/src/placement/prefix_index.rs
+++ b/crates/gateway/src/placement/prefix_index.rs
@@ -52,7 +52,7 @@
         let cost = pool.cost_at(now, id);
         let occupancy = Duration::from_secs_f64(cost.occupancy_ms(placement.uncached_tokens) / 1e3);
         let server = pool.get_mut(id);
-        server.enqueue(now, occupancy, cost.prefill_share());
+        server.backlog.enqueue(now, occupancy, cost.prefill_share());
         server.added_tokens += u64::from(placement.added_tokens);
         if MAX_PARTS <= self.entries.len() {
             let oldest = now - MIN_RETENTION;
@@ -60,7 +60,8 @@
         }
         for part in &placement.parts {
             let key = (scoped_key(part.id, placement.scope), id);
-            let ready_at = self.entries.get(&key).map_or(server.busy_until, |it| it.ready_at);
+            let ready_at =
+                self.entries.get(&key).map_or(server.backlog.busy_until, |it| it.ready_at);
             self.entries.insert(key, Entry { ready_at, added_at_use: server.added_tokens });
         }
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,6 +1,7 @@
 //! The backend servers as this instance knows them.
 
 mod availability;
+mod backlog;
 mod backoff;
 mod health;
 pub mod pace;
@@ -23,6 +24,7 @@
 };
 
 pub use availability::Unavailability;
+pub use backlog::{Backlog, Progress};
 pub use backoff::Backoff;
 pub use health::Health;
 pub use pace::Pace;
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -1,22 +1,17 @@
 //! One backend server.
 
-use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use shallotlead_base::{hash, time::Time};
 
 use crate::{
     adapter::{Incarnation, Load, ServerEntry},
     build,
-    pool::{Backoff, Health, Pace},
+    pool::{Backlog, Backoff, Health, Pace},
     quarantine::IncarnationId,
     rate_limit::Limit,
 };
 
-/// How long prompts that were sent are remembered: load reports are of use for half a second.
-const RECENT_WINDOW: Duration = Duration::from_millis(600);
-/// A prompt that was sent this long before a load report may be missing from it: reports are a
-/// tenth of a second old.
-const REPORT_LAG: Duration = Duration::from_millis(150);
 /// How much longer than the mean prompt the running ones may be, as a factor: with 1, 0.976 of the
 /// long prompts meet their target, with 2 it is 0.996; 0.987 if the report of running prompts is
 /// ignored.
@@ -94,13 +89,8 @@
     pub last_wait: Option<(u32, Time)>,
     /// Requests of this instance that are running there.
     pub inflight: u32,
-    /// When it will have prefilled all prompts that instances are known to have sent it.
-    pub busy_until: Time,
-    /// When it will have prefilled them with the fraction of its time that prefill may take.
-    pub prefill_share_until: Time,
-    /// Prompts that instances are known to have sent it recently: when, and how long each occupies
-    /// it.
-    recent_prompts: VecDeque<(Time, Duration)>,
+    /// Prompts that it has still to prefill.
+    pub backlog: Backlog,
     /// Prompt tokens that are known to have been added to its KV cache.
     pub added_tokens: u64,
     /// When its liveness was last checked because a response was late.
@@ -148,9 +138,7 @@
             heard_at: Time::ZERO,
             last_wait: None,
             inflight: 0,
-            busy_until: Time::ZERO,
-            prefill_share_until: Time::ZERO,
-            recent_prompts: VecDeque::new(),
+            backlog: Backlog::default(),
             added_tokens: 0,
             checked_at: Time::ZERO,
             is_check_pending: false,
@@ -201,8 +189,7 @@
         match self.models.iter_mut().find(|it| it.0 == *model) {
             Some(it) if it.1 < version => {
                 it.1 = version;
-                self.busy_until = now;
-                self.prefill_share_until = now;
+                self.backlog.clear(now);
                 self.last_wait = None;
                 true
             }
@@ -214,17 +201,6 @@
         }
     }
 
-    /// Records a prompt that occupies it for `occupancy`, where prefill may take the fraction
-    /// `share` of its time.
-    pub(crate) fn enqueue(&mut self, now: Time, occupancy: Duration, share: f64) {
-        self.busy_until = self.busy_until.max(now) + occupancy;
-        self.prefill_share_until = self.prefill_share_until.max(now) + occupancy.div_f64(share);
-        while self.recent_prompts.front().is_some_and(|it| it.0 + RECENT_WINDOW < now) {
-            self.recent_prompts.pop_front();
-        }
-        self.recent_prompts.push_back((now, occupancy));
-    }
-
     /// Applies a load report made at `at`. A prompt occupies the server for `occupancy_ms` on
     /// average.
     ///
@@ -239,11 +215,7 @@
             return;
         }
         let running_ms = RUNNING_MARGIN * f64::from(load.running) * occupancy_ms;
-        let running = Duration::from_secs_f64(running_ms / 1e3);
-        let sent_since = self.recent_prompts.iter().filter(|it| at <= it.0 + REPORT_LAG);
-        let until = at + running + sent_since.map(|it| it.1).sum::<Duration>();
-        self.busy_until = self.busy_until.min(until);
-        self.prefill_share_until = self.prefill_share_until.min(until);
+        self.backlog.limit_to_running(at, Duration::from_secs_f64(running_ms / 1e3));
     }
 
     /// Records that a prompt has started, or is still queued, after `waited_ms`; known at `at`.
--- a/crates/gateway/tests/pace.rs
+++ b/crates/gateway/tests/pace.rs
@@ -10,7 +10,7 @@
     cost::Sample,
     gossip::{Datagram, LoadReport},
     placement::{PrefixIndex, choose},
-    pool::{Pace, Pool, pace::Observation},
+    pool::{Pace, Pool, Progress, pace::Observation},
 };
 use support::{SERVICE, at, criteria, pool};
 
@@ -79,6 +79,7 @@
         age_ms: 12,
         waited_ms: None,
         pace,
+        progress: pace.map(|it| (u32::from(it.stated), 30)),
     };
     let observation = Observation { stated: 140, first_token: Some(900) };
     for paces in [[None, None], [Some(observation), None], [None, Some(observation)]] {
@@ -96,7 +97,7 @@
     pool: Pool,
     prefixes: PrefixIndex,
     due: Due,
-    samples: Vec<(Sample, f64)>,
+    samples: Vec<(Time, Sample, f64)>,
     free_at: [Time; FACTORS.len()],
     work_ms: [f64; FACTORS.len()],
     /// When first tokens came, relative to when they were expected.
@@ -149,8 +150,8 @@
         let elapsed = first_token.since(now).div_f64(choice.pace);
         let wait_ms = choice.wait_ms / choice.pace;
         let sample = Sample { uncached_tokens: choice.uncached_tokens, wait_ms, elapsed };
-        self.samples
-            .push((sample, first_token.since(now).as_secs_f64() * 1e3 / choice.first_token_ms));
+        let ratio = first_token.since(now).as_secs_f64() * 1e3 / choice.first_token_ms;
+        self.samples.push((now, sample, ratio));
     }
 
     fn receive(&mut self, now: Time) {
@@ -158,10 +159,13 @@
             && at <= now
         {
             self.due.pop();
-            let (sample, ratio) = self.samples[sample as usize];
+            let (sent, sample, ratio) = self.samples[sample as usize];
             let expected_ms = self.pool.cost_mut(&Arc::from(SERVICE)).observe_first_token(&sample);
-            let pace = &mut self.pool.get_mut(id).pace;
-            pace.observe(sample.elapsed.as_secs_f64() * 1e3 / expected_ms);
+            let response_ms = self.pool.cost_at(at, id).response_ms();
+            let server = self.pool.get_mut(id);
+            server.pace.observe(sample.elapsed.as_secs_f64() * 1e3 / expected_ms);
+            let prefilled = at - Duration::from_secs_f64(response_ms / 1e3);
+            server.backlog.record_progress(Progress { sent, prefilled });
             self.ratios.push(ratio);
         }
     }
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -60,7 +60,7 @@
     let caching_server = send(&mut pool, &mut prefixes, at(0), &criteria(&prompt(1, 1))).server;
     let parts = prompt(1, 2);
     let mut chosen = |queue_ms: u64, target_ms: u64| {
-        pool.get_mut(caching_server).busy_until = at(5_000 + queue_ms);
+        pool.get_mut(caching_server).backlog.busy_until = at(5_000 + queue_ms);
         let criteria =
             Criteria { latency_target: Duration::from_millis(target_ms), ..criteria(&parts) };
         choose(&pool, &prefixes, at(5_000), &criteria, 7).unwrap()
@@ -134,9 +134,9 @@
     let chosen =
         |pool: &Pool, ms| choose(pool, &PrefixIndex::default(), at(ms), &criteria(&parts), 7);
     assert_eq!(chosen(&pool, 2_000).unwrap().server, 1);
-    pool.get_mut(1).busy_until = at(2_500);
+    pool.get_mut(1).backlog.busy_until = at(2_500);
     assert_ne!(chosen(&pool, 2_000).unwrap().server, 1);
-    pool.get_mut(1).busy_until = at(9_000);
+    pool.get_mut(1).backlog.busy_until = at(9_000);
     assert_eq!(chosen(&pool, 7_000).unwrap().server, 1);
     pool.get_mut(1).switch = Some(Switch { version: 3, until: at(9_000) });
     assert_eq!(chosen(&pool, 7_000).unwrap_err(), Shortage::StaleWeights);
@@ -182,9 +182,9 @@
     let chosen = |pool: &Pool| {
         choose(pool, &PrefixIndex::default(), at(6_000), &criteria(&parts), 7).map(|it| it.server)
     };
-    pool.get_mut(0).busy_until = at(8_000);
+    pool.get_mut(0).backlog.busy_until = at(8_000);
     assert_eq!(chosen(&pool), Ok(1));
-    pool.get_mut(1).busy_until = at(8_000);
+    pool.get_mut(1).backlog.busy_until = at(8_000);
     assert_eq!(chosen(&pool), Err(Shortage::StaleWeights));
 }
 
@@ -232,7 +232,7 @@
     // Prompts of 3,000 tokens, which take 44 ms to prefill.
     support::learn_costs(&mut pool, 400, |_| (3_000, 44 + 55));
     pool.get_mut(0).load = Some((Load { running: 8, waiting: 12 }, at(4_500)));
-    pool.get_mut(1).busy_until = at(5_200);
+    pool.get_mut(1).backlog.busy_until = at(5_200);
     let parts = [Part { id: 5, tokens: 300 }];
     let remote = Criteria { centre: "b", reach: Reach::Spillover, ..criteria(&parts) };
     let choice = choose(&pool, &PrefixIndex::default(), at(5_000), &remote, 7).unwrap();
@@ -265,9 +265,9 @@
     let idle = wait(&pool, 10_000);
     assert!(idle < 600.0, "{idle} ms at a server at which nothing waits");
     // A queue that the server reports still counts.
-    let before = pool.get(0).busy_until;
+    let before = pool.get(0).backlog.busy_until;
     pool.update_load(0, at(10_000), Load { running: 16, waiting: 9 });
-    assert_eq!(pool.get(0).busy_until, before);
+    assert_eq!(pool.get(0).backlog.busy_until, before);
 }
 
 // Two prompts are sent in quick succession, and a report from before them arrives: it must not
@@ -280,9 +280,9 @@
         let parts = [Part { id: number, tokens: 8_000 }];
         send(&mut pool, &mut prefixes, at(0), &criteria(&parts));
     }
-    let before = pool.get(0).busy_until;
+    let before = pool.get(0).backlog.busy_until;
     pool.update_load(0, at(10), Load { running: 0, waiting: 0 });
-    assert!(before <= pool.get(0).busy_until + Duration::from_millis(10));
+    assert!(before <= pool.get(0).backlog.busy_until + Duration::from_millis(10));
 }
 
 // A server with a rate limit has no permit left for a while: prompts go elsewhere, and the parts
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -69,12 +69,12 @@
     assert_eq!(pool.put(at(0), &name(0), 5, at_incarnation(10)), Change::Joined(0));
     let server = pool.get_mut(0);
     server.added_tokens = 9_000;
-    server.busy_until = at(4_000);
+    server.backlog.busy_until = at(4_000);
     server.health.mark_unresponsive(at(100));
     assert_eq!(pool.put(at(200), &name(0), 6, at_incarnation(20)), Change::Restarted(0, 1));
     let server = pool.get(1);
     assert_eq!(
-        (server.added_tokens, server.busy_until, server.health.is_in_rotation()),
+        (server.added_tokens, server.backlog.busy_until, server.health.is_in_rotation()),
         (0, Time::ZERO, true)
     );
     assert_eq!(pool.usable(support::SERVICE).map(|it| it.0).collect::<Vec<_>>(), [1]);
