Streams that pause for longer than their route allows leave prefill less time

Change: a stream whose longest pause is above its route's target counts as strained, like one that was cut at its deadline, which lowers the share of prefill; answered lines have pause_ms.

--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -372,6 +372,7 @@
             .text("framing", framing)
             .number("tries", exchange.attempts_made)
             .ms("first_ms", first)
+            .ms("pause_ms", exchange.delivery.longest_pause)
             .ms("after_ms", now.since(exchange.arrived));
         self.stats.record_answer(&exchange.route, first, now.since(exchange.arrived));
         if exchange.route.is_stream {
@@ -405,7 +406,9 @@
         return;
     };
     let (elapsed, allowed) = (now.since(first), exchange.deadline.since(first));
-    pool.cost_mut(&exchange.service).observe_end(elapsed, allowed);
+    let pause = exchange.delivery.longest_pause;
+    let has_paused = exchange.route.pause_target.is_some_and(|it| it < pause);
+    pool.cost_mut(&exchange.service).observe_end(elapsed, allowed, has_paused);
 }
 
 /// Whether the answer is a stream of events that is forwarded as it arrives.
