--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -234,9 +234,7 @@
         self.peers.freshness.record_confirmation(self.now);
         if is_watch && self.members.is_large() && self.storage.is_watcher {
             let peer = self.members.me().config_peer(self.config_version());
-            let name = self.members.me().name.clone();
-            let weights = self.known_weights();
-            let confirmation = Confirmation { name, peer, weights };
+            let confirmation = Confirmation { name: self.members.me().name.clone(), peer };
             self.send_to(&self.neighbour_addresses(), &Datagram::Confirmation(confirmation));
         }
     }
--- a/crates/gateway/src/core/peers/receive.rs
+++ b/crates/gateway/src/core/peers/receive.rs
@@ -217,10 +217,7 @@
 
     /// Handles the store's confirmation of a configuration, forwarded by a watcher.
     fn apply_peer_confirmation(&mut self, received_at: Time, confirmation: Confirmation) {
-        let Confirmation { name, peer, weights } = confirmation;
-        if let Some(weights) = weights {
-            self.confirm_weights(received_at, weights);
-        }
+        let Confirmation { name, peer } = confirmation;
         if peer.version == self.config_version() {
             let is_before = !self.storage.is_watcher || self.members.precedes(&name);
             self.peers.freshness.record_peer_confirmation(received_at, is_before);
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -212,25 +212,8 @@
 
     /// Until when all published weights are known.
     pub(crate) fn weights_known_until(&self, now: Time) -> Option<Time> {
-        self.weights()?.known_until(now)
-    }
-
-    /// Until when an answer of the store has shown all published weights.
-    pub(crate) fn weights_confirmed_at(&self) -> Option<Time> {
-        self.weights()?.confirmed_at()
-    }
-
-    fn weights(&self) -> Option<&Subscription> {
         let is_weights = |it: &&Subscription| it.topic == Topic::Platform(ObjectKind::Weights);
-        self.subscriptions.iter().find(is_weights)
-    }
-
-    /// Another instance knows all weights that were published until `at`, and this one knows the same.
-    pub(crate) fn confirm_weights(&mut self, at: Time) {
-        let is_weights = |it: &&mut Subscription| it.topic == Topic::Platform(ObjectKind::Weights);
-        if let Some(it) = self.subscriptions.iter_mut().find(is_weights) {
-            it.confirm(at);
-        }
+        self.subscriptions.iter().find(is_weights)?.known_until(now)
     }
 
     /// Whether all entries are known, from the store or from an instance that has read them.
--- a/crates/gateway/src/core/storage/subscription.rs
+++ b/crates/gateway/src/core/storage/subscription.rs
@@ -13,9 +13,6 @@
 /// everywhere within 4 s, and most instances depend on the few that watch, so the store has to
 /// confirm the configuration more often than that.
 const CONFIGURATION_WATCH_WAIT: Duration = Duration::from_secs(1);
-/// The same for published weights: other instances are told until when they are known, and go by that if they have to
-/// watch themselves.
-const WEIGHTS_WATCH_WAIT: Duration = Duration::from_secs(3);
 
 /// Time between an answer and the next call from which on the store counts as not watched in between.
 const MAX_UNWATCHED: Duration = Duration::from_secs(1);
@@ -105,16 +102,6 @@
         if self.is_interrupted { self.confirmed_at } else { self.confirmed_at.and(Some(now)) }
     }
 
-    /// Until when an answer of the store, to this instance or to another one, has shown all changes.
-    pub(super) fn confirmed_at(&self) -> Option<Time> {
-        self.confirmed_at
-    }
-
-    /// Another instance knows all changes until `at`. Nothing changes before this one has read the kind itself.
-    pub(super) fn confirm(&mut self, at: Time) {
-        self.confirmed_at = self.confirmed_at.map(|it| it.max(at));
-    }
-
     /// How long the watch that is about to be sent may wait; at most `wait`. The watch of weights that follows a failed
     /// call doesn't: its answer shows what was published meanwhile, so that whatever a later watch reports is known
     /// to be new.
@@ -165,7 +152,6 @@
         let kind = self.kind.clone();
         let wait = match self.topic {
             Topic::Platform(ObjectKind::Configuration) if is_large => CONFIGURATION_WATCH_WAIT,
-            Topic::Platform(ObjectKind::Weights) if is_large => WEIGHTS_WATCH_WAIT,
             Topic::Platform(_) | Topic::Instances | Topic::Records => WATCH_WAIT,
         };
         match self.revision {
--- a/crates/gateway/src/core/weights.rs
+++ b/crates/gateway/src/core/weights.rs
@@ -1,8 +1,8 @@
 //! What this instance knows of published weights: from the store, from other instances, and from the lease record.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
-use shallotlead_base::{hash, time::Time};
+use shallotlead_base::time::Time;
 
 use crate::{
     broadcast::Reach,
@@ -10,16 +10,11 @@
         Core,
         storage::{Basis, Source},
     },
-    gossip::KnownWeights,
     lease,
     pool::{self, News},
     publication::{self, Evidence},
 };
 
-/// Longest time for which a confirmation may have been under way; links of the slowest machines are taken up by other
-/// messages for less.
-const MAX_TRANSIT_TIME: Duration = Duration::from_millis(500);
-
 impl Core {
     /// Applies an object with published weights.
     pub(crate) fn apply_weights(&mut self, value: &[u8], basis: Basis) {
@@ -135,32 +130,6 @@
         Evidence { replaces: None, newest_until, recorded }
     }
 
-    /// What this instance, which watches the store, knows of all published weights.
-    pub(crate) fn known_weights(&self) -> Option<KnownWeights> {
-        let confirmed_at = self.storage.weights_confirmed_at()?;
-        let age_ms = self.now.since(confirmed_at).as_millis() as u32;
-        Some(KnownWeights { newest: self.newest_weights(), age_ms })
-    }
-
-    /// Applies until when an instance that watches the store knows all published weights, if this one knows the same.
-    ///
-    /// Guards against instances that begin to watch after the watchers were cut off: weights that were published
-    /// meanwhile could be as old as their own first reading of the store, and no prompt would run on those before.
-    pub(crate) fn confirm_weights(&mut self, received_at: Time, weights: KnownWeights) {
-        if weights.newest == self.newest_weights() {
-            let age = Duration::from_millis(u64::from(weights.age_ms));
-            self.storage.confirm_weights(received_at - age - MAX_TRANSIT_TIME);
-        }
-    }
-
-    /// Hash of the newest version of each model.
-    fn newest_weights(&self) -> u64 {
-        let newest = |(model, versions): (&Arc<str>, &pool::Versions)| {
-            hash::seeded(model.as_bytes(), versions.newest())
-        };
-        self.pool.all_weight_versions().map(newest).fold(0, u64::wrapping_add)
-    }
-
     /// Hands the publications that still matter to the lease, whose record keeps them, and until when they are all
     /// that there were.
     pub(crate) fn record_publications(&mut self) {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -245,9 +245,6 @@
             let progress: Vec<Option<(u32, u32)>> = progress.unwrap_or_default();
             loads.iter_mut().zip(progress).for_each(|(load, it)| load.progress = it);
         }
-        if let Self::Confirmation(confirmation) = &mut datagram {
-            confirmation.weights = extensions.first().and_then(|it| postcard::from_bytes(it).ok());
-        }
         // Those of later releases are skipped.
         let mut known =
             extensions.iter().filter_map(|it| postcard::from_bytes::<broadcast::Aged>(it).ok());
@@ -276,9 +273,6 @@
                 let update = tolerance.iter().cloned().map(broadcast::Update::Tolerance);
                 update.map(|update| encode(&broadcast::Aged { update, age_ms: 0 })).collect()
             }
-            Self::Confirmation(Confirmation { weights: Some(weights), .. }) => {
-                Ok(vec![postcard::to_stdvec(weights)?])
-            }
             Self::Placed(_, loads)
                 if loads.iter().any(|it| it.pace.is_some() || it.progress.is_some()) =>
             {
@@ -318,18 +312,6 @@
     pub name: Arc<str>,
     /// Where the configuration is available, and its version.
     pub peer: Peer,
-    /// What it knows of published weights. Sent as an extension.
-    #[serde(skip)]
-    pub weights: Option<KnownWeights>,
-}
-
-/// All weights that were published until some time, as an instance that watches the store knows them.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct KnownWeights {
-    /// Hash of the newest version of each model.
-    pub newest: u64,
-    /// How long ago they were all that there were, in ms.
-    pub age_ms: u32,
 }
 
 /// A server's load, as reported with a response.
