--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -50,8 +50,6 @@
     pub timeout: Duration,
     /// Target for the time to the response, or to a stream's first event.
     pub latency_target: Duration,
-    /// The longest pause between two events with which a stream is still on time, if there is a limit.
-    pub pause_target: Option<Duration>,
     /// Priority among routes; 0 is the most urgent.
     pub priority: u8,
     /// Services that run the requests, with their weights in the traffic split.
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -406,9 +406,7 @@
         return;
     };
     let (elapsed, allowed) = (now.since(first), exchange.deadline.since(first));
-    let pause = exchange.delivery.longest_pause;
-    let has_paused = exchange.route.pause_target.is_some_and(|it| it < pause);
-    pool.cost_mut(&exchange.service).observe_end(elapsed, allowed, has_paused);
+    pool.cost_mut(&exchange.service).observe_end(elapsed, allowed);
 }
 
 /// Whether the answer is a stream of events that is forwarded as it arrives.
--- a/crates/gateway/src/cost.rs
+++ b/crates/gateway/src/cost.rs
@@ -185,9 +185,9 @@
     }
 
     /// A response has ended, or was cut at its deadline, `elapsed` after its first token, out of
-    /// the time `available` to it. `has_paused`: its longest pause was longer than its route's target.
-    pub fn observe_end(&mut self, elapsed: Duration, available: Duration, has_paused: bool) {
-        let change = if has_paused || available.mul_f64(STRAINED_FRACTION) < elapsed {
+    /// the time `available` to it.
+    pub fn observe_end(&mut self, elapsed: Duration, available: Duration) {
+        let change = if available.mul_f64(STRAINED_FRACTION) < elapsed {
             -SHARE_DECREASE
         } else {
             SHARE_INCREASE
