Log and count how the build of a taken-up stream was found, and what refused requests took up

A refusal didn't tell whether it met a stream that its caller took up, and a sending not how the build was found, so that the hypotheses of the incident looked alike in the log. No change of logic.

--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -7,7 +7,9 @@
 use crate::{
     adapter::ForwardOptions,
     copies,
-    core::{Core, Timer, check::Check, exchange::Exchange, reply::Reply, unframed},
+    core::{
+        Core, Timer, build::Evidence, check::Check, exchange::Exchange, reply::Reply, unframed,
+    },
     cost::Sample,
     http::body::Framing,
     net::{CONNECT_TIMEOUT, Key},
@@ -192,6 +194,7 @@
             .text("server", &server.name)
             .text("build", server.build.as_deref().unwrap_or_default())
             .text("resumed", exchange.info.resumed_id.as_deref().unwrap_or_default())
+            .text("evidence", exchange.evidence.map_or("", Evidence::name))
             .number("last_event", last_event.unwrap_or(0))
             .text("prefix", &exchange.prefix())
             .number("candidates", choice.candidates)
--- a/crates/gateway/src/core/build.rs
+++ b/crates/gateway/src/core/build.rs
@@ -38,6 +38,31 @@
     }
 }
 
+/// How the build of a stream that is taken up was found.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Evidence {
+    /// The instance that handed the request over named it.
+    Handover,
+    /// This instance has sent the stream to a server, or another one has announced that it did.
+    Announced,
+    /// Another instance was asked.
+    Reply,
+    /// No other build is known.
+    OnlyBuild,
+}
+
+impl Evidence {
+    /// The name used in logs and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Handover => "handover",
+            Self::Announced => "announced",
+            Self::Reply => "reply",
+            Self::OnlyBuild => "only-build",
+        }
+    }
+}
+
 impl Exchange {
     /// Identifies the stream that the request begins or takes up.
     fn stream(&self) -> Stream {
@@ -60,36 +85,43 @@
             self.dispatch(index);
             return;
         }
-        let known = exchange.info.build.map(build::Id::from_number);
-        let known = known.or_else(|| self.known_build(exchange));
-        match known {
-            Some(build) => self.bind_stream(index, build),
+        let handed_over = exchange.info.build.map(build::Id::from_number);
+        let known = handed_over.map(|it| (it, Evidence::Handover));
+        match known.or_else(|| self.known_build(exchange)) {
+            Some((build, evidence)) => self.bind_stream(index, build, evidence),
             None => self.query_build(index),
         }
     }
 
     /// The build that began the request's stream, as far as this instance knows.
-    fn known_build(&self, exchange: &Exchange) -> Option<build::Id> {
+    fn known_build(&self, exchange: &Exchange) -> Option<(build::Id, Evidence)> {
         match &exchange.info.resumed_id {
             Some(_) => self.build_of_stream(exchange.stream(), &exchange.service),
             // The caller doesn't tell which attempt began the stream.
-            None => self.pool.builds(&exchange.service)?.only(),
+            None => {
+                let only = self.pool.builds(&exchange.service)?.only()?;
+                Some((only, Evidence::OnlyBuild))
+            }
         }
     }
 
     /// The build that began a stream: as this instance was told, or the only one for as long as a
     /// stream lives.
-    fn build_of_stream(&self, stream: Stream, service: &str) -> Option<build::Id> {
+    fn build_of_stream(&self, stream: Stream, service: &str) -> Option<(build::Id, Evidence)> {
         let only = || {
-            self.pool.builds(service)?.only_for(self.now, self.stream_lifetime.retention(self.now))
+            let retention = self.stream_lifetime.retention(self.now);
+            let build = self.pool.builds(service)?.only_for(self.now, retention)?;
+            Some((build, Evidence::OnlyBuild))
         };
-        self.streams.find(stream).or_else(only)
+        self.streams.find(stream).map(|it| (it, Evidence::Announced)).or_else(only)
     }
 
-    fn bind_stream(&mut self, index: usize, build: build::Id) {
+    fn bind_stream(&mut self, index: usize, build: build::Id, evidence: Evidence) {
         if let Some(exchange) = self.exchanges.get_mut(index) {
             exchange.binding = Binding::To(build);
+            exchange.evidence = Some(evidence);
         }
+        self.stats.count_resumed_stream(evidence.name());
         self.dispatch(index);
     }
 
@@ -130,7 +162,7 @@
 
     /// Answers another instance's question, if this one knows the build.
     pub(crate) fn handle_build_query(&mut self, query: &BuildQuery) {
-        if let Some(build) = self.build_of_stream(query.stream, &query.service) {
+        if let Some((build, _)) = self.build_of_stream(query.stream, &query.service) {
             let begun = Begun { stream: query.stream, build };
             self.send_to(&[query.reply_to], &Datagram::BuildReply(begun));
         }
@@ -143,7 +175,7 @@
             |it: &Exchange| matches!(it.binding, Binding::Unknown(_)) && it.stream() == stream;
         for index in self.exchanges_where(is_waiting) {
             self.stats.count_build_query("answered");
-            self.bind_stream(index, build);
+            self.bind_stream(index, build, Evidence::Reply);
         }
     }
 
--- a/crates/gateway/src/core/ending.rs
+++ b/crates/gateway/src/core/ending.rs
@@ -147,6 +147,8 @@
             .text("request", info.id.as_deref().unwrap_or_default())
             .text("reason", refusal.reason())
             .number("status", refusal.status())
+            .text("resumed", info.resumed_id.as_deref().unwrap_or_default())
+            .number("last_event", info.last_event.unwrap_or(0))
             .ms("wait_ms", refusal.expected_wait())
             .number("configuration", version)
             .ms("after_ms", self.now.since(arrived));
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -8,8 +8,16 @@
     adapter::{Part, RequestInfo},
     config::{Execution, Organisation, Route},
     core::{
-        Core, Timer, attempt::Attempt, build::Binding, check::Check, hedge::Standby,
-        quota::QuotaWait, rate_limit::PermitWait, refusal::Refusal, reply::Reply, retry::Retry,
+        Core, Timer,
+        attempt::Attempt,
+        build::{Binding, Evidence},
+        check::Check,
+        hedge::Standby,
+        quota::QuotaWait,
+        rate_limit::PermitWait,
+        refusal::Refusal,
+        reply::Reply,
+        retry::Retry,
     },
     http::{
         head::{Request, Response},
@@ -61,6 +69,8 @@
     parts: OnceCell<Box<[Identity]>>,
     /// The build of the servers at which its stream may go on.
     pub(crate) binding: Binding,
+    /// How the build of a stream that it takes up was found.
+    pub(crate) evidence: Option<Evidence>,
     /// The server that holds a copy of the run's KV cache, to continue there if the attempt's
     /// server is lost.
     pub(crate) copy: Option<pool::Id>,
@@ -286,6 +296,7 @@
             identity: OnceCell::new(),
             parts: OnceCell::new(),
             binding: Binding::Free,
+            evidence: None,
             copy: None,
             resume_from: None,
             attempt: None,
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -284,6 +284,11 @@
             .increment(1);
     }
 
+    /// Counts a stream that its caller takes up, by how its build was found.
+    pub(crate) fn count_resumed_stream(&mut self, evidence: &'static str) {
+        metrics::counter!("shallotlead_resumed_streams_total", "evidence" => evidence).increment(1);
+    }
+
     /// Counts a step of the search for the build that began a stream.
     pub(crate) fn count_build_query(&mut self, step: &'static str) {
         metrics::counter!("shallotlead_build_queries_total", "step" => step).increment(1);
