The build of a stream is concluded from a record in the store only, read after the request arrived

Cause: a view that was old was taken for one that is complete, and nothing outlived the instances. Now a build is recorded in the store before the first stream is sent to one of its servers, and the conclusion that there is only one is drawn from a read that was sent after the request had arrived. Questions of other instances are answered from what was sent only. An instance that the store doesn't answer sends streams to builds that others have announced streams of.

--- a/crates/gateway/benches/policy/simulation.rs
+++ b/crates/gateway/benches/policy/simulation.rs
@@ -241,6 +241,7 @@
             max_stale_weights: MAX_STALE_WEIGHTS,
             is_repeatable: true,
             build: None,
+            recorded: None,
             excluded: &excluded,
         };
         let shortest_target =
--- a/crates/gateway/src/build.rs
+++ b/crates/gateway/src/build.rs
@@ -4,6 +4,7 @@
 //! it, also when its caller takes it up later at another instance. Does no I/O.
 
 mod lifetime;
+mod record;
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -14,12 +15,16 @@
 };
 
 pub use lifetime::Lifetime;
+pub use record::{Content, Record};
 
 /// Identifies one build of the software of a service's servers, the same at all instances.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Id(u32);
 
 impl Id {
+    /// Stands for all builds that aren't named.
+    pub const UNNAMED: Self = Self(0);
+
     /// The build `version` of the service's servers.
     pub fn of(service: &str, version: &str) -> Self {
         Self(hash::weight(service, hash::stable(version.as_bytes())) as u32)
@@ -96,35 +101,3 @@
         }
     }
 }
-
-/// The builds that one service's servers have been known to run.
-#[derive(Clone, Debug, Default)]
-pub struct History {
-    builds: Vec<Id>,
-    since: Option<Time>,
-}
-
-impl History {
-    /// Records a server's build.
-    pub fn record(&mut self, now: Time, build: Id) {
-        self.since.get_or_insert(now);
-        if !self.builds.contains(&build) {
-            self.builds.push(build);
-        }
-    }
-
-    /// The only build that any server has been known to run.
-    pub fn only(&self) -> Option<Id> {
-        match &self.builds[..] {
-            [build] => Some(*build),
-            _ => None,
-        }
-    }
-
-    /// The same, if the servers have been known for longer than a stream lives, so that no stream that may still be
-    /// taken up can have begun at another build.
-    pub fn only_for(&self, now: Time, retention: Duration) -> Option<Id> {
-        let is_long = self.since.is_some_and(|it| retention <= now.since(it));
-        self.only().filter(|_| is_long)
-    }
-}
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -20,6 +20,8 @@
     /// The shortest latency target of the streams of each service.
     shortest_targets: Map<Arc<str>, Duration>,
     longest_stream: Duration,
+    /// The services whose streams callers can take up.
+    resumable_services: Vec<Arc<str>>,
     /// Organisations by API key; `None` if no route needs a key.
     keys: Option<Map<Box<str>, Arc<Organisation>>>,
 }
@@ -158,6 +160,11 @@
         let mut shortest_targets: Map<Arc<str>, Duration> = Map::default();
         let streams = routes.iter().filter(|it| it.is_stream);
         let longest_stream = streams.map(|it| it.timeout).max().unwrap_or_default();
+        let resumable = routes.iter().filter(|it| it.is_resumable());
+        let mut resumable_services: Vec<Arc<str>> =
+            resumable.flat_map(|it| &it.split).map(|it| it.0.clone()).collect();
+        resumable_services.sort_unstable();
+        resumable_services.dedup();
         for route in routes {
             for (service, _) in route.split.iter().filter(|_| route.is_stream) {
                 let target =
@@ -172,7 +179,16 @@
         }
         let services = services.into_iter().map(|it| (it.name.clone(), it)).collect();
         let keys = keys.map(|it| it.into_iter().collect());
-        Self { version, services, limits, hosts, shortest_targets, longest_stream, keys }
+        Self {
+            version,
+            services,
+            limits,
+            hosts,
+            shortest_targets,
+            longest_stream,
+            resumable_services,
+            keys,
+        }
     }
 
     /// The shortest latency target of the streams that `service` runs.
@@ -185,6 +201,11 @@
         self.longest_stream
     }
 
+    /// The services whose streams callers can take up.
+    pub fn resumable_services(&self) -> &[Arc<str>] {
+        &self.resumable_services
+    }
+
     /// Sorted addresses of all stores of cached prompts.
     pub fn cache_stores(&self) -> Vec<SocketAddr> {
         let mut stores: Vec<_> = self.services.values().filter_map(|it| it.cache_store).collect();
@@ -223,6 +244,11 @@
 }
 
 impl Route {
+    /// Whether its responses are streams that callers can take up.
+    pub fn is_resumable(&self) -> bool {
+        self.is_stream && self.execution == Execution::Idempotent
+    }
+
     /// Selects the service that runs the request `id` by the traffic split; the result depends on the id alone.
     pub fn service(&self, id: &str) -> Option<&Arc<str>> {
         let total: u64 = self.split.iter().map(|it| u64::from(it.1)).sum();
--- a/crates/gateway/src/core/build.rs
+++ b/crates/gateway/src/core/build.rs
@@ -14,6 +14,8 @@
 
 /// How long a stream that is taken up waits for another instance that knows its build.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(40);
+/// How long it waits for the service's record to be read: twice the time of a slow store.
+const READ_TIMEOUT: Duration = Duration::from_millis(600);
 /// Instances of each data centre that are asked. All instances of one have been told, and any of them may have ended.
 const QUERIED_PER_CENTRE: usize = 2;
 
@@ -24,8 +26,17 @@
     Free,
     /// It may only go on at servers of this build.
     To(build::Id),
-    /// Another instance may know it until then.
-    Unknown(Time),
+    /// It is looked for.
+    Unknown(Search),
+}
+
+/// The search for the build of a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Search {
+    /// Until when other instances may reply.
+    reply_due: Time,
+    /// Until when the service's record has to be read.
+    until: Time,
 }
 
 impl Binding {
@@ -47,7 +58,7 @@
     Announced,
     /// Another instance was asked.
     Reply,
-    /// No other build is known.
+    /// The service's record has no other build.
     OnlyBuild,
 }
 
@@ -97,27 +108,16 @@
         }
     }
 
-    /// The build that began the request's stream, as far as this instance knows.
+    /// The build that began the request's stream, as far as this instance was told.
     fn known_build(&self, exchange: &Exchange) -> Option<(build::Id, Evidence)> {
-        match &exchange.info.resumed_id {
-            Some(_) => self.build_of_stream(exchange.stream(), &exchange.service),
-            // The caller doesn't tell which attempt began the stream.
-            None => {
-                let only = self.pool.builds(&exchange.service)?.only()?;
-                Some((only, Evidence::OnlyBuild))
-            }
-        }
+        exchange.info.resumed_id.as_ref()?;
+        self.streams.find(exchange.stream()).map(|it| (it, Evidence::Announced))
     }
 
-    /// The build that began a stream: as this instance was told, or the only one for as long as a
-    /// stream lives.
-    fn build_of_stream(&self, stream: Stream, service: &str) -> Option<(build::Id, Evidence)> {
-        let only = || {
-            let retention = self.stream_lifetime.retention(self.now);
-            let build = self.pool.builds(service)?.only_for(self.now, retention)?;
-            Some((build, Evidence::OnlyBuild))
-        };
-        self.streams.find(stream).map(|it| (it, Evidence::Announced)).or_else(only)
+    /// The record that must have a server's build before the request may be sent there.
+    pub(crate) fn required_record<'a>(&'a self, exchange: &Exchange) -> Option<&'a build::Record> {
+        let is_needed = exchange.is_resumable() && exchange.binding.build().is_none();
+        is_needed.then(|| self.storage.builds.get(&exchange.service))
     }
 
     fn bind_stream(&mut self, index: usize, build: build::Id, evidence: Evidence) {
@@ -129,26 +129,30 @@
         self.dispatch(index);
     }
 
-    /// Asks other instances for the build of the request's stream, if the caller has named the stream.
+    /// Looks for the build of the request's stream: asks other instances if the caller has named the stream, and reads
+    /// which builds can have begun it.
     fn query_build(&mut self, index: usize) {
         let now = self.now;
         let targets = self.build_query_targets();
+        let is_unreachable = self.is_store_unreachable();
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
-        if exchange.info.resumed_id.is_none() || targets.is_empty() {
-            self.refuse_or_fail(index, Refusal::UnknownBuild);
-            return;
-        }
-        let until = now + QUERY_TIMEOUT;
-        exchange.binding = Binding::Unknown(until);
+        let is_asked = exchange.info.resumed_id.is_some() && !targets.is_empty();
+        let reply_due = if is_asked { now + QUERY_TIMEOUT } else { now };
+        let until = if is_unreachable { reply_due } else { now + READ_TIMEOUT };
+        exchange.binding = Binding::Unknown(Search { reply_due, until });
         let query = BuildQuery {
             stream: exchange.stream(),
             service: exchange.service.clone(),
             reply_to: self.members.me().peers,
         };
+        self.storage.builds.want_read(now, &exchange.service);
         let serial = exchange.serial;
+        self.set_timer(reply_due, Timer::Exchange(index, serial));
         self.set_timer(until, Timer::Exchange(index, serial));
-        self.stats.count_build_query("asked");
-        self.send_to(&targets, &Datagram::BuildQuery(query));
+        if is_asked {
+            self.stats.count_build_query("asked");
+            self.send_to(&targets, &Datagram::BuildQuery(query));
+        }
     }
 
     fn build_query_targets(&mut self) -> Vec<SocketAddr> {
@@ -166,7 +170,8 @@
 
     /// Answers another instance's question, if this one knows the build.
     pub(crate) fn handle_build_query(&mut self, query: &BuildQuery) {
-        if let Some((build, _)) = self.build_of_stream(query.stream, &query.service) {
+        // What this instance merely hasn't heard of proves nothing about the stream.
+        if let Some(build) = self.streams.find(query.stream) {
             let begun = Begun { stream: query.stream, build };
             self.send_to(&[query.reply_to], &Datagram::BuildReply(begun));
         }
@@ -183,11 +188,26 @@
         }
     }
 
-    /// Refuses a request that has waited too long for the build of its stream. Returns whether it was waiting.
+    /// Dispatches or refuses the requests that wait for the builds of their streams, after a read of the service's
+    /// record.
+    pub(crate) fn resolve_builds(&mut self, service: &str) {
+        let is_waiting =
+            |it: &Exchange| matches!(it.binding, Binding::Unknown(_)) && *it.service == *service;
+        for index in self.exchanges_where(is_waiting) {
+            self.check_build_query(index);
+        }
+    }
+
+    /// Dispatches a request that waits for the build of its stream if only one can have begun it, or refuses it if it
+    /// can't be found. Returns whether it was waiting.
     pub(crate) fn check_build_query(&mut self, index: usize) -> bool {
-        let binding = self.exchanges.get(index).map(|it| it.binding);
-        let Some(Binding::Unknown(until)) = binding else { return false };
-        if until <= self.now {
+        let Some(exchange) = self.exchanges.get(index) else { return false };
+        let Binding::Unknown(search) = exchange.binding else { return false };
+        let record = self.storage.builds.get(&exchange.service);
+        let is_read = record.is_read_since(exchange.arrived);
+        if let Some(build) = record.only().filter(|_| is_read) {
+            self.bind_stream(index, build, Evidence::OnlyBuild);
+        } else if search.until <= self.now || (is_read && search.reply_due <= self.now) {
             self.stats.count_build_query("unanswered");
             self.refuse_or_fail(index, Refusal::UnknownBuild);
         }
--- a/crates/gateway/src/core/dispatch.rs
+++ b/crates/gateway/src/core/dispatch.rs
@@ -123,6 +123,7 @@
             max_stale_weights: self.settings.max_stale_weights,
             is_repeatable: exchange.is_repeatable(),
             build: exchange.binding.build(),
+            recorded: self.required_record(exchange),
             excluded: &exchange.excluded,
         }
     }
--- a/crates/gateway/src/core/peers/receive.rs
+++ b/crates/gateway/src/core/peers/receive.rs
@@ -21,7 +21,10 @@
         let decoded = Datagram::decode(bytes);
         if let Ok((datagram, streams)) = &decoded {
             self.stats.traffic.count_received(datagram, bytes.len());
-            streams.iter().for_each(|it| self.streams.record(received_at, *it));
+            for begun in streams {
+                self.streams.record(received_at, *begun);
+                self.storage.builds.record_announcement(received_at, begun.build);
+            }
         }
         match decoded.map(|it| it.0) {
             Ok(Datagram::News(message)) => self.handle_news(received_at, *message),
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -1,6 +1,7 @@
 //! Mirrors what this instance needs from the platform's store: the configuration, backend servers,
 //! published weights, and the instances' own records.
 
+mod builds;
 mod call;
 mod document;
 mod era;
@@ -30,6 +31,7 @@
     settings::Settings,
 };
 
+use builds::Builds;
 pub(crate) use document::{Document, decompress};
 use era::Era;
 use quarantine::Records;
@@ -76,6 +78,7 @@
     /// Whether no record of this instance was found when it was registered.
     is_new_instance: bool,
     quarantine: Records,
+    pub(crate) builds: Builds,
     pub(crate) era: Era,
     /// Servers that must not be used although the store lists them as ready.
     withheld: withheld::Servers,
@@ -122,6 +125,8 @@
     Lease,
     Register,
     Quarantine(Identity),
+    /// The record of builds with this index.
+    Builds(usize),
 }
 
 /// State of this instance's own record in the store.
@@ -169,6 +174,7 @@
             registration: Registration::Due(Version(0), now),
             is_new_instance: true,
             quarantine: Records::default(),
+            builds: Builds::default(),
             era: Era::default(),
             withheld: withheld::Servers::default(),
         }
@@ -226,10 +232,8 @@
         let is_watcher = self.is_watcher;
         let is_due = |it: &&Subscription| !it.is_in_flight && it.is_active(is_watcher);
         let next_read = self.subscriptions.iter().filter(is_due).map(|it| it.next_at).min();
-        [self.scheduler.next_due(now), next_read, self.quarantine.next_due()]
-            .into_iter()
-            .flatten()
-            .min()
+        let records = [self.quarantine.next_due(), self.builds.next_due()];
+        [self.scheduler.next_due(now), next_read].into_iter().chain(records).flatten().min()
     }
 
     /// Skips the settle delay: in a small fleet no other instance watches in place of this one.
@@ -307,6 +311,7 @@
             self.storage.submit(now, Pending::Lease, call);
         }
         self.tick_quarantine();
+        self.tick_builds();
         self.tick_era();
         for action in self.storage.scheduler.tick(now) {
             match action {
@@ -347,6 +352,7 @@
             }
             Some(Pending::Register) => self.handle_registration_reply(reply),
             Some(Pending::Quarantine(identity)) => self.handle_record_reply(identity, reply),
+            Some(Pending::Builds(index)) => self.handle_builds_reply(index, reply),
             None => {}
         }
     }
--- a/crates/gateway/src/core/storage/era.rs
+++ b/crates/gateway/src/core/storage/era.rs
@@ -178,6 +178,7 @@
         }
         self.reregister();
         self.storage.quarantine.handle_restore(now);
+        self.storage.builds.handle_restore();
         self.broadcast_membership();
     }
 
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -108,6 +108,8 @@
     pub is_repeatable: bool,
     /// The build that began the stream, if it has begun.
     pub build: Option<build::Id>,
+    /// The builds to which a stream may be sent that its caller might take up later.
+    pub recorded: Option<&'a build::Record>,
     /// Servers that have declined or failed the request.
     pub excluded: &'a [pool::Id],
 }
@@ -238,6 +240,9 @@
         if criteria.build.is_some_and(|it| it != server.build_id) {
             continue;
         }
+        if criteria.recorded.is_some_and(|it| !it.contains(server.recorded_build())) {
+            continue;
+        }
         let availability = server.check(now);
         if let Err(Unavailability::BackedOff { until }) = availability {
             backed_off_until = Some(backed_off_until.map_or(until, |it: Time| it.min(until)));
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -62,8 +62,6 @@
     costs: Map<Arc<str>, Estimate>,
     /// How late prompts begin, by service.
     start_delays: Map<Arc<str>, StartDelay>,
-    /// The builds that servers have been known to run, by service.
-    builds: Map<Arc<str>, build::History>,
     /// Incarnations that drain according to other instances, and whose entries aren't known yet.
     draining: Map<IncarnationId, Time>,
     /// The services of the configuration, once it is known.
@@ -88,6 +86,16 @@
 }
 
 impl Pool {
+    /// Number of servers' incarnations that are or were registered.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether none ever was.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
     /// The server at `id`.
     pub fn get(&self, id: Id) -> &Server {
         &self.servers[id]
@@ -247,7 +255,7 @@
     /// Applies a server's entry.
     pub fn put(&mut self, now: Time, name: &Arc<str>, revision: u64, entry: ServerEntry) -> Change {
         let Some(id) = self.find(name) else {
-            return Change::Joined(self.add(now, name, revision, entry));
+            return Change::Joined(self.add(name, revision, entry));
         };
         let server = &mut self.servers[id];
         if revision <= server.revision || entry.incarnation < server.incarnation {
@@ -256,7 +264,7 @@
         // A process keeps its build, so that another one is another incarnation.
         if server.incarnation < entry.incarnation || server.build != entry.build {
             server.presence = Presence::Gone;
-            return Change::Restarted(id, self.add(now, name, revision, entry));
+            return Change::Restarted(id, self.add(name, revision, entry));
         }
         server.revision = revision;
         server.is_missing = false;
@@ -272,12 +280,16 @@
         }
     }
 
-    /// The builds that the service's servers have been known to run.
-    pub fn builds(&self, service: &str) -> Option<&build::History> {
-        self.builds.get(service)
+    /// The builds of the service's listed servers, as they are recorded.
+    pub fn listed_builds(&self, service: &str) -> Vec<build::Id> {
+        let of_service = self.listed().filter(|it| *it.1.service == *service);
+        let mut builds: Vec<build::Id> = of_service.map(|it| it.1.recorded_build()).collect();
+        builds.sort_unstable();
+        builds.dedup();
+        builds
     }
 
-    fn add(&mut self, now: Time, name: &Arc<str>, revision: u64, entry: ServerEntry) -> Id {
+    fn add(&mut self, name: &Arc<str>, revision: u64, entry: ServerEntry) -> Id {
         if self.has_service(&entry.service) {
             self.release_address(entry.address);
         }
@@ -288,7 +300,6 @@
             server.has_announced_drain = true;
             server.presence = Presence::Draining;
         }
-        self.builds.entry(server.service.clone()).or_default().record(now, server.build_id);
         self.servers.push(server);
         id
     }
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -102,6 +102,11 @@
 }
 
 impl Server {
+    /// Its build as it is recorded for streams.
+    pub fn recorded_build(&self) -> build::Id {
+        if self.build.is_some() { self.build_id } else { build::Id::UNNAMED }
+    }
+
     pub(super) fn new(name: Arc<str>, revision: u64, entry: ServerEntry) -> Self {
         let ServerEntry {
             service,
--- a/crates/gateway/tests/build.rs
+++ b/crates/gateway/tests/build.rs
@@ -5,9 +5,10 @@
 use std::{sync::Arc, time::Duration};
 
 use proptest::prelude::*;
+use shallotlead_base::id::Version;
 use shallotlead_gateway::{
     adapter::ServerEntry,
-    build::{Begun, History, Id, Lifetime, Stream, Streams},
+    build::{Begun, Content, Id, Lifetime, Record, Stream, Streams},
     copies,
     gossip::Datagram,
     placement::{self, Criteria, PrefixIndex, Shortage},
@@ -43,19 +44,98 @@
     assert_eq!(streams.find(Stream::of("open", "r1")), None);
 }
 
-// An instance that has just started sees one build, but streams of another one may still be taken up.
+/// A record with these builds that was read by a call sent at `sent_ms`.
+fn record(sent_ms: u64, builds: &[Id]) -> Record {
+    let mut record = Record::default();
+    record.adopt(at(sent_ms + 4), at(sent_ms), Some((Version(7), Content::of(builds))));
+    record
+}
+
+// An instance that is cut off or stood still has known one build for long. Only a read that was sent after the stream was
+// taken up shows that no other one has begun it.
+#[test]
+fn only_build_is_known_from_a_read_that_is_younger_than_the_request() {
+    let (one, other) = (Id::of("pool", "v1"), Id::of("pool", "v2"));
+    assert!(!Record::default().is_read_since(at(0)));
+    let mut known = record(100, &[one]);
+    known.observe(at(90_000), &[one], RETENTION);
+    assert_eq!(known.only(), Some(one));
+    assert!(known.is_read_since(at(100)));
+    assert!(!known.is_read_since(at(101)));
+    assert_eq!(record(100, &[one, other]).only(), None);
+    assert_eq!(record(100, &[]).only(), None);
+    assert_eq!(record(100, &[Id::UNNAMED]).only(), None, "each is like no other");
+}
+
+// A stream is sent to a server of a new build before that is recorded. Once all instances have ended, nobody would know that it
+// may have begun streams.
+#[test]
+fn streams_are_sent_to_recorded_builds_only() {
+    let mut pool = pool(2);
+    put(&mut pool, "f0", 10, Some("v2"));
+    let prefixes = PrefixIndex::default();
+    let (one, other) = (Id::of(support::SERVICE, "v1"), Id::of(support::SERVICE, "v2"));
+    let chosen = |record: &Record, excluded: &[usize]| {
+        let criteria = Criteria { recorded: Some(record), excluded, ..criteria(&[]) };
+        placement::choose(&pool, &prefixes, at(0), &criteria, 0).map(|it| it.server)
+    };
+    let mut known = record(0, &[one]);
+    assert!(chosen(&known, &[]).is_ok_and(|it| it < 2));
+    assert_eq!(chosen(&Record::default(), &[]), Err(Shortage::NoServer));
+    assert_eq!(chosen(&known, &[0, 1]), Err(Shortage::NoneReady));
+    known.record_announcement(at(0), other);
+    assert_eq!(chosen(&known, &[0, 1]), Ok(2), "another instance has sent streams there");
+    known.observe(at(30_000), &[one], RETENTION);
+    assert_eq!(chosen(&known, &[0, 1]), Err(Shortage::NoneReady));
+}
+
+// The servers of a build have left, and its streams may still be taken up. Later on, the record must not name it any more, or
+// streams of the remaining build would be in doubt for ever.
+#[test]
+fn build_stays_recorded_for_as_long_as_its_streams_may_be_taken_up() {
+    let (one, other) = (Id::of("pool", "v1"), Id::of("pool", "v2"));
+    let mut known = record(0, &[one]);
+    assert_eq!(known.update(at(10), &[one], RETENTION), None);
+    assert_eq!(known.update(at(10), &[], RETENTION), None);
+    let both = Content::of(&[one, other]);
+    assert_eq!(known.update(at(10), &[one, other], RETENTION), Some(both.clone()));
+    assert!(!known.contains(other));
+    known.adopt(at(20), at(15), Some((Version(8), both)));
+    assert!(known.contains(other));
+    known.observe(at(1_000), &[one, other], RETENTION);
+    known.observe(at(60_999), &[other], RETENTION);
+    assert_eq!(known.update(at(60_999), &[other], RETENTION), None);
+    let update = known.update(at(61_000), &[other], RETENTION);
+    assert_eq!(update, Some(Content::of(&[other])));
+}
+
+// Others may have removed a build whose servers were gone for long. If one comes back, the record is read before it is used.
+#[test]
+fn build_that_returns_is_read_again_before_it_is_used() {
+    let (one, other) = (Id::of("pool", "v1"), Id::of("pool", "v2"));
+    let mut known = record(0, &[one, other]);
+    known.observe(at(30_003), &[other], RETENTION);
+    assert!(known.contains(one));
+    assert!(!known.needs_read(&[one, other]));
+    known.observe(at(30_004), &[other], RETENTION);
+    assert!(!known.contains(one));
+    assert!(known.needs_read(&[one, other]));
+    known.adopt(at(31_000), at(30_990), Some((Version(9), Content::of(&[one, other]))));
+    assert!(known.contains(one));
+}
+
+// The store is restored from a copy that was made before a build was recorded.
 #[test]
-fn only_build_is_known_for_certain_after_a_stream_has_lived() {
+fn builds_that_a_restored_store_has_lost_are_recorded_again() {
     let (one, other) = (Id::of("pool", "v1"), Id::of("pool", "v2"));
-    let mut history = History::default();
-    assert_eq!(history.only(), None);
-    history.record(at(0), one);
-    history.record(at(5), one);
-    assert_eq!(history.only(), Some(one));
-    assert_eq!(history.only_for(at(29_999), RETENTION), None);
-    assert_eq!(history.only_for(at(30_000), RETENTION), Some(one));
-    history.record(at(40_000), other);
-    assert_eq!(history.only_for(at(90_000), RETENTION), None);
+    let mut known = record(0, &[one, other]);
+    known.handle_restore();
+    assert!(!known.contains(one));
+    assert!(known.needs_read(&[]));
+    known.adopt(at(20), at(15), Some((Version(3), Content::of(&[one]))));
+    assert_eq!(known.update(at(20), &[], RETENTION), Some(Content::of(&[one, other])));
+    known.adopt(at(30), at(25), Some((Version(4), Content::of(&[one, other]))));
+    assert_eq!(known.update(at(30), &[one], RETENTION), None);
 }
 
 // Attempts of routes with long timeouts follow each other.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -77,6 +77,7 @@
         max_stale_weights: Duration::from_secs(8),
         is_repeatable: true,
         build: None,
+        recorded: None,
         excluded: &[],
     }
 }
