Open streams are kept in the store while several builds may have begun them

Only instances knew which build had begun which stream, and a power failure ends them all.

Each instance now writes its open streams to the store, at most every 200 ms and with a tenth of the store's write rate for all, and only while the record of a service has several builds. It restores and announces them when it starts. Others wait up to 400 ms for that in their first three seconds.

--- a/crates/gateway/src/build.rs
+++ b/crates/gateway/src/build.rs
@@ -4,6 +4,7 @@
 //! it, also when its caller takes it up later at another instance. Does no I/O.
 
 mod lifetime;
+mod open_streams;
 mod record;
 
 use std::{collections::VecDeque, time::Duration};
@@ -15,6 +16,7 @@
 };
 
 pub use lifetime::Lifetime;
+pub use open_streams::OpenStreams;
 pub use record::{Content, Record};
 
 /// Identifies one build of the software of a service's servers, the same at all instances.
--- a/crates/gateway/src/build/record.rs
+++ b/crates/gateway/src/build/record.rs
@@ -133,6 +133,11 @@
         self.builds.is_empty()
     }
 
+    /// Whether streams may have begun at several builds.
+    pub fn is_mixed(&self) -> bool {
+        1 < self.builds.len()
+    }
+
     /// What is to be written: the content with all `listed` builds and without obsolete ones. `None` if that is
     /// recorded.
     pub fn update(&self, now: Time, listed: &[Id], lifetime: Duration) -> Option<Content> {
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -356,6 +356,7 @@
         }
         let now = self.now;
         record_answer_time(&mut self.pool, now, &exchange);
+        self.storage.journal.open.finish(exchange.stream());
         self.clear_suspicion(&exchange, is_exonerated);
         let first_piece = exchange.delivery.first_sent.unwrap_or(now);
         let first = first_piece.since(exchange.arrived);
--- a/crates/gateway/src/core/build.rs
+++ b/crates/gateway/src/core/build.rs
@@ -14,6 +14,9 @@
 
 /// How long a stream that is taken up waits for another instance that knows its build.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(40);
+/// The same for some time after the start, when the others may have started as well and restore what they knew.
+const STARTUP_QUERY_TIMEOUT: Duration = Duration::from_millis(400);
+const STARTUP_TIME: Duration = Duration::from_secs(3);
 /// How long it waits for the service's record to be read: twice the time of a slow store.
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
 /// Instances of each data centre that are asked. All instances of one have been told, and any of them may have ended.
@@ -76,7 +79,7 @@
 
 impl Exchange {
     /// Identifies the stream that the request begins or takes up.
-    fn stream(&self) -> Stream {
+    pub(crate) fn stream(&self) -> Stream {
         let organisation = self.organisation.as_ref().map_or("", |it| &*it.name);
         Stream::of(organisation, self.info.resumed_id.as_deref().unwrap_or(self.id()))
     }
@@ -137,7 +140,9 @@
         let is_unreachable = self.is_store_unreachable();
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
         let is_asked = exchange.info.resumed_id.is_some() && !targets.is_empty();
-        let reply_due = if is_asked { now + QUERY_TIMEOUT } else { now };
+        let is_starting = now.since(self.started) < STARTUP_TIME;
+        let reply_timeout = if is_starting { STARTUP_QUERY_TIMEOUT } else { QUERY_TIMEOUT };
+        let reply_due = if is_asked { now + reply_timeout } else { now };
         let until = if is_unreachable { reply_due } else { now + READ_TIMEOUT };
         exchange.binding = Binding::Unknown(Search { reply_due, until });
         let query = BuildQuery {
@@ -177,6 +182,14 @@
         }
     }
 
+    /// Dispatches the requests that wait for the builds of these streams, which another instance has announced. Later
+    /// on, instances are asked instead.
+    pub(crate) fn resolve_announced(&mut self, streams: &[Begun]) {
+        if self.now.since(self.started) < STARTUP_TIME {
+            streams.iter().for_each(|it| self.handle_build_reply(*it));
+        }
+    }
+
     /// Dispatches the requests that have waited for the build of this stream.
     pub(crate) fn handle_build_reply(&mut self, begun: Begun) {
         let Begun { stream, build } = begun;
@@ -221,6 +234,7 @@
         };
         let begun = Begun { stream: exchange.stream(), build: self.pool.get(server).build_id };
         self.streams.record(self.now, begun);
+        self.storage.journal.open.record(self.now, begun);
         self.peers.add_stream(begun);
     }
 
@@ -247,5 +261,6 @@
     pub(crate) fn sweep_streams(&mut self) {
         let retention = self.stream_lifetime.retention(self.now);
         self.streams.expire(self.now, retention);
+        self.storage.journal.open.expire(self.now, retention);
     }
 }
--- a/crates/gateway/src/core/peers/receive.rs
+++ b/crates/gateway/src/core/peers/receive.rs
@@ -25,6 +25,7 @@
                 self.streams.record(received_at, *begun);
                 self.storage.builds.record_announcement(received_at, begun.build);
             }
+            self.resolve_announced(streams);
         }
         match decoded.map(|it| it.0) {
             Ok(Datagram::News(message)) => self.handle_news(received_at, *message),
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -5,6 +5,7 @@
 mod call;
 mod document;
 mod era;
+mod open_streams;
 mod quarantine;
 mod subscription;
 mod withheld;
@@ -34,6 +35,7 @@
 use builds::Builds;
 pub(crate) use document::{Document, decompress};
 use era::Era;
+use open_streams::Journal;
 use quarantine::Records;
 use subscription::Subscription;
 pub(crate) use subscription::{Basis, Topic};
@@ -79,6 +81,7 @@
     is_new_instance: bool,
     quarantine: Records,
     pub(crate) builds: Builds,
+    pub(crate) journal: Journal,
     pub(crate) era: Era,
     /// Servers that must not be used although the store lists them as ready.
     withheld: withheld::Servers,
@@ -127,6 +130,7 @@
     Quarantine(Identity),
     /// The record of builds with this index.
     Builds(usize),
+    OpenStreams,
 }
 
 /// State of this instance's own record in the store.
@@ -175,6 +179,7 @@
             is_new_instance: true,
             quarantine: Records::default(),
             builds: Builds::default(),
+            journal: Journal::default(),
             era: Era::default(),
             withheld: withheld::Servers::default(),
         }
@@ -232,7 +237,8 @@
         let is_watcher = self.is_watcher;
         let is_due = |it: &&Subscription| !it.is_in_flight && it.is_active(is_watcher);
         let next_read = self.subscriptions.iter().filter(is_due).map(|it| it.next_at).min();
-        let records = [self.quarantine.next_due(), self.builds.next_due()];
+        let journal = self.journal.next_due(self.builds.is_mixed());
+        let records = [self.quarantine.next_due(), self.builds.next_due(), journal];
         [self.scheduler.next_due(now), next_read].into_iter().chain(records).flatten().min()
     }
 
@@ -312,6 +318,7 @@
         }
         self.tick_quarantine();
         self.tick_builds();
+        self.tick_open_streams();
         self.tick_era();
         for action in self.storage.scheduler.tick(now) {
             match action {
@@ -353,6 +360,7 @@
             Some(Pending::Register) => self.handle_registration_reply(reply),
             Some(Pending::Quarantine(identity)) => self.handle_record_reply(identity, reply),
             Some(Pending::Builds(index)) => self.handle_builds_reply(index, reply),
+            Some(Pending::OpenStreams) => self.handle_open_streams_reply(reply),
             None => {}
         }
     }
--- a/crates/gateway/src/core/storage/builds.rs
+++ b/crates/gateway/src/core/storage/builds.rs
@@ -73,6 +73,11 @@
         self.services.iter_mut().for_each(|it| it.record.record_announcement(now, build));
     }
 
+    /// Whether streams that may still be taken up can have begun at several builds of a service.
+    pub(crate) fn is_mixed(&self) -> bool {
+        self.services.iter().any(|it| it.record.is_mixed())
+    }
+
     /// Makes the service's record be read once more, for a request that arrived at `now`.
     pub(crate) fn want_read(&mut self, now: Time, service: &str) {
         if let Some(it) = self.services.iter_mut().find(|it| *it.name == *service) {
@@ -151,32 +156,31 @@
         }
     }
 
+    /// Reads or updates a record, if that is due.
     fn call_for_builds(&mut self, index: usize) {
         let now = self.now;
-        let service = &self.storage.builds.services[index];
-        let is_update_due = service.update_at.is_some_and(|it| it <= now);
-        let is_read_wanted = service.wanted_since.is_some();
-        if service.call.is_some() || now < service.next_at || !(is_update_due || is_read_wanted) {
+        let lifetime = self.stream_lifetime.retention(now);
+        let service = &mut self.storage.builds.services[index];
+        if service.call.is_some() || now < service.next_at {
             return;
         }
         let key = Key::new(KIND, &object_name(&service.name));
+        let is_update_due = service.update_at.is_some_and(|it| it <= now);
         let is_read_recently = service.record.is_read_since(now - MAX_READ_AGE);
-        let content = if is_read_wanted || !is_read_recently {
-            None
-        } else {
-            let listed = self.pool.listed_builds(&service.name);
-            service.record.update(now, &listed, self.stream_lifetime.retention(now))
-        };
-        let call = match &content {
-            Some(it) => {
-                let value = serde_json::to_vec(it).unwrap_or_default();
-                Call::Put { key, expected: service.record.version(), value: value.into() }
-            }
-            None => Call::Get(key),
-        };
-        let service = &mut self.storage.builds.services[index];
+        let (call, content) =
+            if service.wanted_since.take().is_some() || (is_update_due && !is_read_recently) {
+                (Call::Get(key), None)
+            } else if is_update_due {
+                service.update_at = None;
+                let listed = self.pool.listed_builds(&service.name);
+                let Some(content) = service.record.update(now, &listed, lifetime) else { return };
+                let value = serde_json::to_vec(&content).unwrap_or_default();
+                let expected = service.record.version();
+                (Call::Put { key, expected, value: value.into() }, Some(content))
+            } else {
+                return;
+            };
         service.call = Some(InFlight { sent_at: now, content, is_void: false });
-        service.wanted_since = None;
         self.storage.submit(now, Pending::Builds(index), call);
     }
 
@@ -202,14 +206,16 @@
         };
         let before = service.record.version();
         service.record.adopt(now, call.sent_at, stored);
-        if service.record.version() != before {
+        let (name, version, builds) =
+            (service.name.clone(), service.record.version(), service.record.len());
+        self.storage.builds.next_scan = now;
+        if version != before {
             self.log
                 .line(now, "builds")
-                .text("service", &service.name)
+                .text("service", &name)
                 .text("reply", super::reply_name(reply))
-                .number("builds", service.record.len());
+                .number("builds", builds);
         }
-        let name = service.name.clone();
         self.resolve_builds(&name);
     }
 }
--- a/crates/gateway/src/core/storage/era.rs
+++ b/crates/gateway/src/core/storage/era.rs
@@ -179,6 +179,7 @@
         self.reregister();
         self.storage.quarantine.handle_restore(now);
         self.storage.builds.handle_restore();
+        self.storage.journal.handle_restore();
         self.broadcast_membership();
     }
 
--- a/crates/gateway/tests/build.rs
+++ b/crates/gateway/tests/build.rs
@@ -8,7 +8,7 @@
 use shallotlead_base::id::Version;
 use shallotlead_gateway::{
     adapter::ServerEntry,
-    build::{Begun, Content, Id, Lifetime, Record, Stream, Streams},
+    build::{Begun, Content, Id, Lifetime, OpenStreams, Record, Stream, Streams},
     copies,
     gossip::Datagram,
     placement::{self, Criteria, PrefixIndex, Shortage},
@@ -138,6 +138,25 @@
     assert_eq!(known.update(at(30), &[one], RETENTION), None);
 }
 
+// All instances end while streams are open. What was written must name their builds, and nothing that can't be taken up.
+#[test]
+fn written_streams_are_those_that_may_be_taken_up() {
+    let mut open = OpenStreams::default();
+    assert!(!open.is_changed());
+    open.record(at(0), begun("r1", "v1"));
+    open.record(at(10), begun("r2", "v1"));
+    open.record(at(20), begun("r2", "v2"));
+    open.record(at(30), begun("r3", "v2"));
+    open.finish(begun("r3", "v2").stream);
+    let written = open.take_written();
+    assert!(!open.is_changed());
+    assert_eq!(OpenStreams::parse(written.as_bytes()), [begun("r2", "v2"), begun("r1", "v1")]);
+    open.record(at(40), begun("r2", "v2"));
+    assert!(!open.is_changed(), "nothing is new");
+    open.expire(at(30_001), RETENTION);
+    assert_eq!(OpenStreams::parse(open.take_written().as_bytes()), [begun("r2", "v2")]);
+}
+
 // Attempts of routes with long timeouts follow each other.
 #[test]
 fn streams_are_remembered_for_longer_than_two_attempts() {
@@ -219,5 +238,6 @@
     #[test]
     fn any_bytes_are_decoded_or_rejected(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         let _ = Datagram::decode(&bytes);
+        let _ = OpenStreams::parse(&bytes);
     }
 }
