A stream that is sent again before its first event stays at its build while that has servers

Now a stream is bound when it is first sent. It goes to another build only if none of its own takes it and no attempt there is open.

stream_that_is_sent_again_before_its_first_event_stays_at_its_build failed before (r0 at v1, then v2) and passes, 3 of 3; stream_that_has_not_begun_leaves_a_build_without_servers passed before and passes.

--- a/crates/gateway/src/core/build.rs
+++ b/crates/gateway/src/core/build.rs
@@ -227,17 +227,34 @@
         true
     }
 
-    /// Remembers to which build a resumable stream is sent, and tells the neighbours before its first event can leave.
+    /// Remembers to which build a resumable stream is sent, binds it there, and tells the neighbours before its first
+    /// event can leave.
     pub(crate) fn announce_stream(&mut self, index: usize, server: pool::Id) {
-        let Some(exchange) = self.exchanges.get(index).filter(|it| it.is_resumable()) else {
+        let Some(exchange) = self.exchanges.get_mut(index).filter(|it| it.is_resumable()) else {
             return;
         };
         let begun = Begun { stream: exchange.stream(), build: self.pool.get(server).build_id };
+        exchange.binding = Binding::To(begun.build);
         self.streams.record(self.now, begun);
         self.storage.journal.open.record(self.now, begun);
         self.peers.add_stream(begun);
     }
 
+    /// Lets a stream that was sent and hasn't begun go to servers of any build, as none of its own takes it and no
+    /// attempt there is open any more. Returns whether it was bound.
+    ///
+    /// Until then it stays at one build: others may have heard of its first sending only.
+    pub(crate) fn unbind_stream(&mut self, index: usize) -> bool {
+        let Some(exchange) = self.exchanges.get_mut(index) else { return false };
+        let is_unsent = exchange.open_attempts().next().is_none();
+        let may_move = !exchange.delivery.has_begun && !exchange.is_taken_up() && is_unsent;
+        let is_bound = exchange.binding.build().is_some() && exchange.info.build.is_none();
+        if may_move && is_bound {
+            exchange.binding = Binding::Free;
+        }
+        may_move && is_bound
+    }
+
     /// Binds a stream to the build that has brought its first event.
     pub(crate) fn bind_to_attempt(&mut self, index: usize) {
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
--- a/crates/gateway/src/core/dispatch.rs
+++ b/crates/gateway/src/core/dispatch.rs
@@ -52,11 +52,14 @@
         if self.hand_over_checked(index, verdict) {
             return;
         }
-        let chosen = self.choose_server(index, verdict);
         let Some(exchange) = self.exchanges.get(index) else { return };
         let shortest_target =
             self.config.as_ref().and_then(|it| it.shortest_target(&exchange.service));
         let admission = Admission::of(exchange, shortest_target);
+        let mut chosen = self.choose_server(index, verdict);
+        if chosen.as_ref().map_or(true, |it| admission.refuses(it)) && self.unbind_stream(index) {
+            chosen = self.choose_server(index, verdict);
+        }
         match chosen {
             Ok(choice) if admission.refuses(&choice) => {
                 let (after, wait) = (admission.retry_after(&choice), choice.wait());
