Records of builds are read at once when services change, and not again while nobody waits

By reading, before landing: after a new configuration or a restore of the store the next look at the records came up to a second later, in which no stream could be sent; while the store was away, an instance asked for the record every 150 ms for requests that it had refused long ago, and each call is paid for.

--- a/crates/gateway/src/core/build.rs
+++ b/crates/gateway/src/core/build.rs
@@ -84,6 +84,10 @@
         Stream::of(organisation, self.info.resumed_id.as_deref().unwrap_or(self.id()))
     }
 
+    fn awaits_build(&self, service: &str) -> bool {
+        matches!(self.binding, Binding::Unknown(_)) && *self.service == *service
+    }
+
     /// Whether its caller has been served a part of its stream by an earlier attempt.
     pub(crate) fn is_taken_up(&self) -> bool {
         self.info.last_event.is_some() || self.info.resumed_id.is_some()
@@ -204,13 +208,16 @@
     /// Dispatches or refuses the requests that wait for the builds of their streams, after a read of the service's
     /// record.
     pub(crate) fn resolve_builds(&mut self, service: &str) {
-        let is_waiting =
-            |it: &Exchange| matches!(it.binding, Binding::Unknown(_)) && *it.service == *service;
-        for index in self.exchanges_where(is_waiting) {
+        for index in self.exchanges_where(|it| it.awaits_build(service)) {
             self.check_build_query(index);
         }
     }
 
+    /// Whether a request waits for the build of a stream of the service.
+    pub(crate) fn awaits_builds(&self, service: &str) -> bool {
+        self.exchanges.iter().any(|it| it.1.awaits_build(service))
+    }
+
     /// Dispatches a request that waits for the build of its stream if only one can have begun it, or refuses it if it
     /// can't be found. Returns whether it was waiting.
     pub(crate) fn check_build_query(&mut self, index: usize) -> bool {
--- a/crates/gateway/src/core/services.rs
+++ b/crates/gateway/src/core/services.rs
@@ -28,6 +28,7 @@
         }
         self.removed_services = used;
         self.config = Some(Arc::new(config));
+        self.storage.builds.rescan(self.now);
         self.replace_quotas();
         self.update_pool_services();
     }
--- a/crates/gateway/src/core/storage/builds.rs
+++ b/crates/gateway/src/core/storage/builds.rs
@@ -85,8 +85,14 @@
         }
     }
 
+    /// The configuration has changed, so that other services may have streams that callers can take up.
+    pub(crate) fn rescan(&mut self, now: Time) {
+        self.next_scan = now;
+    }
+
     /// The store was restored from an older copy.
-    pub(super) fn handle_restore(&mut self) {
+    pub(super) fn handle_restore(&mut self, now: Time) {
+        self.rescan(now);
         for it in &mut self.services {
             it.record.handle_restore();
             it.call.iter_mut().for_each(|it| it.is_void = true);
@@ -199,8 +205,12 @@
             }
             (Reply::Got(None) | Reply::Conflict(None), _) => None,
             _ => {
-                service.wanted_since.get_or_insert(call.sent_at);
+                let name = service.name.clone();
                 service.next_at = now + RETRY_DELAY;
+                self.storage.builds.next_scan = now + RETRY_DELAY;
+                if self.awaits_builds(&name) {
+                    self.storage.builds.want_read(now, &name);
+                }
                 return;
             }
         };
--- a/crates/gateway/src/core/storage/era.rs
+++ b/crates/gateway/src/core/storage/era.rs
@@ -178,7 +178,7 @@
         }
         self.reregister();
         self.storage.quarantine.handle_restore(now);
-        self.storage.builds.handle_restore();
+        self.storage.builds.handle_restore(now);
         self.storage.journal.handle_restore();
         self.broadcast_membership();
     }
