--- a/crates/gateway/src/core/dispatch.rs
+++ b/crates/gateway/src/core/dispatch.rs
@@ -22,7 +22,7 @@
             is_new_prompt: exchange.info.model.is_some()
                 && exchange.ran_at.is_empty()
                 && !exchange.delivery.has_begun,
-            is_taken_up: exchange.is_taken_up(),
+            is_taken_up: exchange.is_resumable() && exchange.is_taken_up(),
         }
     }
 }
