--- a/crates/gateway/src/build/record.rs
+++ b/crates/gateway/src/build/record.rs
@@ -99,8 +99,8 @@
         is_current || self.announced_at.contains_key(&build)
     }
 
-    /// Another instance has sent a stream to a server of this build, so that it is recorded. This lets instances send
-    /// streams that the store doesn't answer.
+    /// Another instance has sent a stream to a server of this build, so that it is recorded. An instance that the store
+    /// doesn't answer can send streams there as well.
     pub fn record_announcement(&mut self, now: Time, build: Id) {
         self.announced_at.insert(build, now);
     }
