--- a/crates/gateway/src/core/ending.rs
+++ b/crates/gateway/src/core/ending.rs
@@ -101,6 +101,11 @@
             .text("server", &server)
             .ms("left_out_ms", left_out_ms)
             .number("last_event", exchange.delivery.last_event.unwrap_or(0))
+            .number("sends", exchange.attempts_made)
+            .number("moves", exchange.migrations)
+            .number("resends", exchange.resends)
+            .ms("gap_ms", self.now.since(exchange.delivery.last_sent))
+            .ms("left_ms", exchange.deadline.since(self.now))
             .ms("after_ms", self.now.since(exchange.arrived));
         self.stats.count_failure(&exchange.route);
         if !exchange.is_chunked() {
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -59,6 +59,8 @@
     pub(crate) attempts_made: u8,
     /// How often its stream was sent again after a server declined it.
     pub(crate) resends: u8,
+    /// How often its stream was migrated from a working server.
+    pub(crate) migrations: u8,
     /// How often it was handed over to another instance.
     pub(crate) handovers: u8,
     /// Servers that declined it or failed.
@@ -291,6 +293,7 @@
             ran_at: Vec::new(),
             attempts_made: 0,
             resends: 0,
+            migrations: 0,
             handovers: 0,
             excluded: Vec::new(),
             identity: OnceCell::new(),
--- a/crates/gateway/src/core/migration.rs
+++ b/crates/gateway/src/core/migration.rs
@@ -38,12 +38,15 @@
             {
                 return;
             }
-            if let Some(exchange) = self.exchanges.get(index) {
+            if let Some(exchange) = self.exchanges.get_mut(index) {
+                exchange.migrations = exchange.migrations.saturating_add(1);
                 self.log
                     .line(self.now, "moved")
                     .text("request", exchange.id())
                     .text("server", &self.pool.get(server).name)
-                    .number("last_event", exchange.delivery.last_event.unwrap_or(0));
+                    .number("last_event", exchange.delivery.last_event.unwrap_or(0))
+                    .ms("gap_ms", self.now.since(exchange.delivery.last_sent));
+                self.stats.count_migration("sent");
             }
             self.retry_elsewhere(index, REASON_LOADING);
         }
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -182,6 +182,11 @@
         metrics::counter!("shallotlead_hedges_total", "step" => step).increment(1);
     }
 
+    /// Counts a step of a stream's migration from a working server.
+    pub(crate) fn count_migration(&mut self, step: &'static str) {
+        metrics::counter!("shallotlead_migrations_total", "step" => step).increment(1);
+    }
+
     /// Records the error of the predicted time to the first token, which arrived after `took`.
     pub(crate) fn record_prediction(&self, expected_ms: f64, took: Duration) {
         self.first_token_error.record((expected_ms / 1e3 - took.as_secs_f64()).abs());
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -180,6 +180,11 @@
         hash::weight(&self.name, self.incarnation.unwrap_or_default())
     }
 
+    /// When it was last heard of: by this instance, or by another one that passed its load on.
+    pub(crate) fn last_heard(&self) -> Time {
+        self.load.map_or(self.heard_at, |it| it.1.max(self.heard_at))
+    }
+
     /// The version of `model`'s weights that it has.
     pub fn version(&self, model: &str) -> Option<u64> {
         self.models.iter().find(|it| *it.0 == *model).map(|it| it.1)
