Emulator: more than 255 instances

Deployments of the size of the users' largest site (295 instances) couldn't be played, as instances and servers were counted in a byte.

--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -23,11 +23,11 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Target {
     /// The instance with this index.
-    Instance(u8),
+    Instance(u16),
     /// The engine with this index.
-    Engine(u8),
+    Engine(u16),
     /// The plain server with this index.
-    Plain(u8),
+    Plain(u16),
     /// The platform's store.
     Store,
 }
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -19,7 +19,7 @@
 /// What is played.
 struct Options {
     is_stormy: bool,
-    instances: u8,
+    instances: u16,
     duration: Duration,
     seeds: std::ops::Range<u64>,
 }
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -19,11 +19,11 @@
     /// Seed of all that is drawn.
     pub seed: u64,
     /// Number of instances.
-    pub instances: u8,
+    pub instances: u16,
     /// Number of model engines.
-    pub engines: u8,
+    pub engines: u16,
     /// Number of plain servers.
-    pub plain: u8,
+    pub plain: u16,
     /// How long callers send requests.
     pub duration: Duration,
     /// Requests of all callers.
@@ -44,7 +44,7 @@
 
 impl Scenario {
     /// A calm deployment of `instances` instances.
-    pub fn calm(instances: u8, seed: u64) -> Self {
+    pub fn calm(instances: u16, seed: u64) -> Self {
         Self {
             seed,
             instances,
@@ -70,7 +70,7 @@
     }
 
     /// The same with a load, a retry budget and faults that are drawn by the seed. At the highest load the engines decline prompts.
-    pub fn stormy(instances: u8, seed: u64, duration: Duration) -> Self {
+    pub fn stormy(instances: u16, seed: u64, duration: Duration) -> Self {
         let mut scenario = Self { duration, ..Self::calm(instances, seed) };
         let mut rng = SmallRng::seed_from_u64(seed);
         scenario.requests_per_s = rng.random_range(20.0..160.0);
--- a/crates/emulator/tests/emulation.rs
+++ b/crates/emulator/tests/emulation.rs
@@ -18,9 +18,9 @@
 /// Seeds that are played for each size of the deployment.
 const SEEDS: u64 = 12;
 /// Seeds that have broken a promise, with the number of instances.
-const FAILED: [(u8, u64); 1] = [(3, 2032)];
+const FAILED: [(u16, u64); 1] = [(3, 2032)];
 
-fn calm(instances: u8, seed: u64) -> Report {
+fn calm(instances: u16, seed: u64) -> Report {
     let duration = Duration::from_secs(10);
     world::run(&Scenario { duration, ..Scenario::calm(instances, seed) })
 }
