Emulator: servers name their build

The emulated servers named none, so that each counted as a build of its own: no stream that had begun was ever sent to another engine, by a move, a hedge or a retry, and no check could see what becomes of it. All servers write the same events, so they name one build. The emulator's tests pass.

--- a/crates/emulator/src/backend/registration.rs
+++ b/crates/emulator/src/backend/registration.rs
@@ -8,6 +8,9 @@
     store::Objects,
 };
 
+/// The build of all servers: each writes the same events.
+const BUILD: &str = "1";
+
 /// The server's entry, written by the server and by faults.
 pub(crate) struct Registration {
     pub(crate) identity: Identity,
@@ -53,6 +56,7 @@
             centre: self.centre.clone(),
             is_draining: self.is_draining,
             models: identity.model.clone().into_iter().collect(),
+            build: Arc::from(BUILD),
             incarnation: identity.incarnation,
             sequence: self.sequence,
         };
--- a/crates/emulator/src/format.rs
+++ b/crates/emulator/src/format.rs
@@ -49,6 +49,7 @@
     pub(crate) centre: Arc<str>,
     pub(crate) is_draining: bool,
     pub(crate) models: Vec<(Arc<str>, u64)>,
+    pub(crate) build: Arc<str>,
     pub(crate) incarnation: Incarnation,
     pub(crate) sequence: u64,
 }
--- a/crates/emulator/src/format/adapter.rs
+++ b/crates/emulator/src/format/adapter.rs
@@ -267,7 +267,7 @@
             centre: it.centre,
             is_draining: it.is_draining,
             models: it.models,
-            build: None,
+            build: Some(it.build),
             incarnation: Some(it.incarnation),
             sequence: it.sequence,
         })
