Emulator: streams that are broken off while their server lives are counted

An instance that ends a stream in the middle breaks none of the checked promises: the caller takes it up elsewhere, at the cost of another request. A stream that has begun at its caller and is ended by its instance before its deadline, while a server that had run it lived and the instance was neither killed, frozen nor cut off, is now counted in the report. Where nothing happens but silences of engines of at most 1.4 s, configurations and new weights, it breaks a promise. Silent servers count as living.

--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -152,6 +152,14 @@
         }
     }
 
+    /// Ends an attempt whose connection was closed by its instance.
+    fn end_closed(&mut self, now: Time, connection: Id) {
+        if let Some(it) = self.flights.get(&connection).filter(|it| it.is_running(now)) {
+            self.ledger.broken_off(now, &it.id, it.instance, it.sent);
+        }
+        self.end(now, connection, End::Broken);
+    }
+
     fn retry(&mut self, now: Time, flight: Flight, end: End) {
         let is_safe = matches!(end, End::Refused(_) | End::Unconnected)
             || flight.request.kind.is_repeatable();
@@ -209,11 +217,12 @@
         for event in self.sockets.poll() {
             match event {
                 Event::Input(id) => self.read(now, id),
-                Event::Closed(id) => self.end(now, id, End::Broken),
+                Event::Closed(id) => self.end_closed(now, id),
                 Event::Failed(id, ErrorKind::ConnectionRefused) => {
                     self.end(now, id, End::Unconnected);
                 }
-                Event::Failed(id, _) => self.end(now, id, End::Broken),
+                Event::Failed(id, ErrorKind::TimedOut) => self.end(now, id, End::Broken),
+                Event::Failed(id, _) => self.end_closed(now, id),
             }
         }
         self.end_overdue(now);
--- a/crates/emulator/src/caller/flight.rs
+++ b/crates/emulator/src/caller/flight.rs
@@ -55,6 +55,13 @@
         }
     }
 
+    /// Whether it is a stream that has begun and whose deadline isn't over.
+    pub(super) fn is_running(&self, now: Time) -> bool {
+        self.request.kind.is_stream()
+            && self.first_event.is_some()
+            && now < self.sent + self.deadline()
+    }
+
     /// When it counts as unanswered.
     pub(super) fn gives_up_at(&self) -> Time {
         self.sent + self.deadline() + SILENCE_MARGIN
--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -14,6 +14,8 @@
 /// Longest time that a fault lasts, ms.
 const LONGEST_MS: u64 = 8_000;
 const LONGEST_FREEZE_MS: u64 = 4_000;
+/// Longest time that a sound server falls silent.
+const LONGEST_SOUND_SILENCE: Duration = Duration::from_millis(1_400);
 /// Longest step of a wall clock, ms.
 const CLOCK_STEP_MS: i64 = 400;
 /// Time that a process has to end by itself.
@@ -32,6 +34,17 @@
     Store,
 }
 
+impl Target {
+    /// The name of a backend server.
+    pub(crate) fn server_name(self) -> Option<String> {
+        match self {
+            Self::Engine(it) => Some(format!("e{it}")),
+            Self::Plain(it) => Some(format!("p{it}")),
+            Self::Instance(_) | Self::Store => None,
+        }
+    }
+}
+
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Harm {
@@ -68,6 +81,17 @@
     pub lasts: Duration,
 }
 
+impl Fault {
+    /// Whether it is part of usual operation, so that no stream may be lost to it.
+    pub(crate) fn is_usual(&self) -> bool {
+        match self.harm {
+            Harm::Freeze(Target::Engine(_)) => self.lasts <= LONGEST_SOUND_SILENCE,
+            Harm::Configuration | Harm::Weights => true,
+            _ => false,
+        }
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { harm, at, lasts } = self;
--- a/crates/emulator/src/ledger.rs
+++ b/crates/emulator/src/ledger.rs
@@ -114,6 +114,8 @@
     pub(crate) arrivals: u32,
     pub(crate) runs: u32,
     pub(crate) is_refused: bool,
+    /// The servers that have run it.
+    servers: Vec<Box<str>>,
 }
 
 /// What was counted.
@@ -142,6 +144,10 @@
     pub(crate) fence: u64,
     /// Times in which instances and the store were killed, frozen or cut off.
     pub(crate) disturbances: Vec<(IpAddr, Time, Time)>,
+    /// Times in which servers were killed or cut off.
+    pub(crate) outages: Vec<(String, Time, Time)>,
+    /// Attempts whose streams were broken off while a server that had run them lived.
+    pub(crate) broken_off: Vec<(Time, Box<str>)>,
 }
 
 impl Records {
@@ -188,6 +194,7 @@
             let runs = *runs;
             let attempt = records.attempts.entry(id.into()).or_default();
             attempt.runs += 1;
+            attempt.servers.push(server.into());
             (runs, attempt.is_refused)
         };
         if !request.0.is_repeatable() && 1 < runs {
@@ -249,6 +256,34 @@
         }
     }
 
+    /// An instance has ended a caller's connection in the middle of a stream.
+    pub(crate) fn broken_off(&self, at: Time, id: &str, instance: SocketAddr, sent: Time) {
+        let mut records = self.records.borrow_mut();
+        let overlaps = |from: Time, to: Time| from <= at && sent <= to;
+        let mut disturbances = records.disturbances.iter();
+        let is_disturbed = disturbances.any(|it| it.0 == instance.ip() && overlaps(it.1, it.2));
+        let has_lived =
+            |server: &str| !records.outages.iter().any(|it| it.0 == server && overlaps(it.1, it.2));
+        let servers = records.attempts.get(id).map_or(&[][..], |it| &it.servers);
+        let survivor = servers.iter().find(|it| has_lived(it));
+        if let Some(server) = survivor.filter(|_| !is_disturbed) {
+            self.journal.line(at, "check", format_args!("broken off {id}, which {server} has run"));
+            records.broken_off.push((at, id.into()));
+        }
+    }
+
+    /// Reports the streams that were broken off, of a scenario without anything to which one may be lost.
+    pub(crate) fn check_broken_off_streams(&self) {
+        let broken_off = self.records.borrow().broken_off.clone();
+        for (at, id) in broken_off {
+            self.violation(
+                at,
+                "a stream that has begun is finished while its server lives",
+                id.into(),
+            );
+        }
+    }
+
     /// A caller's attempt has ended.
     pub(crate) fn ended(&self, at: Time, id: &str, end: End) {
         self.journal.line(at, "callers", format_args!("{id} {end:?}"));
--- a/crates/emulator/src/ledger/tests.rs
+++ b/crates/emulator/src/ledger/tests.rs
@@ -1,5 +1,7 @@
 //! Checks that never fail would show nothing.
 
+use std::net::SocketAddr;
+
 use shallotlead_base::time::Time;
 
 use super::{End, Kind, Ledger};
@@ -50,3 +52,18 @@
     [1, 2, 2, 1].into_iter().for_each(|it| ledger.ordered(Time::ZERO, "server", it));
     assert_eq!(promises(&ledger), ["orders have one effective holder"]);
 }
+
+#[test]
+fn stream_that_is_broken_off_is_reported_if_its_server_and_its_instance_lived() {
+    let instances = [1, 2].map(|it| SocketAddr::from(([10, 0, 0, it], 80)));
+    let [sent, killed, at] = [0, 1, 2].map(Time::from_millis);
+    let ledger = Ledger::new(Journal::default());
+    ledger.records.borrow_mut().disturbances.push((instances[1].ip(), killed, killed));
+    ledger.records.borrow_mut().outages.push(("killed".to_owned(), killed, killed));
+    for (id, server) in [("first", "killed"), ("second", "alive")] {
+        ledger.ran(sent, server, id, (Kind::Resumable, 1));
+        instances.into_iter().for_each(|it| ledger.broken_off(at, id, it, sent));
+    }
+    ledger.check_broken_off_streams();
+    assert_eq!(promises(&ledger), ["a stream that has begun is finished while its server lives"]);
+}
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -26,6 +26,8 @@
     pub refusals: u64,
     /// Requests that servers declined.
     pub declined: u64,
+    /// Streams that their instances broke off while a server that had run them lived.
+    pub broken_off_streams: u64,
     /// Median of the time to the first event of answered prompts.
     pub first_event_p50: Duration,
     /// The 99th percentile of it.
@@ -52,6 +54,7 @@
         failed: records.failed,
         refusals: records.refusals,
         declined: records.declined,
+        broken_off_streams: records.broken_off.len() as u64,
         first_event_p50: percentile(50),
         first_event_p99: percentile(99),
         prefilled: records.prefilled_tokens as f64 / records.prompt_tokens.max(1) as f64,
@@ -65,8 +68,14 @@
         let ms = |it: Duration| it.as_secs_f64() * 1e3;
         writeln!(
             f,
-            "seed {}: {} requests, {} answered, {} given up; {} attempts refused, {} declined by servers",
-            self.seed, self.requests, self.answered, self.failed, self.refusals, self.declined
+            "seed {}: {} requests, {} answered, {} given up; {} attempts refused, {} declined by servers, {} streams broken off",
+            self.seed,
+            self.requests,
+            self.answered,
+            self.failed,
+            self.refusals,
+            self.declined,
+            self.broken_off_streams
         )?;
         writeln!(
             f,
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -82,4 +82,9 @@
         scenario.faults = fault::draw(&mut rng, &scenario);
         scenario
     }
+
+    /// Whether nothing happens to which a stream may be lost.
+    pub(crate) fn is_usual(&self) -> bool {
+        self.loss == 0.0 && self.faults.iter().all(Fault::is_usual)
+    }
 }
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -53,6 +53,9 @@
     let mut world = World::open(scenario);
     world.play(ORIGIN + scenario.duration);
     budget::check(&world.ledger, scenario.retries);
+    if scenario.is_usual() {
+        world.ledger.check_broken_off_streams();
+    }
     report::of(scenario, world.clock.now().since(ORIGIN), &world.ledger)
 }
 
@@ -140,6 +143,7 @@
         self.ledger.journal.line(now, "fault", format_args!("{index} {word}: {harm:?}"));
         if begins {
             self.record_disturbance(harm, now, lasts);
+            self.record_outage(harm, now, lasts);
         }
         match harm {
             Harm::Kill(target) => self.kill(target, begins),
@@ -189,6 +193,18 @@
         }
     }
 
+    /// Records from when to when servers are killed or cut off. A silent one lives.
+    fn record_outage(&mut self, harm: Harm, now: Time, lasts: Duration) {
+        let targets = match harm {
+            Harm::Kill(it) | Harm::Restart(it) => vec![it],
+            Harm::Cut(from, to) => vec![from, to],
+            _ => Vec::new(),
+        };
+        for server in targets.into_iter().filter_map(Target::server_name) {
+            self.ledger.records.borrow_mut().outages.push((server, now, now + lasts));
+        }
+    }
+
     fn kill(&mut self, target: Target, begins: bool) {
         let host = self.deployment.host(target);
         match begins {
--- a/crates/emulator/src/world/deployment.rs
+++ b/crates/emulator/src/world/deployment.rs
@@ -153,12 +153,12 @@
                 Box::new(Store::listen(handle, address, self.objects.clone(), latency))
             }
             Role::Part(Target::Instance(_)) => self.spawn_instance(handle, seed),
-            Role::Part(Target::Engine(it)) => {
+            Role::Part(target @ Target::Engine(_)) => {
                 let model = Some((Arc::from(MODEL), self.weights));
-                self.spawn_server(handle, seed, format!("e{it}"), Kind::Stream, model)
+                self.spawn_server(handle, seed, target, Kind::Stream, model)
             }
-            Role::Part(Target::Plain(it)) => {
-                self.spawn_server(handle, seed, format!("p{it}"), Kind::Once, None)
+            Role::Part(target @ Target::Plain(_)) => {
+                self.spawn_server(handle, seed, target, Kind::Once, None)
             }
         }
     }
@@ -181,12 +181,12 @@
         &mut self,
         handle: Handle,
         seed: u64,
-        name: String,
+        target: Target,
         kind: Kind,
         model: Option<(Arc<str>, u64)>,
     ) -> Box<dyn Process> {
         let identity = Identity {
-            name: Arc::from(name),
+            name: Arc::from(target.server_name().unwrap_or_default()),
             service: Arc::from(kind.service()),
             address: SocketAddr::new(ip(handle.host), 80),
             incarnation: self.clock.now().as_millis(),
