Emulator: silences of most engines beside new weights (fails)

The incident's picture in virtual time: three fifths of the engines fall silent for a second, a configuration is published, and new weights 0.4 s later, twice in 14 s. Engines are small, so that those that wake decline what came meanwhile. The test asserts that no stream that has begun is broken off, and prints where streams were sent.

--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -2,17 +2,23 @@
 
 use std::time::Duration;
 
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 use shallotlead_gateway::budget;
 
 use crate::{
     backend::Power,
-    fault::{self, Fault},
+    fault::{self, Fault, Harm, Target},
 };
 
 /// The model of all engines.
 pub(crate) const MODEL: &str = "m";
 
+/// When most engines fall silent in [`Scenario::silent`], and for how long.
+const SILENCES: [Duration; 2] = [Duration::from_secs(6), Duration::from_secs(10)];
+const SILENCE: Duration = Duration::from_secs(1);
+/// When new weights are published after that.
+const WEIGHTS_AFTER: Duration = Duration::from_millis(400);
+
 /// A deployment, its load and its faults.
 #[derive(Clone, Debug)]
 pub struct Scenario {
@@ -83,6 +89,44 @@
         scenario
     }
 
+    /// A deployment of long streams on small engines. Twice, three fifths of the engines fall silent for a second, a
+    /// configuration is published, and then new weights.
+    pub fn silent(instances: u16, seed: u64) -> Self {
+        let calm = Self::calm(instances, seed);
+        let engines = 8 + instances * 2 / 5;
+        let power = Power {
+            slots: 16,
+            queue: 1,
+            prefill: Duration::from_micros(20),
+            decode: Duration::from_millis(100),
+            ..calm.power
+        };
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut faults = Vec::new();
+        for at in SILENCES {
+            let silent = (0..engines).choose_multiple(&mut rng, usize::from(engines) * 3 / 5);
+            let freezes = silent.into_iter().map(|it| Harm::Freeze(Target::Engine(it)));
+            faults.extend(freezes.map(|harm| Fault { harm, at, lasts: SILENCE }));
+            let lasts = Duration::ZERO;
+            faults.push(Fault { harm: Harm::Configuration, at, lasts });
+            faults.push(Fault { harm: Harm::Weights, at: at + WEIGHTS_AFTER, lasts });
+        }
+        Self {
+            engines,
+            prefixes: 4 * u64::from(engines),
+            power,
+            faults,
+            retries: budget::Policy {
+                ratio: 0.1,
+                window: Duration::from_secs(2),
+                slack: 8.0 * f64::from(instances),
+            },
+            duration: Duration::from_secs(14),
+            requests_per_s: 12.0 * f64::from(engines),
+            ..calm
+        }
+    }
+
     /// Whether nothing happens to which a stream may be lost.
     pub(crate) fn is_usual(&self) -> bool {
         self.loss == 0.0 && self.faults.iter().all(Fault::is_usual)
