--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -36,6 +36,7 @@
 mod signals;
 mod stall;
 mod staleness;
+mod standby;
 mod state;
 mod stats;
 mod storage;
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -12,12 +12,12 @@
         attempt::Attempt,
         build::{Binding, Evidence},
         check::Check,
-        hedge::Standby,
         quota::QuotaWait,
         rate_limit::PermitWait,
         refusal::Refusal,
         reply::Reply,
         retry::Retry,
+        standby::Standby,
     },
     http::{
         head::{Request, Response},
