A stream that is moved for weights stays open at its server until the next one has sent an event

Callers saw: a stream was broken off in the middle, though the server that had run it would have gone on (LOST beside a change of the configuration, as weights were named within a silence of other servers).

Cause: release before reserve. A move closed the first server's connection and then looked for another one, which could be silent, full or about to load.

Change: a move is a second attempt beside the first one, as for servers that don't respond. If the second one declines, breaks or sends nothing, what was held back is delivered and the first run goes on. Only servers that are expected to bring an event in that time are chosen, and a stream that can't move yet is considered again while its server is about to load.

--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -166,7 +166,7 @@
             self.handle_broken_attempt(index, "unsigned");
             return false;
         }
-        self.settle_hedge(index);
+        self.settle_standby(index);
         self.begin_stream(index);
         let Some(exchange) = self.exchanges.get_mut(index) else { return false };
         exchange.delivery.is_passed_through = true;
@@ -204,7 +204,7 @@
         }
         delivery.last_event = last_event;
         if !bytes.is_empty() {
-            self.settle_hedge(index);
+            self.settle_standby(index);
         }
         if is_first {
             self.bind_to_attempt(index);
@@ -348,7 +348,7 @@
         let framing = self.exchanges.get(index).and_then(Exchange::reply);
         let framing = framing.map_or("", |it| it.head.framing.name());
         self.record_handover(index);
-        self.settle_hedge(index);
+        self.settle_standby(index);
         let attempt = self.release_attempt(index, false);
         let Some(exchange) = self.exchanges.try_remove(index) else { return };
         if exchange.delivery.has_begun && exchange.is_chunked() {
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts: sending a request to one backend server.
 
-use std::time::Duration;
+use std::{io::ErrorKind, time::Duration};
 
 use shallotlead_base::time::Time;
 
@@ -58,6 +58,12 @@
     pub(crate) is_kept: bool,
     /// Set where the server is at risk from rejections.
     pub(crate) unsettled: Option<Serial>,
+    /// Whether the stream is considered for migration to another server.
+    pub(crate) migration_check: Check,
+    /// Whether input was held back that is still to be handled.
+    pub(crate) is_held_back: bool,
+    /// How its connection ended while it was held back.
+    pub(crate) held_end: Option<Option<ErrorKind>>,
 }
 
 impl Attempt {
@@ -84,6 +90,9 @@
             hedge_check: Check::AT_ONCE,
             is_kept: false,
             unsettled: None,
+            migration_check: Check::default(),
+            is_held_back: false,
+            held_end: None,
         }
     }
 
--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -129,8 +129,8 @@
         entry.connections < share
     }
 
-    /// Makes the attempt on the connection the current one of its exchange. Returns whether it is; a connection that
-    /// belongs to no attempt is closed.
+    /// Makes the attempt on the connection the current one of its exchange, unless it is held back. Returns whether it is;
+    /// a connection that belongs to no attempt is closed.
     fn focus_backend(&mut self, key: Key) -> bool {
         let Some(Role::Backend(Backend { exchange: Some(index), server, .. })) =
             self.roles.get(&key)
@@ -138,6 +138,9 @@
             return true;
         };
         let (index, server) = (*index, *server);
+        if self.is_held_back(index, key) {
+            return false;
+        }
         self.focus_connection(index, key);
         let exchange = self.exchanges.get(index);
         let attempt = exchange.and_then(|it| it.attempt.as_ref());
@@ -281,6 +284,12 @@
     /// Handles a connection to a server that ended. `kind` is the error, or `None` if the server closed it
     /// properly.
     pub(crate) fn handle_backend_end(&mut self, key: Key, kind: Option<ErrorKind>) {
+        if let Some(Role::Backend(Backend { exchange: Some(index), .. })) = self.roles.get(&key)
+            && self.is_held_back(*index, key)
+        {
+            self.hold_back_end(*index, kind);
+            return;
+        }
         if !self.focus_backend(key) {
             return;
         }
--- a/crates/gateway/src/core/build.rs
+++ b/crates/gateway/src/core/build.rs
@@ -273,15 +273,6 @@
         }
     }
 
-    /// Whether a server other than `server` could take the stream that has begun there.
-    pub(crate) fn has_other_server(&self, exchange: &Exchange, server: pool::Id) -> bool {
-        let build = exchange.binding.build();
-        let mut others = self.pool.usable(&exchange.service).filter(|it| it.0 != server);
-        others.any(|(_, it)| {
-            it.is_available(self.now) && build.is_none_or(|build| build == it.build_id)
-        })
-    }
-
     pub(crate) fn sweep_streams(&mut self) {
         let retention = self.stream_lifetime.retention(self.now);
         self.streams.expire(self.now, retention);
--- a/crates/gateway/src/core/failure.rs
+++ b/crates/gateway/src/core/failure.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    core::{Core, copy, refusal::Refusal, reply::Reply},
+    core::{Core, copy, exchange::Exchange, refusal::Refusal, reply::Reply},
     placement::Shortage,
     pool::Switch,
     quarantine::Verdict,
@@ -170,6 +170,12 @@
                 return;
             }
         }
+        let has_other_run = |it: &Exchange| it.delivery.has_begun && it.standby.is_some();
+        if self.exchanges.get(index).is_some_and(has_other_run) {
+            self.release_attempt(index, true);
+            self.resume_standby(index);
+            return;
+        }
         // A suspected request might crash the server that has its copy as well.
         let continues = match self.quarantine_verdict(index) {
             Verdict::Clear => {
--- a/crates/gateway/src/core/hedge.rs
+++ b/crates/gateway/src/core/hedge.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::{
-    core::{Core, ejection::REASON_UNRESPONSIVE},
+    core::{Core, ejection::REASON_UNRESPONSIVE, standby::Cause},
     placement::Choice,
     pool,
     quarantine::Verdict,
@@ -49,10 +49,11 @@
     /// takes it at once, and the retry budget allows it. `within`: only if its first token is expected by then. Returns
     /// whether it was sent.
     pub(crate) fn hedge(&mut self, index: usize, within: Option<Duration>) -> bool {
-        match self.choose_second(index, within) {
+        match self.choose_second(index, within, REASON_UNRESPONSIVE) {
             Ok(choice) => {
                 self.record_silent_run(index);
-                self.set_aside(index);
+                self.log_hedged(index);
+                self.set_aside(index, Cause::Unresponsive);
                 self.send_attempt(index, &choice);
                 true
             }
@@ -63,11 +64,12 @@
         }
     }
 
-    /// The server for a second attempt, if one may be made now.
-    fn choose_second(
+    /// The server for a second attempt, if one may be made now. Takes the permit and the retry that it needs.
+    pub(super) fn choose_second(
         &mut self,
         index: usize,
         within: Option<Duration>,
+        reason: &'static str,
     ) -> Result<Choice, &'static str> {
         let exchange = self.exchanges.get(index).ok_or("ended")?;
         let attempt = exchange.attempt.as_ref().ok_or("ended")?;
@@ -87,7 +89,7 @@
         if within.is_some_and(|it| it < choice.first_token()) {
             return Err("slower");
         }
-        let retry = self.offer_retry(index, REASON_UNRESPONSIVE);
+        let retry = self.offer_retry(index, reason);
         if !retry.is_covered() {
             return Err("no-budget");
         }
@@ -98,6 +100,22 @@
         Ok(choice)
     }
 
+    fn log_hedged(&mut self, index: usize) {
+        let Some(exchange) = self.exchanges.get(index) else { return };
+        let Some(attempt) = &exchange.attempt else { return };
+        let server = self.pool.get(attempt.server);
+        let silence = server.health.unresponsive_for(self.now).unwrap_or_default();
+        self.log
+            .line(self.now, "hedged")
+            .text("request", exchange.id())
+            .text("server", &server.name)
+            .number("has_begun", exchange.delivery.has_begun)
+            .number("last_event", exchange.delivery.last_event.unwrap_or(0))
+            .ms("silent_ms", silence)
+            .ms("sent_ms", self.now.since(attempt.sent));
+        self.stats.count_hedge("sent");
+    }
+
     /// Logs, once for each attempt, why a request stays at a server that doesn't respond.
     fn log_kept(&mut self, index: usize, reason: &'static str) {
         let Some(exchange) = self.exchanges.get(index) else { return };
--- a/crates/gateway/src/core/quarantine.rs
+++ b/crates/gateway/src/core/quarantine.rs
@@ -284,12 +284,6 @@
             })
     }
 
-    /// Whether the request or a part of its prompt is in quarantine.
-    pub(crate) fn is_quarantined(&self, exchange: &Exchange) -> bool {
-        self.tracked(exchange)
-            .any(|it| self.quarantine.verdict(self.now, it) == Verdict::Quarantined)
-    }
-
     /// What is tracked of the request at `index`.
     fn tracked_identities(&self, index: usize) -> Vec<Identity> {
         let exchange = self.exchanges.get(index);
--- a/crates/gateway/src/core/time_limit.rs
+++ b/crates/gateway/src/core/time_limit.rs
@@ -54,12 +54,16 @@
             self.handle_unrun_attempt(index, "connect-timeout", true);
             return;
         }
+        if self.release_held_back(index) {
+            return;
+        }
         self.expire_standby(index);
         if self.withdraw_stale(index) {
             return;
         }
         self.hedge_unresponsive(index);
         self.check_stall(index);
+        self.migrate_if_due(index);
         let Some(exchange) = self.exchanges.get(index) else { return };
         let Some(attempt) = exchange.attempt.as_ref().filter(|it| it.reply.is_none()) else {
             return;
