Moves of streams spend at most 0.4 of an instance's retry budget

Callers saw: streams that were declined where they had been moved to found the budget spent (no_budget, 0.69 to 0.97 left) and were broken off 1.2 s later.

Cause: moves, which are the instance's own wish, drew on the same 0.8 of the budget as requests in need, and only three retries were held back for a whole service.

Change: a purpose of its own for moves, which is refused past 0.4 of what the instance may spend. A move also leaves one retry for each resumable stream that is open at the instance, as all of them may lose their server.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -16,16 +16,20 @@
 const WINDOW_WEIGHT: f64 = 0.6;
 const EARLIER_WEIGHT: f64 = 1.0 - WINDOW_WEIGHT;
 /// Fraction of the budget for requests whose callers have received nothing yet. The rest is reserved for streams that
-/// have begun.
+/// have lost their server.
 const REQUEST_FRACTION: f64 = 0.8;
+/// Fraction of the budget for streams that could also stay where they are.
+const MIGRATION_FRACTION: f64 = 0.4;
 
 /// What a retry is for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Purpose {
     /// A request whose caller has received nothing yet.
     Request,
-    /// A stream that has begun.
+    /// A stream that has begun, and whose server is lost or doesn't respond.
     Stream,
+    /// A stream that has begun, and whose server works.
+    Migration,
 }
 
 /// The operator's settings for retries.
@@ -134,6 +138,7 @@
         let fraction = match purpose {
             Purpose::Request => REQUEST_FRACTION,
             Purpose::Stream => 1.0,
+            Purpose::Migration => MIGRATION_FRACTION,
         };
         let (span, Policy { ratio, window, slack }) = (self.span(), self.policy);
         self.bucket(now, service);
--- a/crates/gateway/src/core/migration.rs
+++ b/crates/gateway/src/core/migration.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 use crate::{
+    budget::Purpose,
     core::{
         Core,
         exchange::Exchange,
@@ -56,7 +57,7 @@
     /// Sends the stream to a second server, to continue there. Returns false if it stays for now.
     fn migrate(&mut self, index: usize) -> bool {
         let is_worthwhile = self.exchanges.get(index).is_some_and(|it| self.is_worth_migrating(it));
-        if !is_worthwhile || self.is_backpressured(index) {
+        if !is_worthwhile || self.is_backpressured(index) || !self.has_spare_retry(index) {
             return false;
         }
         let Ok(choice) = self.choose_second(index, Some(MAX_STREAM_OVERLAP), REASON_LOADING) else {
@@ -77,6 +78,17 @@
         true
     }
 
+    /// Whether the retry budget would still cover all open streams of the service, if they lost their servers.
+    fn has_spare_retry(&mut self, index: usize) -> bool {
+        let Some(service) = self.exchanges.get(index).map(|it| it.service.clone()) else {
+            return false;
+        };
+        let streams = self.exchanges.iter().filter(|it| it.1.service == service);
+        let open = streams.filter(|it| it.1.is_migratable()).count();
+        let share = self.retry_share();
+        open as f64 + 1.0 <= self.budget.remaining(self.now, &service, share, Purpose::Stream)
+    }
+
     /// Weighs the prefill that the stream would cost another server against the time that it is expected to
     /// run on at this one.
     fn is_worth_migrating(&self, exchange: &Exchange) -> bool {
--- a/crates/gateway/src/core/retry_budget.rs
+++ b/crates/gateway/src/core/retry_budget.rs
@@ -90,7 +90,8 @@
 
     fn retry_purpose(&self, index: usize, reason: &'static str) -> Purpose {
         let has_begun = self.exchanges.get(index).is_some_and(|it| it.delivery.has_begun);
-        match has_begun && reason != REASON_LOADING {
+        match has_begun {
+            _ if reason == REASON_LOADING => Purpose::Migration,
             true => Purpose::Stream,
             false => Purpose::Request,
         }
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -54,6 +54,20 @@
     assert!(draw(&mut budget, at(0), &service, SHARE, Purpose::Stream));
 }
 
+// Streams that migrate from working servers used up what streams that had lost theirs needed a second later.
+#[test]
+fn migrations_leave_half_of_the_budget_to_requests_in_need() {
+    let service: Arc<str> = Arc::from("s");
+    let mut budget = Budget::new(POLICY);
+    for ms in 0..1_000 {
+        budget.count_request(at(ms), &service);
+    }
+    let allowed = budget.remaining(at(1_000), &service, SHARE, Purpose::Stream);
+    while draw(&mut budget, at(1_000), &service, SHARE, Purpose::Migration) {}
+    let left = budget.remaining(at(1_000), &service, SHARE, Purpose::Stream);
+    assert!(allowed / 2.0 <= left, "{left} of {allowed}");
+}
+
 proptest! {
     #[test]
     fn services_have_separate_budgets(count in 1usize..200) {
