A stream at a server that doesn't respond leaves it only for an event of the next one

Callers saw: streams broken off as `full` within a silence of a second, though their server went on 0.4 s after it had been left.

Cause: release before reserve. A hedged stream that had begun left its first server 0.25 s after the second sending, whether or not anything had come from the second one, which was silent too or declined it.

Change: the first attempt stays until either brings something. The second one's first event withdraws the first run, so that both generate side by side for no longer than that event is under way.

--- a/crates/gateway/src/core/migration.rs
+++ b/crates/gateway/src/core/migration.rs
@@ -9,16 +9,15 @@
 
 use crate::{
     budget::Purpose,
-    core::{
-        Core,
-        exchange::Exchange,
-        standby::{Cause, MAX_STREAM_OVERLAP},
-    },
+    core::{Core, exchange::Exchange, standby::Cause},
     pool, rollout,
 };
 
 /// Why a stream is migrated from a working server; it may also stay there.
 pub(super) const REASON_LOADING: &str = "loading";
+/// For how long what the first server sends is held back while the second one is to send an event. The first one works
+/// on meanwhile, and its caller waits.
+const MAX_HANDOFF_TIME: Duration = Duration::from_millis(250);
 /// Time over which the instances spread the migrations from a server that they hear of in the same moment.
 const SPREAD: Duration = Duration::from_millis(100);
 /// Interval at which a stream is considered again that couldn't be migrated.
@@ -60,7 +59,7 @@
         if !is_worthwhile || self.is_backpressured(index) || !self.has_spare_retry(index) {
             return false;
         }
-        let Ok(choice) = self.choose_second(index, Some(MAX_STREAM_OVERLAP), REASON_LOADING) else {
+        let Ok(choice) = self.choose_second(index, Some(MAX_HANDOFF_TIME), REASON_LOADING) else {
             return false;
         };
         let Some(exchange) = self.exchanges.get_mut(index) else { return false };
@@ -73,7 +72,7 @@
             .number("last_event", exchange.delivery.last_event.unwrap_or(0))
             .ms("gap_ms", self.now.since(exchange.delivery.last_sent));
         self.stats.count_migration("sent");
-        self.set_aside(index, Cause::Migration);
+        self.set_aside(index, Cause::Migration { until: self.now + MAX_HANDOFF_TIME });
         self.send_attempt(index, &choice);
         true
     }
--- a/crates/gateway/src/core/standby.rs
+++ b/crates/gateway/src/core/standby.rs
@@ -10,8 +10,6 @@
     pool,
 };
 
-/// For how long a stream that has begun may be open at two servers. Past it, both could generate the same events.
-pub(super) const MAX_STREAM_OVERLAP: Duration = Duration::from_millis(250);
 /// Delay until the checks of an attempt that is the only one again.
 const CHECK_DELAY: Duration = Duration::from_millis(100);
 
@@ -21,8 +19,6 @@
     /// Received bytes of its answer that aren't sent to the caller.
     pending: Vec<u8>,
     cause: Cause,
-    /// When it is over that both are open, even if the second attempt hasn't brought anything.
-    until: Time,
 }
 
 /// Why there is a second attempt.
@@ -30,32 +26,28 @@
 pub(crate) enum Cause {
     /// The first server doesn't respond. If it does, its attempt is the current one again.
     Unresponsive,
-    /// The stream migrates. What the first server sends meanwhile is held back, as the second one continues after the
+    /// The stream migrates. What the first server sends until then is held back, as the second one continues after the
     /// last event that was sent before.
-    Migration,
+    Migration { until: Time },
 }
 
 impl Core {
     /// Keeps the current attempt open beside the next one.
     pub(crate) fn set_aside(&mut self, index: usize, cause: Cause) {
-        let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
         let Some(attempt) = exchange.attempt.take() else { return };
         exchange.excluded.push(attempt.server);
         let pending = std::mem::take(&mut exchange.delivery.pending);
-        let (has_begun, serial) = (exchange.delivery.has_begun, exchange.serial);
-        let until = if has_begun { now + MAX_STREAM_OVERLAP } else { Time::MAX };
-        exchange.standby = Some(Standby { attempt, pending, cause, until });
-        if has_begun {
+        exchange.standby = Some(Standby { attempt, pending, cause });
+        if let Cause::Migration { until } = cause {
+            let serial = exchange.serial;
             self.set_timer(until, Timer::Exchange(index, serial));
         }
     }
 
     /// Makes the attempt on this connection the current one, if it is a standby of its exchange that isn't held back.
     pub(crate) fn focus_connection(&mut self, index: usize, connection: Key) {
-        self.focus_where(index, |it| {
-            it.attempt.connection == connection && it.cause != Cause::Migration
-        });
+        self.focus_where(index, |it| it.attempt.connection == connection && !it.is_held_back());
     }
 
     /// Makes the attempt at `server` the current one, if it is a standby.
@@ -66,18 +58,17 @@
     fn focus_where(&mut self, index: usize, is_wanted: impl Fn(&Standby) -> bool) {
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
         let standby = exchange.standby.take_if(|it| is_wanted(it));
-        let Some(Standby { attempt, pending, until, .. }) = standby else { return };
+        let Some(Standby { attempt, pending, .. }) = standby else { return };
         let before = exchange.attempt.replace(attempt);
         let pending = std::mem::replace(&mut exchange.delivery.pending, pending);
         let cause = Cause::Unresponsive;
-        exchange.standby = before.map(|attempt| Standby { attempt, pending, cause, until });
+        exchange.standby = before.map(|attempt| Standby { attempt, pending, cause });
     }
 
     /// Whether what arrives on the connection is held back while another server may take over the stream.
     pub(crate) fn is_held_back(&self, index: usize, connection: Key) -> bool {
         let standby = self.exchanges.get(index).and_then(|it| it.standby.as_ref());
-        standby
-            .is_some_and(|it| it.cause == Cause::Migration && it.attempt.connection == connection)
+        standby.is_some_and(|it| it.attempt.connection == connection && it.is_held_back())
     }
 
     /// Records the end of a connection that is held back, to be handled if its attempt becomes the current one again.
@@ -95,12 +86,12 @@
             return false;
         };
         let attempt = exchange.attempt.insert(attempt);
-        attempt.is_held_back = cause == Cause::Migration;
+        attempt.is_held_back = cause != Cause::Unresponsive;
         exchange.delivery.pending = pending;
         let serial = exchange.serial;
         let delay = match cause {
             Cause::Unresponsive => CHECK_DELAY,
-            Cause::Migration => Duration::ZERO,
+            Cause::Migration { .. } => Duration::ZERO,
         };
         self.count_standby(cause, "returned");
         self.set_timer(self.now + delay, Timer::Exchange(index, serial));
@@ -134,7 +125,7 @@
         };
         let line = match cause {
             Cause::Unresponsive => "hedge_settled",
-            Cause::Migration => "move_settled",
+            Cause::Migration { .. } => "move_settled",
         };
         self.log
             .line(self.now, line)
@@ -149,7 +140,7 @@
     fn count_standby(&mut self, cause: Cause, step: &'static str) {
         match cause {
             Cause::Unresponsive => self.stats.count_hedge(step),
-            Cause::Migration => self.stats.count_migration(step),
+            Cause::Migration { .. } => self.stats.count_migration(step),
         }
     }
 
@@ -159,19 +150,16 @@
         self.release_attempt(index, true);
     }
 
-    /// Ends the time in which a stream that has begun is open at two servers, and withdraws an earlier attempt that would
-    /// begin too late on replaced weights.
+    /// Returns to the first server of a stream whose next one hasn't sent an event in time, and withdraws an earlier
+    /// attempt that would begin too late on replaced weights.
     pub(crate) fn expire_standby(&mut self, index: usize) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get(index) else { return };
         let Some(standby) = &exchange.standby else { return };
-        if standby.until <= now && standby.cause == Cause::Migration {
+        if matches!(standby.cause, Cause::Migration { until } if until <= now) {
             self.release_attempt(index, true);
             self.resume_standby(index);
-            return;
-        }
-        let begin_by = self.begin_by(exchange, &standby.attempt);
-        if standby.until <= now || begin_by.is_some_and(|it| it <= now) {
+        } else if self.begin_by(exchange, &standby.attempt).is_some_and(|it| it <= now) {
             self.release_standby(index);
         }
     }
@@ -184,6 +172,13 @@
     }
 }
 
+impl Standby {
+    /// Whether what its server sends is held back.
+    fn is_held_back(&self) -> bool {
+        self.cause != Cause::Unresponsive
+    }
+}
+
 impl Exchange {
     /// All open attempts.
     pub(crate) fn open_attempts(&self) -> impl Iterator<Item = &Attempt> {
