Second attempts go to servers that were heard of lately, and those of many instances spread over them

Callers saw: streams that left a server went to one that had been silent for 0.4 s, were declined when it went on, and many at the same one.

Cause: absence of a signal taken for its opposite. A server's reported load counts for nothing 0.6 s after it was made, so that a silent server looks idle to all instances, which choose the same few in the same moment.

Change: moves and hedges consider servers that any instance has heard of within 200 ms, the time of a probe, first a random half of them.

Test: second_attempts_go_to_servers_that_were_heard_of_lately (new criteria).

--- a/crates/gateway/benches/policy/simulation.rs
+++ b/crates/gateway/benches/policy/simulation.rs
@@ -18,7 +18,7 @@
     adapter::{Load, Part, ServerEntry},
     cost::Sample,
     gossip::Placement,
-    placement::{Choice, Criteria, Reach},
+    placement::{Candidates, Choice, Criteria, Reach},
     pool,
     rollout::Rollout,
 };
@@ -234,6 +234,7 @@
             cache_owner: None,
             centre: &own,
             is_suspect: false,
+            candidates: Candidates::All,
             reach: Reach::All,
             fetch_ms_per_token: 1.0 / self.deployment.link_tokens_per_ms,
             capacity_tokens: self.deployment.memory_tokens as f64,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -1,5 +1,6 @@
 //! The instance's event loop: one thread that owns all connections and all state.
 
+mod alternative;
 mod answer;
 mod attempt;
 mod backend;
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -218,7 +218,7 @@
             .number("is_copied", copy.is_some())
             .number("is_limited", server.limit.per_second().is_some())
             .ms("load_age_ms", load_age)
-            .ms("heard_ms", now.since(server.last_heard()))
+            .ms("heard_ms", server.last_heard().map_or(Duration::ZERO, |it| now.since(it)))
             .ms("left_ms", time_left)
             .ms("after_ms", now.since(exchange.arrived));
         if copy.is_some() {
--- a/crates/gateway/src/core/dispatch.rs
+++ b/crates/gateway/src/core/dispatch.rs
@@ -5,7 +5,7 @@
 use crate::{
     admission::Admission,
     core::{Core, Timer, exchange::Exchange, refusal::Refusal},
-    placement::{self, Choice, Criteria, Reach, Shortage},
+    placement::{self, Candidates, Choice, Criteria, Reach, Shortage},
     quarantine::Verdict,
 };
 
@@ -86,11 +86,21 @@
         &mut self,
         index: usize,
         verdict: Verdict,
+    ) -> Result<Choice, Shortage> {
+        self.choose_among(index, verdict, Candidates::All)
+    }
+
+    /// The best of these servers for the request.
+    pub(crate) fn choose_among(
+        &mut self,
+        index: usize,
+        verdict: Verdict,
+        candidates: Candidates,
     ) -> Result<Choice, Shortage> {
         let random = self.random();
         let exchange = self.exchanges.get(index).ok_or(Shortage::NoServer)?;
-        let criteria =
-            Criteria { is_suspect: verdict == Verdict::Suspect, ..self.criteria(exchange) };
+        let is_suspect = verdict == Verdict::Suspect;
+        let criteria = Criteria { is_suspect, candidates, ..self.criteria(exchange) };
         let choose = |criteria: &Criteria<'_>| {
             placement::choose(&self.pool, &self.prefixes, self.now, criteria, random)
         };
@@ -128,6 +138,7 @@
             build: exchange.binding.build(),
             recorded: self.required_record(exchange),
             excluded: &exchange.excluded,
+            candidates: Candidates::All,
         }
     }
 
--- a/crates/gateway/src/core/hedge.rs
+++ b/crates/gateway/src/core/hedge.rs
@@ -10,7 +10,6 @@
     core::{Core, ejection::REASON_UNRESPONSIVE, standby::Cause},
     placement::Choice,
     pool,
-    quarantine::Verdict,
     rate_limit::Permission,
 };
 
@@ -85,7 +84,7 @@
         if attempt.end.is_some() {
             return Err("answered");
         }
-        let choice = self.choose_elsewhere(index).ok_or("none-ready")?;
+        let choice = self.choose_elsewhere(index)?;
         if within.is_some_and(|it| it < choice.first_token()) {
             return Err("slower");
         }
@@ -125,16 +124,4 @@
         line.text("reason", reason).number("has_begun", has_begun).number("last_event", last_event);
         self.stats.count_hedge("kept");
     }
-
-    /// The server that would take the request at once in place of the current attempt's.
-    fn choose_elsewhere(&mut self, index: usize) -> Option<Choice> {
-        let server = self.exchanges.get(index)?.attempt.as_ref()?.server;
-        if self.quarantine_verdict(index) != Verdict::Clear {
-            return None;
-        }
-        self.exchanges.get_mut(index)?.excluded.push(server);
-        let chosen = self.choose_server(index, Verdict::Clear);
-        self.exchanges.get_mut(index)?.excluded.pop();
-        chosen.ok().filter(|it| it.server != server && self.has_connection(it.server))
-    }
 }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -112,6 +112,39 @@
     pub recorded: Option<&'a build::Record>,
     /// Servers that have declined or failed the request.
     pub excluded: &'a [pool::Id],
+    /// Which of the other servers are compared.
+    pub candidates: Candidates,
+}
+
+/// Which servers of a service are compared.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Candidates {
+    /// All of them.
+    All,
+    /// Those that were heard of since this time.
+    Responsive {
+        /// When a server was heard of at the earliest.
+        since: Time,
+    },
+    /// A random half of those.
+    Sample {
+        /// When a server was heard of at the earliest.
+        since: Time,
+    },
+}
+
+impl Candidates {
+    /// Whether the server is compared.
+    fn include(self, server: &Server, random: u64) -> bool {
+        match self {
+            Self::All => true,
+            Self::Responsive { since } => server.last_heard().is_some_and(|it| since <= it),
+            Self::Sample { since } => {
+                Self::Responsive { since }.include(server, random)
+                    && hash::weight(&server.name, random) & 1 == 0
+            }
+        }
+    }
 }
 
 /// Which data centres are searched for servers.
@@ -249,7 +282,9 @@
             continue;
         }
         let is_admitted = || server.backoff.admits(now, || hash::weight(&server.name, random));
-        if availability.is_err() || criteria.excluded.contains(&id) || !is_admitted() {
+        let is_included =
+            || criteria.candidates.include(server, random) && !criteria.excluded.contains(&id);
+        if availability.is_err() || !is_included() || !is_admitted() {
             shortage = Shortage::NoneReady;
             continue;
         }
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -181,8 +181,9 @@
     }
 
     /// When it was last heard of: by this instance, or by another one that passed its load on.
-    pub(crate) fn last_heard(&self) -> Time {
-        self.load.map_or(self.heard_at, |it| it.1.max(self.heard_at))
+    pub fn last_heard(&self) -> Option<Time> {
+        let by_this_instance = (self.heard_at != Time::ZERO).then_some(self.heard_at);
+        self.load.map(|it| it.1).max(by_this_instance)
     }
 
     /// The version of `model`'s weights that it has.
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -7,7 +7,7 @@
 use shallotlead_base::time::Time;
 use shallotlead_gateway::{
     adapter::{Load, Part},
-    placement::{self, Choice, Criteria, PrefixIndex, Reach, Shortage, choose},
+    placement::{self, Candidates, Choice, Criteria, PrefixIndex, Reach, Shortage, choose},
     pool::{Pool, Switch},
     rate_limit::Reply,
 };
@@ -205,6 +205,28 @@
     );
 }
 
+// A server that fell silent reports no load any more, looks idle, and got second attempts of all instances.
+#[test]
+fn second_attempts_go_to_servers_that_were_heard_of_lately() {
+    let mut pool = pool(3);
+    let busy = Load { running: 20, waiting: 0 };
+    pool.update_load(0, at(100), Load::default());
+    pool.update_load(1, at(900), busy);
+    pool.update_load(2, at(950), busy);
+    let parts = [Part { id: 5, tokens: 300 }];
+    let chosen = |candidates, excluded: &[usize], random| {
+        let criteria = Criteria { candidates, excluded, ..criteria(&parts) };
+        choose(&pool, &PrefixIndex::default(), at(1_000), &criteria, random).map(|it| it.server)
+    };
+    let since = at(800);
+    assert_eq!(chosen(Candidates::All, &[], 7), Ok(0));
+    assert_eq!(chosen(Candidates::Responsive { since }, &[2], 7), Ok(1));
+    assert_eq!(chosen(Candidates::Responsive { since }, &[1, 2], 7), Err(Shortage::NoneReady));
+    let sampled = |random| chosen(Candidates::Sample { since }, &[], random);
+    assert!((0..64).all(|it| !matches!(sampled(it), Ok(0))));
+    assert!((0..64).any(|it| sampled(it) == Ok(1)) && (0..64).any(|it| sampled(it) == Ok(2)));
+}
+
 // Traffic between data centres is paid for: without a queue a request stays in the data centre
 // where it arrived.
 #[test]
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -14,7 +14,7 @@
     adapter::{Part, ServerEntry},
     cost::Sample,
     gossip::Member,
-    placement::{Criteria, Reach},
+    placement::{Candidates, Criteria, Reach},
     pool::Pool,
 };
 
@@ -70,6 +70,7 @@
         cache_owner: None,
         centre: "a",
         is_suspect: false,
+        candidates: Candidates::All,
         reach: Reach::All,
         fetch_ms_per_token: 0.003,
         capacity_tokens: 112_000.0,
