A stream that has lost its server waits for room as long as its caller does

Callers saw: streams were broken off 1.8 s after their last event on routes whose callers wait 6.4 s for the next one, with servers that had room a second later.

Cause: the time that callers wait was taken for 2 s everywhere; the platform lets them wait for four latency targets or eight of the longest pauses of the route, if that is longer. Six resends at even pauses were over after half a second.

Change: routes state how long their callers wait; the pause before a declined stream is sent again doubles each time.

--- a/crates/emulator/src/format/adapter.rs
+++ b/crates/emulator/src/format/adapter.rs
@@ -314,6 +314,7 @@
         is_stream: it.is_stream,
         timeout: Duration::from_millis(it.timeout_ms),
         latency_target: Duration::from_millis(it.target_ms),
+        caller_patience: Duration::from_secs(2),
         priority: 0,
         split: vec![(it.service, 1)],
         max_attempts: it.max_attempts,
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -52,6 +52,8 @@
     pub timeout: Duration,
     /// Target for the time to the response, or to a stream's first event.
     pub latency_target: Duration,
+    /// Longest time without an event after which callers leave a stream.
+    pub caller_patience: Duration,
     /// Priority among routes; 0 is the most urgent.
     pub priority: u8,
     /// Services that run the requests, with their weights in the traffic split.
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -32,9 +32,8 @@
 /// Share (1/n) of the latency target for which a request may wait for a server before it is
 /// refused. A later refusal leaves its caller less time to go elsewhere.
 pub(crate) const WAIT_DIVISOR: u32 = 8;
-/// How long an interrupted stream may wait for a server to continue it. Callers leave after a gap
-/// of 2 s.
-const STREAM_RETRY_TIMEOUT: Duration = Duration::from_millis(1_800);
+/// Time that the next event of an interrupted stream needs to reach its caller before that one leaves.
+const RESUME_MARGIN: Duration = Duration::from_millis(200);
 /// Time that an answer needs to reach its caller before the deadline.
 const DELIVERY_MARGIN: Duration = Duration::from_millis(10);
 /// Most parts of a prompt that may be found to crash servers, to bound what one request adds.
@@ -242,7 +241,9 @@
     /// Until when it may wait for a server or for retry budget.
     pub(crate) fn give_up_at(&self) -> Time {
         match self.delivery.has_begun {
-            true => self.delivery.last_sent + STREAM_RETRY_TIMEOUT,
+            true => {
+                self.delivery.last_sent + self.route.caller_patience.saturating_sub(RESUME_MARGIN)
+            }
             false => self.arrived + self.route.latency_target / WAIT_DIVISOR,
         }
     }
--- a/crates/gateway/src/core/failure.rs
+++ b/crates/gateway/src/core/failure.rs
@@ -14,7 +14,7 @@
 /// How often a stream that has begun is sent again after a server declined it. Without the bound, streams
 /// that every server declines would be sent hundreds of times.
 const MAX_RESENDS: u8 = 6;
-/// Pause before a declined stream is sent again.
+/// Pause before a declined stream is sent again, which doubles each time.
 const RESEND_PAUSE: Duration = Duration::from_millis(80);
 /// How long a server that declined a request because of its weights is assumed to be loading the next
 /// version, unless it reports its weights before.
@@ -109,8 +109,9 @@
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
         if exchange.delivery.has_begun {
             if exchange.resends < MAX_RESENDS {
+                let pause = RESEND_PAUSE * (1 << exchange.resends);
                 exchange.resends += 1;
-                self.retry_stream_later(index, reason, RESEND_PAUSE);
+                self.retry_stream_later(index, reason, pause);
             } else {
                 self.refuse_declined(index);
             }
--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -15,6 +15,7 @@
         is_stream: true,
         timeout: Duration::from_secs(1),
         latency_target: Duration::from_millis(if is_public { 300 } else { 500 }),
+        caller_patience: Duration::from_secs(2),
         priority: 0,
         split: vec![(Arc::from("s1"), 90), (Arc::from("s2"), 10)],
         max_attempts: 1,
