A second attempt that waits for a sign of its server is made as soon as that responds

With second attempts only at servers that were heard of lately, request_at_an_unresponsive_server_is_sent_to_another and stream_on_a_connection_that_went_silent_goes_on_elsewhere failed: at little traffic no server had been heard of for 200 ms, and the next check came 0.45 s later. The probe's answer now has the request considered again, and servers that may not be probed, as they limit their rate, are chosen as before.

--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -54,6 +54,8 @@
     pub(crate) response_check: Check,
     /// Whether a second attempt is made, while its server doesn't respond.
     pub(crate) hedge_check: Check,
+    /// The server that a second attempt would go to, once it responds.
+    pub(crate) awaited: Option<pool::Id>,
     /// Whether it was logged that the request stays at a server that doesn't respond.
     pub(crate) is_kept: bool,
     /// Set where the server is at risk from rejections.
@@ -88,6 +90,7 @@
             is_overdue: false,
             response_check: Check::AT_ONCE,
             hedge_check: Check::AT_ONCE,
+            awaited: None,
             is_kept: false,
             unsettled: None,
             migration_check: Check::default(),
--- a/crates/gateway/src/core/probe.rs
+++ b/crates/gateway/src/core/probe.rs
@@ -59,22 +59,25 @@
     /// was probed a moment ago. A server that limits its rate, or wants no requests for a while, is expected to be
     /// late, and a probe would take the place of a request there.
     pub(crate) fn probe_late(&mut self, id: pool::Id) {
-        let now = self.now;
+        if self.may_probe_late(id)
+            && MIN_PROBE_INTERVAL <= self.now.since(self.pool.get(id).checked_at)
+        {
+            self.pool.get_mut(id).checked_at = self.now;
+            self.probe(id);
+        }
+    }
+
+    /// Whether the server is probed when it is late.
+    pub(super) fn may_probe_late(&self, id: pool::Id) -> bool {
         let is_engine = self.is_engine(id);
-        let server = self.pool.get_mut(id);
+        let server = self.pool.get(id);
         // Engines answer probes without a free slot.
         let is_at_risk = server.limit.tolerance().is_some() && !is_engine;
         let is_limited = server.limit.per_second().is_some() || is_at_risk;
-        if server.is_instance
-            || is_limited
-            || server.backoff.is_active(now)
-            || !server.health.is_in_rotation()
-            || now.since(server.checked_at) < MIN_PROBE_INTERVAL
-        {
-            return;
-        }
-        server.checked_at = now;
-        self.probe(id);
+        !server.is_instance
+            && !is_limited
+            && !server.backoff.is_active(self.now)
+            && server.health.is_in_rotation()
     }
 
     fn probe(&mut self, id: pool::Id) {
@@ -101,7 +104,11 @@
         };
         self.apply_report(id, outcome);
         match outcome {
-            Outcome::Answered { .. } => self.record_reached(id, self.now),
+            Outcome::Answered { .. } => {
+                self.pool.get_mut(id).responded_at = Some(self.now);
+                self.record_reached(id, self.now);
+                self.reconsider_second_attempts(id);
+            }
             _ if !is_responsive => self.record_unreached(id),
             _ => {}
         }
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -85,6 +85,8 @@
     pub limit: Limit,
     /// When this instance last received anything from it in answer to a request.
     pub heard_at: Time,
+    /// When it last answered a probe.
+    pub(crate) responded_at: Option<Time>,
     /// How long the prompt that started last was queued, in milliseconds, and when that was known.
     pub last_wait: Option<(u32, Time)>,
     /// Requests of this instance that are running there.
@@ -141,6 +143,7 @@
             load: None,
             limit: Limit::default(),
             heard_at: Time::ZERO,
+            responded_at: None,
             last_wait: None,
             inflight: 0,
             backlog: Backlog::default(),
@@ -182,8 +185,8 @@
 
     /// When it was last heard of: by this instance, or by another one that passed its load on.
     pub fn last_heard(&self) -> Option<Time> {
-        let by_this_instance = (self.heard_at != Time::ZERO).then_some(self.heard_at);
-        self.load.map(|it| it.1).max(by_this_instance)
+        let heard_at = (self.heard_at != Time::ZERO).then_some(self.heard_at);
+        self.load.map(|it| it.1).max(heard_at).max(self.responded_at)
     }
 
     /// The version of `model`'s weights that it has.
