Builds that a restored store has lost survive a second restore

Callers saw nothing yet; found in a review. After a restore of the store from an older copy, an instance writes the builds it knows again, since streams of them may be open. If the store was restored once more before the record had been read again, the list of these builds was replaced by the builds known meanwhile: none. A build that was recorded after the copy was made, and whose servers have left, stayed out of the record, so that its streams could pass for those of the only recorded build.

Cause: `Record::handle_restore` replaced the list. It adds to it now; both are disjoint after each read.

Test: `builds_that_a_store_has_lost_survive_a_second_restore`; before, nothing was to be written (`None` instead of both builds).

--- a/crates/gateway/src/build/record.rs
+++ b/crates/gateway/src/build/record.rs
@@ -69,7 +69,7 @@
 
     /// The store was restored from an older copy, in which builds may be missing.
     pub fn handle_restore(&mut self) {
-        self.lost = std::mem::take(&mut self.builds);
+        self.lost.append(&mut self.builds);
         self.version = Version(0);
         self.read_at = None;
     }
--- a/crates/gateway/tests/build.rs
+++ b/crates/gateway/tests/build.rs
@@ -138,6 +138,18 @@
     assert_eq!(known.update(at(30), &[one], RETENTION), None);
 }
 
+// The store is restored once more before the record was read again: there was nothing to take note of any more, and the
+// builds of before the first restore were forgotten.
+#[test]
+fn builds_that_a_store_has_lost_survive_a_second_restore() {
+    let (one, other) = (Id::of("pool", "v1"), Id::of("pool", "v2"));
+    let mut known = record(0, &[one, other]);
+    known.handle_restore();
+    known.handle_restore();
+    known.adopt(at(20), at(15), Some((Version(3), Content::of(&[one]))));
+    assert_eq!(known.update(at(20), &[], RETENTION), Some(Content::of(&[one, other])));
+}
+
 // All instances end while streams are open. What was written must name their builds, and nothing that can't be taken up.
 #[test]
 fn written_streams_are_those_that_may_be_taken_up() {
