Restored streams are told apart from streams that are sent now

Callers could get, after an instance had started again: events of two builds in one stream. The instance reads its open streams from its record and announces them to its neighbours, which took each one for a stream that had just been sent. A stream that had been sent to another build since the record was written went back to the first one, at all neighbours that knew better; and an instance without the store took the builds in the record for recorded ones for 30 s, however old it was.

Cause: restored streams went out with those that are sent, and were recorded at the time of the announcement, also by the instance that had read them. They have a message of their own now (earlier releases ignore it). They are added only where nothing was heard of the stream, any announcement replaces them, and their builds don't count as recorded.

An instance that has started again still goes by its own record if nobody has told it anything since: stated in the design.

`restored_stream_replaces_no_announcement` covers the order of arrival.

--- a/crates/gateway/src/build.rs
+++ b/crates/gateway/src/build.rs
@@ -68,10 +68,19 @@
     pub build: Id,
 }
 
+/// What is known of where a stream was sent.
+#[derive(Clone, Copy, Debug)]
+struct Sending {
+    build: Id,
+    at: Time,
+    /// It was read from an instance's record, at that time. The stream may have been sent again since it was written.
+    is_restored: bool,
+}
+
 /// The builds of the streams that this instance or another one has sent recently.
 #[derive(Debug, Default)]
 pub struct Streams {
-    builds: Map<Stream, (Id, Time)>,
+    sendings: Map<Stream, Sending>,
     /// In the order of their times. A stream that was sent again has several.
     order: VecDeque<(Time, Stream)>,
 }
@@ -79,16 +88,27 @@
 impl Streams {
     /// Records that the stream was sent `at`. The latest record holds.
     pub fn record(&mut self, at: Time, begun: Begun) {
-        if self.builds.get(&begun.stream).is_some_and(|it| at < it.1) {
-            return;
+        let known = self.sendings.get(&begun.stream).filter(|it| !it.is_restored);
+        if known.is_none_or(|it| it.at <= at) {
+            self.insert(begun.stream, Sending { build: begun.build, at, is_restored: false });
         }
-        self.builds.insert(begun.stream, (begun.build, at));
-        self.order.push_back((at, begun.stream));
+    }
+
+    /// Adds a stream that was read from an instance's record, unless it is known.
+    pub fn restore(&mut self, now: Time, begun: Begun) {
+        if !self.sendings.contains_key(&begun.stream) {
+            self.insert(begun.stream, Sending { build: begun.build, at: now, is_restored: true });
+        }
+    }
+
+    fn insert(&mut self, stream: Stream, sending: Sending) {
+        self.sendings.insert(stream, sending);
+        self.order.push_back((sending.at, stream));
     }
 
     /// The build that began the stream, if it is known.
     pub fn find(&self, stream: Stream) -> Option<Id> {
-        self.builds.get(&stream).map(|it| it.0)
+        self.sendings.get(&stream).map(|it| it.build)
     }
 
     /// Forgets streams that were sent longer than `retention` ago.
@@ -97,8 +117,8 @@
             && retention < now.since(at)
         {
             self.order.pop_front();
-            if self.builds.get(&stream).is_some_and(|it| it.1 <= at) {
-                self.builds.remove(&stream);
+            if self.sendings.get(&stream).is_some_and(|it| it.at <= at) {
+                self.sendings.remove(&stream);
             }
         }
     }
--- a/crates/gateway/src/core/build.rs
+++ b/crates/gateway/src/core/build.rs
@@ -194,6 +194,13 @@
         }
     }
 
+    /// Adopts streams that another instance has read from its record. That shows neither that they weren't sent again
+    /// since, nor that their builds are still recorded.
+    pub(crate) fn adopt_restored_streams(&mut self, streams: &[Begun]) {
+        streams.iter().for_each(|it| self.streams.restore(self.now, *it));
+        self.resolve_announced(streams);
+    }
+
     /// Dispatches the requests that have waited for the build of this stream.
     pub(crate) fn handle_build_reply(&mut self, begun: Begun) {
         let Begun { stream, build } = begun;
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -253,7 +253,7 @@
     }
 
     /// Addresses of the instances that receive placements.
-    fn neighbour_addresses(&self) -> Vec<SocketAddr> {
+    pub(crate) fn neighbour_addresses(&self) -> Vec<SocketAddr> {
         self.members.neighbours(self.now).map(|it| it.peers).collect()
     }
 
--- a/crates/gateway/src/core/peers/receive.rs
+++ b/crates/gateway/src/core/peers/receive.rs
@@ -53,6 +53,7 @@
             Ok(Datagram::Settlement(settlement)) => self.apply_settlement(&settlement, queued_for),
             Ok(Datagram::BuildQuery(query)) => self.handle_build_query(&query),
             Ok(Datagram::BuildReply(begun)) => self.handle_build_reply(begun),
+            Ok(Datagram::RestoredStreams(streams)) => self.adopt_restored_streams(&streams),
             Ok(Datagram::Confirmation(confirmation)) => {
                 self.apply_peer_confirmation(received_at, confirmation)
             }
--- a/crates/gateway/src/core/stats/traffic.rs
+++ b/crates/gateway/src/core/stats/traffic.rs
@@ -88,7 +88,7 @@
         Datagram::PermitRequest(_) | Datagram::PermitReply(_) | Datagram::Settlement(_) => 3,
         Datagram::QuotaRequest(_) | Datagram::QuotaReply(_) => 6,
         Datagram::Confirmation(_) => 4,
-        Datagram::BuildQuery(_) | Datagram::BuildReply(_) => 5,
+        Datagram::BuildQuery(_) | Datagram::BuildReply(_) | Datagram::RestoredStreams(_) => 5,
     }
 }
 
--- a/crates/gateway/src/core/storage/open_streams.rs
+++ b/crates/gateway/src/core/storage/open_streams.rs
@@ -12,6 +12,7 @@
 use crate::{
     build::{Begun, OpenStreams},
     core::{Core, storage::Pending},
+    gossip::Datagram,
 };
 
 /// Kind of the records, which are named by the instances.
@@ -111,7 +112,7 @@
         let now = self.now;
         for begun in OpenStreams::parse(&object.value) {
             if self.storage.journal.open.restore(now, begun) {
-                self.streams.record(now, begun);
+                self.streams.restore(now, begun);
                 self.storage.journal.restored.push(begun);
                 self.handle_build_reply(begun);
             }
@@ -127,11 +128,10 @@
             return;
         }
         self.storage.journal.next_announcement = now + ANNOUNCE_INTERVAL;
-        for begun in &self.storage.journal.restored {
-            self.peers.add_stream(*begun);
-        }
+        let streams = self.storage.journal.restored.clone();
         if ANNOUNCE_TIME < now.since(self.started) {
             self.storage.journal.restored.clear();
         }
+        self.send_to(&self.neighbour_addresses(), &Datagram::RestoredStreams(streams));
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -198,6 +198,8 @@
     QuotaRequest(QuotaRequest),
     /// The reply to it. Earlier releases ignore it.
     QuotaReply(QuotaReply),
+    /// Streams that the sender has read from its record after its start. Earlier releases ignore it.
+    RestoredStreams(Vec<build::Begun>),
 }
 
 impl Datagram {
--- a/crates/gateway/tests/build.rs
+++ b/crates/gateway/tests/build.rs
@@ -44,6 +44,21 @@
     assert_eq!(streams.find(Stream::of("open", "r1")), None);
 }
 
+// An instance's record says where a stream was sent before the record was last written. What was announced holds, also if it has
+// waited in the socket's buffer.
+#[test]
+fn restored_stream_replaces_no_announcement() {
+    let mut streams = Streams::default();
+    let find = |it: &Streams| it.find(Stream::of("open", "r1"));
+    streams.restore(at(20), begun("r1", "v1"));
+    assert_eq!(find(&streams), Some(Id::of("pool", "v1")));
+    streams.record(at(10), begun("r1", "v2"));
+    streams.restore(at(30), begun("r1", "v1"));
+    assert_eq!(find(&streams), Some(Id::of("pool", "v2")));
+    streams.expire(at(30_021), RETENTION);
+    assert_eq!(find(&streams), None);
+}
+
 /// A record with these builds that was read by a call sent at `sent_ms`.
 fn record(sent_ms: u64, builds: &[Id]) -> Record {
     let mut record = Record::default();
