Writes of open streams back off while the store is away

Callers saw nothing; it costs processor time in an outage. While a record has several builds and the store doesn't answer, each instance put its open streams together and submitted them again at the interval of writes that succeed (0.2 s for 7 instances, 0.9 s for 295). The scheduler's circuit breaker gave most of them back without a call, at the next turn.

The delay doubles with each failure in a row, up to 5 s, and starts from the interval after an answer. So the last write may be up to 5 s old for as long after the store's return.

Test: `writes_that_fail_are_made_ever_more_rarely`, in virtual time; at the constant interval it fails with writes at 0, 200, 400, 600 ms and so on.

--- a/crates/gateway/src/build.rs
+++ b/crates/gateway/src/build.rs
@@ -6,6 +6,7 @@
 mod lifetime;
 mod open_streams;
 mod record;
+mod schedule;
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -18,6 +19,7 @@
 pub use lifetime::Lifetime;
 pub use open_streams::OpenStreams;
 pub use record::{Content, Record};
+pub use schedule::Schedule;
 
 /// Identifies one build of the software of a service's servers, the same at all instances.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
--- a/crates/gateway/src/core/storage/open_streams.rs
+++ b/crates/gateway/src/core/storage/open_streams.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    build::{Begun, OpenStreams},
+    build::{Begun, OpenStreams, Schedule},
     core::{Core, storage::Pending},
     gossip::Datagram,
 };
@@ -34,7 +34,7 @@
     /// Whether the record was read since the start.
     is_read: bool,
     is_in_flight: bool,
-    next_at: Time,
+    schedule: Schedule,
     /// Streams of before the start.
     restored: Vec<Begun>,
     next_announcement: Time,
@@ -44,7 +44,7 @@
     /// When the next call is due.
     pub(super) fn next_due(&self, is_mixed: bool) -> Option<Time> {
         let is_needed = is_mixed && !self.is_in_flight && (!self.is_read || self.open.is_changed());
-        is_needed.then_some(self.next_at)
+        is_needed.then(|| self.schedule.next_at())
     }
 
     /// The store was restored from an older copy.
@@ -73,7 +73,7 @@
             Call::Get(key)
         };
         journal.is_in_flight = true;
-        journal.next_at = now + interval;
+        journal.schedule.record_call(now, interval);
         self.storage.submit(now, Pending::OpenStreams, call);
     }
 
@@ -85,25 +85,31 @@
     }
 
     pub(super) fn handle_open_streams_reply(&mut self, reply: &Reply) {
+        let (now, interval) = (self.now, self.journal_interval());
         let journal = &mut self.storage.journal;
         journal.is_in_flight = false;
         match reply {
             Reply::Got(object) => {
                 journal.is_read = true;
-                journal.next_at = self.now;
+                journal.schedule.record_read(now);
                 if let Some(object) = object {
                     journal.version = object.version;
                     self.restore_open_streams(object);
                 }
             }
-            Reply::Done(version) => journal.version = *version,
+            Reply::Done(version) => {
+                journal.version = *version;
+                journal.schedule.record_answer();
+            }
             // An earlier write has taken effect after all.
             Reply::Conflict(object) => {
                 journal.version = object.as_ref().map_or(Version(0), |it| it.version);
                 journal.open.mark_changed();
+                journal.schedule.record_answer();
             }
             Reply::Failed(_) | Reply::Listed { .. } | Reply::Changed { .. } => {
                 journal.open.mark_changed();
+                journal.schedule.record_failure(now, interval);
             }
         }
     }
--- a/crates/gateway/tests/build.rs
+++ b/crates/gateway/tests/build.rs
@@ -8,7 +8,7 @@
 use shallotlead_base::id::Version;
 use shallotlead_gateway::{
     adapter::ServerEntry,
-    build::{Begun, Content, Id, Lifetime, OpenStreams, Record, Stream, Streams},
+    build::{Begun, Content, Id, Lifetime, OpenStreams, Record, Schedule, Stream, Streams},
     copies,
     gossip::Datagram,
     placement::{self, Criteria, PrefixIndex, Shortage},
@@ -184,6 +184,28 @@
     assert_eq!(OpenStreams::parse(open.take_written().as_bytes()), [begun("r2", "v2")]);
 }
 
+// The store is away for a minute while streams begin, and each write was made again at the usual interval.
+#[test]
+fn writes_that_fail_are_made_ever_more_rarely() {
+    let (start, interval) = (at(1_000), Duration::from_millis(200));
+    let mut schedule = Schedule::default();
+    let mut calls = Vec::new();
+    while schedule.next_at() < start + Duration::from_secs(60) {
+        let now = schedule.next_at().max(start);
+        schedule.record_call(now, interval);
+        schedule.record_failure(now, interval);
+        calls.push(now.since(start).as_millis());
+    }
+    assert_eq!(calls[..7], [0, 200, 600, 1_400, 3_000, 6_200, 11_200]);
+    assert_eq!(calls.len(), 16, "{calls:?}");
+    let now = schedule.next_at();
+    schedule.record_call(now, interval);
+    schedule.record_answer();
+    assert_eq!(schedule.next_at(), now + interval);
+    schedule.record_failure(now, interval);
+    assert_eq!(schedule.next_at(), now + interval, "only failures in a row count");
+}
+
 // Attempts of routes with long timeouts follow each other.
 #[test]
 fn streams_are_remembered_for_longer_than_two_attempts() {
