One start-up time and one retry delay for the records of builds and streams

Behaviour is unchanged: the time for which restored streams are announced is the one for which announcements are waited for, and the records of builds are retried after the delay of all other calls.

--- a/crates/gateway/src/core/build.rs
+++ b/crates/gateway/src/core/build.rs
@@ -14,9 +14,11 @@
 
 /// How long a stream that is taken up waits for another instance that knows its build.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(40);
-/// The same for some time after the start, when the others may have started as well and restore what they knew.
+/// The same for [`STARTUP_TIME`], while the others may restore what they knew.
 const STARTUP_QUERY_TIMEOUT: Duration = Duration::from_millis(400);
-const STARTUP_TIME: Duration = Duration::from_secs(3);
+/// For how long after the start the others may have started as well: they are told of restored streams, and what they tell
+/// is waited for.
+pub(crate) const STARTUP_TIME: Duration = Duration::from_secs(3);
 /// How long it waits for the service's record to be read: twice the time of a slow store.
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
 /// Instances of each data centre that are asked. All instances of one have been told, and any of them may have ended.
--- a/crates/gateway/src/core/storage/builds.rs
+++ b/crates/gateway/src/core/storage/builds.rs
@@ -11,15 +11,16 @@
 
 use crate::{
     build::{self, Content, Record},
-    core::{Core, storage::Pending},
+    core::{
+        Core,
+        storage::{Pending, RETRY_DELAY},
+    },
 };
 
 /// Kind of the records, one for each service.
 const KIND: &str = "builds";
 /// Interval at which the listed servers are compared with the records, besides whenever a server joins.
 const SCAN_INTERVAL: Duration = Duration::from_secs(1);
-/// Delay before a failed call is retried.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// How long a record that was just read may be updated without another read.
 const MAX_READ_AGE: Duration = Duration::from_millis(500);
 /// Time, for each instance, over which the instances spread their updates of a record, so that the first one's is found
--- a/crates/gateway/src/core/storage/open_streams.rs
+++ b/crates/gateway/src/core/storage/open_streams.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     build::{Begun, OpenStreams, Schedule},
-    core::{Core, storage::Pending},
+    core::{Core, build::STARTUP_TIME, storage::Pending},
     gossip::Datagram,
 };
 
@@ -21,9 +21,7 @@
 const MIN_INTERVAL: Duration = Duration::from_millis(200);
 /// Share of the store's write rate that all instances together may use.
 const RATE_SHARE: f64 = 0.1;
-/// For how long after the start others are told which streams were restored, as they may just have started as well, and
-/// at which interval.
-const ANNOUNCE_TIME: Duration = Duration::from_secs(3);
+/// Interval at which others are told which streams were restored, for [`STARTUP_TIME`].
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// This instance's record.
@@ -135,7 +133,7 @@
         }
         self.storage.journal.next_announcement = now + ANNOUNCE_INTERVAL;
         let streams = self.storage.journal.restored.clone();
-        if ANNOUNCE_TIME < now.since(self.started) {
+        if STARTUP_TIME < now.since(self.started) {
             self.storage.journal.restored.clear();
         }
         self.send_to(&self.neighbour_addresses(), &Datagram::RestoredStreams(streams));
