--- a/crates/gateway/src/core/build.rs
+++ b/crates/gateway/src/core/build.rs
@@ -97,7 +97,7 @@
 
     /// Whether it is a stream that its caller may take up.
     pub(crate) fn is_resumable(&self) -> bool {
-        self.route.is_stream && self.is_repeatable()
+        self.route.is_resumable() && !self.delivery.is_passed_through
     }
 }
 
