--- a/crates/gateway/src/build.rs
+++ b/crates/gateway/src/build.rs
@@ -96,11 +96,22 @@
         }
     }
 
-    /// Adds a stream that was read from an instance's record, unless it is known.
-    pub fn restore(&mut self, now: Time, begun: Begun) {
-        if !self.sendings.contains_key(&begun.stream) {
+    /// Adds a stream that was read from an instance's record, unless it is known. Returns whether it was added.
+    pub fn restore(&mut self, now: Time, begun: Begun) -> bool {
+        let is_new = !self.sendings.contains_key(&begun.stream);
+        if is_new {
             self.insert(begun.stream, Sending { build: begun.build, at: now, is_restored: true });
         }
+        is_new
+    }
+
+    fn remove(&mut self, stream: Stream) {
+        self.sendings.remove(&stream);
+    }
+
+    /// All streams with the times at which they were sent.
+    fn iter(&self) -> impl Iterator<Item = (Time, Begun)> {
+        self.sendings.iter().map(|(stream, it)| (it.at, Begun { stream: *stream, build: it.build }))
     }
 
     fn insert(&mut self, stream: Stream, sending: Sending) {
--- a/crates/gateway/src/build/open_streams.rs
+++ b/crates/gateway/src/build/open_streams.rs
@@ -2,9 +2,9 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-use shallotlead_base::{hash::Map, time::Time};
+use shallotlead_base::time::Time;
 
-use super::{Begun, Id, Stream};
+use super::{Begun, Id, Stream, Streams};
 
 /// Most streams that are written, the newest ones: as many as fit into 100 KB.
 const MAX_WRITTEN: usize = 4_096;
@@ -15,7 +15,7 @@
 /// Streams that this instance has sent to servers, and that haven't ended completely.
 #[derive(Debug, Default)]
 pub struct OpenStreams {
-    builds: Map<Stream, (Id, Time)>,
+    streams: Streams,
     /// Whether one was sent since they were last written.
     is_changed: bool,
 }
@@ -23,25 +23,23 @@
 impl OpenStreams {
     /// Adds a stream that is sent to a server.
     pub fn record(&mut self, now: Time, begun: Begun) {
-        let before = self.builds.insert(begun.stream, (begun.build, now));
-        self.is_changed |= before.is_none_or(|it| it.0 != begun.build);
+        self.is_changed |= self.streams.find(begun.stream) != Some(begun.build);
+        self.streams.record(now, begun);
     }
 
     /// Adds a stream that was read from the store. Returns whether it is news.
     pub fn restore(&mut self, now: Time, begun: Begun) -> bool {
-        let is_new = !self.builds.contains_key(&begun.stream);
-        self.builds.entry(begun.stream).or_insert((begun.build, now));
-        is_new
+        self.streams.restore(now, begun)
     }
 
     /// Removes a stream whose caller has received all of it.
     pub fn finish(&mut self, stream: Stream) {
-        self.builds.remove(&stream);
+        self.streams.remove(stream);
     }
 
     /// Removes streams that were sent longer than `retention` ago.
     pub fn expire(&mut self, now: Time, retention: Duration) {
-        self.builds.retain(|_, it| now.since(it.1) <= retention);
+        self.streams.expire(now, retention);
     }
 
     /// Whether there is something to write.
@@ -57,13 +55,12 @@
     /// What is to be written now.
     pub fn take_written(&mut self) -> String {
         self.is_changed = false;
-        let mut newest: Vec<_> = self.builds.iter().collect();
-        newest.sort_unstable_by_key(|it| (Reverse(it.1.1), it.0.0));
+        let mut newest: Vec<_> = self.streams.iter().collect();
+        newest.sort_unstable_by_key(|(at, it)| (Reverse(*at), it.stream.0));
         newest.truncate(MAX_WRITTEN);
-        newest
-            .iter()
-            .map(|(stream, (build, _))| format!("{:016x}{:08x}", stream.0, build.0))
-            .collect()
+        let entries =
+            newest.iter().map(|(_, it)| format!("{:016x}{:08x}", it.stream.0, it.build.0));
+        entries.collect()
     }
 
     /// The streams in what was written. Parts that can't be read are skipped.
--- a/crates/gateway/src/core/build.rs
+++ b/crates/gateway/src/core/build.rs
@@ -199,7 +199,9 @@
     /// Adopts streams that another instance has read from its record. That shows neither that they weren't sent again
     /// since, nor that their builds are still recorded.
     pub(crate) fn adopt_restored_streams(&mut self, streams: &[Begun]) {
-        streams.iter().for_each(|it| self.streams.restore(self.now, *it));
+        for it in streams {
+            self.streams.restore(self.now, *it);
+        }
         self.resolve_announced(streams);
     }
 
