Entry: an answer without framing that is reset is no whole one

A caller of a plain service got a part of an answer as a whole one: the service sends neither a length nor chunks, and its connection is reset within the body. ureq ends such a body in good order on a reset (`BodyHandler::do_read` takes `ConnectionReset`, `ConnectionAborted` and `UnexpectedEof` for the end), and the relay kept and passed on what had come.

The connector's transport now gives such an error another kind, which ureq passes on, so that the attempt is broken.

The new tests cut answers after each byte (length, chunks, after an interim response, redirect, none, HEAD), by a close, a reset and after pauses. `answer_without_framing_that_is_reset_is_an_error` failed before at the first byte after the head; the others found nothing else.

--- a/crates/entry/src/backend/http.rs
+++ b/crates/entry/src/backend/http.rs
@@ -3,6 +3,7 @@
 mod connector;
 #[cfg(test)]
 mod tests;
+mod transport;
 
 use std::{
     io::Read,
--- a/crates/entry/src/backend/http/connector.rs
+++ b/crates/entry/src/backend/http/connector.rs
@@ -1,4 +1,4 @@
-//! A connector that notes when a connection came about.
+//! A connector that notes when a connection came about, and tells a lost one from one that was closed.
 
 use std::sync::{
     Arc,
@@ -10,6 +10,8 @@
     unversioned::transport::{ConnectionDetails, Connector, TcpConnector},
 };
 
+use crate::backend::http::transport::Stream;
+
 /// Wraps the TCP connector and marks success, so that a failed call can say truthfully that not one
 /// byte was sent.
 #[derive(Debug)]
@@ -26,7 +28,7 @@
 }
 
 impl Connector for Marker {
-    type Out = <TcpConnector as Connector>::Out;
+    type Out = Stream<<TcpConnector as Connector>::Out>;
 
     fn connect(
         &self,
@@ -35,6 +37,6 @@
     ) -> Result<Option<Self::Out>, Error> {
         let transport = self.tcp.connect(details, chained)?;
         self.connected.store(true, Ordering::Release);
-        Ok(transport)
+        Ok(transport.map(Stream::new))
     }
 }
--- a/crates/entry/src/backend/http/tests.rs
+++ b/crates/entry/src/backend/http/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the HTTP adapter against small servers on loopback.
 
+mod cut;
+
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
