An answer to a HEAD request ends with its head

Callers of HEAD requests got bytes after the head of an answer, which a caller that keeps its connection reads as the start of the next answer: the body of the instance's own refusals and failures (404, 503, 502), and the last chunk on a route of streams, also of a whole answer.

The length of the body that isn't sent is still stated.

--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -351,7 +351,7 @@
         self.settle_standby(index);
         let attempt = self.release_attempt(index, false);
         let Some(exchange) = self.exchanges.try_remove(index) else { return };
-        if exchange.delivery.has_begun && exchange.is_chunked() {
+        if exchange.delivery.has_begun && exchange.is_chunked() && !exchange.head.is_head() {
             self.net.send(exchange.caller, write::LAST_CHUNK);
         }
         let now = self.now;
--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -169,8 +169,7 @@
                 // Reading resumes once the caller has taken what it was sent.
                 return;
             }
-            let is_head_request =
-                self.exchanges.get(index).is_some_and(|it| &*it.head.method == "HEAD");
+            let is_head_request = self.exchanges.get(index).is_some_and(|it| it.head.is_head());
             let Some(Role::Backend(backend)) = self.roles.get_mut(&key) else { return };
             let Some(socket) = self.net.get_mut(key) else { return };
             let Some(reading) = &mut backend.reading else {
--- a/crates/gateway/src/core/ending.rs
+++ b/crates/gateway/src/core/ending.rs
@@ -7,7 +7,7 @@
 use crate::{
     adapter::{RefusedHandover, RequestInfo},
     core::{Core, exchange::Exchange, refusal::Refusal},
-    http::write,
+    http::{head::Request, write},
     net::Key,
 };
 
@@ -32,10 +32,9 @@
         }
         self.return_quota(index);
         let exchange = self.exchanges.remove(index);
-        let keeps_alive = exchange.head.keeps_alive();
         let attempts = exchange.attempts_made;
-        let Exchange { caller, info, arrived, .. } = exchange;
-        self.refuse(caller, keeps_alive, &info, refusal, arrived, attempts);
+        let Exchange { caller, head, info, arrived, .. } = exchange;
+        self.refuse(caller, &head, &info, refusal, arrived, attempts);
     }
 
     /// Ends an exchange whose request may have run, with an error of the instance.
@@ -64,8 +63,7 @@
             .number("sends", exchange.attempts_made)
             .ms("after_ms", self.now.since(exchange.arrived));
         self.stats.count_failure(&exchange.route);
-        let keeps_alive = exchange.head.keeps_alive();
-        self.answer_caller(exchange.caller, status, &body, &extra, keeps_alive);
+        self.answer_caller(exchange.caller, &exchange.head, status, &body, &extra);
     }
 
     /// Ends an exchange with the error of an earlier attempt's server, after the later ones have failed for `reason`.
@@ -140,7 +138,7 @@
     pub(crate) fn refuse(
         &mut self,
         caller: Key,
-        keeps_alive: bool,
+        head: &Request,
         info: &RequestInfo,
         refusal: Refusal,
         arrived: Time,
@@ -165,24 +163,27 @@
         let after = refusal.retry_after();
         let extra = self.adapter.refusal_fields(info.id.as_deref(), after, handover);
         let body = error_body(refusal.reason());
-        self.answer_caller(caller, refusal.status(), &body, &extra, keeps_alive);
+        self.answer_caller(caller, head, refusal.status(), &body, &extra);
     }
 
-    /// Sends an answer of the instance's own.
+    /// Sends an answer of the instance's own to the request with `head`.
     fn answer_caller(
         &mut self,
         caller: Key,
+        head: &Request,
         status: u16,
         body: &[u8],
         extra: &[(&'static str, String)],
-        keeps_alive: bool,
     ) {
-        let keeps_connection = keeps_alive && self.shutdown_since.is_none();
+        let keeps_connection = head.keeps_alive() && self.shutdown_since.is_none();
         let mut extra = extra.to_vec();
         if !keeps_connection {
             extra.push(("Connection", "close".into()));
         }
-        let bytes = write::response(status, "application/json", body, &extra);
+        let mut bytes = write::response(status, "application/json", body, &extra);
+        if head.is_head() {
+            bytes.truncate(bytes.len() - body.len());
+        }
         self.net.send(caller, &bytes);
         self.finish_caller_answer(caller, keeps_connection);
     }
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -268,7 +268,7 @@
         let Admitted { route, organisation, service } = match admitted {
             Ok(it) => it,
             Err(refusal) => {
-                self.refuse(caller, head.keeps_alive(), &info, refusal, arrived, 0);
+                self.refuse(caller, &head, &info, refusal, arrived, 0);
                 return;
             }
         };
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -137,6 +137,11 @@
         self.is_http11 && !self.fields.contains_token("connection", "close")
     }
 
+    /// Whether it is a `HEAD` request, whose answer has no body.
+    pub fn is_head(&self) -> bool {
+        &*self.method == "HEAD"
+    }
+
     /// Path of the target.
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or_default()
