A report that can't be read shows nothing of the server that sent the answer before

An answer with neither a length nor chunks ends with its connection and counts as complete if its server lives on, which a report of that server shows. A new life of a server that has crashed could answer that check and stop within the body of its report: without a readable one nothing names the life, and the cut stream of the life before was taken for complete (answers without framing end with any proper close, `end_control`).

An engine's report that can't be read now counts as one that may come from another life, so that the stream goes on elsewhere or is broken off. Servers that are no engines need no report; there nothing changes.

--- a/crates/gateway/src/core/unframed.rs
+++ b/crates/gateway/src/core/unframed.rs
@@ -146,8 +146,12 @@
     fn liveness_evidence(&self, server: pool::Id, outcome: &Outcome) -> Evidence {
         match outcome {
             Outcome::Answered { status: 200, body, .. } => {
-                let reported = self.adapter.parse_report(body).and_then(|it| it.incarnation);
-                match self.pool.get(server).may_be(reported) {
+                let is_known = match self.adapter.parse_report(body) {
+                    Some(report) => self.pool.get(server).may_be(report.incarnation),
+                    // Another incarnation may have been cut off within its report. Only engines have one.
+                    None => !self.is_engine(server),
+                };
+                match is_known {
                     true => Evidence::Alive,
                     false => Evidence::MayHaveEnded,
                 }
