Entry: an answer without framing that a crash cuts is no whole one

A crash closes a connection in the same way as the end of an answer with neither a length nor chunks. A caller of a plain service got what had come before the crash, also nothing, as a whole answer.

As in the gateway, such an answer is whole only if its server lives on: at its end a connection to the server must be accepted. It costs a connection and 5 ms for each answer without framing; 204, 304 and answers to HEAD end with their head. A server that has begun a new life within 5 ms isn't told from one that lived on.

--- a/crates/entry/src/backend/http.rs
+++ b/crates/entry/src/backend/http.rs
@@ -4,6 +4,7 @@
 #[cfg(test)]
 mod tests;
 mod transport;
+mod unframed;
 
 use std::{
     io::Read,
@@ -115,7 +116,7 @@
         let sent =
             if call.body.is_empty() { agent.run(request.map(|_| ())) } else { agent.run(request) };
         match sent {
-            Ok(response) => Ok(answer(response)),
+            Ok(response) => Ok(answer(call, response)),
             Err(_) if !connected.load(Ordering::Acquire) => Err(Failure::Unreachable),
             Err(_) => Err(Failure::Lost),
         }
@@ -256,7 +257,7 @@
     blocks.map(|it| format!("{:016x}", it.0)).collect::<Vec<_>>().join(",")
 }
 
-fn answer(response: Response<Body>) -> Answer {
+fn answer(call: &Call, response: Response<Body>) -> Answer {
     let header = |name: &str| response.headers().get(name).and_then(|it| it.to_str().ok());
     let status = response.status().as_u16();
     let content_type = Arc::from(header("content-type").unwrap_or("application/octet-stream"));
@@ -264,10 +265,26 @@
     let incarnation = header("x-incarnation").and_then(|it| it.parse().ok()).map(Incarnation);
     let weights = header("x-weights").and_then(|it| it.parse().ok()).map(Weights);
     let not_run = header("x-not-run") == Some("1") && 400 <= status;
-    let body: Box<dyn Read + Send> = Box::new(response.into_body().into_reader());
+    let is_framed = is_framed(call, &response);
+    let body = response.into_body().into_reader();
+    let body: Box<dyn Read + Send> = match is_framed {
+        true => Box::new(body),
+        false => Box::new(unframed::Body::new(body, call.address)),
+    };
     Answer { status, content_type, attempt, incarnation, weights, not_run, body }
 }
 
+/// Whether the answer ends without its connection.
+fn is_framed(call: &Call, response: &Response<Body>) -> bool {
+    let headers = response.headers();
+    let is_head =
+        matches!(&call.operation, Operation::Service { method, .. } if &**method == "HEAD");
+    is_head
+        || matches!(response.status().as_u16(), 204 | 304)
+        || headers.contains_key("content-length")
+        || headers.contains_key("transfer-encoding")
+}
+
 fn accepted(response: &Response<Body>) -> Result<(), Failure> {
     let status = response.status();
     if status.is_success() { Ok(()) } else { Err(Failure::Refused(status.as_u16())) }
--- a/crates/entry/src/backend/http/tests/cut.rs
+++ b/crates/entry/src/backend/http/tests/cut.rs
@@ -24,11 +24,13 @@
 enum End {
     Closed,
     Reset,
-    /// The same after pauses within the head.
+    /// The same as a close, and nothing listens any more.
+    Crash,
+    /// The same as a close, after pauses within the head.
     ClosedAfterPauses,
 }
 
-const ENDS: [End; 3] = [End::Closed, End::Reset, End::ClosedAfterPauses];
+const ENDS: [End; 4] = [End::Closed, End::Reset, End::Crash, End::ClosedAfterPauses];
 /// Interval of the positions that are tried where the server pauses.
 const PAUSED_STEP: usize = 9;
 
@@ -41,7 +43,11 @@
         match end {
             // Closing a socket with unread input resets the connection.
             End::Reset => drop(stream.peek(&mut [0]).unwrap()),
-            End::Closed | End::ClosedAfterPauses => drop(read_request(&mut stream)),
+            _ => drop(read_request(&mut stream)),
+        }
+        match end {
+            End::Crash => drop(listener),
+            _ => std::mem::forget(listener),
         }
         write(&mut stream, &answer, end)
     });
@@ -105,14 +111,16 @@
     }
 }
 
-// An answer without framing ends with its connection. One that is reset isn't whole.
+// An answer without framing ends with its connection. One that is reset, or cut by a crash, isn't whole.
 #[test]
-fn answer_without_framing_that_is_reset_is_an_error() {
+fn answer_without_framing_that_is_cut_is_an_error() {
     let answer = format!("{HEAD}\r\n{BODY}");
-    for len in 0..=answer.len() {
-        let address = server(answer.as_bytes()[..len].to_vec(), End::Reset);
-        let read = body(&service_call(address, "GET"));
-        assert_eq!(read, Err(Failure::Lost), "{:?}", &answer[..len]);
+    for end in [End::Reset, End::Crash] {
+        for len in 0..=answer.len() {
+            let address = server(answer.as_bytes()[..len].to_vec(), end);
+            let read = body(&service_call(address, "GET"));
+            assert_eq!(read, Err(Failure::Lost), "{end:?} {:?}", &answer[..len]);
+        }
     }
     let address = server(answer.into_bytes(), End::Closed);
     assert_eq!(body(&service_call(address, "GET")), Ok(BODY.to_owned()));
