A declined stream is tried once more just before its caller leaves

Seen by callers: a stream whose server had crashed was broken off though servers had room 0.6 s before the caller left.

Cause: the pause before a declined stream is sent again doubles each time. With callers that wait for 2 s, the tries come 0.1, 0.2, 0.6 and 1.2 s after the last event, and the next one at 2.5 s.

Change: the pause ends when the stream would be given up, 0.2 s before its caller leaves.

--- a/crates/gateway/src/core/retry.rs
+++ b/crates/gateway/src/core/retry.rs
@@ -27,7 +27,8 @@
 }
 
 impl Core {
-    /// Resends a stream that a server declined, after `pause` and as soon as the retry budget allows it.
+    /// Resends a stream that a server declined, after `pause` or just before its caller leaves, and as soon as the retry
+    /// budget allows it.
     ///
     /// An instance has only a small share of the budget, which a few streams that are declined together use up
     /// within milliseconds. Waiting lets the budget grow while the caller still waits; without it, streams that
@@ -39,7 +40,9 @@
         reason: &'static str,
         pause: Duration,
     ) {
-        let due = self.now + pause;
+        let Some(exchange) = self.exchanges.get(index) else { return };
+        let (due, give_up_at) = (self.now + pause, exchange.give_up_at());
+        let due = if self.now < give_up_at { due.min(give_up_at) } else { due };
         self.schedule_retry(index, Retry { reason, due, unless_ended: None });
     }
 
