A stream isn't moved if its deadline might come while its server's events are held back

Seen by callers: a stream was cut at its deadline though its server had sent all of it 0.1 s before.

Cause: what the first server sends is held back for up to 250 ms while the next one is to send an event. If the deadline came first, it was dropped.

Change: such a stream stays where it is.

--- a/crates/gateway/src/core/migration.rs
+++ b/crates/gateway/src/core/migration.rs
@@ -55,7 +55,11 @@
 
     /// Sends the stream to a second server, to continue there. Returns false if it stays for now.
     fn migrate(&mut self, index: usize) -> bool {
-        let is_worthwhile = self.exchanges.get(index).is_some_and(|it| self.is_worth_migrating(it));
+        let end = self.now + MAX_HANDOFF_TIME;
+        let is_worthwhile = self
+            .exchanges
+            .get(index)
+            .is_some_and(|it| end < it.deadline && self.is_worth_migrating(it));
         if !is_worthwhile || self.is_backpressured(index) || !self.has_spare_retry(index) {
             return false;
         }
@@ -72,7 +76,7 @@
             .number("last_event", exchange.delivery.last_event.unwrap_or(0))
             .ms("gap_ms", self.now.since(exchange.delivery.last_sent));
         self.stats.count_migration("sent");
-        self.set_aside(index, Cause::Migration { until: self.now + MAX_HANDOFF_TIME });
+        self.set_aside(index, Cause::Migration { until: end });
         self.send_attempt(index, &choice);
         true
     }
