Reading what had arrived before is no sign of a server's life

Seen by callers: streams of a server that fell silent left it for weights and came back, as the next server declined them. Their callers heard nothing more and left after 2 s, though other servers had room.

Cause: when a stream returns to its first server, what was held back is handled, also if that is nothing. This counted as a sign of life: it ended the mark of a server that doesn't respond, which was set while the stream was held back, so that no second attempt followed; it moved the time of the stream's last event, from which a stall and the wait for room are counted; and the server counted as heard of lately for second attempts of others. The same happened whenever a slow caller had taken what it was sent.

Evidence: stream_that_is_back_at_a_silent_server_is_hedged failed with 6 of 6 streams in three of three runs: the server is left out, the stream turned away and abandoned 1.4 s later, with no line between.

Change: input without a new byte of the body isn't handled, and a server counts as heard of only when something arrives. The test passed in six of six runs.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -413,7 +413,7 @@
     fn on_readable(&mut self, key: Key) {
         match self.roles.get(&key) {
             Some(Role::Caller(_)) => self.read_caller(key),
-            Some(Role::Backend(_)) => self.read_backend(key),
+            Some(Role::Backend(_)) => self.receive_backend(key),
             Some(Role::Control(_)) => self.read_control(key),
             Some(Role::Endpoint(_)) => self.read_endpoint(key),
             None => self.net.close(key),
--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -90,10 +90,16 @@
         }
     }
 
-    pub(crate) fn read_backend(&mut self, key: Key) {
+    /// Handles what has arrived on the connection.
+    pub(crate) fn receive_backend(&mut self, key: Key) {
         if let Some(Role::Backend(backend)) = self.roles.get(&key) {
             self.pool.get_mut(backend.server).heard_at = self.now;
         }
+        self.read_backend(key);
+    }
+
+    /// Handles what had arrived on the connection before, if anything.
+    pub(crate) fn read_backend(&mut self, key: Key) {
         if self.focus_backend(key) {
             self.read_response(key, Pacing::ByCaller);
         }
@@ -191,6 +197,11 @@
             let done = reading.framing.decode(&mut socket.input, &mut body);
             reading.body_bytes += body.len() as u64;
             let is_foreign = reading.is_foreign;
+            if body.is_empty() && matches!(done, Ok(false)) {
+                // Input that was read before is no sign of life.
+                self.net.resume_reading(key);
+                return;
+            }
             let done = match done {
                 Ok(done) => done,
                 Err(_) => {
