A stream stays at a server that refuses new connections until another one has an event of it

Callers of a resumable stream got no end of it though its server sent all of it: an instance that was refused a new connection took the server's process for ended, closed the connection on which the stream arrived, and then looked for another server. Where that one had no room, the stream was sent to it five times, which took five retries, and broken off.

A refused connection shows that new ones are refused. What runs there gets a second attempt beside the first one, like what runs at a server that doesn't respond. If the process has ended, the end of its connections ends the first attempts. A suspected request, which gets no second attempt, is sent elsewhere as before.

--- a/crates/gateway/src/core/ejection.rs
+++ b/crates/gateway/src/core/ejection.rs
@@ -1,6 +1,6 @@
 //! Servers that get no requests until a probe succeeds, and what runs there.
 
-use crate::{core::Core, pool};
+use crate::{core::Core, pool, quarantine::Verdict};
 
 /// Why an attempt ends whose server doesn't respond.
 pub(super) const REASON_UNRESPONSIVE: &str = "silent";
@@ -14,14 +14,17 @@
         }
     }
 
-    /// Handles a server whose process has ended: ejects it, and sends its idempotent requests elsewhere.
+    /// Handles a server that refuses connections, as if its process had ended: ejects it, and sends its idempotent requests
+    /// elsewhere as well. Their connections show whether they are lost: it may be on the way that new ones are refused.
     pub(crate) fn handle_ended_server(&mut self, server: pool::Id) {
         if !self.eject_unresponsive(server) {
             return;
         }
         for index in self.exchanges_where(|it| it.is_at(server) && it.is_repeatable()) {
             self.record_loss(index);
-            if self.exchanges.contains(index) {
+            if self.quarantine_verdict(index) == Verdict::Clear {
+                self.hedge(index, None);
+            } else if self.exchanges.contains(index) {
                 self.retry_elsewhere(index, REASON_UNRESPONSIVE);
             }
         }
