A stream that must run once keeps its silent server until the one with its copy has taken over

Where a server was silent for longer than 1.5 s, a stream that must not be repeated was continued at the server with its copy. The connection to the first server was closed before that. If the copy was gone, the answer "not run" ended the stream (copy-gone), though its own server went on a moment later and its caller was still there.

The first attempt of a stalled stream is kept beside the second one. It is closed as soon as the second server's head says that it goes on with the run, before its first event, so that the two don't work side by side; whichever speaks first is used, and a second one that declines or breaks leaves the first. The copy belongs to the attempt whose run it holds, as a stream that returns to its first server must not ask for the copy of the second run.

--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -7,6 +7,7 @@
 use crate::{
     core::{
         Core,
+        attempt::Attempt,
         exchange::Exchange,
         quarantine::is_exonerating,
         rate_limit::{advertised_limit, advertised_tolerance},
@@ -72,6 +73,10 @@
         if is_ejected {
             self.log_ejected(id, "errors");
         }
+        let attempt = self.exchanges.get(index).and_then(|it| it.attempt.as_ref());
+        if attempt.is_some_and(Attempt::has_taken_over) {
+            self.settle_standby(index);
+        }
     }
 
     /// Handles a part of the answer's body. `done`: it is the last one. Returns whether the attempt continues.
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -44,6 +44,8 @@
     pub(crate) reply: Option<Reply>,
     /// The times of the run's events, once there is one.
     pub(crate) run: Option<copies::Run>,
+    /// The server that holds a copy of the run's KV cache, to continue there if this attempt's server is lost.
+    pub(crate) copy: Option<pool::Id>,
     /// Whether it continues from a copy of the run's KV cache.
     pub(crate) is_from_copy: bool,
     /// Set once its connection has ended with an answer that has neither a length nor chunks.
@@ -85,6 +87,7 @@
             first_token: Duration::ZERO,
             reply: None,
             run: None,
+            copy: None,
             is_from_copy: false,
             end: None,
             is_overdue: false,
@@ -121,6 +124,12 @@
             || (self.reply.is_some() && !exchange.route.is_stream)
     }
 
+    /// Whether its server has taken over the run from a copy.
+    pub(crate) fn has_taken_over(&self) -> bool {
+        let reply = self.reply.as_ref().filter(|_| self.is_from_copy);
+        reply.is_some_and(|it| it.is_success() && !it.answer.is_declined)
+    }
+
     /// The measured latency of the first token, which arrives now.
     pub(crate) fn latency_sample(&self, now: Time) -> Sample {
         Sample {
@@ -156,7 +165,6 @@
         let copy = self.copy_target(index, choice);
         let copy_to = copy.map(|it| self.pool.get(it).address);
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
-        exchange.copy = copy;
         let resume_from = exchange.resume_from.take();
         let server = self.pool.get(choice.server);
         let scope = choice.weights.map(|it| cache_scope(it, exchange.cache_owner()));
@@ -190,6 +198,7 @@
             wait_ms: choice.wait_ms,
             pace: choice.pace,
             first_token: choice.first_token(),
+            copy,
             is_from_copy: resume_from.is_some(),
             ..Attempt::new(choice.server, connection, now)
         };
--- a/crates/gateway/src/core/copy.rs
+++ b/crates/gateway/src/core/copy.rs
@@ -1,7 +1,13 @@
 //! Failover of runs that must not be repeated: they continue at a copy of their KV cache when their server is
 //! lost.
 
-use crate::{copies, core::Core, placement::Choice, pool, rate_limit::Permission};
+use crate::{
+    copies,
+    core::{Core, stall::REASON_STALLED, standby::Cause},
+    placement::Choice,
+    pool,
+    rate_limit::Permission,
+};
 
 /// Reasons for the end of an attempt after which its server isn't expected to work on it any more. A malformed
 /// answer is none of them, and neither is a missing one, since a server with a long queue answers probes too
@@ -25,8 +31,8 @@
     /// Continues a run that must not be repeated at the server with its copy, after its own server was lost.
     /// Returns whether it does.
     ///
-    /// Nothing runs twice: the connection to the first server is closed before, and the second server, which
-    /// should have the copy, can only continue the run.
+    /// Nothing runs twice: the second server, which should have the copy, can only continue the run. The connection to the
+    /// first server is closed before, or once the second one has taken over from one that doesn't respond.
     pub(crate) fn continue_at_copy(&mut self, index: usize, reason: &'static str) -> bool {
         if !LOST_REASONS.contains(&reason) {
             return false;
@@ -39,11 +45,16 @@
         if !self.draw_retry(index, reason) {
             return false;
         }
-        let lost = self.release_attempt(index, true);
+        if reason == REASON_STALLED {
+            self.set_aside(index, Cause::Unresponsive);
+        } else {
+            let lost = self.release_attempt(index, true);
+            let Some(exchange) = self.exchanges.get_mut(index) else { return false };
+            exchange.delivery.pending.clear();
+            exchange.excluded.extend(lost.map(|it| it.server));
+        }
         let Some(exchange) = self.exchanges.get_mut(index) else { return false };
         let server = self.pool.get(copy);
-        exchange.delivery.pending.clear();
-        exchange.excluded.extend(lost.map(|it| it.server));
         exchange.resume_from = Some(server.address);
         self.log
             .line(self.now, "goes_on")
@@ -60,9 +71,9 @@
     /// The server with the copy of the attempt's run and the version of its weights, if the copy should exist
     /// and the server can continue with it.
     fn usable_copy(&self, index: usize) -> Option<(pool::Id, Option<u64>)> {
-        let exchange = self.exchanges.get(index)?;
+        let exchange = self.exchanges.get(index).filter(|it| it.standby.is_none())?;
         let attempt = exchange.attempt.as_ref()?;
-        let (copy, weights) = (exchange.copy?, attempt.weights);
+        let (copy, weights) = (attempt.copy?, attempt.weights);
         let retention = self.service(&exchange.service)?.engine.as_ref()?.copy_retention?;
         let server = self.pool.get(copy);
         let is_usable = attempt.run.is_some_and(|it| it.has_copy(self.now, retention))
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -72,9 +72,6 @@
     pub(crate) binding: Binding,
     /// How the build of a stream that it takes up was found.
     pub(crate) evidence: Option<Evidence>,
-    /// The server that holds a copy of the run's KV cache, to continue there if the attempt's
-    /// server is lost.
-    pub(crate) copy: Option<pool::Id>,
     /// Address of the KV cache copy with which the next attempt continues.
     pub(crate) resume_from: Option<SocketAddr>,
     /// The attempt whose answer is awaited or forwarded.
@@ -301,7 +298,6 @@
             parts: OnceCell::new(),
             binding: Binding::Free,
             evidence: None,
-            copy: None,
             resume_from: None,
             attempt: None,
             standby: None,
--- a/crates/gateway/src/core/failure.rs
+++ b/crates/gateway/src/core/failure.rs
@@ -99,11 +99,11 @@
             }
             return;
         }
-        if is_rerun_forbidden {
-            self.fail_exchange(index, 502, "copy-gone");
+        if self.resume_standby(index) {
             return;
         }
-        if self.resume_standby(index) {
+        if is_rerun_forbidden {
+            self.fail_exchange(index, 502, "copy-gone");
             return;
         }
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
--- a/crates/gateway/src/core/handover.rs
+++ b/crates/gateway/src/core/handover.rs
@@ -120,7 +120,6 @@
         self.adapter.write_handover(&exchange.head, &options, &mut bytes);
         bytes.extend_from_slice(&exchange.body);
         exchange.handovers += 1;
-        exchange.copy = None;
         self.log
             .line(now, "handed_over")
             .text("request", exchange.id())
--- a/crates/gateway/src/core/stall.rs
+++ b/crates/gateway/src/core/stall.rs
@@ -18,7 +18,7 @@
 /// Interval at which a stalled stream is tried again elsewhere.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Why a stream goes on elsewhere.
-const REASON_STALLED: &str = "stalled";
+pub(super) const REASON_STALLED: &str = "stalled";
 
 impl Core {
     /// Sets a timer for the time by which the stream's next event is due.
@@ -32,8 +32,8 @@
         }
     }
 
-    /// Has a stream that has stalled continued elsewhere. One that must not be repeated has to leave its server for that,
-    /// and does so only if the server doesn't respond.
+    /// Has a stream that has stalled continued elsewhere. One that must not be repeated goes on at its copy, and only if
+    /// its server doesn't respond.
     pub(crate) fn check_stall(&mut self, index: usize) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
