What arrived before a connection was reset still belongs to the answer

Seen by callers: a stream was broken off though its server had sent all of it.

Cause: while a stream is moved, its first server's input is held back. If that connection was reset meanwhile, as when streams are cut for weights, what had arrived before was dropped and the rest requested from other servers. The same held for what a slow caller had kept from being parsed; only a proper close had it parsed.

Change: input that is left is parsed, however the connection ended.

--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -303,10 +303,8 @@
         if !self.focus_backend(key) {
             return;
         }
-        if kind.is_none() {
-            // What a slow caller has kept from being parsed still belongs to the answer.
-            self.read_response(key, Pacing::None);
-        }
+        // What a slow caller or another attempt has kept from being parsed still belongs to the answer.
+        self.read_response(key, Pacing::None);
         let Some(Role::Backend(backend)) = self.roles.get(&key) else { return };
         let Some(index) = backend.exchange else {
             self.close_backend(key);
