A second attempt that waits for a sign of its server isn't made once the first server goes on

By reading, without a test: what a request waited for was kept after its first server had answered, so that a later probe's answer could spend a retry; and an attempt that is set aside again before its held-back input was handled would lose the end of its connection.

--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -62,6 +62,7 @@
         let asks_for_backoff = requested_backoff(head.status, answer).time().is_some();
         let is_error = 500 <= head.status && !answer.is_declined && !asks_for_backoff;
         let is_ejected = is_error && server.health.record_error(now);
+        attempt.awaited = None;
         attempt.reply = Some(reply);
         self.record_sign_of_life(id);
         if self.exchanges.get(index).is_some_and(|it| !it.route.is_stream) {
--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -104,6 +104,7 @@
 
     /// Records that an event arrived.
     pub(crate) fn record_event(&mut self, now: Time) {
+        self.awaited = None;
         match &mut self.run {
             Some(run) => run.record_event(now),
             None => self.run = Some(copies::Run::new(now)),
--- a/crates/gateway/src/core/standby.rs
+++ b/crates/gateway/src/core/standby.rs
@@ -86,7 +86,7 @@
             return false;
         };
         let attempt = exchange.attempt.insert(attempt);
-        attempt.is_held_back = cause != Cause::Unresponsive;
+        attempt.is_held_back |= cause != Cause::Unresponsive;
         exchange.delivery.pending = pending;
         let serial = exchange.serial;
         let delay = match cause {
