Bound the trailer of a chunked body

What callers saw: a request whose server sends a whole chunked body and then a trailer without end was read until its route's time limit, and ended with 504. Cause: each line of a trailer was bounded, their number wasn't. Change: 8 KiB for a trailer as a whole.

--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -4,8 +4,8 @@
 
 /// Maximum length of the line with a chunk's size.
 const MAX_SIZE_LINE_BYTES: usize = 256;
-/// Maximum length of a line of the trailer after the last chunk.
-const MAX_TRAILER_LINE_BYTES: usize = 8 * 1024;
+/// Maximum length of the trailer after the last chunk.
+const MAX_TRAILER_BYTES: usize = 8 * 1024;
 
 /// Framing and decoding state: what is still to come of a body.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -29,8 +29,8 @@
     Data(u64),
     /// In the line break after a chunk's data.
     DataEnd,
-    /// In the trailer.
-    Trailer,
+    /// In the trailer, with the number of bytes that it may still have.
+    Trailer(usize),
 }
 
 impl Framing {
@@ -91,7 +91,7 @@
                 let Some(line) = line(rest, MAX_SIZE_LINE_BYTES)? else { return Ok(false) };
                 *at += line.len() + 2;
                 *state = match chunk_size(line)? {
-                    0 => Chunk::Trailer,
+                    0 => Chunk::Trailer(MAX_TRAILER_BYTES),
                     len => Chunk::Data(len),
                 };
             }
@@ -115,12 +115,13 @@
                 *at += 2;
                 *state = Chunk::Size;
             }
-            Chunk::Trailer => {
-                let Some(line) = line(rest, MAX_TRAILER_LINE_BYTES)? else { return Ok(false) };
+            Chunk::Trailer(left) => {
+                let Some(line) = line(rest, *left)? else { return Ok(false) };
                 *at += line.len() + 2;
                 if line.is_empty() {
                     return Ok(true);
                 }
+                *left = left.saturating_sub(line.len() + 2);
             }
         }
     }
--- a/crates/gateway/tests/http.rs
+++ b/crates/gateway/tests/http.rs
@@ -71,6 +71,23 @@
     assert_eq!(input, b"ok");
 }
 
+// A server that sends a trailer without end must not be read until the request's deadline.
+#[test]
+fn trailer_without_end_is_an_error() {
+    let mut framing = Framing::chunked();
+    let mut input = b"0\r\n".to_vec();
+    let mut sent = 0;
+    let result = loop {
+        input.extend_from_slice(b"X: 1\r\n");
+        sent += 6;
+        match framing.decode(&mut input, &mut Vec::new()) {
+            Ok(false) if sent < 1 << 20 => {}
+            result => break result,
+        }
+    };
+    assert_eq!(result, Err(Error::Body));
+}
+
 #[test]
 fn response_without_a_length_ends_with_the_connection() {
     let mut input = b"HTTP/1.1 200 OK\r\n\r\nsome".to_vec();
