Look for the end of an event only in what has arrived since

What callers see: nothing by itself. A server that sends an event of up to 512 KiB in small pieces had it scanned from its start at each piece: for pieces of 38 bytes 3.6 GB for one event, on a machine with an eighth of a core. Change: an event is looked for only if the new piece, with the two bytes before it, ends a blank line. Test: whatever the pieces, events are taken with their last byte (events_are_taken_from_any_pieces).

--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -189,8 +189,7 @@
         let Some(exchange) = self.exchanges.get_mut(index) else { return false };
         let Some(attempt) = &mut exchange.attempt else { return false };
         let delivery = &mut exchange.delivery;
-        delivery.pending.extend_from_slice(body);
-        let chunk = events::take_complete(&mut delivery.pending, delivery.last_event);
+        let chunk = events::extend(&mut delivery.pending, body, delivery.last_event);
         let Chunk { bytes, last_event, weights } = match chunk {
             Ok(it) => it,
             Err(invalid) => {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,5 +1,7 @@
 //! Splits a byte stream into server-sent events.
 
+use crate::http::has_blank_line;
+
 /// Complete events that can be forwarded.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Chunk {
@@ -37,6 +39,22 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct BrokenOff;
 
+/// Appends `bytes` to `pending`, and takes the complete events from its front, as [`take_complete`] does.
+///
+/// Takes time in proportion to the bytes, however small the pieces are in which an event arrives.
+pub fn extend(pending: &mut Vec<u8>, bytes: &[u8], last: Option<u64>) -> Result<Chunk, Invalid> {
+    // What came before has no blank line, but may have the first bytes of one.
+    let from = pending.len().saturating_sub(2);
+    pending.extend_from_slice(bytes);
+    if from == 0 || has_blank_line(&pending[from..]) {
+        return take_complete(pending, last);
+    }
+    match pending.len() <= MAX_EVENT_BYTES {
+        true => Ok(Chunk { last_event: last, ..Chunk::default() }),
+        false => Err(Invalid::TooLong),
+    }
+}
+
 /// Takes the complete events from the front of `pending`. Events up to `last` are dropped, as the caller has them.
 pub fn take_complete(pending: &mut Vec<u8>, last: Option<u64>) -> Result<Chunk, Invalid> {
     let mut chunk = Chunk { last_event: last, ..Chunk::default() };
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -23,3 +23,8 @@
     #[error("unsupported version")]
     Version,
 }
+
+/// Whether `bytes` have a line break that is followed by a blank line.
+pub(crate) fn has_blank_line(bytes: &[u8]) -> bool {
+    bytes.windows(2).any(|it| it == b"\n\n") || bytes.windows(3).any(|it| it == b"\n\r\n")
+}
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use shallotlead_gateway::events::{
-    BrokenOff, Invalid, MAX_EVENT_BYTES, is_inside_event, take_complete, take_rest,
+    BrokenOff, Invalid, MAX_EVENT_BYTES, extend, is_inside_event, take_complete, take_rest,
 };
 
 fn stream(numbers: &[u64]) -> Vec<u8> {
@@ -20,6 +20,30 @@
     assert_eq!(pending, b"id: 3\ndata: t");
 }
 
+// Events are found with their last byte, whatever the pieces and line breaks.
+#[test]
+fn events_are_taken_from_any_pieces() {
+    for text in
+        ["id: 1\ndata: t\n\nid: 2\n\n", "id: 1\r\ndata: t\r\n\r\nid: 2\r\n\r\n", "\n\r\nid: 2\n\n"]
+    {
+        for size in 1..text.len() {
+            let (mut pending, mut last, mut taken) = (Vec::new(), None, Vec::new());
+            for piece in text.as_bytes().chunks(size) {
+                let chunk = extend(&mut pending, piece, last).unwrap();
+                last = chunk.last_event;
+                taken.extend(chunk.bytes);
+                let mut rest = pending.clone();
+                assert_eq!(
+                    take_complete(&mut rest, last).unwrap().bytes,
+                    b"",
+                    "{text:?} by {size}"
+                );
+            }
+            assert_eq!((taken, last), (text.as_bytes().to_vec(), Some(2)), "{text:?} by {size}");
+        }
+    }
+}
+
 #[test]
 fn events_that_the_caller_has_are_dropped() {
     let it = take_complete(&mut stream(&[2, 3, 4]), Some(3)).unwrap();
