Bound the interim responses before an answer, and read them in linear time

What callers saw: a server that sends interim responses (103) over and over takes the processor of the instances that call it. Cause: each was skipped by moving all input that was left, and neither their number nor their bytes were bounded, so that it went on until the route's time limit. Change: they count toward the 64 KiB of a head, are removed together, and a long head that arrives in small pieces is parsed again only once it ends or has grown by a share.

--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -4,7 +4,10 @@
 
 use crate::{
     core::{Core, Role, idle::Idle, reply::Reply},
-    http::{body::Framing, head::Response},
+    http::{
+        body::Framing,
+        head::{Decoder, Response},
+    },
     net::{Key, Socket, Tolerance},
     pool,
 };
@@ -19,8 +22,10 @@
     pub(crate) server: pool::Id,
     /// Index of the exchange that it is busy with.
     pub(crate) exchange: Option<usize>,
-    /// The response that is being read.
+    /// The response whose head was read.
     reading: Option<Reading>,
+    /// Reads the head of the next response.
+    decoder: Decoder,
     /// How long it may be reused.
     idle: Idle,
     /// Whether it has carried an earlier request.
@@ -73,6 +78,7 @@
                     server,
                     exchange: Some(index),
                     reading: None,
+                    decoder: Decoder::default(),
                     idle: Idle::new(DEFAULT_IDLE_LIMIT),
                     is_reused: false,
                 };
@@ -179,9 +185,12 @@
             let Some(Role::Backend(backend)) = self.roles.get_mut(&key) else { return };
             let Some(socket) = self.net.get_mut(key) else { return };
             let Some(reading) = &mut backend.reading else {
-                match Response::decode(&mut socket.input, MAX_HEAD, is_head_request) {
+                match backend.decoder.decode(&mut socket.input, MAX_HEAD, is_head_request) {
                     Ok(None) => return,
-                    Ok(Some(head)) => self.begin_response(key, index, head),
+                    Ok(Some(head)) => {
+                        backend.decoder = Decoder::default();
+                        self.begin_response(key, index, head);
+                    }
                     Err(error) => {
                         self.log
                             .line(self.now, "garbled")
--- a/crates/gateway/src/core/control.rs
+++ b/crates/gateway/src/core/control.rs
@@ -10,7 +10,7 @@
     core::{Core, Role, Timer, idle::Idle, state},
     http::{
         body::Framing,
-        head::{Fields, Response},
+        head::{Decoder, Fields, Response},
         write,
     },
     net::{Key, Socket, Tolerance},
@@ -102,6 +102,8 @@
     address: SocketAddr,
     /// Index of the request in progress.
     request: Option<usize>,
+    /// Reads the head of the next answer.
+    decoder: Decoder,
     /// The head of the answer, what is left of its body, and the body so far.
     reading: Option<(Response, Framing, Vec<u8>)>,
     /// How long it may be reused.
@@ -190,6 +192,7 @@
                 let conn = Connection {
                     address,
                     request: None,
+                    decoder: Decoder::default(),
                     reading: None,
                     idle: Idle::new(DEFAULT_IDLE_LIMIT),
                     is_reused: false,
@@ -219,8 +222,9 @@
         }
         let Some(socket) = self.net.get_mut(key) else { return };
         if conn.reading.is_none() {
-            match Response::decode(&mut socket.input, MAX_HEAD, false) {
+            match conn.decoder.decode(&mut socket.input, MAX_HEAD, false) {
                 Ok(Some(head)) => {
+                    conn.decoder = Decoder::default();
                     let framing = head.framing;
                     conn.reading = Some((head, framing, Vec::new()));
                 }
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -1,9 +1,13 @@
 //! Parses the heads of requests and responses.
 
-use crate::http::{Error, body::Framing};
+use crate::http::{Error, body::Framing, has_blank_line};
 
 /// Maximum number of header fields in one head.
 const MAX_FIELDS: usize = 100;
+/// Length of a response's head up to which each further piece of it is parsed at once.
+const SHORT_HEAD_BYTES: usize = 4 * 1024;
+/// Longest part of the line breaks at the end of a head that may have arrived before the rest.
+const PARTIAL_END_BYTES: usize = 2;
 
 /// One header field. Its value is kept as bytes, since it is forwarded unchanged.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -167,37 +171,80 @@
         max: usize,
         is_to_head: bool,
     ) -> Result<Option<Self>, Error> {
-        loop {
-            if input.is_empty() {
-                return Ok(None);
-            }
-            let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
-            let mut parsed = httparse::Response::new(&mut fields);
-            let len = match parsed.parse(input) {
-                Ok(httparse::Status::Complete(len)) if len <= max => len,
-                Ok(httparse::Status::Partial) if input.len() <= max => return Ok(None),
-                Ok(_) => return Err(Error::TooLong),
-                Err(_) => return Err(Error::Head),
-            };
-            let status = parsed.code.ok_or(Error::Head)?;
-            let is_http11 = parsed.version == Some(1);
+        Decoder::default().decode(input, max, is_to_head)
+    }
+
+    fn new(status: u16, is_http11: bool, fields: Fields, is_to_head: bool) -> Result<Self, Error> {
+        let declared = fields.framing()?;
+        let framing = match declared {
+            _ if is_to_head || status == 204 || status == 304 => Framing::Empty,
+            Some(framing) => framing,
+            None => Framing::UntilClose,
+        };
+        let closes_connection = !is_http11
+            || framing == Framing::UntilClose
+            || fields.contains_token("connection", "close");
+        Ok(Self { status, fields, framing, closes_connection })
+    }
+}
+
+/// Parses the head of one response as it arrives, after any interim (1xx) responses.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    /// Bytes of the interim responses that were removed from the input.
+    skipped: usize,
+    /// Length of the input in which no end of a head was found.
+    scanned: usize,
+    /// Length of the input from which on it is parsed although it has no end of a head, to find what is malformed.
+    parse_from: usize,
+}
+
+impl Decoder {
+    /// Removes the head from the front of `input` and parses it; `None` if it is incomplete. Fails if it is longer than
+    /// `max` bytes, with the interim responses before it. `is_to_head`: the request was a `HEAD`.
+    ///
+    /// Takes time in proportion to the bytes, however small the pieces are in which they arrive.
+    pub fn decode(
+        &mut self,
+        input: &mut Vec<u8>,
+        max: usize,
+        is_to_head: bool,
+    ) -> Result<Option<Response>, Error> {
+        let added = self.scanned.saturating_sub(PARTIAL_END_BYTES).min(input.len());
+        let mut at = 0;
+        let response = match has_blank_line(&input[added..]) || self.parse_from <= input.len() {
+            true => decode_final(input, &mut at, is_to_head)?,
+            false => None,
+        };
+        input.drain(..at);
+        self.skipped += at;
+        self.scanned = input.len();
+        self.parse_from = input.len() + input.len().saturating_sub(SHORT_HEAD_BYTES);
+        let unparsed = if response.is_none() { input.len() } else { 0 };
+        match self.skipped + unparsed <= max {
+            true => Ok(response),
+            false => Err(Error::TooLong),
+        }
+    }
+}
+
+/// Parses the first response of `input` that isn't an interim one. `at`: the length of what was parsed.
+fn decode_final(input: &[u8], at: &mut usize, is_to_head: bool) -> Result<Option<Response>, Error> {
+    while *at < input.len() {
+        let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut parsed = httparse::Response::new(&mut fields);
+        match parsed.parse(&input[*at..]) {
+            Ok(httparse::Status::Complete(len)) => *at += len,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(Error::Head),
+        }
+        let status = parsed.code.ok_or(Error::Head)?;
+        if !(100..200).contains(&status) {
             let fields = to_fields(parsed.headers);
-            input.drain(..len);
-            if (100..200).contains(&status) {
-                continue;
-            }
-            let declared = fields.framing()?;
-            let framing = match declared {
-                _ if is_to_head || status == 204 || status == 304 => Framing::Empty,
-                Some(framing) => framing,
-                None => Framing::UntilClose,
-            };
-            let closes_connection = !is_http11
-                || framing == Framing::UntilClose
-                || fields.contains_token("connection", "close");
-            return Ok(Some(Self { status, fields, framing, closes_connection }));
+            return Response::new(status, parsed.version == Some(1), fields, is_to_head).map(Some);
         }
     }
+    Ok(None)
 }
 
 fn to_fields(headers: &[httparse::Header<'_>]) -> Fields {
--- a/crates/gateway/tests/http.rs
+++ b/crates/gateway/tests/http.rs
@@ -4,7 +4,7 @@
 use shallotlead_gateway::http::{
     Error,
     body::Framing,
-    head::{Request, Response},
+    head::{Decoder, Request, Response},
     write,
 };
 
@@ -71,7 +71,36 @@
     assert_eq!(input, b"ok");
 }
 
-// A server that sends a trailer without end must not be read until the request's deadline.
+// A server that sends interim responses without end must not be read until the request's deadline.
+#[test]
+fn interim_responses_count_toward_the_length_of_the_head() {
+    let mut decoder = Decoder::default();
+    let interim = b"HTTP/1.1 103 Early Hints\r\n\r\n";
+    let allowed = MAX_HEAD_BYTES / interim.len();
+    for _ in 0..allowed {
+        let decoded = decoder.decode(&mut interim.to_vec(), MAX_HEAD_BYTES, false);
+        assert_eq!(decoded, Ok(None));
+    }
+    let decoded = decoder.decode(&mut interim.to_vec(), MAX_HEAD_BYTES, false);
+    assert_eq!(decoded, Err(Error::TooLong));
+}
+
+// A head with a value that is longer than what is parsed at each piece is complete with its last byte.
+#[test]
+fn long_head_is_decoded_with_its_last_byte() {
+    let value = "x".repeat(9_000);
+    let head = format!("HTTP/1.1 200 OK\r\nX: {value}\r\nContent-Length: 0\r\n\r\n");
+    let (mut decoder, mut input) = (Decoder::default(), Vec::new());
+    for byte in &head.as_bytes()[..head.len() - 1] {
+        input.push(*byte);
+        assert_eq!(decoder.decode(&mut input, MAX_HEAD_BYTES, false), Ok(None));
+    }
+    input.push(b'\n');
+    let response = decoder.decode(&mut input, MAX_HEAD_BYTES, false).unwrap();
+    assert_eq!(response.map(|it| it.status), Some(200));
+}
+
+// The same for a trailer.
 #[test]
 fn trailer_without_end_is_an_error() {
     let mut framing = Framing::chunked();
@@ -109,6 +138,30 @@
 }
 
 proptest! {
+    // Whatever the pieces in which responses arrive, they are decoded as if they had come at once.
+    #[test]
+    fn response_is_decoded_from_any_pieces(
+        interim in 0usize..4,
+        value in 0usize..12_000,
+        pieces in proptest::collection::vec(1usize..700, 1..20),
+    ) {
+        let interim = "HTTP/1.1 100 Continue\r\n\r\n".repeat(interim);
+        let head = format!("{interim}HTTP/1.1 200 OK\r\nX: {}\r\n\r\n", "v".repeat(value));
+        let (mut decoder, mut input) = (Decoder::default(), Vec::new());
+        let (mut rest, mut decoded) = (head.as_bytes(), None);
+        for len in pieces.iter().cycle() {
+            prop_assert!(decoded.is_none());
+            let (piece, left) = rest.split_at((*len).min(rest.len()));
+            input.extend_from_slice(piece);
+            decoded = decoder.decode(&mut input, MAX_HEAD_BYTES, false).unwrap();
+            rest = left;
+            if rest.is_empty() {
+                break;
+            }
+        }
+        prop_assert_eq!(decoded.map(|it: Response| it.status), Some(200));
+    }
+
     #[test]
     fn chunked_body_is_decoded_from_any_pieces(
         body in proptest::collection::vec(any::<u8>(), 0..600),
