Bound the answers to other requests that are skipped before an answer

What callers saw: a server that answers other requests without end, or with a body without end, was read until the route's time limit, and its caller got 504. A foreign body longer than the input buffer stopped the reading for good. Cause: such an answer was skipped, however long and however often; reading wasn't resumed after a part of one. Change: eight of them and 512 KiB for one request, then the attempt is broken. Test: messages_without_end_are_cut_off_before_the_deadline (Foreign, ForeignBody), 504 before, 502 at once now.

--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -14,6 +14,9 @@
 
 /// Longest head of a server's response, bytes.
 const MAX_HEAD: usize = 64 * 1024;
+/// Most answers to other requests that are skipped while an answer is awaited, and the most bytes of their bodies.
+const MAX_FOREIGN_ANSWERS: usize = 8;
+const MAX_FOREIGN_BYTES: usize = 512 * 1024;
 /// What a server's idle limit is taken for if it announces none.
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(2);
 
@@ -26,6 +29,8 @@
     reading: Option<Reading>,
     /// Reads the head of the next response.
     decoder: Decoder,
+    /// Answers to other requests that were skipped while the current one's is awaited, and the bytes of their bodies.
+    foreign: (usize, usize),
     /// How long it may be reused.
     idle: Idle,
     /// Whether it has carried an earlier request.
@@ -59,6 +64,7 @@
         if let Some(key) = self.idle_connection(server) {
             if let Some(Role::Backend(it)) = self.roles.get_mut(&key) {
                 it.exchange = Some(index);
+                it.foreign = (0, 0);
                 it.is_reused = true;
             }
             return Some(key);
@@ -79,6 +85,7 @@
                     exchange: Some(index),
                     reading: None,
                     decoder: Decoder::default(),
+                    foreign: (0, 0),
                     idle: Idle::new(DEFAULT_IDLE_LIMIT),
                     is_reused: false,
                 };
@@ -219,7 +226,13 @@
                 }
             };
             if is_foreign {
+                backend.foreign.1 += body.len();
+                if MAX_FOREIGN_BYTES < backend.foreign.1 {
+                    self.handle_broken_attempt(index, "garbled");
+                    return;
+                }
                 if !done {
+                    self.net.resume_reading(key);
                     return;
                 }
                 backend.reading = None;
@@ -277,6 +290,11 @@
         });
         if !is_foreign {
             self.receive_head(index, Reply { head, answer });
+            return;
+        }
+        backend.foreign.0 += 1;
+        if MAX_FOREIGN_ANSWERS < backend.foreign.0 {
+            self.handle_broken_attempt(index, "garbled");
         }
     }
 
