--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -134,6 +134,21 @@
 const DEFAULT_LINK_MBIT_PER_S: f64 = 10.0;
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
+/// Values that a numeric setting may have.
+struct Range {
+    max: f64,
+    /// Its unit, in seconds.
+    unit_s: f64,
+    /// Description for errors.
+    expected: &'static str,
+}
+
+const COUNT: Range = Range { max: 1e9, unit_s: 0.0, expected: "a number from 0 to 1000000000" };
+const SECONDS: Range =
+    Range { max: 3_600.0, unit_s: 1.0, expected: "a number of seconds from 0 to 3600" };
+const MILLISECONDS: Range =
+    Range { max: 3_600e3, unit_s: 1e-3, expected: "a number of milliseconds from 0 to 3600000" };
+
 /// Names of all settings, by section.
 const KNOWN_KEYS: [(&str, &[&str]); 13] = [
     ("instance", &["name", "data_centre"]),
@@ -141,13 +156,13 @@
     ("store", &["address", "reads_per_second", "writes_per_second"]),
     ("peers", &["seeds", "advertised"]),
     ("link", &["mbit_per_second"]),
-    ("directory", &["ttl_ms"]),
-    ("retries", &["ratio", "window_ms", "slack"]),
-    ("quotas", &["window_ms"]),
+    ("directory", &["ttl_s"]),
+    ("retries", &["ratio", "window_s", "slack"]),
+    ("quotas", &["window_s"]),
     ("orders", &["gap_ms"]),
     ("weights", &["oldest_ms"]),
     ("quarantine", &["crashes", "keep_s"]),
-    ("shutdown", &["grace_ms"]),
+    ("shutdown", &["grace_s"]),
     ("log", &["lines_per_second"]),
 ];
 
@@ -166,7 +181,6 @@
 
 fn from_ini(ini: &Ini) -> Result<Settings, Error> {
     check_keys(ini)?;
-    let millis = |section, key| number(ini, section, key, "a number of milliseconds").map(from_ms);
     let listen = Listen {
         callers: address(ini, "listen", "callers")?,
         ready: address(ini, "listen", "ready")?,
@@ -185,31 +199,31 @@
         listen,
         store: address(ini, "store", "address")?,
         store_calls_per_s: (
-            number(ini, "store", "reads_per_second", "a number")?,
-            number(ini, "store", "writes_per_second", "a number")?,
+            quantity(ini, "store", "reads_per_second", &COUNT)?,
+            quantity(ini, "store", "writes_per_second", &COUNT)?,
         ),
         link_bytes_per_s: link_bytes_per_s(ini)?,
-        directory_ttl: millis("directory", "ttl_ms")?,
+        directory_ttl: duration(ini, "directory", "ttl_s", &SECONDS)?,
         retries: budget::Policy {
-            ratio: number(ini, "retries", "ratio", "a number")?,
-            window: millis("retries", "window_ms")?,
-            slack: number(ini, "retries", "slack", "a number")?,
+            ratio: quantity(ini, "retries", "ratio", &COUNT)?,
+            window: duration(ini, "retries", "window_s", &SECONDS)?,
+            slack: quantity(ini, "retries", "slack", &COUNT)?,
         },
         quota_window: quota_window(ini)?,
-        order_gap: millis("orders", "gap_ms")?,
+        order_gap: duration(ini, "orders", "gap_ms", &MILLISECONDS)?,
         max_stale_weights: max_stale_weights(ini)?,
         quarantine: quarantine(ini)?,
-        shutdown_grace: millis("shutdown", "grace_ms")?,
+        shutdown_grace: duration(ini, "shutdown", "grace_s", &SECONDS)?,
         log_lines_per_s: number(ini, "log", "lines_per_second", "a whole number")?,
     })
 }
 
 /// The setting is empty if the platform has no quotas.
 fn quota_window(ini: &Ini) -> Result<Duration, Error> {
-    if ini.get_from(Some("quotas"), "window_ms").is_none_or(str::is_empty) {
+    if ini.get_from(Some("quotas"), "window_s").is_none_or(str::is_empty) {
         return Ok(DEFAULT_QUOTA_WINDOW);
     }
-    number(ini, "quotas", "window_ms", "a number of milliseconds").map(from_ms)
+    duration(ini, "quotas", "window_s", &SECONDS)
 }
 
 /// The setting is empty if the platform states no limit.
@@ -217,7 +231,7 @@
     if ini.get_from(Some("weights"), "oldest_ms").is_none_or(str::is_empty) {
         return Ok(DEFAULT_MAX_STALE_WEIGHTS);
     }
-    number(ini, "weights", "oldest_ms", "a number of milliseconds").map(from_ms)
+    duration(ini, "weights", "oldest_ms", &MILLISECONDS)
 }
 
 /// Policy of the quarantine if nothing is set.
@@ -242,7 +256,7 @@
 fn link_bytes_per_s(ini: &Ini) -> Result<f64, Error> {
     let is_set = ini.get_from(Some("link"), "mbit_per_second").is_some_and(|it| !it.is_empty());
     let mbit: f64 = match is_set {
-        true => number(ini, "link", "mbit_per_second", "a number")?,
+        true => quantity(ini, "link", "mbit_per_second", &COUNT)?,
         false => DEFAULT_LINK_MBIT_PER_S,
     };
     // At a bandwidth of zero no response would ever be sent.
@@ -250,10 +264,6 @@
     Ok(mbit * BYTES_PER_MBIT)
 }
 
-fn from_ms(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms.max(0.0) / 1e3)
-}
-
 /// Seeds may have the port of any listener. It is replaced by `peer_port`, the port at which all instances listen for
 /// each other.
 fn seeds(ini: &Ini, peer_port: u16) -> Result<Vec<SocketAddr>, Error> {
@@ -283,6 +293,30 @@
     found.ok_or(Error::Missing { section, key, expected })
 }
 
+/// A number within `range`.
+fn quantity(
+    ini: &Ini,
+    section: &'static str,
+    key: &'static str,
+    range: &Range,
+) -> Result<f64, Error> {
+    let value: f64 = number(ini, section, key, range.expected)?;
+    if (0.0..=range.max).contains(&value) {
+        return Ok(value);
+    }
+    let found = text(ini, section, key, range.expected)?.to_owned();
+    Err(Error::Value { section, key, found, expected: range.expected })
+}
+
+fn duration(
+    ini: &Ini,
+    section: &'static str,
+    key: &'static str,
+    range: &Range,
+) -> Result<Duration, Error> {
+    quantity(ini, section, key, range).map(|it| Duration::from_secs_f64(it * range.unit_s))
+}
+
 fn number<T: FromStr>(
     ini: &Ini,
     section: &'static str,
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Parsing and validation of the settings file.
 
+use std::time::Duration;
+
 use shallotlead_gateway::settings::{Error, parse};
 
 const VALID: &str = "\
@@ -7,9 +9,9 @@
 [listen]\ncallers = 127.0.0.1:1\nready = 127.0.0.1:2\ndirectory = 127.0.0.1:3\n\
 peers = 127.0.0.1:4\nmetrics = 127.0.0.1:5\n\
 [store]\naddress = 127.0.0.1:6\nreads_per_second = 2000\nwrites_per_second = 400\n\
-[peers]\nseeds = 127.0.0.2:9, 127.0.0.3:9\n[directory]\nttl_ms = 5000\n\
-[retries]\nratio = 0.2\nwindow_ms = 10000\nslack = 54\n\
-[orders]\ngap_ms = 3000\n[shutdown]\ngrace_ms = 8000\n[log]\nlines_per_second = 400\n";
+[peers]\nseeds = 127.0.0.2:9, 127.0.0.3:9\n[directory]\nttl_s = 5\n\
+[retries]\nratio = 0.2\nwindow_s = 10\nslack = 54\n\
+[orders]\ngap_ms = 3000\n[shutdown]\ngrace_s = 8\n[log]\nlines_per_second = 400\n";
 
 #[test]
 fn seeds_get_the_port_of_the_peers_listener() {
@@ -37,7 +39,31 @@
     assert_eq!(invalid.to_string(), "[listen] callers = here: expected IP:PORT");
     let seeds = parse(&VALID.replace("127.0.0.3:9", "there:9")).unwrap_err();
     assert!(matches!(seeds, Error::Value { section: "peers", key: "seeds", .. }));
-    let unknown = parse(&VALID.replace("ttl_ms", "tll_ms")).unwrap_err();
-    assert_eq!(unknown.to_string(), "[directory] tll_ms: no such setting");
+    let unknown = parse(&VALID.replace("ttl_s", "tll_s")).unwrap_err();
+    assert_eq!(unknown.to_string(), "[directory] tll_s: no such setting");
     assert!(matches!(parse("[x").unwrap_err(), Error::File { .. }));
 }
+
+// A grace period of 7.5 s taken for 7.5 ms ends the process on SIGTERM with all its requests.
+#[test]
+fn durations_may_have_fractions() {
+    let text = VALID.replace("grace_s = 8", "grace_s = 7.5").replace("ttl_s = 5", "ttl_s = 0.25");
+    let settings = parse(&text).unwrap();
+    assert_eq!(settings.shutdown_grace, Duration::from_millis(7_500));
+    assert_eq!(settings.directory_ttl, Duration::from_millis(250));
+}
+
+// A value that can't be what it says must end the start, not the requests.
+#[test]
+fn numbers_out_of_range_are_errors() {
+    let settings = ["grace_s = 8", "ttl_s = 5", "gap_ms = 3000", "ratio = 0.2", "slack = 54"];
+    for (setting, value) in
+        settings.iter().flat_map(|it| ["-1", "nan", "inf", "1e300", "8s"].map(|value| (it, value)))
+    {
+        let (key, _) = setting.split_once(" = ").unwrap();
+        let err = parse(&VALID.replace(setting, &format!("{key} = {value}"))).unwrap_err();
+        let Error::Value { key: named, found, expected, .. } = err else { panic!("{err}") };
+        assert_eq!((named, found.as_str()), (key, value));
+        assert!(expected.contains("from 0 to"), "{expected}");
+    }
+}
