Accept requests in a shutdown only if they can end within the grace period

What callers saw: in a planned stop with a grace period shorter than the usual 8 s, requests that arrived after SIGTERM were accepted, passed on and cut without an answer at its end, among them requests that may run once only. Cause: the phases of a shutdown were constants (accepted for 2 s, whatever the grace period), and what requests take wasn't considered. Change: the phases are shares of a short grace period, and those of before with 8 s. A request is accepted if its deadline, or the longest answer of its route in the last 10 to 20 s, is before the end; others are refused at once as not run.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -67,6 +67,7 @@
 
 use crate::{
     adapter::Adapter,
+    answer_time,
     budget::Budget,
     build::{Lifetime, Streams},
     clock::Clock,
@@ -85,6 +86,7 @@
     reach::Reach,
     rollout::Rollout,
     settings::Settings,
+    shutdown::Shutdown,
     uplink::Uplink,
 };
 
@@ -94,15 +96,6 @@
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 /// Interval between sweeps over idle connections and the other periodic checks.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
-/// Time after SIGTERM for which new connections and requests are still accepted, since callers cache the
-/// directory's answer for some seconds. A request accepted later might not end before the process must.
-const ACCEPT_AFTER_SIGTERM: Duration = Duration::from_millis(2_000);
-/// Time after SIGTERM after which idle connections of callers are closed.
-const KEEP_IDLE_AFTER_SIGTERM: Duration = Duration::from_millis(1_500);
-/// Shortest time from SIGTERM until the process exits, for callers that still hold open connections.
-const MIN_TIME_AFTER_SIGTERM: Duration = Duration::from_millis(3_000);
-/// How long before the end of the grace period the process exits by itself.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Time that the log's writer thread gets for the last lines.
 const LOG_FLUSH_TIME: Duration = Duration::from_millis(20);
 /// Name of the lease whose holder has the servers load weights.
@@ -216,8 +209,10 @@
     signals: Signals,
     /// Publications of each model's weights in the lease record, oldest first; each one replaced the one before.
     recorded_weights: Map<Arc<str>, Vec<(u64, Time)>>,
-    /// When the graceful shutdown began.
-    shutdown_since: Option<Time>,
+    /// The graceful shutdown, once it has begun.
+    shutdown: Option<Shutdown>,
+    /// How long the answers of each route took lately.
+    answer_times: answer_time::History,
     /// When the last sweep ran.
     last_sweep: Time,
     /// Limits how much of the link long answers to other instances use.
@@ -335,7 +330,8 @@
             unsettled: Unsettled::default(),
             rollout: Rollout::default(),
             signals,
-            shutdown_since: None,
+            shutdown: None,
+            answer_times: answer_time::History::default(),
             last_sweep: now,
             recorded_weights: Map::default(),
             uplink: Uplink::new(settings.link_bytes_per_s),
@@ -532,7 +528,7 @@
         if stands_back {
             self.lease.release();
             self.rollout.clear();
-        } else if self.shutdown_since.is_none() {
+        } else if self.shutdown.is_none() {
             self.lease.rejoin();
         }
     }
@@ -585,8 +581,8 @@
         if self.signals.reload.swap(false, Ordering::Relaxed) {
             self.log.line(self.now, "reload").text("result", "settings need a restart");
         }
-        if self.shutdown_since.is_none() && self.signals.shutdown.load(Ordering::Relaxed) {
-            self.shutdown_since = Some(self.now);
+        if self.shutdown.is_none() && self.signals.shutdown.load(Ordering::Relaxed) {
+            self.shutdown = Some(Shutdown::new(self.now, self.settings.shutdown_grace));
             self.members.me_mut().is_leaving = true;
             self.members.me_mut().is_ready = false;
             self.lease.release();
@@ -598,12 +594,12 @@
 
     /// Whether this instance accepts requests.
     fn is_ready(&self) -> bool {
-        self.shutdown_since.is_none() && self.config.is_some()
+        self.shutdown.is_none() && self.config.is_some()
     }
 
     /// Whether the shutdown has gone on for so long that no more requests are accepted.
     fn has_stopped_accepting(&self) -> bool {
-        self.shutdown_since.is_some_and(|it| ACCEPT_AFTER_SIGTERM <= self.now.since(it))
+        self.shutdown.is_some_and(|it| !it.is_accepting(self.now))
     }
 
     /// Whether the event loop should end.
@@ -611,13 +607,9 @@
         if self.signals.abort.load(Ordering::Relaxed) {
             return true;
         }
-        let Some(since) = self.shutdown_since else { return false };
-        let passed = self.now.since(since);
-        let forced_exit = self.settings.shutdown_grace.saturating_sub(EXIT_MARGIN);
-        forced_exit <= passed
-            || (MIN_TIME_AFTER_SIGTERM <= passed
-                && self.exchanges.is_empty()
-                && self.has_sent_all())
+        let Some(shutdown) = self.shutdown else { return false };
+        shutdown.exits_at() <= self.now
+            || (shutdown.may_exit(self.now) && self.exchanges.is_empty() && self.has_sent_all())
     }
 
     /// Whether all bytes to all peers were handed to the kernel.
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -344,7 +344,7 @@
 
     /// Whether the caller's connection is kept for another request.
     pub(crate) fn keeps_connection(&self, exchange: &Exchange) -> bool {
-        exchange.head.keeps_alive() && self.shutdown_since.is_none()
+        exchange.head.keeps_alive() && self.shutdown.is_none()
     }
 
     /// Ends an exchange whose answer is complete.
@@ -381,6 +381,7 @@
             .ms("pause_ms", exchange.delivery.longest_pause)
             .ms("after_ms", now.since(exchange.arrived));
         self.stats.record_answer(&exchange.route, first, now.since(exchange.arrived));
+        self.answer_times.record(now, &exchange.route.name, now.since(exchange.arrived));
         if exchange.route.is_stream {
             self.stats.record_pause(exchange.delivery.longest_pause);
         }
--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -5,7 +5,7 @@
 use shallotlead_base::time::Time;
 
 use crate::{
-    core::{Core, KEEP_IDLE_AFTER_SIGTERM, Role, ending::error_body},
+    core::{Core, Role, ending::error_body},
     http::{Error, body::Framing, head::Request, write},
     limits::History,
     net::{Key, Socket},
@@ -251,8 +251,7 @@
     pub(crate) fn sweep_callers(&mut self) {
         let now = self.now;
         self.limits.expire(now);
-        let is_leaving =
-            self.shutdown_since.is_some_and(|it| KEEP_IDLE_AFTER_SIGTERM <= now.since(it));
+        let is_leaving = self.shutdown.is_some_and(|it| it.closes_idle(now));
         let callers = self.roles.iter().filter_map(|(key, role)| match role {
             Role::Caller(it) => Some((*key, it.overrun(now, &self.limits, is_leaving)?)),
             Role::Backend(_) | Role::Control(_) | Role::Endpoint(_) => None,
@@ -293,7 +292,7 @@
     fn log_idle(&mut self, key: Key) {
         let Self { net, roles, now, log, limits, .. } = self;
         let Some(Role::Caller(caller)) = roles.get(&key) else { return };
-        let reason = if self.shutdown_since.is_some() { "leaving" } else { "idle" };
+        let reason = if self.shutdown.is_some() { "leaving" } else { "idle" };
         let has_unread = net.get_mut(key).is_some_and(Socket::has_unread);
         log.line(*now, "caller_closed")
             .text("reason", reason)
--- a/crates/gateway/src/core/ending.rs
+++ b/crates/gateway/src/core/ending.rs
@@ -175,7 +175,7 @@
         body: &[u8],
         extra: &[(&'static str, String)],
     ) {
-        let keeps_connection = head.keeps_alive() && self.shutdown_since.is_none();
+        let keeps_connection = head.keeps_alive() && self.shutdown.is_none();
         let mut extra = extra.to_vec();
         if !keeps_connection {
             extra.push(("Connection", "close".into()));
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -269,12 +269,16 @@
                 return;
             }
         };
+        let bound = info.deadline.map_or(route.timeout, |it| it.min(route.timeout));
+        let deadline = arrived + bound.saturating_sub(DELIVERY_MARGIN);
+        if !self.can_end(&route, deadline) {
+            self.refuse(caller, &head, &info, Refusal::ShuttingDown, arrived, 0);
+            return;
+        }
         if info.handover.is_none() {
             // The instance that handed it over has counted it.
             self.budget.count_request(self.now, &service);
         }
-        let bound = info.deadline.map_or(route.timeout, |it| it.min(route.timeout));
-        let deadline = arrived + bound.saturating_sub(DELIVERY_MARGIN);
         let serial = self.allocate_serial();
         let last_event = info.last_event;
         let exchange = Exchange {
@@ -331,6 +335,14 @@
         Ok(Admitted { route, organisation, service })
     }
 
+    /// Whether a request on `route` can be expected to end before this instance exits.
+    fn can_end(&mut self, route: &Route, deadline: Time) -> bool {
+        let Some(shutdown) = self.shutdown else { return true };
+        let end = shutdown.ends_requests_at();
+        let longest = self.answer_times.longest(self.now, &route.name);
+        deadline <= end || longest.is_some_and(|it| self.now + it <= end)
+    }
+
     /// Whether the connection is still being established.
     pub(crate) fn is_connecting(&self, key: Key) -> bool {
         self.net.get(key).is_some_and(|it| it.is_connecting())
--- a/crates/gateway/src/core/time_limit.rs
+++ b/crates/gateway/src/core/time_limit.rs
@@ -138,6 +138,13 @@
 
     /// Ends the request at its deadline.
     fn time_out(&mut self, index: usize) {
+        let Some(exchange) = self.exchanges.get(index) else { return };
+        self.answer_times.record(self.now, &exchange.route.name, self.now.since(exchange.arrived));
+        self.end_unfinished(index, Refusal::TimeOut, 504);
+    }
+
+    /// Ends a request before its answer: refuses it if it didn't run, else fails it with `status`.
+    fn end_unfinished(&mut self, index: usize, refusal: Refusal, status: u16) {
         let Some(exchange) = self.exchanges.get(index) else { return };
         let connection = exchange.attempt.as_ref().map(|it| it.connection);
         let was_never_sent = connection.is_none_or(|it| self.is_connecting(it));
@@ -146,10 +153,10 @@
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
         if was_never_sent && earlier_runs == 0 {
             exchange.ran_at.clear();
-            self.refuse_or_fail(index, Refusal::TimeOut);
+            self.refuse_or_fail(index, refusal);
         } else {
             self.record_cut_answer(index);
-            self.fail_exchange(index, 504, "time-out");
+            self.fail_exchange(index, status, refusal.reason());
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,11 +4,12 @@
 //! All that an instance takes from its machine is in [`host::Host`].
 //!
 //! The modules that make decisions do no I/O ([`placement`], [`budget`], [`lease`], [`rollout`], [`gossip`],
-//! [`broadcast`], [`pool`], [`publication`], [`quota`]); the reactor executes the decisions. All knowledge of the platform's
+//! [`broadcast`], [`pool`], [`publication`], [`quota`], [`shutdown`]); the reactor executes the decisions. All knowledge of the platform's
 //! names and formats is in the implementation of [`adapter::Adapter`].
 
 pub mod adapter;
 pub mod admission;
+pub mod answer_time;
 pub mod broadcast;
 pub mod budget;
 pub mod build;
@@ -39,6 +40,7 @@
 pub mod reactor;
 pub mod rollout;
 pub mod settings;
+pub mod shutdown;
 pub mod start_delay;
 pub mod uplink;
 
