Wait in a shutdown for bodies that are on their way

Cause: the process exited once no request was in progress, and one whose body is incomplete isn't yet. Change: it stays until such bodies have been read and refused, within the grace period.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -609,7 +609,10 @@
         }
         let Some(shutdown) = self.shutdown else { return false };
         shutdown.exits_at() <= self.now
-            || (shutdown.may_exit(self.now) && self.exchanges.is_empty() && self.has_sent_all())
+            || (shutdown.may_exit(self.now)
+                && self.exchanges.is_empty()
+                && !self.is_receiving_bodies()
+                && self.has_sent_all())
     }
 
     /// Whether all bytes to all peers were handed to the kernel.
--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -276,6 +276,11 @@
         }
     }
 
+    /// Whether the body of any request is still arriving.
+    pub(crate) fn is_receiving_bodies(&self) -> bool {
+        self.roles.values().any(is_receiving_body)
+    }
+
     /// Whether the caller may still take the rest of its answer.
     fn is_sending(&self, key: Key) -> bool {
         let Some(Role::Caller(caller)) = self.roles.get(&key) else { return false };
@@ -303,6 +308,10 @@
     }
 }
 
+fn is_receiving_body(role: &Role) -> bool {
+    matches!(role, Role::Caller(Caller { state: State::Body(_), .. }))
+}
+
 /// The status code that answers a request that can't be parsed.
 fn status(error: Error) -> u16 {
     match error {
