Answer the requests that are left at the end of a shutdown

What callers saw: a request that still ran at the end of the grace period, and one whose body was still arriving, had their connections closed without an answer. Cause: the process exited as it was. Change: shortly before, requests that haven't run are refused, and those that may have run get 502. Streams that have begun are broken off as before, so that they can be taken up elsewhere.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -131,6 +131,8 @@
     CrashReport(pool::Id),
     /// Reports of what became of requests to servers at risk.
     Settlement,
+    /// The end of the grace period of the shutdown.
+    ShutdownEnd,
 }
 
 /// Flags by which other threads and signal handlers control the event loop.
@@ -461,6 +463,7 @@
                 Timer::UnframedEnd(id) => self.check_unframed_ends(id),
                 Timer::CrashReport(id) => self.broadcast_crash(id),
                 Timer::Settlement => self.report_unsettled(),
+                Timer::ShutdownEnd => self.end_requests(),
             }
         }
         self.tick_storage();
@@ -582,7 +585,10 @@
             self.log.line(self.now, "reload").text("result", "settings need a restart");
         }
         if self.shutdown.is_none() && self.signals.shutdown.load(Ordering::Relaxed) {
-            self.shutdown = Some(Shutdown::new(self.now, self.settings.shutdown_grace));
+            let shutdown = Shutdown::new(self.now, self.settings.shutdown_grace);
+            self.shutdown = Some(shutdown);
+            self.set_timer(shutdown.ends_requests_at(), Timer::ShutdownEnd);
+            self.set_timer(shutdown.exits_at(), Timer::ShutdownEnd);
             self.members.me_mut().is_leaving = true;
             self.members.me_mut().is_ready = false;
             self.lease.release();
--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -5,7 +5,7 @@
 use shallotlead_base::time::Time;
 
 use crate::{
-    core::{Core, Role, ending::error_body},
+    core::{Core, Role, ending::error_body, refusal::Refusal},
     http::{Error, body::Framing, head::Request, write},
     limits::History,
     net::{Key, Socket},
@@ -281,6 +281,19 @@
         self.roles.values().any(is_receiving_body)
     }
 
+    /// Refuses the requests whose bodies are still arriving.
+    pub(crate) fn refuse_incoming(&mut self, refusal: Refusal) {
+        let receiving = self.roles.iter().filter(|it| is_receiving_body(it.1)).map(|it| *it.0);
+        for key in receiving.collect::<Vec<Key>>() {
+            let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { continue };
+            let state = std::mem::replace(&mut caller.state, State::Idle);
+            let State::Body(incoming) = state else { continue };
+            let Incoming { head, arrived, .. } = *incoming;
+            let info = self.adapter.parse_request(&head);
+            self.refuse(key, &head, &info, refusal, arrived, 0);
+        }
+    }
+
     /// Whether the caller may still take the rest of its answer.
     fn is_sending(&self, key: Key) -> bool {
         let Some(Role::Caller(caller)) = self.roles.get(&key) else { return false };
