Watch a kind from the version of its list's first page

What callers saw: a server on the first page of a list begins to drain, or is removed, before the next page is read. Cause: the watch began at the version of the last page, and changes of objects on earlier pages lie before it. Change: a page carries its version, and the first one's counts for the whole list. Result: change_between_two_pages_of_a_list_is_seen fails with the last page's version, and passes.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -4,7 +4,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use shallotlead_base::store::{Call, Object};
+use shallotlead_base::{
+    id::Version,
+    store::{Call, Object},
+};
 use shallotlead_platform::outcome::Outcome;
 
 use crate::{
@@ -314,8 +317,15 @@
 pub enum StoreReply {
     /// The call is complete.
     Done(Outcome),
-    /// One page of a list, and the name after which the next page begins.
-    Page(Vec<Object>, String),
+    /// One page of a list.
+    Page {
+        /// Its objects.
+        objects: Vec<Object>,
+        /// The name after which the next page begins.
+        last: String,
+        /// The store's version when it was read.
+        version: Version,
+    },
 }
 
 /// Kinds of objects in the platform's store.
--- a/crates/gateway/src/core/control.rs
+++ b/crates/gateway/src/core/control.rs
@@ -2,12 +2,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use shallotlead_base::{store::Call, store::Object, time::Time};
+use shallotlead_base::{store::Call, time::Time};
 use shallotlead_platform::scheduler::CallId;
 
 use crate::{
     adapter::ControlRequest,
-    core::{Core, Role, Timer, idle::Idle, state},
+    core::{Core, Role, Timer, idle::Idle, state, storage::Pages},
     http::{
         body::Framing,
         head::{Decoder, Fields, Response},
@@ -26,8 +26,8 @@
 
 /// What a request is sent for; decides who handles its outcome.
 pub(crate) enum Purpose {
-    /// A call to the store, with the objects on the pages of a list that were read so far.
-    Store { sent: CallId, call: Call, pages: Vec<Object>, timeout: Duration },
+    /// A call to the store, with the pages of a list that were read so far.
+    Store { sent: CallId, call: Call, pages: Pages, timeout: Duration },
     /// Reads a backend server's report of its load and weights.
     Report(pool::Id),
     /// Checks whether a backend server responds.
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -33,6 +33,7 @@
 };
 
 use builds::Builds;
+pub(crate) use call::Pages;
 pub(crate) use document::{Document, decompress};
 use era::Era;
 use open_streams::Journal;
--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -3,7 +3,10 @@
 
 use std::time::Duration;
 
-use shallotlead_base::store::{Call, Object, Reply};
+use shallotlead_base::{
+    id::Version,
+    store::{Call, Object, Reply},
+};
 use shallotlead_platform::{outcome::Outcome, scheduler::CallId};
 
 use crate::{
@@ -20,6 +23,23 @@
 /// depend on those that watch.
 const LARGE_FLEET_WATCH_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// The pages of a list that were read so far.
+#[derive(Default)]
+pub(crate) struct Pages {
+    objects: Vec<Object>,
+    /// The store's version when the first of them was read.
+    version: Option<Version>,
+}
+
+impl Pages {
+    /// Adds a page that was read at `version`. Returns the version up to which all pages show every change: objects on
+    /// the first one may have changed since.
+    fn add(&mut self, objects: Vec<Object>, version: Version) -> Version {
+        self.objects.extend(objects);
+        *self.version.get_or_insert(version)
+    }
+}
+
 impl Core {
     pub(super) fn send_call(&mut self, sent: CallId, mut call: Call) {
         if let Some(outcome) = self.reply_if_outdated(&call) {
@@ -37,14 +57,14 @@
                 CALL_TIMEOUT
             }
         };
-        self.send_page(sent, call, Vec::new(), timeout, None);
+        self.send_page(sent, call, Pages::default(), timeout, None);
     }
 
     fn send_page(
         &mut self,
         sent: CallId,
         call: Call,
-        pages: Vec<Object>,
+        pages: Pages,
         timeout: Duration,
         after: Option<&str>,
     ) {
@@ -57,7 +77,7 @@
         &mut self,
         sent: CallId,
         call: Call,
-        mut pages: Vec<Object>,
+        mut pages: Pages,
         timeout: Duration,
         answer: control::Outcome,
     ) {
@@ -72,11 +92,11 @@
                 let is_usable = self.accept_era(&fields, is_refusal);
                 // Pages of different eras don't form a consistent list.
                 let era = self.storage.era.number();
-                let is_inconsistent = pages.first().is_some_and(|it| it.version.era() != era);
+                let is_inconsistent = pages.version.is_some_and(|it| it.era() != era);
                 match self.adapter.parse_store_reply(&call, status, &fields, &body) {
                     _ if !is_usable || is_inconsistent => Outcome::Lost,
-                    StoreReply::Page(objects, last) => {
-                        pages.extend(objects);
+                    StoreReply::Page { objects, last, version } => {
+                        pages.add(objects, version);
                         self.send_page(sent, call, pages, timeout, Some(&last));
                         return;
                     }
@@ -86,8 +106,8 @@
         };
         let outcome = match outcome {
             Outcome::Answered(Reply::Listed { objects, version }) => {
-                pages.extend(objects);
-                Outcome::Answered(Reply::Listed { objects: pages, version })
+                let version = pages.add(objects, version);
+                Outcome::Answered(Reply::Listed { objects: pages.objects, version })
             }
             it => it,
         };
