Hold a body to the limits under which it began, however long it arrives

What callers saw: a body that kept arriving for longer than some seconds was refused with 413 or 408 if maxBodyBytes or idleTimeoutMs had shrunk after its head was read, although it was within the limits that held then. Cause: replaced limits are forgotten 3 s and the time limits after their replacement, when they matter to no idle connection or head any more. A body may arrive for longer. Change: a request keeps the limits that held when its head was complete.

--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -5,6 +5,7 @@
 use shallotlead_base::time::Time;
 
 use crate::{
+    config::Limits,
     core::{Core, Role, ending::error_body, refusal::Refusal},
     http::{Error, body::Framing, head::Request, write},
     limits::History,
@@ -44,6 +45,15 @@
     framing: Framing,
     body: Vec<u8>,
     arrived: Time,
+    /// The limits for it when its head was complete.
+    limits: Limits,
+}
+
+impl Incoming {
+    /// The limits for it: the most generous ones since it began to arrive.
+    fn limits(&self, history: &History) -> Limits {
+        self.limits.most_generous(history.since(self.arrived))
+    }
 }
 
 /// Why a connection is ended.
@@ -73,9 +83,7 @@
             (State::Idle, None) => {
                 (is_leaving || limits.idle_time(self.since) < age).then_some(Overrun::Idle)
             }
-            (State::Body(it), _) => {
-                (limits.since(it.arrived).idle_timeout < age).then_some(Overrun::Slow)
-            }
+            (State::Body(it), _) => (it.limits(limits).idle_timeout < age).then_some(Overrun::Slow),
             (State::Closing, _) => (LINGER_TIMEOUT < age).then_some(Overrun::Lingering),
             (State::Busy(_), _) => None,
         }
@@ -149,7 +157,7 @@
                 }
                 let expects_continue = head.fields.contains_token("expect", "100-continue");
                 let framing = head.framing;
-                let incoming = Incoming { head, framing, body: Vec::new(), arrived };
+                let incoming = Incoming { head, framing, body: Vec::new(), arrived, limits };
                 caller.state = State::Body(Box::new(incoming));
                 caller.since = *now;
                 if expects_continue && socket.input.is_empty() {
@@ -159,7 +167,7 @@
                 }
             }
             State::Body(incoming) => {
-                let limits = limits.since(incoming.arrived);
+                let limits = incoming.limits(limits);
                 let done = incoming.framing.decode(&mut socket.input, &mut incoming.body);
                 match done {
                     Err(error) => Step::Malformed(error),
