Give each removal of a server's entry its own grace period

Cause: one common time (`lenient_until`) ended the grace period of all missing entries. Each further removal of a quarter, and each answer of the store after a failed call, moved it for those before.

Change: a server keeps the time at which its own grace period ends. A later removal doesn't change it. Only an outage of the store that begins within it and is long enough for entries to expire lets it begin anew.

`later_removal_extends_no_earlier_one` failed before and passes now. `grace_period_that_an_outage_interrupts_begins_anew` is new; it wasn't run on the code before.

--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -156,7 +156,7 @@
     }
 
     fn handle_store_return(&mut self, outage: Duration) {
-        self.pool.record_store_recovery(self.now);
+        self.pool.record_store_recovery(self.now, outage);
         self.log.line(self.now, "store_regained").ms("away_ms", outage);
         // A watch that was open while the store didn't answer may never be answered, and changes
         // would be missed until it times out.
--- a/crates/gateway/src/core/storage/era.rs
+++ b/crates/gateway/src/core/storage/era.rs
@@ -172,7 +172,7 @@
         self.storage.era.from_store = Some(era);
         self.storage.era.reread_at = Some(now + REREAD_DELAY);
         self.lease.handle_restore(now);
-        self.pool.record_store_recovery(now);
+        self.pool.record_store_recovery(now, Duration::ZERO);
         if self.storage.is_watcher {
             self.relist(|_| true);
         }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -34,6 +34,9 @@
 /// How long an entry that is missing after an outage of the store is kept: servers write their
 /// entries again within about two seconds of the store's recovery.
 const RECOVERY_GRACE: Duration = Duration::from_millis(2_200);
+/// Shortest outage of the store in which entries expire: servers write them every 1.2 s, and they
+/// expire when three have failed to come.
+const MIN_OUTAGE: Duration = Duration::from_millis(1_800);
 
 /// Fraction of the servers whose entries must expire together to look like an outage of the store.
 const MASS_EXPIRY_FRACTION: f64 = 0.25;
@@ -54,7 +57,7 @@
     ids_by_name: Map<Arc<str>, Id>,
     /// Other instances, by name.
     instances: Map<Arc<str>, Id>,
-    /// Entries that are missing until then may come back.
+    /// Entries that are removed before then may come back.
     lenient_until: Time,
     /// Published weights by model.
     versions: Map<Arc<str>, Versions>,
@@ -234,13 +237,22 @@
         self.versions.entry(model.clone()).or_default().insert(publication)
     }
 
-    /// Records that the store is available again after an outage.
+    /// Records that the store is available again after an outage of this length.
     ///
     /// Guards against dropping the whole pool: the entries of servers that can't renew them during
     /// the outage expire, and no request would find a server right after it. Live servers register
-    /// again before the grace period ends.
-    pub fn record_store_recovery(&mut self, now: Time) {
+    /// again before the grace period ends. Those whose grace period the outage has interrupted get
+    /// it anew.
+    pub fn record_store_recovery(&mut self, now: Time, outage: Duration) {
         self.lenient_until = now + RECOVERY_GRACE;
+        if outage < MIN_OUTAGE {
+            return;
+        }
+        let lost_at = now - outage;
+        let deadlines = self.servers.iter_mut().filter_map(|it| it.missing_until.as_mut());
+        for it in deadlines.filter(|it| lost_at < **it) {
+            *it = now + RECOVERY_GRACE;
+        }
     }
 
     /// Grants a short grace period to `removed` entries that were removed at once, if they are so
@@ -267,7 +279,7 @@
             return Change::Restarted(id, self.add(name, revision, entry));
         }
         server.revision = revision;
-        server.is_missing = false;
+        server.missing_until = None;
         // It may run under its name again, without a new incarnation where servers report none.
         server.has_ended = false;
         let previous = server.presence;
@@ -326,7 +338,7 @@
         }
         server.revision = revision;
         if is_lenient && server.presence == Presence::Ready {
-            server.is_missing = true;
+            server.missing_until.get_or_insert(self.lenient_until);
             return Change::None;
         }
         server.presence = Presence::Gone;
@@ -366,14 +378,15 @@
         missing.iter().map(|it| self.remove(now, it, revision)).collect()
     }
 
-    /// Removes servers whose entries stay missing. `is_away`: the store is unavailable.
+    /// Removes servers whose entries stay missing. Each has its own time to come back, which no
+    /// other removal extends. `is_away`: the store is unavailable.
     pub fn expire(&mut self, now: Time, is_away: bool) -> Vec<Id> {
-        if is_away || now < self.lenient_until {
+        if is_away {
             return Vec::new();
         }
         let mut gone = Vec::new();
         for (id, server) in self.servers.iter_mut().enumerate() {
-            if std::mem::take(&mut server.is_missing) {
+            if server.missing_until.take_if(|it| *it <= now).is_some() {
                 server.presence = Presence::Gone;
                 gone.push(id);
             }
--- a/crates/gateway/src/pool/server.rs
+++ b/crates/gateway/src/pool/server.rs
@@ -69,8 +69,8 @@
     pub(crate) is_instance: bool,
     /// Its process is known to have ended, so that it runs nothing any more.
     pub(crate) has_ended: bool,
-    /// Its entry is missing, and may come back.
-    pub is_missing: bool,
+    /// Its entry is missing, and may come back until then.
+    pub(super) missing_until: Option<Time>,
     /// The weights that it is loading.
     pub switch: Option<Switch>,
     /// Its circuit breaker.
@@ -135,7 +135,7 @@
             revision,
             is_instance: false,
             has_ended: false,
-            is_missing: false,
+            missing_until: None,
             switch: None,
             health: Health::default(),
             backoff: Backoff::default(),
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use shallotlead_base::time::Time;
 use shallotlead_gateway::{
@@ -20,7 +20,7 @@
 #[test]
 fn entries_that_expired_in_an_outage_may_come_back() {
     let mut pool = pool(2);
-    pool.record_store_recovery(at(1_000));
+    pool.record_store_recovery(at(1_000), Duration::from_secs(4));
     assert_eq!(pool.remove(at(1_100), "e0", 50), Change::None);
     assert_eq!(pool.remove(at(1_100), "e1", 51), Change::None);
     assert_eq!(pool.usable(support::SERVICE).count(), 2);
@@ -229,6 +229,38 @@
     assert_eq!(pool.expire(at(1_800), false), [1], "in time for a planned departure");
 }
 
+// A quarter of the servers leaves, and another quarter a moment later. The first ones were used until the grace period of
+// the second ones was over, and had ended by then.
+#[test]
+fn later_removal_extends_no_earlier_one() {
+    let mut pool = pool(8);
+    for (ms, first) in [(0, 0), (1_400, 2)] {
+        pool.check_mass_expiry(at(ms), 2);
+        for number in [first, first + 1] {
+            let revision = 50 + u64::from(number);
+            assert_eq!(pool.remove(at(ms), &name(number), revision), Change::None);
+        }
+        assert!(pool.expire(at(ms + 150), false).is_empty());
+    }
+    assert_eq!(pool.expire(at(1_600), false), [0, 1]);
+    assert!(pool.expire(at(2_900), false).is_empty());
+    assert_eq!(pool.expire(at(3_000), false), [2, 3]);
+}
+
+// The store is back for a moment only. Servers that had no time to write their entries again were dropped when it was back
+// for good.
+#[test]
+fn grace_period_that_an_outage_interrupts_begins_anew() {
+    let mut pool = pool(2);
+    pool.record_store_recovery(at(1_000), Duration::from_secs(4));
+    assert_eq!(pool.remove(at(1_100), "e0", 50), Change::None);
+    assert!(pool.expire(at(3_900), true).is_empty());
+    pool.record_store_recovery(at(4_000), Duration::from_millis(2_500));
+    assert!(pool.expire(at(4_100), false).is_empty());
+    pool.record_store_recovery(at(5_000), Duration::from_millis(50));
+    assert_eq!(pool.expire(at(6_200), false), [0], "a single failed call is no outage");
+}
+
 // An instance starts long after weights were published. It learns from another one when that was,
 // and must not start requests on older weights as if they had been replaced just now.
 #[test]
