End the grace period after an instance's own cut when others know better

Cause: the instances that weren't cut announce the removal at once. One that has read it itself, and keeps the server as missing, ignored that as old news, since it has the same revision. And what the store removed after its return was kept as long as what may have been removed before.

Change: an announcement of the same revision ends the grace period, so that it counts from the earliest answer of the store to any instance: one that it has answered all along announces at once, one that regained it earlier when its own grace period is over.

`announcement_ends_the_grace_period_of_a_missing_server` and `removal_after_an_outage_takes_effect_in_time_for_a_planned_departure` failed before (the latter with the new function empty) and pass now.

--- a/crates/gateway/src/core/ingest.rs
+++ b/crates/gateway/src/core/ingest.rs
@@ -67,9 +67,18 @@
         }
     }
 
-    pub(crate) fn apply_removal(&mut self, topic: Topic, key: &Key, version: Version) {
+    pub(crate) fn apply_removal(
+        &mut self,
+        topic: Topic,
+        key: &Key,
+        version: Version,
+        basis: Basis,
+    ) {
         if topic == Topic::Platform(ObjectKind::Servers) {
             self.apply_entry(&key.name, version.0, None, Source::Store);
+            if basis.is_live {
+                self.pool.limit_grace(self.now, &key.name);
+            }
         }
     }
 
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -435,7 +435,9 @@
                 for change in changes {
                     match change {
                         Change::Put(object) => self.apply_object(topic, object, basis),
-                        Change::Delete(key, version) => self.apply_removal(topic, key, *version),
+                        Change::Delete(key, version) => {
+                            self.apply_removal(topic, key, *version, basis);
+                        }
                     }
                 }
                 self.finish_read(topic, before, *version);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -346,6 +346,15 @@
         Change::Gone(id)
     }
 
+    /// The server's entry has just been removed: it needs no longer than after a mass expiry to be
+    /// back, and a server that leaves must be left in time.
+    pub fn limit_grace(&mut self, now: Time, name: &str) {
+        let known = self.find(name).and_then(|it| self.servers[it].missing_until.as_mut());
+        if let Some(it) = known {
+            *it = (*it).min(now + MASS_EXPIRY_GRACE);
+        }
+    }
+
     /// A server's entry was overwritten by one that can't be decoded: the server isn't used until a
     /// valid one follows.
     pub fn mark_unreadable(&mut self, name: &str, revision: u64) -> Change {
@@ -411,7 +420,10 @@
     pub fn mark_leaving(&mut self, name: &str, revision: u64) -> Change {
         let Some(id) = self.find(name) else { return Change::None };
         let server = &mut self.servers[id];
-        if server.presence != Presence::Ready || revision <= server.revision {
+        // A missing one is kept in doubt, which the other instance hasn't: the store has answered that one for longer.
+        let is_news = server.revision < revision
+            || server.missing_until.is_some() && server.revision == revision;
+        if server.presence != Presence::Ready || !is_news {
             return Change::None;
         }
         server.revision = revision;
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -273,6 +273,34 @@
     assert_eq!(pool.retain(at(100), &listed, 60, true), gone);
 }
 
+// An instance that was cut off from the store itself keeps a server that has left, and others that weren't tell it. It
+// sent requests there until its own grace period was over.
+#[test]
+fn announcement_ends_the_grace_period_of_a_missing_server() {
+    let mut pool = pool(2);
+    pool.record_store_recovery(at(1_000), Duration::from_secs(5));
+    assert_eq!(pool.remove(at(1_050), "e0", 50), Change::None);
+    assert_eq!(pool.mark_leaving("e0", 49), Change::None, "an older one");
+    assert_eq!(pool.mark_leaving("e0", 50), Change::Leaving(0));
+    assert_eq!(pool.usable(support::SERVICE).map(|it| it.0).collect::<Vec<_>>(), [1]);
+    assert_eq!(pool.expire(at(3_200), false), [0]);
+}
+
+// A server leaves right after the store's return, which the watch tells at once. It was kept as long as one whose entry
+// may have expired before.
+#[test]
+fn removal_after_an_outage_takes_effect_in_time_for_a_planned_departure() {
+    let mut pool = pool(3);
+    pool.record_store_recovery(at(1_000), Duration::from_secs(4));
+    assert_eq!(pool.remove(at(1_010), "e0", 50), Change::None);
+    assert_eq!(pool.remove(at(1_100), "e1", 51), Change::None);
+    pool.limit_grace(at(1_100), "e1");
+    assert_eq!(pool.remove(at(3_100), "e2", 52), Change::None);
+    pool.limit_grace(at(3_100), "e2");
+    assert_eq!(pool.expire(at(2_700), false), [1]);
+    assert_eq!(pool.expire(at(3_200), false), [0, 2]);
+}
+
 // An instance starts long after weights were published. It learns from another one when that was,
 // and must not start requests on older weights as if they had been replaced just now.
 #[test]
