--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -15,8 +15,8 @@
 /// Longest head of a server's response, bytes.
 const MAX_HEAD: usize = 64 * 1024;
 /// Most answers to other requests that are skipped while an answer is awaited, and the most bytes of their bodies.
-const MAX_FOREIGN_ANSWERS: usize = 8;
-const MAX_FOREIGN_BYTES: usize = 512 * 1024;
+const MAX_SKIPPED_ANSWERS: usize = 8;
+const MAX_SKIPPED_BYTES: usize = 512 * 1024;
 /// What a server's idle limit is taken for if it announces none.
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(2);
 
@@ -29,8 +29,8 @@
     reading: Option<Reading>,
     /// Reads the head of the next response.
     decoder: Decoder,
-    /// Answers to other requests that were skipped while the current one's is awaited, and the bytes of their bodies.
-    foreign: (usize, usize),
+    /// What was skipped while the current request's answer is awaited.
+    skipped: Skipped,
     /// How long it may be reused.
     idle: Idle,
     /// Whether it has carried an earlier request.
@@ -48,6 +48,14 @@
     is_foreign: bool,
 }
 
+/// Answers to other requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct Skipped {
+    answers: usize,
+    /// Bytes of their bodies.
+    bytes: usize,
+}
+
 /// What the parsing of a response waits for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Pacing {
@@ -64,7 +72,7 @@
         if let Some(key) = self.idle_connection(server) {
             if let Some(Role::Backend(it)) = self.roles.get_mut(&key) {
                 it.exchange = Some(index);
-                it.foreign = (0, 0);
+                it.skipped = Skipped::default();
                 it.is_reused = true;
             }
             return Some(key);
@@ -85,7 +93,7 @@
                     exchange: Some(index),
                     reading: None,
                     decoder: Decoder::default(),
-                    foreign: (0, 0),
+                    skipped: Skipped::default(),
                     idle: Idle::new(DEFAULT_IDLE_LIMIT),
                     is_reused: false,
                 };
@@ -226,8 +234,8 @@
                 }
             };
             if is_foreign {
-                backend.foreign.1 += body.len();
-                if MAX_FOREIGN_BYTES < backend.foreign.1 {
+                backend.skipped.bytes += body.len();
+                if MAX_SKIPPED_BYTES < backend.skipped.bytes {
                     self.handle_broken_attempt(index, "garbled");
                     return;
                 }
@@ -292,8 +300,8 @@
             self.receive_head(index, Reply { head, answer });
             return;
         }
-        backend.foreign.0 += 1;
-        if MAX_FOREIGN_ANSWERS < backend.foreign.0 {
+        backend.skipped.answers += 1;
+        if MAX_SKIPPED_ANSWERS < backend.skipped.answers {
             self.handle_broken_attempt(index, "garbled");
         }
     }
