Fill the template of settings in the review's cases again

Every case of the review ended with exit 2 ("the template has a field that isn't known here"): the template takes the window of quotas as a plain field since durations have the platform's unit, and the cases' stand-in still replaced the former text. It now fills the field with nothing, as the platform does for a deployment without quotas.

--- a/review/world/instance.rs
+++ b/review/world/instance.rs
@@ -47,13 +47,13 @@
             ("bounds.retryBudgetRatio", "0.2"),
             ("bounds.budgetWindowS", "10"),
             ("bounds.retryBudgetSlack", "54"),
+            // The deployment has no quotas.
+            ("bounds.quotaWindowS", ""),
             ("bounds.leaseMs", "3000"),
             ("bounds.versionMs", "8000"),
             ("bounds.graceS", "8"),
         ];
-        // The deployment has no quotas, so that their section is empty.
-        let quota = "{{#bounds.quotaWindowS}}{{bounds.quotaWindowS}}000{{/bounds.quotaWindowS}}";
-        let mut text = template.replace(quota, "");
+        let mut text = template;
         for (name, value) in values {
             text = text.replace(&format!("{{{{{name}}}}}"), value);
         }
