Hold a request's body once

The body's buffer grew by doubling, the attempt copied it behind its head, and the socket copied both into its output, while the exchange kept the body for another attempt. Now a buffer doesn't grow beyond the stated length, nor by more than has arrived, and a body of 32 KiB or more is shared by the exchange and the connections that it is sent on. A shorter one still leaves in one write with its head.

The tests of the output's order and sharing and of the buffer's room pass; the former has no counterpart in the code before, the latter was not run on it.

--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts: sending a request to one backend server.
 
-use std::{io::ErrorKind, time::Duration};
+use std::{io::ErrorKind, rc::Rc, time::Duration};
 
 use shallotlead_base::time::Time;
 
@@ -20,6 +20,8 @@
 
 /// How much later than expected an answer may begin before its server is probed.
 const LATE_MARGIN: Duration = Duration::from_millis(250);
+/// Length from which on a body isn't copied to be sent. A shorter one leaves in one write with its head.
+const MIN_SHARED_BYTES: usize = 32 * 1024;
 
 /// One attempt to have a request answered.
 pub(crate) struct Attempt {
@@ -186,9 +188,8 @@
         };
         let answer_due = now + choice.first_token() + LATE_MARGIN;
         let last_event = options.last_event;
-        let mut bytes = Vec::with_capacity(1024 + exchange.body.len());
-        self.adapter.write_request(&exchange.head, &options, &mut bytes);
-        bytes.extend_from_slice(&exchange.body);
+        let mut head = Vec::with_capacity(1024);
+        self.adapter.write_request(&exchange.head, &options, &mut head);
         let unsettled = self.track_unsettled(choice.server);
         let attempt = Attempt {
             answer_due,
@@ -203,7 +204,7 @@
             is_from_copy: resume_from.is_some(),
             ..Attempt::new(choice.server, connection, now)
         };
-        self.begin_attempt(index, attempt, &bytes);
+        self.begin_attempt(index, attempt, head);
         self.announce_stream(index, choice.server);
         let Some(exchange) = self.exchanges.get(index) else { return };
         let server = self.pool.get(choice.server);
@@ -250,17 +251,22 @@
         self.watch_start(index);
     }
 
-    /// Sends the request's `bytes` and records the attempt.
-    pub(super) fn begin_attempt(&mut self, index: usize, attempt: Attempt, bytes: &[u8]) {
+    /// Sends the request with the `head` and records the attempt.
+    pub(super) fn begin_attempt(&mut self, index: usize, attempt: Attempt, mut head: Vec<u8>) {
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
         let (connection, connect_deadline) = (attempt.connection, attempt.connect_deadline);
         self.pool.get_mut(attempt.server).inflight += 1;
         exchange.ran_at.push(attempt.server);
         exchange.attempts_made += 1;
         exchange.attempt = Some(attempt);
-        let serial = exchange.serial;
+        let (serial, body) = (exchange.serial, Rc::clone(&exchange.body));
         let is_connecting = self.is_connecting(connection);
-        self.net.send(connection, bytes);
+        if MIN_SHARED_BYTES <= body.len() {
+            self.net.send_shared(connection, &head, body);
+        } else {
+            head.extend_from_slice(&body);
+            self.net.send(connection, &head);
+        }
         if is_connecting {
             self.set_timer(connect_deadline, Timer::Exchange(index, serial));
         }
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -1,6 +1,6 @@
 //! One caller's request, from its head to its final answer.
 
-use std::{cell::OnceCell, net::SocketAddr, sync::Arc, time::Duration};
+use std::{cell::OnceCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use shallotlead_base::time::Time;
 
@@ -44,7 +44,8 @@
     pub(crate) serial: u64,
     pub(crate) caller: Key,
     pub(crate) head: Request,
-    pub(crate) body: Vec<u8>,
+    /// Shared with the connections that it is sent on.
+    pub(crate) body: Rc<Vec<u8>>,
     pub(crate) info: RequestInfo,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
@@ -285,7 +286,7 @@
             serial,
             caller,
             head,
-            body,
+            body: Rc::new(body),
             info,
             route,
             service,
--- a/crates/gateway/src/core/handover.rs
+++ b/crates/gateway/src/core/handover.rs
@@ -116,9 +116,8 @@
             build: exchange.binding.build().map(build::Id::number),
             body_len: (exchange.head.framing != Framing::Empty).then_some(exchange.body.len()),
         };
-        let mut bytes = Vec::with_capacity(1024 + exchange.body.len());
-        self.adapter.write_handover(&exchange.head, &options, &mut bytes);
-        bytes.extend_from_slice(&exchange.body);
+        let mut head = Vec::with_capacity(1024);
+        self.adapter.write_handover(&exchange.head, &options, &mut head);
         exchange.handovers += 1;
         self.log
             .line(now, "handed_over")
@@ -130,7 +129,7 @@
             .ms("left_ms", options.time_left)
             .ms("after_ms", now.since(exchange.arrived));
         self.stats.count_handover("sent");
-        self.begin_attempt(index, Attempt::new(id, connection, now), &bytes);
+        self.begin_attempt(index, Attempt::new(id, connection, now), head);
         true
     }
 
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -74,10 +74,21 @@
 
 fn move_bytes(input: &mut Vec<u8>, body: &mut Vec<u8>, left: &mut u64) {
     let len = usize::try_from(*left).unwrap_or(usize::MAX).min(input.len());
+    reserve(body, len, *left);
     body.extend(input.drain(..len));
     *left -= len as u64;
 }
 
+/// Makes room for `len` more bytes. Grows by what has arrived, and not beyond the stated length, of which nothing may
+/// ever arrive.
+fn reserve(body: &mut Vec<u8>, len: usize, left: u64) {
+    if len <= body.capacity() - body.len() {
+        return;
+    }
+    let left = usize::try_from(left).unwrap_or(usize::MAX);
+    body.reserve_exact(body.len().saturating_add(len).min(left));
+}
+
 fn decode_chunks(
     state: &mut Chunk,
     input: &[u8],
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -3,6 +3,7 @@
 //! This module is independent of protocols. [`Net::poll`] appends received bytes to the sockets' input
 //! buffers and returns events; [`Net::send`] appends to an output buffer.
 
+mod output;
 mod socket;
 #[cfg(test)]
 mod tests;
@@ -10,6 +11,7 @@
 use std::{
     io::{self, ErrorKind},
     net::SocketAddr,
+    rc::Rc,
     time::Duration,
 };
 
@@ -192,6 +194,13 @@
         }
     }
 
+    /// Like [`Net::send`], with `shared` after `bytes`, which isn't copied.
+    pub(crate) fn send_shared(&mut self, key: Key, bytes: &[u8], shared: Rc<Vec<u8>>) {
+        if let Some(socket) = self.get_mut(key) {
+            socket.push_shared(bytes, shared);
+        }
+    }
+
     /// Closes the socket. The kernel still sends bytes that it has accepted, unless it resets the connection because
     /// of unread input.
     pub(crate) fn close(&mut self, key: Key) {
--- /dev/null
+++ b/crates/gateway/src/net/output.rs
@@ -0,0 +1,91 @@
+//! Bytes that wait to be sent on a socket.
+
+use std::{collections::VecDeque, rc::Rc};
+
+/// Length of the sent part of a buffer from which on it is removed, and capacity that an emptied buffer keeps.
+const COMPACT_BYTES: usize = 64 * 1024;
+
+/// What is still to be sent, in order.
+#[derive(Debug, Default)]
+pub(super) struct Output {
+    parts: VecDeque<Part>,
+    /// Length of the sent part of the first part.
+    written: usize,
+    /// Bytes that are not sent yet.
+    unsent: usize,
+}
+
+#[derive(Debug)]
+enum Part {
+    Owned(Vec<u8>),
+    Shared(Rc<Vec<u8>>),
+}
+
+impl Part {
+    fn bytes(&self) -> &[u8] {
+        match self {
+            Self::Owned(it) => it,
+            Self::Shared(it) => it,
+        }
+    }
+}
+
+impl Output {
+    /// Number of bytes that are not sent yet.
+    pub(super) fn unsent_bytes(&self) -> usize {
+        self.unsent
+    }
+
+    /// Appends a copy of `bytes`.
+    pub(super) fn push(&mut self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        self.unsent += bytes.len();
+        match self.parts.back_mut() {
+            Some(Part::Owned(it)) => it.extend_from_slice(bytes),
+            _ => self.parts.push_back(Part::Owned(bytes.to_vec())),
+        }
+    }
+
+    /// Appends `bytes` without copying them.
+    pub(super) fn push_shared(&mut self, bytes: Rc<Vec<u8>>) {
+        if bytes.is_empty() {
+            return;
+        }
+        if self.unsent == 0 {
+            self.parts.clear();
+        }
+        self.unsent += bytes.len();
+        self.parts.push_back(Part::Shared(bytes));
+    }
+
+    /// The bytes to send next; empty if there are none.
+    pub(super) fn next(&self) -> &[u8] {
+        self.parts.front().map_or(&[], |it| &it.bytes()[self.written..])
+    }
+
+    /// Removes the first `len` of the next bytes, which were sent.
+    pub(super) fn advance(&mut self, len: usize) {
+        self.written += len;
+        self.unsent -= len;
+        let is_last = self.parts.len() == 1;
+        match self.parts.front_mut() {
+            // Mostly the only part there ever is, so that its buffer is used again.
+            Some(Part::Owned(it)) if is_last && it.len() <= self.written => {
+                it.clear();
+                it.shrink_to(COMPACT_BYTES);
+                self.written = 0;
+            }
+            Some(it) if it.bytes().len() <= self.written => {
+                self.parts.pop_front();
+                self.written = 0;
+            }
+            Some(Part::Owned(it)) if COMPACT_BYTES <= self.written => {
+                it.drain(..self.written);
+                self.written = 0;
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -1,23 +1,20 @@
 //! A stream socket with its buffers.
 
-use std::io::{self, ErrorKind};
+use std::{
+    io::{self, ErrorKind},
+    rc::Rc,
+};
 
 use crate::host::network::Stream;
 
-use super::{Event, Key, MAX_INPUT_BYTES, read_once};
-
-/// Length of the sent part of the output buffer from which on it is removed, and capacity that an emptied buffer
-/// keeps.
-const COMPACT_BYTES: usize = 64 * 1024;
+use super::{Event, Key, MAX_INPUT_BYTES, output::Output, read_once};
 
 /// An open stream with its buffers.
 pub(crate) struct Socket {
     stream: Box<dyn Stream>,
     /// Received bytes that are not consumed yet.
     pub(crate) input: Vec<u8>,
-    output: Vec<u8>,
-    /// Length of the part of `output` that the kernel has accepted.
-    written: usize,
+    output: Output,
     pub(super) is_connecting: bool,
     /// Whether reading is paused because the input buffer is full.
     pub(super) is_paused: bool,
@@ -32,8 +29,7 @@
         Self {
             stream,
             input: Vec::new(),
-            output: Vec::new(),
-            written: 0,
+            output: Output::default(),
             is_connecting: false,
             is_paused: false,
             is_read_closed: false,
@@ -50,7 +46,7 @@
 
     /// Number of output bytes that the kernel has not accepted yet.
     pub(crate) fn unsent_bytes(&self) -> usize {
-        self.output.len() - self.written
+        self.output.unsent_bytes()
     }
 
     /// Whether the connection is not established yet, so that nothing was sent on it.
@@ -72,8 +68,24 @@
     /// Appends to the output buffer and writes as much as the kernel accepts at once.
     pub(super) fn push(&mut self, bytes: &[u8]) {
         let was_empty = self.unsent_bytes() == 0;
-        self.output.extend_from_slice(bytes);
-        if was_empty && !self.is_connecting {
+        self.output.push(bytes);
+        if was_empty {
+            self.begin_flush();
+        }
+    }
+
+    /// Like [`Socket::push`], with `shared` after `bytes`, which isn't copied.
+    pub(super) fn push_shared(&mut self, bytes: &[u8], shared: Rc<Vec<u8>>) {
+        let was_empty = self.unsent_bytes() == 0;
+        self.output.push(bytes);
+        self.output.push_shared(shared);
+        if was_empty {
+            self.begin_flush();
+        }
+    }
+
+    fn begin_flush(&mut self) {
+        if !self.is_connecting {
             // The kernel reports a failure as an event as well; only that one ends the connection.
             let _ = self.flush();
         }
@@ -137,23 +149,15 @@
     }
 
     fn flush(&mut self) -> Result<(), ErrorKind> {
-        while self.written < self.output.len() {
-            match self.stream.write(&self.output[self.written..]) {
+        while 0 < self.output.unsent_bytes() {
+            match self.stream.write(self.output.next()) {
                 Ok(0) => return Err(ErrorKind::WriteZero),
-                Ok(len) => self.written += len,
+                Ok(len) => self.output.advance(len),
                 Err(err) if err.kind() == ErrorKind::WouldBlock => break,
                 Err(err) if err.kind() == ErrorKind::Interrupted => {}
                 Err(err) => return Err(err.kind()),
             }
         }
-        if self.written == self.output.len() {
-            self.output.clear();
-            self.output.shrink_to(COMPACT_BYTES);
-            self.written = 0;
-        } else if COMPACT_BYTES <= self.written {
-            self.output.drain(..self.written);
-            self.written = 0;
-        }
         Ok(())
     }
 }
--- a/crates/gateway/src/net/tests.rs
+++ b/crates/gateway/src/net/tests.rs
@@ -1,11 +1,12 @@
 use std::{
     net::{SocketAddr, TcpListener},
+    rc::Rc,
     time::Duration,
 };
 
 use crate::host::{network::Stream, system::network::Network};
 
-use super::Tolerance;
+use super::{Tolerance, output::Output};
 
 /// When the kernel gives up an established connection with nothing unacknowledged, by its options.
 struct Keepalive {
@@ -71,3 +72,33 @@
     assert!(!keepalive.outlasts(Duration::ZERO, Duration::from_secs(60)));
     assert!(keepalive.first_probe + keepalive.interval * 2 <= Duration::from_secs(3));
 }
+
+// Each copy of a body counts towards the machine's memory: bodies within the limits took an instance over it.
+#[test]
+fn shared_bytes_are_sent_in_order_without_a_copy_and_let_go() {
+    let body = Rc::new(vec![7; 100_000]);
+    for step in [1_000, 30_000, 70_000, 1 << 20] {
+        let mut output = Output::default();
+        output.push(b"head");
+        output.push_shared(Rc::clone(&body));
+        output.push_shared(Rc::default());
+        output.push(b"next");
+        let mut sent = Vec::new();
+        while 0 < output.unsent_bytes() {
+            let bytes = output.next();
+            let shared = bytes.as_ptr_range();
+            if bytes.first() == Some(&7) {
+                assert!(body.as_ptr_range().contains(&shared.start), "the body was copied");
+            }
+            let len = bytes.len().min(step);
+            sent.extend_from_slice(&bytes[..len]);
+            output.advance(len);
+        }
+        assert_eq!(sent, [b"head", &body[..], b"next"].concat());
+        assert_eq!(Rc::strong_count(&body), 1, "sent bytes are kept");
+        output.push(b"a");
+        output.advance(1);
+        output.push_shared(Rc::clone(&body));
+        assert_eq!((output.next().len(), output.unsent_bytes()), (100_000, 100_000));
+    }
+}
--- a/crates/gateway/tests/http.rs
+++ b/crates/gateway/tests/http.rs
@@ -206,3 +206,17 @@
         let _ = Framing::chunked().decode(&mut bytes.clone(), &mut Vec::new());
     }
 }
+
+// Bodies within the limits took an instance over its machine's memory, with room that was never used.
+#[test]
+fn body_takes_no_more_room_than_has_arrived_twice_over_or_than_was_stated() {
+    const LEN: usize = 3_000_000;
+    let mut framing = Framing::Length(LEN as u64);
+    let mut body = Vec::new();
+    while body.len() < LEN {
+        let len = 32_768.min(LEN - body.len());
+        let is_done = framing.decode(&mut vec![1; len], &mut body).unwrap();
+        assert_eq!(is_done, body.len() == LEN);
+        assert!(body.capacity() <= LEN.min(2 * body.len()), "{} {}", body.capacity(), body.len());
+    }
+}
