Bound servers' answers to 256 KiB

A backend server could have each instance hold 4 MiB for each report, probe or order that it answers, as the limit was that of the store's lists. Answers of servers and of stores of cached prompts are now bound to 256 KiB; those of the store and of other instances keep their limit.

--- a/crates/gateway/src/core/control.rs
+++ b/crates/gateway/src/core/control.rs
@@ -19,8 +19,10 @@
 
 /// Longest head of an answer, bytes.
 const MAX_HEAD: usize = 64 * 1024;
-/// Longest body of an answer, bytes. A page of a list has a megabyte at most.
+/// Longest body of an answer of the store or of another instance, bytes. A page of a list has a megabyte at most.
 const MAX_BODY: usize = 4 << 20;
+/// Longest body of an answer of a backend server, bytes. A report lists its runs.
+const MAX_SERVER_BODY: usize = 256 << 10;
 /// What a server's idle limit is taken for if it announces none.
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_millis(2_500);
 
@@ -78,6 +80,19 @@
         }
     }
 
+    /// Longest body of its answer, bytes.
+    fn max_body(&self) -> usize {
+        match self {
+            Self::Store { .. } | Self::State(_) => MAX_BODY,
+            Self::Report(_)
+            | Self::Probe(_)
+            | Self::Liveness(_)
+            | Self::UnframedEnd(..)
+            | Self::CacheStore(_)
+            | Self::Order(_) => MAX_SERVER_BODY,
+        }
+    }
+
     /// Whether its answer may take a slow link a large part of a second.
     fn is_long(&self) -> bool {
         matches!(
@@ -217,7 +232,9 @@
             self.close_connection(key);
             return;
         }
+        let mut max_body = MAX_SERVER_BODY;
         if let Some(request) = conn.request.and_then(|it| self.control_requests.get_mut(it)) {
+            max_body = request.purpose.max_body();
             request.received = Some((request.received.map_or(self.now, |it| it.0), self.now));
         }
         let Some(socket) = self.net.get_mut(key) else { return };
@@ -238,7 +255,7 @@
         let Some((_, framing, body)) = &mut conn.reading else { return };
         match framing.decode(&mut socket.input, body) {
             Ok(true) => self.finish_control(key),
-            Ok(false) if body.len() <= MAX_BODY => self.net.resume_reading(key),
+            Ok(false) if body.len() <= max_body => self.net.resume_reading(key),
             Ok(false) | Err(_) => self.end_control(key, End::Reset),
         }
     }
