Bound what requests hold together

An account of memory (memory.rs) covers bodies by their stated length, or by what has arrived of those in chunks, from their heads until the last connection that sends them is done with them, and, measured four times a second, unsent answers and the connections' buffers. The limit is half of the machine's memory ([memory] limit_mb, from the platform's memoryMb, or what the system says); the other half is for the process and the kernel's buffers, which count as well. A request whose body isn't left room is refused at once as not run (503 with Retry-After, `no-memory`). The rest of its body is read and dropped, so that its caller gets the answer and the connection can be used again: reading less would leave the bytes in the kernel, where they count, and closing would reset. Empty input buffers give back their room.

--- a/crates/emulator/src/world/deployment.rs
+++ b/crates/emulator/src/world/deployment.rs
@@ -295,6 +295,7 @@
         max_stale_weights: MAX_STALE_WEIGHTS,
         quarantine: quarantine::Policy { crash_threshold: 3, retention: Duration::from_secs(600) },
         shutdown_grace: Duration::from_secs(10),
+        memory_bytes: 110_000_000,
         log_lines_per_s: 400,
     }
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -76,7 +76,7 @@
     host::Host,
     json_log::Log,
     lease::Lease,
-    limits,
+    limits, memory,
     net::{Endpoint, Event, Key, Net},
     placement::PrefixIndex,
     pool::{self, Pool},
@@ -185,6 +185,10 @@
     removed_services: Map<Arc<str>, Service>,
     /// The limits on callers' requests.
     limits: limits::History,
+    /// What is held for callers and peers.
+    memory: memory::Account,
+    /// Requests that were refused since the last sweep, as there was no memory for them.
+    memory_refusals: u32,
     pool: Pool,
     prefixes: PrefixIndex,
     cache_stores: cache::Stores,
@@ -322,6 +326,8 @@
             config: None,
             removed_services: Map::default(),
             limits: limits::History::default(),
+            memory: memory::Account::new(settings.memory_bytes),
+            memory_refusals: 0,
             pool: Pool::default(),
             prefixes: PrefixIndex::default(),
             cache_stores: cache::Stores::default(),
@@ -485,6 +491,7 @@
             }
         }
         self.sweep_callers();
+        self.sweep_memory();
         self.sweep_services();
         self.sweep_backends();
         self.sweep_control();
--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -9,6 +9,7 @@
     core::{Core, Role, ending::error_body, refusal::Refusal},
     http::{Error, body::Framing, head::Request, write},
     limits::History,
+    memory::{Body, Hold},
     net::{Key, Socket},
 };
 
@@ -18,6 +19,7 @@
 /// How long a connection lingers after its last answer while the caller still sends. Closing it with
 /// unread input would reset it, and the caller would lose the answer.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// State of a caller's connection.
 pub(crate) struct Caller {
@@ -33,6 +35,13 @@
     Idle,
     /// A request's body is arriving.
     Body(Box<Incoming>),
+    /// A request was refused whose body is still arriving, and what is left of it is read and dropped.
+    Discarding {
+        /// What is left of the body.
+        framing: Framing,
+        /// Whether the connection is closed after it.
+        closes: bool,
+    },
     /// The exchange at this index is in progress.
     Busy(usize),
     /// The last answer was queued; the connection is closed once it is sent.
@@ -44,6 +53,8 @@
     head: Request,
     framing: Framing,
     body: Vec<u8>,
+    /// Covers the stated length, otherwise what has arrived.
+    hold: Hold,
     arrived: Time,
     /// The limits for it when its head was complete.
     limits: Limits,
@@ -84,6 +95,9 @@
                 (is_leaving || limits.idle_time(self.since) < age).then_some(Overrun::Idle)
             }
             (State::Body(it), _) => (it.limits(limits).idle_timeout < age).then_some(Overrun::Slow),
+            (State::Discarding { .. }, _) => {
+                (limits.idle_time(self.since) < age).then_some(Overrun::Lingering)
+            }
             (State::Closing, _) => (LINGER_TIMEOUT < age).then_some(Overrun::Lingering),
             (State::Busy(_), _) => None,
         }
@@ -98,6 +112,8 @@
     Continue,
     /// The request is complete.
     Dispatch(Box<Incoming>),
+    /// There is no memory for the body, of which this is left.
+    Refuse(Box<Request>, Framing, Time),
     /// The input is no valid request.
     Malformed(Error),
     /// The body exceeds the limit.
@@ -110,9 +126,14 @@
             let step = self.parse_caller_input(key);
             match step {
                 Step::Wait => return,
-                Step::Continue => self.net.send(key, b"HTTP/1.1 100 Continue\r\n\r\n"),
+                Step::Continue => self.net.send(key, CONTINUE),
                 Step::Dispatch(it) => {
-                    self.begin_exchange(key, it.head, it.body, it.arrived);
+                    let Incoming { head, body, hold, arrived, .. } = *it;
+                    self.begin_exchange(key, head, Body::new(body, hold), arrived);
+                    return;
+                }
+                Step::Refuse(head, framing, arrived) => {
+                    self.refuse_body(key, &head, framing, arrived);
                     return;
                 }
                 Step::Malformed(error) => {
@@ -128,7 +149,7 @@
     }
 
     fn parse_caller_input(&mut self, key: Key) -> Step {
-        let Self { net, roles, now, limits, .. } = self;
+        let Self { net, roles, now, limits, memory, .. } = self;
         let Some(Role::Caller(caller)) = roles.get_mut(&key) else { return Step::Wait };
         let Some(socket) = net.get_mut(key) else { return Step::Wait };
         match &mut caller.state {
@@ -137,6 +158,25 @@
                 socket.input.clear();
                 Step::Wait
             }
+            State::Discarding { framing, closes } => {
+                match framing.decode(&mut socket.input, &mut Vec::new()) {
+                    Ok(false) => {
+                        caller.since = *now;
+                        net.resume_reading(key);
+                        Step::Wait
+                    }
+                    Ok(true) if !*closes => {
+                        caller.state = State::Idle;
+                        caller.since = *now;
+                        self.parse_caller_input(key)
+                    }
+                    Ok(true) | Err(_) => {
+                        caller.state = State::Closing;
+                        self.handle_caller_flushed(key);
+                        Step::Wait
+                    }
+                }
+            }
             State::Idle => {
                 let arrived = *caller.head_since.get_or_insert(*now);
                 let limits = limits.since(arrived);
@@ -157,7 +197,16 @@
                 }
                 let expects_continue = head.fields.contains_token("expect", "100-continue");
                 let framing = head.framing;
-                let incoming = Incoming { head, framing, body: Vec::new(), arrived, limits };
+                let stated = if let Framing::Length(len) = framing { len } else { 0 };
+                let stated = usize::try_from(stated).unwrap_or(usize::MAX);
+                let Some(hold) = memory.take(stated) else {
+                    if expects_continue && socket.input.is_empty() {
+                        // Otherwise it wouldn't be known whether the body follows.
+                        net.send(key, CONTINUE);
+                    }
+                    return Step::Refuse(Box::new(head), framing, arrived);
+                };
+                let incoming = Incoming { head, framing, body: Vec::new(), hold, arrived, limits };
                 caller.state = State::Body(Box::new(incoming));
                 caller.since = *now;
                 if expects_continue && socket.input.is_empty() {
@@ -172,6 +221,15 @@
                 match done {
                     Err(error) => Step::Malformed(error),
                     Ok(_) if limits.max_body_bytes < incoming.body.len() => Step::TooLarge,
+                    Ok(_) if !memory.extend(&mut incoming.hold, incoming.body.capacity()) => {
+                        match std::mem::replace(&mut caller.state, State::Idle) {
+                            State::Body(it) => {
+                                let Incoming { head, framing, arrived, .. } = *it;
+                                Step::Refuse(Box::new(head), framing, arrived)
+                            }
+                            _ => Step::Wait,
+                        }
+                    }
                     Ok(false) => {
                         caller.since = *now;
                         net.resume_reading(key);
@@ -186,6 +244,38 @@
         }
     }
 
+    /// Refuses a request for whose body there is no memory; `framing` is what is left of it.
+    ///
+    /// The rest is read and dropped: closing the connection would reset it, and the caller would lose the answer, and
+    /// bytes that aren't read take memory of the machine as well.
+    fn refuse_body(&mut self, key: Key, head: &Request, framing: Framing, arrived: Time) {
+        if let Some(Role::Caller(caller)) = self.roles.get_mut(&key) {
+            caller.state = State::Discarding { framing, closes: false };
+            caller.since = self.now;
+        }
+        let info = self.adapter.parse_request(head);
+        self.refuse(key, head, &info, Refusal::NoMemory, arrived, 0);
+        self.memory_refusals += 1;
+    }
+
+    /// Measures what is held, and logs it if requests were refused for it.
+    pub(crate) fn sweep_memory(&mut self) {
+        let pending = self.exchanges.iter().map(|it| it.1.delivery.pending.capacity());
+        let buffered = pending.sum::<usize>() + self.net.trim();
+        self.memory.set_buffered(buffered);
+        let most = self.memory.take_most();
+        let refused = std::mem::take(&mut self.memory_refusals);
+        if refused == 0 {
+            return;
+        }
+        self.log
+            .line(self.now, "no_memory")
+            .number("refused", refused)
+            .number("held_bytes", self.memory.held())
+            .number("most_bytes", most)
+            .number("limit_bytes", self.memory.limit());
+    }
+
     /// Marks the connection as busy with the exchange at `index`.
     pub(crate) fn mark_caller_busy(&mut self, key: Key, index: usize) {
         if let Some(Role::Caller(caller)) = self.roles.get_mut(&key) {
@@ -197,6 +287,12 @@
     pub(crate) fn finish_caller_answer(&mut self, key: Key, keeps_alive: bool) {
         let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return };
         caller.since = self.now;
+        if let State::Discarding { closes, .. } = &mut caller.state {
+            *closes = !keeps_alive;
+            self.net.resume_reading(key);
+            self.read_caller(key);
+            return;
+        }
         if keeps_alive {
             caller.state = State::Idle;
             // The next request may already be buffered.
@@ -225,7 +321,7 @@
             }
             State::Busy(index) => self.resume_relay(index),
             State::Idle => caller.since = self.now,
-            State::Body(_) => {}
+            State::Body(_) | State::Discarding { .. } => {}
         }
     }
 
@@ -284,9 +380,11 @@
         }
     }
 
-    /// Whether the body of any request is still arriving.
+    /// Whether the body of any request is still arriving, also of one that is refused already.
     pub(crate) fn is_receiving_bodies(&self) -> bool {
-        self.roles.values().any(is_receiving_body)
+        let is_discarding =
+            |it: &Role| matches!(it, Role::Caller(Caller { state: State::Discarding { .. }, .. }));
+        self.roles.values().any(|it| is_receiving_body(it) || is_discarding(it))
     }
 
     /// Refuses the requests whose bodies are still arriving.
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -23,6 +23,7 @@
         head::{Request, Response},
         write,
     },
+    memory::Body,
     net::Key,
     placement::{self, Shortage},
     pool::{self, Pool},
@@ -45,7 +46,7 @@
     pub(crate) caller: Key,
     pub(crate) head: Request,
     /// Shared with the connections that it is sent on.
-    pub(crate) body: Rc<Vec<u8>>,
+    pub(crate) body: Rc<Body>,
     pub(crate) info: RequestInfo,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
@@ -254,13 +255,7 @@
     }
 
     /// Admits a complete request and dispatches it, or refuses it.
-    pub(crate) fn begin_exchange(
-        &mut self,
-        caller: Key,
-        head: Request,
-        body: Vec<u8>,
-        arrived: Time,
-    ) {
+    pub(crate) fn begin_exchange(&mut self, caller: Key, head: Request, body: Body, arrived: Time) {
         let info = self.adapter.parse_request(&head);
         let admitted = self.admit(&head, &info);
         let Admitted { route, organisation, service } = match admitted {
--- a/crates/gateway/src/core/refusal.rs
+++ b/crates/gateway/src/core/refusal.rs
@@ -51,6 +51,8 @@
         /// After which time the caller should retry.
         after: Duration,
     },
+    /// The memory for requests is used up.
+    NoMemory,
     /// Servers declined the request, and no further attempt is allowed.
     Declined,
     /// The deadline passed before the request was sent.
@@ -72,6 +74,7 @@
             | Self::Quarantined { .. }
             | Self::OutOfReach { .. }
             | Self::UnknownBuild
+            | Self::NoMemory
             | Self::Declined
             | Self::TimeOut => 503,
         }
@@ -98,6 +101,7 @@
             Self::OutOfReach { .. } => "out-of-reach",
             Self::UnknownBuild => "unknown-build",
             Self::OverQuota { .. } => "over-quota",
+            Self::NoMemory => "no-memory",
             Self::Declined => "turned-away",
             Self::TimeOut => "time-out",
         }
@@ -127,9 +131,11 @@
             Self::Shortage(Shortage::Limited { after } | Shortage::Overloaded { after }) => {
                 Some(after.max(RETRY_AFTER))
             }
-            Self::Shortage(_) | Self::UnknownBuild | Self::Declined | Self::TimeOut => {
-                Some(RETRY_AFTER)
-            }
+            Self::Shortage(_)
+            | Self::UnknownBuild
+            | Self::NoMemory
+            | Self::Declined
+            | Self::TimeOut => Some(RETRY_AFTER),
         }
     }
 }
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -44,6 +44,8 @@
     servers_listed: Gauge,
     instances: Gauge,
     open_requests: Gauge,
+    memory_held: Gauge,
+    memory_limit: Gauge,
     store_unreachable: Gauge,
     store_answer_age: Gauge,
     configuration_age: Gauge,
@@ -105,6 +107,8 @@
             servers_listed: metrics::gauge!("shallotlead_servers_ready"),
             instances: metrics::gauge!("shallotlead_instances_alive"),
             open_requests: metrics::gauge!("shallotlead_requests_open"),
+            memory_held: metrics::gauge!("shallotlead_memory_held_bytes"),
+            memory_limit: metrics::gauge!("shallotlead_memory_limit_bytes"),
             store_unreachable: metrics::gauge!("shallotlead_store_away"),
             store_answer_age: metrics::gauge!("shallotlead_store_answer_age_seconds"),
             configuration_age: metrics::gauge!("shallotlead_configuration_confirmed_age_seconds"),
@@ -387,6 +391,8 @@
         stats.servers_listed.set(servers as f64);
         stats.instances.set(alive as f64);
         stats.open_requests.set(self.exchanges.len() as f64);
+        stats.memory_held.set(self.memory.held() as f64);
+        stats.memory_limit.set(self.memory.limit() as f64);
         stats.store_unreachable.set(f64::from(u8::from(self.storage.is_unreachable())));
         let confirmed = self.peers.freshness.age(self.now).unwrap_or_default();
         stats.configuration_age.set(confirmed.as_secs_f64());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! All that an instance takes from its machine is in [`host::Host`].
 //!
 //! The modules that make decisions do no I/O ([`placement`], [`budget`], [`lease`], [`rollout`], [`gossip`],
-//! [`broadcast`], [`pool`], [`publication`], [`quota`], [`shutdown`]); the reactor executes the decisions. All knowledge of the platform's
+//! [`broadcast`], [`memory`], [`pool`], [`publication`], [`quota`], [`shutdown`]); the reactor executes the decisions. All knowledge of the platform's
 //! names and formats is in the implementation of [`adapter::Adapter`].
 
 pub mod adapter;
@@ -29,6 +29,7 @@
 pub mod json_log;
 pub mod lease;
 pub mod limits;
+pub mod memory;
 mod net;
 pub mod placement;
 pub mod pool;
--- /dev/null
+++ b/crates/gateway/src/memory.rs
@@ -0,0 +1,104 @@
+//! The budget of memory for what an instance holds for its callers and peers.
+
+use std::{cell::Cell, ops::Deref, rc::Rc};
+
+/// Memory of the machine if nothing is known of it: the least of any known deployment.
+pub const DEFAULT_MACHINE_BYTES: usize = 100_000_000;
+/// Share (1/n) of the machine's memory that may be held. The rest is for the process itself, for what its allocator
+/// keeps and for the kernel's buffers, which hold as much again of bodies that are being sent.
+const BUDGET_DIVISOR: usize = 2;
+
+/// What is held of the budget.
+#[derive(Clone, Debug)]
+pub struct Account {
+    limit: usize,
+    /// Taken by holds.
+    held: Rc<Cell<usize>>,
+    /// Bytes in buffers that have no holds, as last measured.
+    buffered: usize,
+    most: usize,
+}
+
+/// A part of the budget. Dropping it returns it.
+#[derive(Debug)]
+pub struct Hold {
+    account: Rc<Cell<usize>>,
+    bytes: usize,
+}
+
+/// A request's body with its part of the budget.
+#[derive(Debug)]
+pub struct Body {
+    bytes: Vec<u8>,
+    /// Kept until the last user of the body is done with it.
+    _hold: Hold,
+}
+
+impl Account {
+    /// The account of an instance on a machine with `machine_bytes` of memory.
+    pub fn new(machine_bytes: usize) -> Self {
+        let limit = machine_bytes / BUDGET_DIVISOR;
+        Self { limit, held: Rc::default(), buffered: 0, most: 0 }
+    }
+
+    /// Bytes that may be held.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
+    /// Bytes that are held.
+    pub fn held(&self) -> usize {
+        self.held.get().saturating_add(self.buffered)
+    }
+
+    /// Takes `bytes`, unless they are not left.
+    pub fn take(&mut self, bytes: usize) -> Option<Hold> {
+        let mut hold = Hold { account: Rc::clone(&self.held), bytes: 0 };
+        self.extend(&mut hold, bytes).then_some(hold)
+    }
+
+    /// Extends `hold` to `bytes` if it is less. Returns false if they are not left.
+    pub fn extend(&mut self, hold: &mut Hold, bytes: usize) -> bool {
+        let more = bytes.saturating_sub(hold.bytes);
+        if self.limit < self.held().saturating_add(more) {
+            return more == 0;
+        }
+        hold.bytes += more;
+        self.held.set(self.held.get() + more);
+        self.most = self.most.max(self.held());
+        true
+    }
+
+    /// Records how many bytes are in buffers that have no holds.
+    pub fn set_buffered(&mut self, bytes: usize) {
+        self.buffered = bytes;
+        self.most = self.most.max(self.held());
+    }
+
+    /// The most that was held since the last call.
+    pub fn take_most(&mut self) -> usize {
+        let held = self.held();
+        std::mem::replace(&mut self.most, held)
+    }
+}
+
+impl Body {
+    /// A complete body.
+    pub fn new(bytes: Vec<u8>, hold: Hold) -> Self {
+        Self { bytes, _hold: hold }
+    }
+}
+
+impl Deref for Body {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.account.set(self.account.get().saturating_sub(self.bytes));
+    }
+}
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -17,9 +17,12 @@
 
 use slab::Slab;
 
-use crate::host::{
-    network::{Datagrams, Listener, Network, Ready, Stream},
-    system::network::KEEPALIVE_INTERVAL,
+use crate::{
+    host::{
+        network::{Datagrams, Listener, Network, Ready, Stream},
+        system::network::KEEPALIVE_INTERVAL,
+    },
+    memory::Body,
 };
 
 pub(crate) use socket::Socket;
@@ -186,6 +189,16 @@
         }
     }
 
+    /// Gives back room of buffers that are empty. Returns the number of bytes that the buffers of all streams take,
+    /// without shared ones.
+    pub(crate) fn trim(&mut self) -> usize {
+        let streams = self.slots.iter_mut().map(|it| match &mut it.1.1 {
+            Slot::Stream(socket) => socket.trim(),
+            Slot::Listener(..) => 0,
+        });
+        streams.sum()
+    }
+
     /// Appends `bytes` to the output buffer and writes as much as the kernel accepts. An error is returned as
     /// an event of a later poll.
     pub(crate) fn send(&mut self, key: Key, bytes: &[u8]) {
@@ -195,7 +208,7 @@
     }
 
     /// Like [`Net::send`], with `shared` after `bytes`, which isn't copied.
-    pub(crate) fn send_shared(&mut self, key: Key, bytes: &[u8], shared: Rc<Vec<u8>>) {
+    pub(crate) fn send_shared(&mut self, key: Key, bytes: &[u8], shared: Rc<Body>) {
         if let Some(socket) = self.get_mut(key) {
             socket.push_shared(bytes, shared);
         }
--- a/crates/gateway/src/net/output.rs
+++ b/crates/gateway/src/net/output.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::VecDeque, rc::Rc};
 
+use crate::memory::Body;
+
 /// Length of the sent part of a buffer from which on it is removed, and capacity that an emptied buffer keeps.
 const COMPACT_BYTES: usize = 64 * 1024;
 
@@ -18,7 +20,7 @@
 #[derive(Debug)]
 enum Part {
     Owned(Vec<u8>),
-    Shared(Rc<Vec<u8>>),
+    Shared(Rc<Body>),
 }
 
 impl Part {
@@ -36,6 +38,12 @@
         self.unsent
     }
 
+    /// Number of bytes that its own buffers take.
+    pub(super) fn owned_bytes(&self) -> usize {
+        let owned = |it: &Part| if let Part::Owned(it) = it { it.capacity() } else { 0 };
+        self.parts.iter().map(owned).sum()
+    }
+
     /// Appends a copy of `bytes`.
     pub(super) fn push(&mut self, bytes: &[u8]) {
         if bytes.is_empty() {
@@ -49,7 +57,7 @@
     }
 
     /// Appends `bytes` without copying them.
-    pub(super) fn push_shared(&mut self, bytes: Rc<Vec<u8>>) {
+    pub(super) fn push_shared(&mut self, bytes: Rc<Body>) {
         if bytes.is_empty() {
             return;
         }
--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -5,10 +5,13 @@
     rc::Rc,
 };
 
-use crate::host::network::Stream;
+use crate::{host::network::Stream, memory::Body};
 
 use super::{Event, Key, MAX_INPUT_BYTES, output::Output, read_once};
 
+/// Capacity that an empty input buffer keeps.
+const IDLE_INPUT_BYTES: usize = 32 * 1024;
+
 /// An open stream with its buffers.
 pub(crate) struct Socket {
     stream: Box<dyn Stream>,
@@ -44,6 +47,14 @@
         }
     }
 
+    /// Gives back the room of an empty input buffer. Returns the number of bytes that the buffers take.
+    pub(super) fn trim(&mut self) -> usize {
+        if self.input.is_empty() {
+            self.input.shrink_to(IDLE_INPUT_BYTES);
+        }
+        self.input.capacity() + self.output.owned_bytes()
+    }
+
     /// Number of output bytes that the kernel has not accepted yet.
     pub(crate) fn unsent_bytes(&self) -> usize {
         self.output.unsent_bytes()
@@ -75,7 +86,7 @@
     }
 
     /// Like [`Socket::push`], with `shared` after `bytes`, which isn't copied.
-    pub(super) fn push_shared(&mut self, bytes: &[u8], shared: Rc<Vec<u8>>) {
+    pub(super) fn push_shared(&mut self, bytes: &[u8], shared: Rc<Body>) {
         let was_empty = self.unsent_bytes() == 0;
         self.output.push(bytes);
         self.output.push_shared(shared);
--- a/crates/gateway/src/net/tests.rs
+++ b/crates/gateway/src/net/tests.rs
@@ -4,7 +4,10 @@
     time::Duration,
 };
 
-use crate::host::{network::Stream, system::network::Network};
+use crate::{
+    host::{network::Stream, system::network::Network},
+    memory::{Account, Body},
+};
 
 use super::{Tolerance, output::Output};
 
@@ -76,12 +79,15 @@
 // Each copy of a body counts towards the machine's memory: bodies within the limits took an instance over it.
 #[test]
 fn shared_bytes_are_sent_in_order_without_a_copy_and_let_go() {
-    let body = Rc::new(vec![7; 100_000]);
+    let mut account = Account::new(1 << 20);
+    let hold = account.take(100_000).expect("it is left");
+    let body = Rc::new(Body::new(vec![7; 100_000], hold));
+    let empty = Rc::new(Body::new(Vec::new(), account.take(0).expect("it is left")));
     for step in [1_000, 30_000, 70_000, 1 << 20] {
         let mut output = Output::default();
         output.push(b"head");
         output.push_shared(Rc::clone(&body));
-        output.push_shared(Rc::default());
+        output.push_shared(Rc::clone(&empty));
         output.push(b"next");
         let mut sent = Vec::new();
         while 0 < output.unsent_bytes() {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -12,7 +12,7 @@
 
 use ini::Ini;
 
-use crate::{budget, quarantine};
+use crate::{budget, memory, quarantine};
 
 /// Settings that one instance needs to start.
 #[derive(Clone, Debug, PartialEq)]
@@ -47,6 +47,8 @@
     pub quarantine: quarantine::Policy,
     /// Time from SIGTERM until the platform kills the process.
     pub shutdown_grace: Duration,
+    /// Memory of the machine, in bytes.
+    pub memory_bytes: usize,
     /// Maximum log lines per second; lines above it are dropped and counted.
     pub log_lines_per_s: u32,
 }
@@ -150,7 +152,7 @@
     Range { max: 3_600e3, unit_s: 1e-3, expected: "a number of milliseconds from 0 to 3600000" };
 
 /// Names of all settings, by section.
-const KNOWN_KEYS: [(&str, &[&str]); 13] = [
+const KNOWN_KEYS: [(&str, &[&str]); 14] = [
     ("instance", &["name", "data_centre"]),
     ("listen", &["callers", "ready", "directory", "peers", "metrics"]),
     ("store", &["address", "reads_per_second", "writes_per_second"]),
@@ -163,6 +165,7 @@
     ("weights", &["oldest_ms"]),
     ("quarantine", &["crashes", "keep_s"]),
     ("shutdown", &["grace_s"]),
+    ("memory", &["limit_mb"]),
     ("log", &["lines_per_second"]),
 ];
 
@@ -214,6 +217,7 @@
         max_stale_weights: max_stale_weights(ini)?,
         quarantine: quarantine(ini)?,
         shutdown_grace: duration(ini, "shutdown", "grace_s", &SECONDS)?,
+        memory_bytes: memory_bytes(ini)?,
         log_lines_per_s: number(ini, "log", "lines_per_second", "a whole number")?,
     })
 }
@@ -234,6 +238,24 @@
     duration(ini, "weights", "oldest_ms", &MILLISECONDS)
 }
 
+const BYTES_PER_MB: f64 = 1e6;
+const BYTES_PER_KIB: usize = 1_024;
+
+/// Memory of the machine. The setting is empty if the platform states no limit; then it is what the system says.
+fn memory_bytes(ini: &Ini) -> Result<usize, Error> {
+    if ini.get_from(Some("memory"), "limit_mb").is_none_or(str::is_empty) {
+        return Ok(system_memory_bytes().unwrap_or(memory::DEFAULT_MACHINE_BYTES));
+    }
+    quantity(ini, "memory", "limit_mb", &COUNT).map(|it| (it * BYTES_PER_MB) as usize)
+}
+
+fn system_memory_bytes() -> Option<usize> {
+    let text = fs::read_to_string("/proc/meminfo").ok()?;
+    let total = text.lines().find_map(|it| it.strip_prefix("MemTotal:"))?;
+    let kibibytes: usize = total.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    kibibytes.checked_mul(BYTES_PER_KIB)
+}
+
 /// Policy of the quarantine if nothing is set.
 const DEFAULT_QUARANTINE: quarantine::Policy =
     quarantine::Policy { crash_threshold: 3, retention: Duration::from_secs(600) };
