Wait for peers that are alive and read late

Callers that began to read an answer more than 1.5 s after it found their connection reset and the answer lost, although the request had run; so did instances and servers (3.5 s) that were slow to take a body, with 502 for the caller.

Cause: the limit on unacknowledged bytes (TCP_USER_TIMEOUT: PEER_TIMEOUT, SERVER_TIMEOUT) on Linux also ends a connection whose peer answers each window probe with a full window.

Change: while the kernel takes no more output of a connection, its limit is DELIVERY_TIMEOUT (30 s); once all was taken it is the former one. Then nothing runs for a caller that may have vanished, and the idle limit still ends the connection. A caller that has taken all so far is noticed as before while its server works. `abandoned` lines tell why and with how many bytes left, new `undelivered` lines the same after the answer's end.

Not covered: an answer in progress of which nothing waits in the instance while the kernel's buffer holds some for a caller that doesn't read; it can't be told from a vanished caller here. The same holds for a body that the kernel has taken as a whole for a server.

--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -572,6 +572,18 @@
         }
     }
 
+    /// Changes how long a connection may be silent, also while it is.
+    fn set_silence(&mut self, id: Id, silence: Duration) {
+        let now = self.now();
+        let Some(socket) = self.sockets.get_mut(&id) else { return };
+        let is_shorter = silence < socket.longest_silence;
+        socket.longest_silence = silence;
+        if let Some(since) = socket.silent_since.filter(|_| is_shorter) {
+            let at = now.max(since + silence + KEEPALIVE_DELAY);
+            self.schedule(at, Action::Silence { socket: id });
+        }
+    }
+
     fn send_datagram(&mut self, from: Host, to: SocketAddr, bytes: &[u8]) {
         let Some(&host) = self.hosts.get(&to.ip()) else { return };
         let departs = self.links.transmit(self.now(), from, bytes.len());
--- a/crates/emulator/src/network/handle.rs
+++ b/crates/emulator/src/network/handle.rs
@@ -125,6 +125,11 @@
         Ok(())
     }
 
+    fn set_silence(&mut self, silence: Duration) -> io::Result<()> {
+        self.network.borrow_mut().set_silence(self.id, silence);
+        Ok(())
+    }
+
     fn peek(&self, buf: &mut [u8]) -> io::Result<usize> {
         let network = self.network.borrow();
         network.sockets.get(&self.id).ok_or(ErrorKind::NotConnected)?.peek(buf)
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -434,7 +434,7 @@
     /// Handles the end of a connection. `kind` is the error, or `None` if the peer closed it properly.
     fn on_ended(&mut self, key: Key, kind: Option<io::ErrorKind>) {
         match self.roles.get(&key) {
-            Some(Role::Caller(_)) => self.handle_caller_end(key),
+            Some(Role::Caller(_)) => self.handle_caller_end(key, kind),
             Some(Role::Backend(_)) => self.handle_backend_end(key, kind),
             Some(Role::Control(_)) => {
                 let end = match kind {
--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -1,21 +1,18 @@
 //! Callers' connections: reads their requests and enforces their time limits.
 
-use std::time::Duration;
+use std::{io::ErrorKind, time::Duration};
 
 use shallotlead_base::time::Time;
 
 use crate::{
     config::Limits,
-    core::{Core, Role, ending::error_body, refusal::Refusal},
+    core::{Core, Role, SWEEP_INTERVAL, ending::error_body, refusal::Refusal},
     http::{Error, body::Framing, head::Request, write},
     limits::History,
     memory::{Body, Hold},
-    net::{Key, Socket},
+    net::{DELIVERY_TIMEOUT, Key, Socket},
 };
 
-/// Longest time in which a caller has to take the rest of an answer that has ended. The kernel ends the connection long
-/// before if the caller takes nothing at all.
-const DELIVERY_TIMEOUT: Duration = Duration::from_secs(30);
 /// How long a connection lingers after its last answer while the caller still sends. Closing it with
 /// unread input would reset it, and the caller would lose the answer.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -83,6 +80,11 @@
         Self { state: State::Idle, since: now, head_since: None }
     }
 
+    /// Whether it has sent nothing for a while since its last answer.
+    fn is_resting(&self, now: Time) -> bool {
+        matches!(self.state, State::Idle) && SWEEP_INTERVAL <= now.since(self.since)
+    }
+
     /// The time limit that it has exceeded, if any.
     fn overrun(&self, now: Time, limits: &History, is_leaving: bool) -> Option<Overrun> {
         let age = now.since(self.since);
@@ -191,6 +193,7 @@
                     Err(error) => return Step::Malformed(error),
                 };
                 caller.head_since = None;
+                socket.begin_answer();
                 if matches!(head.framing, Framing::Length(len) if (limits.max_body_bytes as u64) < len)
                 {
                     return Step::TooLarge;
@@ -285,6 +288,10 @@
 
     /// Handles the end of an answer: all of it was queued for sending.
     pub(crate) fn finish_caller_answer(&mut self, key: Key, keeps_alive: bool) {
+        // A quick caller's next request may follow at once; the sweep finds those that rest.
+        if !keeps_alive || 0 < self.unsent_bytes(key) {
+            self.net.end_answer(key);
+        }
         let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return };
         caller.since = self.now;
         if let State::Discarding { closes, .. } = &mut caller.state {
@@ -326,10 +333,19 @@
     }
 
     /// Handles a connection that the caller closed or that failed.
-    pub(crate) fn handle_caller_end(&mut self, key: Key) {
+    pub(crate) fn handle_caller_end(&mut self, key: Key, kind: Option<ErrorKind>) {
         let Some(Role::Caller(caller)) = self.roles.get(&key) else { return };
-        if let State::Busy(index) = caller.state {
-            self.abandon_exchange(index);
+        let reason = match kind {
+            None => "closed",
+            Some(ErrorKind::TimedOut) => "timed-out",
+            Some(_) => "reset",
+        };
+        match caller.state {
+            State::Busy(index) => self.abandon_exchange(index, reason, self.unsent_bytes(key)),
+            State::Idle | State::Closing | State::Discarding { .. } => {
+                self.log_undelivered(key, reason);
+            }
+            State::Body(_) => {}
         }
         self.close_connection(key);
     }
@@ -354,6 +370,11 @@
     /// Closes connections that have been idle, slow or lingering for too long.
     pub(crate) fn sweep_callers(&mut self) {
         let now = self.now;
+        for (key, role) in &self.roles {
+            if matches!(role, Role::Caller(it) if it.is_resting(now)) {
+                self.net.end_answer(*key);
+            }
+        }
         self.limits.expire(now);
         let is_leaving = self.shutdown.is_some_and(|it| it.closes_idle(now));
         let callers = self.roles.iter().filter_map(|(key, role)| match role {
@@ -373,9 +394,13 @@
                 Overrun::Slow => self.reject(key, 408, "request too slow"),
                 Overrun::Idle => {
                     self.log_idle(key);
+                    self.log_undelivered(key, "slow");
+                    self.close_connection(key);
+                }
+                Overrun::Lingering => {
+                    self.log_undelivered(key, "slow");
                     self.close_connection(key);
                 }
-                Overrun::Lingering => self.close_connection(key),
             }
         }
     }
@@ -403,8 +428,25 @@
     /// Whether the caller may still take the rest of its answer.
     fn is_sending(&self, key: Key) -> bool {
         let Some(Role::Caller(caller)) = self.roles.get(&key) else { return false };
-        let has_unsent = self.net.get(key).is_some_and(|it| 0 < it.unsent_bytes());
-        has_unsent && self.now.since(caller.since) < DELIVERY_TIMEOUT
+        0 < self.unsent_bytes(key) && self.now.since(caller.since) < DELIVERY_TIMEOUT
+    }
+
+    /// Number of bytes for the caller that the kernel hasn't taken.
+    fn unsent_bytes(&self, key: Key) -> usize {
+        self.net.get(key).map_or(0, Socket::unsent_bytes)
+    }
+
+    /// Logs that a connection ends before all of a complete answer was passed to the kernel.
+    fn log_undelivered(&mut self, key: Key, reason: &str) {
+        let unsent = self.unsent_bytes(key);
+        let Some(Role::Caller(caller)) = self.roles.get(&key) else { return };
+        if 0 < unsent {
+            self.log
+                .line(self.now, "undelivered")
+                .text("reason", reason)
+                .number("unsent", unsent)
+                .ms("after_ms", self.now.since(caller.since));
+        }
     }
 
     fn has_unread(&mut self, key: Key) -> bool {
--- a/crates/gateway/src/core/ending.rs
+++ b/crates/gateway/src/core/ending.rs
@@ -123,12 +123,14 @@
     }
 
     /// Ends an exchange whose caller has closed its connection.
-    pub(crate) fn abandon_exchange(&mut self, index: usize) {
+    pub(crate) fn abandon_exchange(&mut self, index: usize, reason: &str, unsent: usize) {
         self.release_attempts(index);
         let exchange = self.exchanges.remove(index);
         self.log
             .line(self.now, "abandoned")
             .text("request", exchange.id())
+            .text("reason", reason)
+            .number("unsent", unsent)
             .number("runs", exchange.ran_at.len())
             .ms("after_ms", self.now.since(exchange.arrived));
         self.stats.count_abandoned();
--- a/crates/gateway/src/host/system/network.rs
+++ b/crates/gateway/src/host/system/network.rs
@@ -150,8 +150,8 @@
 impl network::Stream for Stream {
     fn register(&mut self, token: usize, silence: Duration) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
+        self.set_silence(silence)?;
         let raw = self.raw();
-        raw.set_tcp_user_timeout(Some(silence))?;
         let keepalive =
             TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
         raw.set_tcp_keepalive(&keepalive)?;
@@ -161,6 +161,10 @@
         Ok(())
     }
 
+    fn set_silence(&mut self, silence: Duration) -> io::Result<()> {
+        self.raw().set_tcp_user_timeout(Some(silence))
+    }
+
     fn peek(&self, buf: &mut [u8]) -> io::Result<usize> {
         self.stream.peek(buf)
     }
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -35,7 +35,8 @@
 /// Size of a socket's input buffer from which on reading pauses until the input is consumed.
 const MAX_INPUT_BYTES: usize = 256 * 1024;
 /// How long the kernel keeps a connection to a caller, an instance or the store on which nothing is acknowledged. An
-/// interrupted link causes no reset; without this limit a write would hang until the request's deadline.
+/// interrupted link causes no reset; without this limit a write would hang until the request's deadline. The kernel
+/// counts a peer that doesn't read as silent even if it answers; see [`DELIVERY_TIMEOUT`].
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Longest time for which a sound backend server is expected to be silent before it goes on.
 pub(crate) const LONGEST_SILENCE: Duration = Duration::from_millis(1_500);
@@ -43,6 +44,11 @@
 /// begins, a probe after it is answered before that.
 const SERVER_TIMEOUT: Duration =
     LONGEST_SILENCE.saturating_add(KEEPALIVE_INTERVAL.saturating_mul(2));
+/// Longest time in which a peer has to take what it was sent. It holds instead of the limits above while the peer takes
+/// no more, and after a long answer.
+pub(crate) const DELIVERY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Length of an answer from which on it may not fit into what its caller receives without reading, bytes.
+const LONG_ANSWER_BYTES: usize = 2 * 1024;
 /// Maximum number of rounds in one poll.
 const MAX_ROUNDS: usize = 64;
 /// Token of the datagram socket; the other sockets' tokens count from zero.
@@ -214,6 +220,13 @@
         }
     }
 
+    /// Handles that the output since the last request is complete and nothing runs for the peer any more.
+    pub(crate) fn end_answer(&mut self, key: Key) {
+        if let Some(socket) = self.get_mut(key) {
+            socket.end_answer();
+        }
+    }
+
     /// Closes the socket. The kernel still sends bytes that it has accepted, unless it resets the connection because
     /// of unread input.
     pub(crate) fn close(&mut self, key: Key) {
@@ -315,8 +328,9 @@
 
     fn add_stream(&mut self, mut stream: Box<dyn Stream>, tolerance: Tolerance) -> io::Result<Key> {
         let key = self.next_key();
-        stream.register(key.index, tolerance.longest_silence())?;
-        self.slots.insert((key.serial, Slot::Stream(Socket::new(stream))));
+        let silence = tolerance.longest_silence();
+        stream.register(key.index, silence)?;
+        self.slots.insert((key.serial, Slot::Stream(Socket::new(stream, silence))));
         Ok(key)
     }
 
--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -3,11 +3,14 @@
 use std::{
     io::{self, ErrorKind},
     rc::Rc,
+    time::Duration,
 };
 
 use crate::{host::network::Stream, memory::Body};
 
-use super::{Event, Key, MAX_INPUT_BYTES, output::Output, read_once};
+use super::{
+    DELIVERY_TIMEOUT, Event, Key, LONG_ANSWER_BYTES, MAX_INPUT_BYTES, output::Output, read_once,
+};
 
 /// Capacity that an empty input buffer keeps.
 const IDLE_INPUT_BYTES: usize = 32 * 1024;
@@ -25,10 +28,18 @@
     pub(super) is_read_closed: bool,
     /// Whether the end of the input, or an error, was reached.
     is_read_finished: bool,
+    /// How long the peer may acknowledge nothing while it isn't waited for to read.
+    silence: Duration,
+    /// Whether the longer limit is in force, as the peer may only be slow to read.
+    is_lenient: bool,
+    /// Number of bytes that were sent since the last request.
+    answer_bytes: usize,
+    /// Whether a long answer is complete that the kernel may still hold.
+    is_delivering: bool,
 }
 
 impl Socket {
-    pub(super) fn new(stream: Box<dyn Stream>) -> Self {
+    pub(super) fn new(stream: Box<dyn Stream>, silence: Duration) -> Self {
         Self {
             stream,
             input: Vec::new(),
@@ -37,6 +48,10 @@
             is_paused: false,
             is_read_closed: false,
             is_read_finished: false,
+            silence,
+            is_lenient: false,
+            answer_bytes: 0,
+            is_delivering: false,
         }
     }
 
@@ -76,10 +91,38 @@
         !self.is_read_finished && self.stream.peek(&mut [0]).is_err_and(|it| is_empty(&it))
     }
 
+    /// Begins to count the bytes of an answer.
+    pub(crate) fn begin_answer(&mut self) {
+        self.answer_bytes = 0;
+        self.is_delivering = false;
+        self.adapt_silence();
+    }
+
+    /// Ends it: nothing runs for the peer any more.
+    pub(super) fn end_answer(&mut self) {
+        self.is_delivering = LONG_ANSWER_BYTES <= self.answer_bytes;
+        self.adapt_silence();
+    }
+
+    /// Chooses how long the peer may acknowledge nothing. The kernel doesn't tell one that has vanished from one that
+    /// doesn't read.
+    fn adapt_silence(&mut self) {
+        let is_lenient = self.is_delivering || 0 < self.unsent_bytes();
+        if is_lenient == self.is_lenient || self.is_connecting {
+            return;
+        }
+        self.is_lenient = is_lenient;
+        let silence = if is_lenient { DELIVERY_TIMEOUT } else { self.silence };
+        if let Err(err) = self.stream.set_silence(silence) {
+            log::debug!("failed to set a connection's time limit: {err}");
+        }
+    }
+
     /// Appends to the output buffer and writes as much as the kernel accepts at once.
     pub(super) fn push(&mut self, bytes: &[u8]) {
         let was_empty = self.unsent_bytes() == 0;
         self.output.push(bytes);
+        self.answer_bytes += bytes.len();
         if was_empty {
             self.begin_flush();
         }
@@ -88,6 +131,7 @@
     /// Like [`Socket::push`], with `shared` after `bytes`, which isn't copied.
     pub(super) fn push_shared(&mut self, bytes: &[u8], shared: Rc<Body>) {
         let was_empty = self.unsent_bytes() == 0;
+        self.answer_bytes += bytes.len() + shared.len();
         self.output.push(bytes);
         self.output.push_shared(shared);
         if was_empty {
@@ -169,6 +213,7 @@
                 Err(err) => return Err(err.kind()),
             }
         }
+        self.adapt_silence();
         Ok(())
     }
 }
--- a/crates/gateway/src/net/tests.rs
+++ b/crates/gateway/src/net/tests.rs
@@ -1,4 +1,6 @@
 use std::{
+    cell::RefCell,
+    io::{self, ErrorKind, Read, Write},
     net::{SocketAddr, TcpListener},
     rc::Rc,
     time::Duration,
@@ -9,7 +11,9 @@
     memory::{Account, Body},
 };
 
-use super::{Tolerance, output::Output};
+use super::{
+    DELIVERY_TIMEOUT, Key, LONG_ANSWER_BYTES, PEER_TIMEOUT, Socket, Tolerance, output::Output,
+};
 
 /// When the kernel gives up an established connection with nothing unacknowledged, by its options.
 struct Keepalive {
@@ -108,3 +112,111 @@
         assert_eq!((output.next().len(), output.unsent_bytes()), (100_000, 100_000));
     }
 }
+
+/// What a peer takes, and how long it may be silent.
+#[derive(Default)]
+struct Peer {
+    room: usize,
+    silence: Duration,
+    changes: usize,
+}
+
+/// A connection to such a peer.
+struct Slow(Rc<RefCell<Peer>>);
+
+impl Read for Slow {
+    fn read(&mut self, _: &mut [u8]) -> io::Result<usize> {
+        Err(ErrorKind::WouldBlock.into())
+    }
+}
+
+impl Write for Slow {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        let mut peer = self.0.borrow_mut();
+        let len = buf.len().min(peer.room);
+        peer.room -= len;
+        if len == 0 { Err(ErrorKind::WouldBlock.into()) } else { Ok(len) }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Stream for Slow {
+    fn register(&mut self, _: usize, silence: Duration) -> io::Result<()> {
+        self.0.borrow_mut().silence = silence;
+        Ok(())
+    }
+
+    fn set_silence(&mut self, silence: Duration) -> io::Result<()> {
+        let mut peer = self.0.borrow_mut();
+        (peer.silence, peer.changes) = (silence, peer.changes + 1);
+        Ok(())
+    }
+
+    fn peek(&self, _: &mut [u8]) -> io::Result<usize> {
+        Err(ErrorKind::WouldBlock.into())
+    }
+
+    fn take_error(&self) -> io::Result<Option<io::Error>> {
+        Ok(None)
+    }
+
+    fn peer_address(&self) -> io::Result<SocketAddr> {
+        Ok(SocketAddr::from(([127, 0, 0, 1], 1)))
+    }
+
+    fn reset_on_close(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A connection to a caller that takes `room` bytes.
+fn slow_caller(room: usize) -> (Socket, Rc<RefCell<Peer>>) {
+    let peer = Rc::new(RefCell::new(Peer { room, ..Peer::default() }));
+    let mut stream = Slow(peer.clone());
+    stream.register(0, PEER_TIMEOUT).expect("it never fails");
+    (Socket::new(Box::new(stream), PEER_TIMEOUT), peer)
+}
+
+// A peer that takes nothing for now was taken for one that has vanished. Once it has taken all, it is waited for as
+// before: one that vanishes while a server works for it must be noticed.
+#[test]
+fn peer_that_takes_nothing_is_waited_for_until_it_has_taken_all() {
+    let (mut socket, peer) = slow_caller(100);
+    socket.push(&[0; 100]);
+    assert_eq!(peer.borrow().silence, PEER_TIMEOUT);
+    socket.push(&[0; 100]);
+    assert_eq!(peer.borrow().silence, DELIVERY_TIMEOUT);
+    for (room, silence) in [(50, DELIVERY_TIMEOUT), (50, PEER_TIMEOUT)] {
+        peer.borrow_mut().room = room;
+        assert!(socket.handle_writable(Key { index: 0, serial: 1 }, &mut Vec::new()));
+        assert_eq!(peer.borrow().silence, silence);
+    }
+}
+
+// A long answer that is complete may be in the kernel's buffers as a whole.
+#[test]
+fn caller_is_waited_for_after_a_long_answer_until_its_next_request() {
+    let (mut socket, peer) = slow_caller(usize::MAX);
+    socket.begin_answer();
+    socket.push(&[0; LONG_ANSWER_BYTES]);
+    assert_eq!(peer.borrow().silence, PEER_TIMEOUT);
+    socket.end_answer();
+    assert_eq!(peer.borrow().silence, DELIVERY_TIMEOUT);
+    socket.begin_answer();
+    assert_eq!(peer.borrow().silence, PEER_TIMEOUT);
+}
+
+// Short answers must not cost system calls.
+#[test]
+fn limit_is_left_alone_for_short_answers() {
+    let (mut socket, peer) = slow_caller(usize::MAX);
+    for _ in 0..3 {
+        socket.begin_answer();
+        socket.push(&[0; LONG_ANSWER_BYTES - 1]);
+        socket.end_answer();
+    }
+    assert_eq!(peer.borrow().changes, 0);
+}
