--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -31,6 +31,17 @@
     assert!(parse(&format!("{VALID}[weights]\noldest_ms = soon\n")).is_err());
 }
 
+// Without its machine's limit, an instance would hold what the platform ends it for.
+#[test]
+fn memory_of_the_machine_is_set_or_what_the_system_says() {
+    let memory_bytes = |text: &str| parse(text).unwrap().memory_bytes;
+    assert_eq!(memory_bytes(&format!("{VALID}[memory]\nlimit_mb = 110\n")), 110_000_000);
+    assert_eq!(memory_bytes(&format!("{VALID}[memory]\nlimit_mb = 0.5\n")), 500_000);
+    assert!(0 < memory_bytes(VALID));
+    assert_eq!(memory_bytes(&format!("{VALID}[memory]\nlimit_mb =\n")), memory_bytes(VALID));
+    assert!(parse(&format!("{VALID}[memory]\nlimit_mb = much\n")).is_err());
+}
+
 #[test]
 fn error_has_section_key_and_expected_value() {
     let missing = parse(&VALID.replace("name = i1\n", "")).unwrap_err();
