Have servers name themselves before an answer without an end is taken for complete

Cause: whatever answered a report at the address vouched for the answer, unless it named another incarnation; most servers name none. So did a reset, and for servers that are no engines an answer that didn't come in time. Change: a report counts only if it names the incarnation that is known from the server's entry. Where none is known, or the report names none, the service's health path is asked, whose answer has the server's name: the same name counts as alive with any status, unless a later entry has the address. An answer without a name (a full server) and a reset show nothing, and the question is repeated, 7 times within about 1.6 s. Without a proof the end is no success. The fake and the emulated servers answer their health path. Tests: answer_cut_by_a_crash_is_not_vouched_for_by_the_next_server_at_its_address failed before (200 with "half of it") and passes now. The two other new ones passed before and guard the further ways. Test files unframed, silence_review, cut_heads, cut_off, server_signals, idle_limits and slow_callers of the adapter, config and pool of the gateway pass.

--- a/crates/emulator/src/backend.rs
+++ b/crates/emulator/src/backend.rs
@@ -186,6 +186,7 @@
                 let body = serde_json::to_vec(&report).unwrap_or_default();
                 self.respond(call.connection, 200, &body, None);
             }
+            names::HEALTH => self.respond(call.connection, 200, b"", None),
             names::ORDER => self.handle_order(now, &call),
             _ => self.handle_request(now, call),
         }
--- a/crates/emulator/src/format/adapter.rs
+++ b/crates/emulator/src/format/adapter.rs
@@ -167,6 +167,10 @@
         get(names::REPORT)
     }
 
+    fn health_request(&self, path: &str) -> ControlRequest {
+        get(path)
+    }
+
     /// No store of cached prompts is emulated.
     fn cache_events_request(&self, _since: u64) -> ControlRequest {
         get(names::REPORT)
@@ -330,5 +334,11 @@
         fetch_ms_per_token: f64::from(u32::MAX),
         copy_retention: None,
     });
-    Service { name: it.name, max_connections: it.max_connections, engine, cache_store: None }
+    Service {
+        name: it.name,
+        health_path: Some(names::HEALTH.into()),
+        max_connections: it.max_connections,
+        engine,
+        cache_store: None,
+    }
 }
--- a/crates/emulator/src/format/names.rs
+++ b/crates/emulator/src/format/names.rs
@@ -41,6 +41,7 @@
 
 /// Paths.
 pub(crate) const REPORT: &str = "/report";
+pub(crate) const HEALTH: &str = "/health";
 pub(crate) const ORDER: &str = "/order";
 pub(crate) const STORE_CALL: &str = "/call";
 pub(crate) const READY: &str = "/ready";
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -37,6 +37,8 @@
     ) -> Vec<(&'static str, String)>;
     /// The request for a backend server's state report.
     fn report_request(&self) -> ControlRequest;
+    /// The request for a backend server's health, at its service's `path`. Its answer names the server.
+    fn health_request(&self, path: &str) -> ControlRequest;
     /// The request for cache events from the number `since` on, which shows whether the store of cached
     /// prompts is alive. The store may hold it for up to a second.
     fn cache_events_request(&self, since: u64) -> ControlRequest;
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -69,6 +69,8 @@
 pub struct Service {
     /// Name of the service.
     pub name: Arc<str>,
+    /// Path at which its servers answer whether they are healthy, with their names; `None` if they don't.
+    pub health_path: Option<Box<str>>,
     /// Maximum number of connections that one of its servers accepts from all instances together.
     pub max_connections: u32,
     /// Present if the servers are model engines.
--- a/crates/gateway/src/core/control.rs
+++ b/crates/gateway/src/core/control.rs
@@ -36,8 +36,10 @@
     Probe(pool::Id),
     /// Checks whether a backend server that lost its runs is still alive.
     Liveness(pool::Id),
-    /// Checks whether a backend server has lived on after the end of an answer, and when that was sent.
+    /// Checks by its report whether a backend server has lived on after the end of an answer, and when that was sent.
     UnframedEnd(pool::Id, Time),
+    /// The same by its health, whose answer names it.
+    UnframedEndHealth(pool::Id, Time),
     /// Checks whether the store of cached prompts at this address is alive.
     CacheStore(SocketAddr),
     /// Orders a backend server to load weights, and when that was sent.
@@ -64,18 +66,21 @@
             Self::Probe(_) => "probe",
             Self::Liveness(_) => "liveness",
             Self::UnframedEnd(..) => "unframed-end",
+            Self::UnframedEndHealth(..) => "unframed-end-health",
             Self::CacheStore(_) => "cache-store",
             Self::Order(..) => "order",
             Self::State(_) => "state",
         }
     }
 
-    /// The server whose report is requested, if one is.
+    /// The server whose report or health is requested, if one is.
     pub(crate) fn reporting_server(&self) -> Option<pool::Id> {
         match self {
-            Self::Report(id) | Self::Probe(id) | Self::Liveness(id) | Self::UnframedEnd(id, _) => {
-                Some(*id)
-            }
+            Self::Report(id)
+            | Self::Probe(id)
+            | Self::Liveness(id)
+            | Self::UnframedEnd(id, _)
+            | Self::UnframedEndHealth(id, _) => Some(*id),
             Self::Store { .. } | Self::CacheStore(_) | Self::Order(..) | Self::State(_) => None,
         }
     }
@@ -88,6 +93,7 @@
             | Self::Probe(_)
             | Self::Liveness(_)
             | Self::UnframedEnd(..)
+            | Self::UnframedEndHealth(..)
             | Self::CacheStore(_)
             | Self::Order(..) => MAX_SERVER_BODY,
         }
@@ -134,8 +140,8 @@
 
 /// The outcome of a request.
 pub(crate) enum Outcome {
-    /// A complete answer was received.
-    Answered { status: u16, fields: Fields, body: Vec<u8> },
+    /// A complete answer was received. `server`: the name of the server that answered, if given.
+    Answered { status: u16, server: Option<Box<str>>, fields: Fields, body: Vec<u8> },
     /// No connection could be opened, so that the request had no effect.
     NotSent,
     /// The connection was refused, as nothing listens at the address; the request had no effect.
@@ -289,7 +295,8 @@
         if request.purpose.is_order() {
             self.net.set_tolerance(key, Tolerance::Peer);
         }
-        let outcome = Outcome::Answered { status: head.status, fields: head.fields, body };
+        let (status, fields, server) = (head.status, head.fields, answer.server.clone());
+        let outcome = Outcome::Answered { status, server, fields, body };
         self.apply_control_signals(&request.purpose, &answer, &outcome);
         self.handle_control_outcome(request.purpose, outcome);
     }
@@ -323,7 +330,7 @@
             {
                 // It may have crossed the close of an idle connection. Others may be about to be closed as well.
                 self.close_idle_control(address);
-                self.request_report(id, request.deadline.since(self.now), request.purpose);
+                self.ask_server(id, request.deadline.since(self.now), request.purpose);
                 return;
             }
             let outcome = match end {
@@ -368,7 +375,7 @@
     }
 
     /// Passes the outcome of a request to the handler for its purpose.
-    fn handle_control_outcome(&mut self, purpose: Purpose, outcome: Outcome) {
+    pub(super) fn handle_control_outcome(&mut self, purpose: Purpose, outcome: Outcome) {
         match purpose {
             Purpose::Store { sent, call, pages, timeout } => {
                 self.handle_store_answer(sent, call, pages, timeout, outcome);
@@ -376,7 +383,10 @@
             Purpose::Report(id) => self.handle_report(id, &outcome),
             Purpose::Probe(id) => self.handle_probe_reply(id, &outcome),
             Purpose::Liveness(id) => self.handle_liveness_reply(id, &outcome),
-            Purpose::UnframedEnd(id, sent) => self.handle_unframed_check(id, sent, &outcome),
+            Purpose::UnframedEnd(id, sent) => self.handle_unframed_report(id, sent, &outcome),
+            Purpose::UnframedEndHealth(id, sent) => {
+                self.handle_unframed_health(id, sent, &outcome);
+            }
             Purpose::CacheStore(address) => self.handle_cache_store_reply(address, &outcome),
             Purpose::Order(id, sent) => self.handle_order_reply(id, sent, &outcome),
             Purpose::State(query) => self.handle_state_reply(&query, &outcome),
--- a/crates/gateway/src/core/probe.rs
+++ b/crates/gateway/src/core/probe.rs
@@ -86,8 +86,20 @@
 
     /// Requests a server's report of its load and weights.
     pub(crate) fn request_report(&mut self, id: pool::Id, timeout: Duration, purpose: Purpose) {
+        self.ask_server(id, timeout, purpose);
+    }
+
+    /// Requests what `purpose` needs of a server: its report, or its health.
+    pub(super) fn ask_server(&mut self, id: pool::Id, timeout: Duration, purpose: Purpose) {
+        let request = match (&purpose, self.health_path(id)) {
+            (Purpose::UnframedEndHealth(..), Some(path)) => self.adapter.health_request(path),
+            (Purpose::UnframedEndHealth(..), None) => {
+                self.handle_control_outcome(purpose, Outcome::NotSent);
+                return;
+            }
+            _ => self.adapter.report_request(),
+        };
         self.stats.count_server_call(purpose.name());
-        let request = self.adapter.report_request();
         let address = self.pool.get(id).address;
         self.send_control(address, &request, timeout, purpose);
     }
@@ -129,6 +141,11 @@
         }
     }
 
+    /// Path at which the server answers whether it is healthy.
+    fn health_path(&self, id: pool::Id) -> Option<&str> {
+        self.service(&self.pool.get(id).service)?.health_path.as_deref()
+    }
+
     pub(super) fn is_engine(&self, id: pool::Id) -> bool {
         self.service(&self.pool.get(id).service).is_some_and(|it| it.engine.is_some())
     }
--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -86,7 +86,7 @@
                 Outcome::Unavailable { retry_after: None }
             }
             control::Outcome::Reset | control::Outcome::Lost => Outcome::Lost,
-            control::Outcome::Answered { status, fields, body } => {
+            control::Outcome::Answered { status, fields, body, .. } => {
                 // A refusal only says that the call had no effect; it may lack the era.
                 let is_refusal = matches!(status, 429 | 503);
                 let is_usable = self.accept_era(&fields, is_refusal);
--- a/crates/gateway/src/core/unframed.rs
+++ b/crates/gateway/src/core/unframed.rs
@@ -1,7 +1,9 @@
 //! Answers with neither a length nor chunks, which end with their connection.
 //!
 //! A connection ends in the same way whether its server has sent the whole answer or has crashed. Such an answer
-//! counts as complete only if its server turns out to have lived on.
+//! counts as complete only if its server turns out to have lived on. Whatever answers at its address may be another one
+//! that was started since, so that it has to name itself: by its incarnation in its report, or by its name in the answer
+//! about its health.
 
 use std::{io::ErrorKind, time::Duration};
 
@@ -23,18 +25,18 @@
 const CHECK_DELAY: Duration = Duration::from_millis(5);
 /// Time limit of a check: longer than a sound server is expected to be silent, and less than callers wait.
 const CHECK_TIMEOUT: Duration = LONGEST_SILENCE.saturating_add(Duration::from_millis(100));
-/// Delay before a check is repeated that was reset: by a server that has reached its connection limit, or by a crash.
+/// Delay before a check is repeated that showed nothing; it doubles each time.
 const RECHECK_DELAY: Duration = Duration::from_millis(25);
-/// Number of resets in a row after which the server counts as alive. One that has crashed refuses connections.
-const MAX_RESETS: u8 = 2;
+/// Number of checks in a row that show nothing after which the server may have ended.
+const MAX_CHECKS: u8 = 7;
 
 /// State of an attempt whose connection has ended with its answer.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct End {
     /// When the check of its server was sent.
     checked: Option<Time>,
-    /// How many checks were reset.
-    resets: u8,
+    /// How many checks showed nothing.
+    inconclusive: u8,
 }
 
 /// What a check shows of the server.
@@ -42,8 +44,10 @@
 enum Evidence {
     /// It is the one that sent the answer, and it is alive.
     Alive,
-    /// It accepts no more connections.
-    Resetting,
+    /// It, or another one at its address, accepts no more connections or requests at the moment.
+    Inconclusive,
+    /// It doesn't name its incarnation.
+    Unnamed,
     /// It has ended, or may have.
     MayHaveEnded,
 }
@@ -107,30 +111,62 @@
                 end.checked = Some(now);
             }
         }
-        self.request_report(server, CHECK_TIMEOUT, Purpose::UnframedEnd(server, now));
+        match self.pool.get(server).incarnation {
+            Some(_) => {
+                self.request_report(server, CHECK_TIMEOUT, Purpose::UnframedEnd(server, now));
+            }
+            None => self.check_health(server, now),
+        }
     }
 
-    /// Handles the outcome of the check that was sent at `sent`.
-    pub(super) fn handle_unframed_check(
+    /// Asks the server for its health in a check that was begun at `begun`.
+    fn check_health(&mut self, server: pool::Id, begun: Time) {
+        self.ask_server(server, CHECK_TIMEOUT, Purpose::UnframedEndHealth(server, begun));
+    }
+
+    /// Handles the report that was requested for the check begun at `begun`.
+    pub(super) fn handle_unframed_report(
         &mut self,
         server: pool::Id,
-        sent: Time,
+        begun: Time,
         outcome: &Outcome,
     ) {
-        let evidence = self.liveness_evidence(server, outcome);
+        let evidence = self.evidence_of_report(server, outcome);
         self.apply_report(server, outcome);
-        for index in self.unframed_ends(server, Some(sent)) {
+        match evidence {
+            Evidence::Unnamed => self.check_health(server, begun),
+            it => self.judge_unframed_ends(server, begun, it),
+        }
+    }
+
+    /// Handles the answer about its health that was requested for the check begun at `begun`.
+    pub(super) fn handle_unframed_health(
+        &mut self,
+        server: pool::Id,
+        begun: Time,
+        outcome: &Outcome,
+    ) {
+        let evidence = self.evidence_of_health(server, outcome);
+        self.judge_unframed_ends(server, begun, evidence);
+    }
+
+    /// Ends the answers that wait for the check begun at `begun`.
+    fn judge_unframed_ends(&mut self, server: pool::Id, begun: Time, evidence: Evidence) {
+        for index in self.unframed_ends(server, Some(begun)) {
             self.focus_server(index, server);
             let Some(end) = self.exchanges.get_mut(index).and_then(Exchange::end_mut) else {
                 continue;
             };
             match evidence {
-                Evidence::Resetting if end.resets + 1 < MAX_RESETS => {
-                    *end = End { checked: None, resets: end.resets + 1 };
-                    self.set_timer(self.now + RECHECK_DELAY, Timer::UnframedEnd(server));
+                Evidence::Alive => self.complete_unframed(index),
+                Evidence::Inconclusive if end.inconclusive + 1 < MAX_CHECKS => {
+                    let delay = RECHECK_DELAY * (1 << end.inconclusive);
+                    *end = End { checked: None, inconclusive: end.inconclusive + 1 };
+                    self.set_timer(self.now + delay, Timer::UnframedEnd(server));
+                }
+                Evidence::Inconclusive | Evidence::Unnamed | Evidence::MayHaveEnded => {
+                    self.handle_broken_attempt(index, "closed");
                 }
-                Evidence::Alive | Evidence::Resetting => self.complete_unframed(index),
-                Evidence::MayHaveEnded => self.handle_broken_attempt(index, "closed"),
             }
         }
     }
@@ -142,24 +178,38 @@
         self.exchanges_where(|it| it.open_attempts().any(is_waiting))
     }
 
-    /// What the outcome of a check shows of `server`.
-    fn liveness_evidence(&self, server: pool::Id, outcome: &Outcome) -> Evidence {
+    /// What a report shows of `server`, whose incarnation is known.
+    fn evidence_of_report(&self, server: pool::Id, outcome: &Outcome) -> Evidence {
+        let report = match outcome {
+            Outcome::Answered { status: 200, body, .. } => self.adapter.parse_report(body),
+            Outcome::Answered { .. } => None,
+            Outcome::Reset => return Evidence::Inconclusive,
+            Outcome::Lost | Outcome::NotSent | Outcome::Refused => return Evidence::MayHaveEnded,
+        };
+        match report {
+            Some(it) if it.incarnation.is_none() => Evidence::Unnamed,
+            Some(it) if it.incarnation == self.pool.get(server).incarnation => Evidence::Alive,
+            Some(_) => Evidence::MayHaveEnded,
+            // Another incarnation may have been cut off within its report. Only engines have one.
+            None if self.is_engine(server) => Evidence::MayHaveEnded,
+            None => Evidence::Unnamed,
+        }
+    }
+
+    /// What an answer about its health shows of `server`. What it says of its health doesn't matter.
+    fn evidence_of_health(&self, server: pool::Id, outcome: &Outcome) -> Evidence {
+        let known = self.pool.get(server);
         match outcome {
-            Outcome::Answered { status: 200, body, .. } => {
-                let is_known = match self.adapter.parse_report(body) {
-                    Some(report) => self.pool.get(server).may_be(report.incarnation),
-                    // Another incarnation may have been cut off within its report. Only engines have one.
-                    None => !self.is_engine(server),
-                };
-                match is_known {
+            _ if self.pool.is_followed(server) => Evidence::MayHaveEnded,
+            Outcome::Answered { server: Some(name), body, .. } => {
+                let reported = self.adapter.parse_report(body).and_then(|it| it.incarnation);
+                match **name == *known.name && known.may_be(reported) {
                     true => Evidence::Alive,
                     false => Evidence::MayHaveEnded,
                 }
             }
-            Outcome::Answered { .. } => Evidence::Alive,
-            Outcome::Reset => Evidence::Resetting,
-            // Servers that are no engines queue reports like requests; an accepted connection shows their process.
-            Outcome::Lost if !self.is_engine(server) => Evidence::Alive,
+            // A full server declines such requests like others.
+            Outcome::Answered { server: None, .. } | Outcome::Reset => Evidence::Inconclusive,
             Outcome::Lost | Outcome::NotSent | Outcome::Refused => Evidence::MayHaveEnded,
         }
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -126,6 +126,13 @@
         earlier.filter(move |it| it.1.address == address).map(|it| it.0)
     }
 
+    /// Whether a server that has joined after `id` has its address: this one has ended.
+    pub fn is_followed(&self, id: Id) -> bool {
+        let address = self.servers[id].address;
+        let mut later = self.servers[id + 1..].iter();
+        later.any(|it| it.address == address && !it.is_instance && self.has_service(&it.service))
+    }
+
     /// The newest incarnation of the server `name`, if it is `incarnation`.
     ///
     /// Guards against late messages about an earlier incarnation: prompts that were sent to it
--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -28,6 +28,7 @@
         vec![route("all", "/", true), route("long", "/a/b/", false), route("a", "/a/", false)];
     let service = Service {
         name: Arc::from("s1"),
+        health_path: None,
         max_connections: 10,
         engine: None,
         cache_store: Some("10.0.0.1:80".parse().expect("an address")),
