Leave a chunked body that is complete in a final state

What callers saw: after a chunked body that arrived whole and was refused for memory, the next request on the connection was read as its trailer and lost, and a request in the next body could be run (found by a reviewer, with a real process). Cause: a complete chunked body stayed in its trailer, and is decoded again where what is left of it is dropped. Change: a final state, in which decoding again takes nothing. Result: request_after_a_refused_chunked_body_is_answered, 503 missing for the second one before, passes now.

--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -31,6 +31,8 @@
     DataEnd,
     /// In the trailer, with the number of bytes that it may still have.
     Trailer(usize),
+    /// After the trailer: the body is complete.
+    End,
 }
 
 impl Framing {
@@ -130,10 +132,12 @@
                 let Some(line) = line(rest, *left)? else { return Ok(false) };
                 *at += line.len() + 2;
                 if line.is_empty() {
-                    return Ok(true);
+                    *state = Chunk::End;
+                    continue;
                 }
                 *left = left.saturating_sub(line.len() + 2);
             }
+            Chunk::End => return Ok(true),
         }
     }
 }
