Bound what is dropped of a refused body, and read on at the end of a shutdown

Cause: a refused body was dropped without a bound; bodies refused at the end of the grace period weren't dropped but closed. Change: at most the longest body allowed is dropped, then the connection is closed; both ways drop what arrives.

--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -36,6 +36,8 @@
     Discarding {
         /// What is left of the body.
         framing: Framing,
+        /// Number of bytes that are dropped at most.
+        left: usize,
         /// Whether the connection is closed after it.
         closes: bool,
     },
@@ -160,9 +162,12 @@
                 socket.input.clear();
                 Step::Wait
             }
-            State::Discarding { framing, closes } => {
-                match framing.decode(&mut socket.input, &mut Vec::new()) {
-                    Ok(false) => {
+            State::Discarding { framing, left, closes } => {
+                let mut dropped = Vec::new();
+                let done = framing.decode(&mut socket.input, &mut dropped);
+                *left = left.saturating_sub(dropped.len());
+                match done {
+                    Ok(false) if 0 < *left => {
                         caller.since = *now;
                         net.resume_reading(key);
                         Step::Wait
@@ -172,7 +177,7 @@
                         caller.since = *now;
                         self.parse_caller_input(key)
                     }
-                    Ok(true) | Err(_) => {
+                    Ok(_) | Err(_) => {
                         caller.state = State::Closing;
                         self.handle_caller_flushed(key);
                         Step::Wait
@@ -252,15 +257,21 @@
     /// The rest is read and dropped: closing the connection would reset it, and the caller would lose the answer, and
     /// bytes that aren't read take memory of the machine as well.
     fn refuse_body(&mut self, key: Key, head: &Request, framing: Framing, arrived: Time) {
-        if let Some(Role::Caller(caller)) = self.roles.get_mut(&key) {
-            caller.state = State::Discarding { framing, closes: false };
-            caller.since = self.now;
-        }
+        self.discard_body(key, framing, arrived);
         let info = self.adapter.parse_request(head);
         self.refuse(key, head, &info, Refusal::NoMemory, arrived, 0);
         self.memory_refusals += 1;
     }
 
+    /// Drops what is left of a body, up to the length that a body may have.
+    fn discard_body(&mut self, key: Key, framing: Framing, arrived: Time) {
+        let left = self.limits.since(arrived).max_body_bytes;
+        if let Some(Role::Caller(caller)) = self.roles.get_mut(&key) {
+            caller.state = State::Discarding { framing, left, closes: false };
+            caller.since = self.now;
+        }
+    }
+
     /// Measures what is held, and logs it if requests were refused for it.
     pub(crate) fn sweep_memory(&mut self) {
         let pending = self.exchanges.iter().map(|it| it.1.delivery.pending.capacity());
@@ -419,7 +430,8 @@
             let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { continue };
             let state = std::mem::replace(&mut caller.state, State::Idle);
             let State::Body(incoming) = state else { continue };
-            let Incoming { head, arrived, .. } = *incoming;
+            let Incoming { head, framing, arrived, .. } = *incoming;
+            self.discard_body(key, framing, arrived);
             let info = self.adapter.parse_request(&head);
             self.refuse(key, &head, &info, refusal, arrived, 0);
         }
