Answer pipelined requests one after the other, and only to peers that read

Cause: the end of an answer read the next request within itself. Neither callers' refusals nor endpoints looked at what a peer hadn't taken. Change: answered connections with further input are read after the event; requests aren't read while over 64 KiB of answers wait to be sent.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -167,6 +167,8 @@
     /// Empty; keeps its capacity between turns.
     events: Vec<Event>,
     roles: Map<Key, Role>,
+    /// Callers' connections that were answered and have further input to be read in this turn.
+    answered_callers: Vec<Key>,
     /// Listening sockets for callers; closed during shutdown.
     listeners: Vec<Key>,
     now: Time,
@@ -314,6 +316,7 @@
             net,
             events: Vec::new(),
             roles: Map::default(),
+            answered_callers: Vec::new(),
             listeners,
             now,
             started: now,
@@ -372,7 +375,9 @@
             self.handle_event(event);
         }
         self.events = events;
+        self.read_answered_callers();
         self.tick();
+        self.read_answered_callers();
         Ok(())
     }
 
@@ -427,7 +432,11 @@
     fn on_flushed(&mut self, key: Key) {
         match self.roles.get(&key) {
             Some(Role::Caller(_)) => self.handle_caller_flushed(key),
-            Some(Role::Backend(_) | Role::Control(_) | Role::Endpoint(_)) | None => {}
+            Some(Role::Endpoint(_)) => {
+                self.net.resume_reading(key);
+                self.read_endpoint(key);
+            }
+            Some(Role::Backend(_) | Role::Control(_)) | None => {}
         }
     }
 
--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -21,7 +21,7 @@
 };
 
 /// Bytes that may wait to be sent to a slow caller before reading from its server stops.
-const MAX_UNSENT_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_UNSENT_BYTES: usize = 64 * 1024;
 /// Longest answer, bytes, that is buffered until it is complete, so that a broken one can be requested again.
 const MAX_BUFFERED_BYTES: usize = 512 * 1024;
 
--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     config::Limits,
-    core::{Core, Role, SWEEP_INTERVAL, ending::error_body, refusal::Refusal},
+    core::{
+        Core, Role, SWEEP_INTERVAL, answer::MAX_UNSENT_BYTES, ending::error_body, refusal::Refusal,
+    },
     http::{Error, body::Framing, head::Request, write},
     limits::History,
     memory::{Body, Hold},
@@ -184,6 +186,7 @@
                     }
                 }
             }
+            State::Idle if MAX_UNSENT_BYTES < socket.unsent_bytes() => Step::Wait,
             State::Idle => {
                 let arrived = *caller.head_since.get_or_insert(*now);
                 let limits = limits.since(arrived);
@@ -297,6 +300,15 @@
         }
     }
 
+    /// Reads the requests that were already received when the ones before them were answered.
+    ///
+    /// They aren't read where an answer ends, as many of them that are answered at once would exhaust the stack.
+    pub(crate) fn read_answered_callers(&mut self) {
+        while let Some(key) = self.answered_callers.pop() {
+            self.read_caller(key);
+        }
+    }
+
     /// Handles the end of an answer: all of it was queued for sending.
     pub(crate) fn finish_caller_answer(&mut self, key: Key, keeps_alive: bool) {
         // A quick caller's next request may follow at once; the sweep finds those that rest.
@@ -308,7 +320,7 @@
         if let State::Discarding { closes, .. } = &mut caller.state {
             *closes = !keeps_alive;
             self.net.resume_reading(key);
-            self.read_caller(key);
+            self.answered_callers.push(key);
             return;
         }
         if keeps_alive {
@@ -316,7 +328,7 @@
             // The next request may already be buffered.
             self.net.resume_reading(key);
             if self.net.get(key).is_some_and(|it| !it.input.is_empty()) {
-                self.read_caller(key);
+                self.answered_callers.push(key);
             }
             return;
         }
@@ -338,7 +350,10 @@
                 }
             }
             State::Busy(index) => self.resume_relay(index),
-            State::Idle => caller.since = self.now,
+            State::Idle => {
+                caller.since = self.now;
+                self.read_caller(key);
+            }
             State::Body(_) | State::Discarding { .. } => {}
         }
     }
--- a/crates/gateway/src/core/endpoints.rs
+++ b/crates/gateway/src/core/endpoints.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 use crate::{
-    core::{Core, Role, state::STATE_PATH},
+    core::{Core, Role, answer::MAX_UNSENT_BYTES, state::STATE_PATH},
     http::{body::Framing, head::Request, write},
     net::{Endpoint, Key, Socket},
     quarantine::endpoint::Problem,
@@ -31,6 +31,10 @@
             let Some(Role::Endpoint(endpoint)) = self.roles.get(&key) else { return };
             let endpoint = *endpoint;
             let Some(socket) = self.net.get_mut(key) else { return };
+            if MAX_UNSENT_BYTES < socket.unsent_bytes() {
+                // Reading resumes once the client has taken its answers.
+                return;
+            }
             let head = match Request::decode(&mut socket.input, MAX_HEAD) {
                 Ok(Some(head)) => head,
                 Ok(None) => return,
