--- a/crates/gateway/src/net/output.rs
+++ b/crates/gateway/src/net/output.rs
@@ -4,6 +4,8 @@
 
 use crate::memory::Body;
 
+use super::socket::IDLE_BYTES;
+
 /// Length of the sent part of a buffer from which on it is removed, and capacity that an emptied buffer keeps.
 const COMPACT_BYTES: usize = 64 * 1024;
 
@@ -38,8 +40,14 @@
         self.unsent
     }
 
-    /// Number of bytes that its own buffers take.
-    pub(super) fn owned_bytes(&self) -> usize {
+    /// Gives back the room of an empty buffer. Returns the number of bytes that its own buffers take if any are unsent.
+    pub(super) fn trim(&mut self) -> usize {
+        if self.unsent == 0 {
+            if let Some(Part::Owned(it)) = self.parts.front_mut() {
+                it.shrink_to(IDLE_BYTES);
+            }
+            return 0;
+        }
         let owned = |it: &Part| if let Part::Owned(it) = it { it.capacity() } else { 0 };
         self.parts.iter().map(owned).sum()
     }
--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -12,8 +12,8 @@
     DELIVERY_TIMEOUT, Event, Key, LONG_ANSWER_BYTES, MAX_INPUT_BYTES, output::Output, read_once,
 };
 
-/// Capacity that an empty input buffer keeps.
-const IDLE_INPUT_BYTES: usize = 32 * 1024;
+/// Capacity that an empty buffer keeps at most.
+pub(super) const IDLE_BYTES: usize = 4 * 1024;
 
 /// An open stream with its buffers.
 pub(crate) struct Socket {
@@ -75,12 +75,15 @@
         }
     }
 
-    /// Gives back the room of an empty input buffer. Returns the number of bytes that the buffers take.
+    /// Gives back the room of empty buffers. Returns the number of bytes that the others take.
     pub(super) fn trim(&mut self) -> usize {
+        let mut taken = self.output.trim();
         if self.input.is_empty() {
-            self.input.shrink_to(IDLE_INPUT_BYTES);
+            self.input.shrink_to(IDLE_BYTES);
+        } else {
+            taken += self.input.capacity();
         }
-        self.input.capacity() + self.output.owned_bytes()
+        taken
     }
 
     /// Number of output bytes that the kernel has not accepted yet.
