Repeat the check of a server only when it is due

Found by reading (a reviewer's): each further answer without a length from a server that can't answer for itself at the moment repeated the checks of all that waited, so that seven of them were used up in far less than the intended 1.6 s, and whole answers were taken for cut off. Change: each waits for its own time. No test of its own; those of unframed.rs pass.

--- a/crates/gateway/src/core/unframed.rs
+++ b/crates/gateway/src/core/unframed.rs
@@ -33,6 +33,8 @@
 /// State of an attempt whose connection has ended with its answer.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct End {
+    /// When its server is to be checked.
+    due: Time,
     /// When the check of its server was sent.
     checked: Option<Time>,
     /// How many checks showed nothing.
@@ -89,7 +91,7 @@
             self.complete_unframed(index);
             return;
         }
-        attempt.end = Some(End::default());
+        attempt.end = Some(End { due: self.now + CHECK_DELAY, ..End::default() });
         let server = attempt.server;
         if exchange.is_cut_inside_event() {
             self.handle_broken_attempt(index, "closed");
@@ -161,8 +163,9 @@
                 Evidence::Alive => self.complete_unframed(index),
                 Evidence::Inconclusive if end.inconclusive + 1 < MAX_CHECKS => {
                     let delay = RECHECK_DELAY * (1 << end.inconclusive);
-                    *end = End { checked: None, inconclusive: end.inconclusive + 1 };
-                    self.set_timer(self.now + delay, Timer::UnframedEnd(server));
+                    let due = self.now + delay;
+                    *end = End { due, checked: None, inconclusive: end.inconclusive + 1 };
+                    self.set_timer(due, Timer::UnframedEnd(server));
                 }
                 Evidence::Inconclusive | Evidence::Unnamed | Evidence::MayHaveEnded => {
                     self.handle_broken_attempt(index, "closed");
@@ -173,8 +176,8 @@
 
     /// Exchanges whose answer from `server` waits for a check that was sent at `checked`, or for one to be sent.
     fn unframed_ends(&self, server: pool::Id, checked: Option<Time>) -> Vec<usize> {
-        let is_waiting =
-            |it: &Attempt| it.server == server && it.end.is_some_and(|it| it.checked == checked);
+        let is_meant = |it: End| it.due <= self.now && it.checked == checked;
+        let is_waiting = |it: &Attempt| it.server == server && it.end.is_some_and(is_meant);
         self.exchanges_where(|it| it.open_attempts().any(is_waiting))
     }
 
