--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -246,7 +246,16 @@
     if ini.get_from(Some("memory"), "limit_mb").is_none_or(str::is_empty) {
         return Ok(system_memory_bytes().unwrap_or(memory::DEFAULT_MACHINE_BYTES));
     }
-    quantity(ini, "memory", "limit_mb", &COUNT).map(|it| (it * BYTES_PER_MB) as usize)
+    let megabytes = quantity(ini, "memory", "limit_mb", &COUNT)?;
+    if 0.0 < megabytes {
+        return Ok((megabytes * BYTES_PER_MB) as usize);
+    }
+    Err(Error::Value {
+        section: "memory",
+        key: "limit_mb",
+        found: text(ini, "memory", "limit_mb", COUNT.expected)?.to_owned(),
+        expected: "a number above 0",
+    })
 }
 
 fn system_memory_bytes() -> Option<usize> {
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -19,8 +19,8 @@
 const ACCEPT_DIVISOR: u32 = 4;
 const KEEP_IDLE_DIVISOR: u32 = 5;
 const MIN_DIVISOR: u32 = 2;
-const EXIT_MARGIN_DIVISOR: u32 = 8;
-const DELIVERY_DIVISOR: u32 = 16;
+const EXIT_MARGIN_DIVISOR: u32 = 10;
+const DELIVERY_DIVISOR: u32 = 20;
 
 /// A graceful shutdown that has begun.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -40,6 +40,8 @@
     assert!(0 < memory_bytes(VALID));
     assert_eq!(memory_bytes(&format!("{VALID}[memory]\nlimit_mb =\n")), memory_bytes(VALID));
     assert!(parse(&format!("{VALID}[memory]\nlimit_mb = much\n")).is_err());
+    // It would refuse every body.
+    assert!(parse(&format!("{VALID}[memory]\nlimit_mb = 0\n")).is_err());
 }
 
 #[test]
