Read the quarantine without delay where a small fleet starts

Callers saw: after all instances had been restarted, a prompt with a part that is in quarantine crashed one more server, the sixth in place of five.

Cause: the records of the quarantine are read one second after the start, so that the instances of a large fleet know by then which of them read the store for the others. In a small fleet each one reads for itself, and waited all the same; what it was sent meanwhile ran.

Change: the list of the instances, which shows that the fleet is small, ends that delay as it ends the others. The emulator logs lists at its store; the new test failed before, as the records were listed a second after the instances.

--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -10,6 +10,7 @@
         names,
         store::{self as wire, Answer, Event, Item, Query},
     },
+    journal::Journal,
     network::{Handle, Host, Shared},
     process::{Next, Process},
     server::Server,
@@ -117,6 +118,7 @@
     pending: Vec<Pending>,
     /// How long a call takes.
     latency: Rc<std::cell::Cell<Duration>>,
+    journal: Journal,
 }
 
 impl Store {
@@ -125,8 +127,10 @@
         address: SocketAddr,
         objects: Objects,
         latency: Rc<std::cell::Cell<Duration>>,
+        journal: Journal,
     ) -> Self {
-        Self { server: Server::listen(handle, address), objects, pending: Vec::new(), latency }
+        let server = Server::listen(handle, address);
+        Self { server, objects, pending: Vec::new(), latency, journal }
     }
 
     fn answer(&mut self, connection: Id, answer: &Answer) {
@@ -144,6 +148,9 @@
                 self.pending.push(it);
                 continue;
             }
+            if let Query::List { kind } = &it.query {
+                self.journal.line(now, "list", format_args!("{kind}"));
+            }
             let answer = self.objects.content.borrow_mut().call(&it.query);
             let revision = self.objects.content.borrow().revision;
             match answer {
--- a/crates/emulator/src/world/deployment.rs
+++ b/crates/emulator/src/world/deployment.rs
@@ -150,7 +150,8 @@
             Role::Part(Target::Store) => {
                 let latency = self.store_latency.clone();
                 let address = store_address();
-                Box::new(Store::listen(handle, address, self.objects.clone(), latency))
+                let (objects, journal) = (self.objects.clone(), self.ledger.journal.clone());
+                Box::new(Store::listen(handle, address, objects, latency, journal))
             }
             Role::Part(Target::Instance(_)) => self.spawn_instance(handle, seed),
             Role::Part(target @ Target::Engine(_)) => {
--- a/crates/emulator/tests/emulation.rs
+++ b/crates/emulator/tests/emulation.rs
@@ -114,3 +114,19 @@
     let left: Vec<Harm> = finding.scenario.faults.iter().map(|it| it.harm).collect();
     assert_eq!(left, [harms[1], harms[3]]);
 }
+
+// While an instance that starts doesn't know the quarantine, what crashes servers is sent to them once more.
+#[test]
+fn quarantine_is_read_together_with_the_instances_in_a_small_fleet() {
+    let scenario = Scenario { duration: Duration::from_secs(3), ..Scenario::calm(3, 1) };
+    let log = String::from_utf8(world::run(&scenario).log).expect("the log is text");
+    let listed_at = |kind: &str| {
+        let is_list = |it: &&str| it.split(' ').skip(1).eq(["list", kind]);
+        let times = log.lines().filter(is_list).filter_map(|it| it.split(' ').next()?.parse().ok());
+        times.collect::<Vec<f64>>()
+    };
+    let (instances, records) = (listed_at("instance"), listed_at("quarantine"));
+    assert_eq!((instances.len(), records.len()), (3, 3));
+    // A call to the store and its answer take a few milliseconds.
+    assert!(instances.iter().zip(&records).all(|(it, after)| it < after && after - it < 0.05));
+}
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -47,8 +47,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Longest wait for this instance's own record to be written before the instances are listed.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(500);
-/// Delay after the start before the quarantine records are read. By then the instances of a large
-/// fleet know which of them watch the store; the others receive the records from those.
+/// Delay after the start before the quarantine records are read, unless the fleet is found to be small. By then the
+/// instances of a large fleet know which of them watch the store; the others receive the records from those.
 const QUARANTINE_READ_DELAY: Duration = Duration::from_millis(1_000);
 /// Least number of instances among which the store's rates are shared. Until the fleet's size is
 /// known, many instances that start together must not all call at once.
@@ -243,9 +243,11 @@
         [self.scheduler.next_due(now), next_read].into_iter().chain(records).flatten().min()
     }
 
-    /// Skips the settle delay: in a small fleet no other instance watches in place of this one.
-    fn skip_settle_delay(&mut self, now: Time) {
-        for it in self.subscriptions.iter_mut().filter(|it| it.revision.is_some()) {
+    /// Skips the delays after the start: in a small fleet no other instance watches or reads in place of this one.
+    fn skip_start_delays(&mut self, now: Time) {
+        let is_delayed =
+            |it: &&mut Subscription| it.revision.is_some() || it.topic == Topic::Records;
+        for it in self.subscriptions.iter_mut().filter(is_delayed) {
             it.next_at = it.next_at.min(now);
         }
     }
@@ -475,7 +477,7 @@
                 self.enter_fleet_if_listed();
                 self.update_watching();
                 if !self.members.is_large() {
-                    self.storage.skip_settle_delay(self.now);
+                    self.storage.skip_start_delays(self.now);
                 }
             }
             Topic::Platform(ObjectKind::Configuration) => {
