Count no request against its servers' crashes that was not sent yet

Callers saw: sound prompts that share a part were refused for over twenty seconds while servers crashed by themselves.

Cause: when a probe of a server is refused, all requests at the server count as lost runs, also those whose connection is still being established. With two real losses that is the third one, which puts what they share in quarantine. The same where a server's entry shows that it was restarted. A suspected one also drew from the retry budget, though nothing had been sent.

Change: only requests count that the server may have received. The others show within the time limit of the connection what becomes of them.

--- a/crates/gateway/src/core/ejection.rs
+++ b/crates/gateway/src/core/ejection.rs
@@ -20,7 +20,9 @@
         if !self.eject_unresponsive(server) {
             return;
         }
-        for index in self.exchanges_where(|it| it.is_at(server) && it.is_repeatable()) {
+        for index in self.exchanges_where(|it| {
+            it.is_at(server) && self.has_sent(it, server) && it.is_repeatable()
+        }) {
             self.record_loss(index);
             if self.quarantine_verdict(index) == Verdict::Clear {
                 self.hedge(index, None);
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -339,6 +339,12 @@
         deadline <= end || longest.is_some_and(|it| self.now + it <= end)
     }
 
+    /// Whether the server may have received the request, on a connection that is established.
+    pub(crate) fn has_sent(&self, exchange: &Exchange, server: pool::Id) -> bool {
+        let mut attempts = exchange.open_attempts().filter(|it| it.server == server);
+        attempts.any(|it| !self.is_connecting(it.connection))
+    }
+
     /// Whether the connection is still being established.
     pub(crate) fn is_connecting(&self, key: Key) -> bool {
         self.net.get(key).is_some_and(|it| it.is_connecting())
--- a/crates/gateway/src/core/quarantine.rs
+++ b/crates/gateway/src/core/quarantine.rs
@@ -90,7 +90,7 @@
     pub(crate) fn record_restart(&mut self, id: pool::Id) {
         self.pool.get_mut(id).has_ended = true;
         let incarnation = self.pool.get(id).incarnation_id();
-        for index in self.exchanges_where(|it| it.is_open_at(id)) {
+        for index in self.exchanges_where(|it| self.has_sent(it, id)) {
             self.focus_server(index, id);
             self.record_lost_run(index, id);
         }
