Blame no ancestor where only sound prompts were lost

Callers saw: a sound prompt was refused with 503, beside another one that crashes servers and has a part that the sound one hasn't.

Cause: an instance that had lost sound prompts only, at one of the servers, knows of the crashing part from the other instances. It doesn't know where that part stands in prompts, left it out, and blamed the part before it, which sound prompts have as well: an instance decides about parts that it has lost itself, but not all candidates were such.

Change: a part that is known from others only may stand behind any other. Where it would be blamed, this instance leaves the decision to one that has lost it.

--- a/crates/gateway/src/quarantine/blame.rs
+++ b/crates/gateway/src/quarantine/blame.rs
@@ -32,12 +32,15 @@
 /// The same for a part that no server has survived a short time ago.
 const SUSPICIOUS_SHARE: f64 = 0.5;
 
+/// Position of a part that only other instances have lost prompts with. It may be behind any other part.
+const UNPLACED: usize = usize::MAX;
+
 /// A part that may be the cause of crashes.
 struct Candidate {
     identity: Identity,
     /// Number of crashes in which it was and that no other part explains.
     crashes: usize,
-    /// Its position in the prompts of this instance, from 1.
+    /// Its position in the prompts of this instance, from 1; [`UNPLACED`] if none of those lost had it.
     depth: usize,
     /// Servers have survived it a short time ago.
     was_sound: bool,
@@ -48,12 +51,11 @@
 impl Quarantine {
     /// The part that explains most crashes, if they are enough to blame it. `counts_lost`: lost
     /// runs count whose servers may have crashed. Only an instance that has lost prompts with a part
-    /// decides on it, as it can tell the part from its ancestors.
+    /// decides on it, as it can tell the part from its ancestors; the others leave the decision to such a one.
     pub(super) fn leading_part(&self, now: Time, counts_lost: bool) -> Option<Identity> {
         let explained = self.explained();
         let candidates = self.tracked.iter().filter_map(|(identity, evidence)| {
-            let is_open =
-                identity.is_part() && evidence.quarantined_at.is_none() && 0 < evidence.depth;
+            let is_open = identity.is_part() && evidence.quarantined_at.is_none();
             if !is_open || evidence.incarnations(now).count() < self.policy.part_threshold() {
                 return None;
             }
@@ -64,7 +66,7 @@
             is_significant.then_some(Candidate {
                 identity: *identity,
                 crashes: evidence.incarnations(now).filter(|it| !explained.contains(it)).count(),
-                depth: evidence.depth,
+                depth: if evidence.depth == 0 { UNPLACED } else { evidence.depth },
                 was_sound,
                 is_ripe: is_ripe || !was_sound,
             })
@@ -77,7 +79,7 @@
         };
         let leading = candidates.iter().filter(is_leading);
         let leading = leading.max_by_key(|it| (!it.was_sound, it.depth, it.crashes, it.identity));
-        leading.filter(|it| it.is_ripe).map(|it| it.identity)
+        leading.filter(|it| it.is_ripe && it.depth != UNPLACED).map(|it| it.identity)
     }
 
     /// Number of crashes that put a part in quarantine whose crashes were at these `times`: the more
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -427,6 +427,28 @@
     assert_eq!(quarantine.verdict(at(3_800), &ancestor), Verdict::Clear);
 }
 
+// This instance has lost a sound prompt at one of the servers, and hears from others which parts were in the crashes.
+#[test]
+fn ancestor_of_a_crashing_part_is_not_blamed_where_only_sound_prompts_were_lost() {
+    let mut quarantine = quarantine();
+    let [ancestor, crashing, sound] = [1, 2, 3].map(|it| Identity::of_part("m", it));
+    quarantine.record_part_losses(at(1_000), &[ancestor, sound], 1);
+    quarantine.record_crash(at(1_000), 1, SERVERS);
+    for incarnation_id in 1..=4 {
+        let now = at(incarnation_id * 1_000);
+        for part in [ancestor, crashing] {
+            quarantine.record_peer_crash(now, now, part, incarnation_id, SERVERS);
+        }
+    }
+    assert_eq!(quarantine.verdict(at(4_001), &ancestor), Verdict::Suspect);
+    assert_eq!(quarantine.evaluate(at(4_300)), []);
+    // Its own loss shows where the part stands.
+    quarantine.record_part_losses(at(5_000), &[ancestor, crashing], 5);
+    quarantine.record_crash(at(5_000), 5, SERVERS);
+    assert_eq!(quarantine.evaluate(at(5_300)), [(crashing, true)]);
+    assert_eq!(quarantine.verdict(at(5_300), &ancestor), Verdict::Clear);
+}
+
 // A server lives on after it has begun to answer a prompt with the part, as the engines were fixed.
 #[test]
 fn part_that_a_server_survives_is_released() {
