Write the record of a quarantined part also where its last loss is a moment old

Callers would see: after all instances were restarted, a part in quarantine crashes servers again.

Cause: of the instances that put a part in quarantine only those write its record that have found one of the crashes themselves. One that has heard of three crashes, and then loses a run with the part, puts it in quarantine at once, before the server that lost the run is found dead; the others take the quarantine over from it. So nobody wrote the record.

Evidence: part_stays_in_quarantine_across_a_restart_of_all_instances failed in 1 of 400 runs of the file (16 side by side, load up to 48): no record within 20 s. In its log the third instance loses its run at 2,468 ms and quarantines the part in the same millisecond, 7 ms before it finds the server dead, and the other two are told at 2,475 ms.

Change: an instance that has lost a run of it writes the record, whether or not the server is found dead yet. The new test failed before: the part wasn't its own.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -138,6 +138,7 @@
             return;
         }
         let evidence = self.evidence_mut(now, identity);
+        evidence.is_lost_here = true;
         if !evidence.includes(incarnation_id) {
             evidence.lost.push((incarnation_id, now));
             evidence.last_seen = now;
@@ -226,7 +227,6 @@
         lost.map(|(identity, evidence)| {
             evidence.close_probe(now);
             evidence.record_crash(now, incarnation_id, policy.threshold(identity));
-            evidence.is_found_here = true;
             *identity
         })
         .collect()
@@ -304,7 +304,7 @@
     }
 
     /// Quarantines the requests and parts under which enough servers have crashed. Returns them, and
-    /// whether this instance has found one of the crashes itself.
+    /// whether this instance has lost a run of it itself.
     pub fn evaluate(&mut self, now: Time) -> Vec<(Identity, bool)> {
         let mut due = Vec::new();
         while let Some(part) = self.due_part(now) {
@@ -340,7 +340,7 @@
         let evidence = self.tracked.get_mut(&identity)?;
         (evidence.quarantined_at, evidence.is_doubtful) = (Some(now), is_doubtful);
         evidence.has_open_probe = identity.is_part();
-        Some((identity, evidence.is_found_here))
+        Some((identity, evidence.is_lost_here))
     }
 
     /// How a request is to be handled, by the evidence against it or against one of its parts. Runs
--- a/crates/gateway/src/quarantine/evidence.rs
+++ b/crates/gateway/src/quarantine/evidence.rs
@@ -40,8 +40,8 @@
     pub(super) last_seen: Time,
     /// Since when it has been in quarantine.
     pub(super) quarantined_at: Option<Time>,
-    /// Whether this instance has found one of the crashes itself.
-    pub(super) is_found_here: bool,
+    /// Whether this instance has lost one of the runs itself.
+    pub(super) is_lost_here: bool,
 }
 
 impl Evidence {
@@ -59,7 +59,7 @@
             has_open_probe: false,
             last_seen: now,
             quarantined_at: None,
-            is_found_here: false,
+            is_lost_here: false,
         }
     }
 
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -449,6 +449,20 @@
     assert_eq!(quarantine.verdict(at(5_300), &ancestor), Verdict::Clear);
 }
 
+// Who writes the record: other instances found the crashes, and take the part for known once this one tells them.
+#[test]
+fn quarantined_part_counts_as_own_before_the_server_that_lost_it_is_found_dead() {
+    let mut quarantine = quarantine();
+    let part = Identity::of_part("m", 7);
+    for incarnation_id in 1..=3 {
+        let now = at(incarnation_id * 1_000);
+        quarantine.record_peer_crash(now, now, part, incarnation_id, SERVERS);
+    }
+    assert_eq!(quarantine.evaluate(at(4_000)), []);
+    quarantine.record_part_losses(at(5_000), &[part], 4);
+    assert_eq!(quarantine.evaluate(at(5_000)), [(part, true)]);
+}
+
 // A server lives on after it has begun to answer a prompt with the part, as the engines were fixed.
 #[test]
 fn part_that_a_server_survives_is_released() {
