Take another server's answer to a check as the end of the asked one

Callers saw: a prompt that crashes servers reached six of them, where three are the bound, and a sound prompt was refused with 503 beside nine or more sound servers.

Cause: another server had a crashed one's address before the crashed one's connections were closed. Its answer to the liveness check counted as a sign of life of the crashed one, whose lost run was forgotten, and which stayed in rotation until each instance had sent it a request and got 421. The answer's name was read for what servers say of their load and drain only.

Change: where the answer to a report, a probe or a check names another server than the one that was asked, the asked one has ended, as after 421 to an order: its entry is used no longer, its crash counts, and its idempotent requests go elsewhere as well. Requests that run there stay; their connections show whether they are lost. Another incarnation under the same name was recognised before. An answer that names nothing counts as before.

--- a/crates/gateway/src/core/control.rs
+++ b/crates/gateway/src/core/control.rs
@@ -144,7 +144,8 @@
     Answered { status: u16, server: Option<Box<str>>, fields: Fields, body: Vec<u8> },
     /// No connection could be opened, so that the request had no effect.
     NotSent,
-    /// The connection was refused, as nothing listens at the address; the request had no effect.
+    /// The connection was refused, as nothing listens at the address, or another server answered there; the request had
+    /// no effect.
     Refused,
     /// The peer reset the connection: it is alive, but accepts no more requests.
     Reset,
@@ -298,7 +299,21 @@
         let (status, fields, server) = (head.status, head.fields, answer.server.clone());
         let outcome = Outcome::Answered { status, server, fields, body };
         self.apply_control_signals(&request.purpose, &answer, &outcome);
-        self.handle_control_outcome(request.purpose, outcome);
+        match request.purpose.reporting_server().filter(|it| self.is_of_another(*it, &outcome)) {
+            Some(id) => {
+                self.handle_replaced_server(id);
+                self.handle_control_outcome(request.purpose, Outcome::Refused);
+            }
+            None => self.handle_control_outcome(request.purpose, outcome),
+        }
+    }
+
+    /// Whether the answer names another server than the one that was asked.
+    fn is_of_another(&self, id: pool::Id, outcome: &Outcome) -> bool {
+        match outcome {
+            Outcome::Answered { server: Some(name), .. } => **name != *self.pool.get(id).name,
+            _ => false,
+        }
     }
 
     /// Closes a connection, and ends the request on it, if any.
--- a/crates/gateway/src/core/ingest.rs
+++ b/crates/gateway/src/core/ingest.rs
@@ -271,6 +271,15 @@
         self.peers.outbox.add(gossip::Entry::new(&server.name, server.revision, None));
     }
 
+    /// Handles a server at whose address another one answers: it has ended.
+    pub(crate) fn handle_replaced_server(&mut self, id: pool::Id) {
+        if self.pool.get(id).presence != Presence::Gone {
+            self.pool.mark_replaced(id);
+            self.handle_server_gone(id, "another server has its address");
+        }
+        self.handle_crash(id);
+    }
+
     /// Handles a server that left or was removed.
     pub(crate) fn handle_server_gone(&mut self, id: pool::Id, reason: &str) {
         let server = self.pool.get(id);
--- a/crates/gateway/src/core/rollout.rs
+++ b/crates/gateway/src/core/rollout.rs
@@ -143,9 +143,7 @@
             .text("server", &self.pool.get(id).name)
             .text("reply", &format!("{reply:?}"));
         if reply == Some(OrderReply::Elsewhere) {
-            self.pool.mark_replaced(id);
-            self.handle_server_gone(id, "another server has its address");
-            self.handle_crash(id);
+            self.handle_replaced_server(id);
         }
         self.rollout.handle_order_reply(self.now, id, reply);
     }
