Count permits from when they were asked for

Callers saw: a server that limits its rate got more requests than that from all instances together, where the replies of the limit's owner arrived late.

Cause: permits were good for 500 ms from when the owner's reply was handled. Replies that were held back on their way, or that lay in the socket of an instance that stood still, were all good at once, though the owner had long handed out as many again for later requests.

Change: a permit request says when it is sent, by the clock of its sender; the reply returns that, and permits count from then, which can't be later than the grant. Permits that are no longer good are dropped, and nobody who waits is sent on. The time is an extension of both messages: earlier releases read them, and for a reply without it permits count from its handling as before. A denial still counts from its handling; that only keeps an instance from asking.

Calls of `Limit::apply_reply` in tests have the new argument, the time of handling or, in the simulations, of the question; their checks are unchanged.

--- a/crates/gateway/src/core/rate_limit.rs
+++ b/crates/gateway/src/core/rate_limit.rs
@@ -133,7 +133,8 @@
         let reply_to = self.members.me().peers;
         let is_at_risk = self.pool.get(id).limit.tolerance().is_some();
         let tolerance = is_at_risk.then(|| self.tolerance_report(id));
-        let request = PermitRequest { limit: self.limit_report(id), reply_to, tolerance };
+        let (limit, asked) = (self.limit_report(id), Some(self.now));
+        let request = PermitRequest { limit, reply_to, tolerance, asked };
         self.send_to(&[owner], &Datagram::PermitRequest(request));
     }
 
@@ -166,7 +167,7 @@
 
     /// Answers another instance's permit request, which waited here for `queued_for`.
     pub(crate) fn handle_permit_request(&mut self, request: &PermitRequest, queued_for: Duration) {
-        let PermitRequest { limit, reply_to, tolerance } = request;
+        let PermitRequest { limit, reply_to, tolerance, asked } = request;
         if let Some(report) = tolerance {
             self.apply_peer_tolerance(report, queued_for);
         }
@@ -178,8 +179,9 @@
         let Some(id) = self.pool.find_incarnation(&limit.server, limit.incarnation) else { return };
         let share = self.limit_share(id);
         let reply = self.pool.get_mut(id).limit.grant(self.now, share);
+        let LimitReport { server, incarnation, .. } = limit;
         let message =
-            PermitReply { server: limit.server.clone(), incarnation: limit.incarnation, reply };
+            PermitReply { server: server.clone(), incarnation: *incarnation, reply, asked: *asked };
         self.send_to(&[*reply_to], &Datagram::PermitReply(message));
     }
 
@@ -188,7 +190,10 @@
         let Some(id) = self.pool.find_incarnation(&reply.server, reply.incarnation) else {
             return;
         };
-        self.pool.get_mut(id).limit.apply_reply(self.now, reply.reply);
+        let asked = reply.asked.map_or(self.now, |it| it.min(self.now));
+        if !self.pool.get_mut(id).limit.apply_reply(self.now, asked, reply.reply) {
+            return;
+        }
         let is_waiting = |it: &PermitWait| it.server == id;
         let waiting =
             self.exchanges.iter().filter(|it| it.1.permit_wait.as_ref().is_some_and(is_waiting));
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -10,6 +10,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
+use shallotlead_base::time::Time;
 
 use crate::{
     adapter::{Incarnation, Load, Part},
@@ -117,6 +118,9 @@
     /// How many rejections the server bears, if it is at risk. Sent as an extension.
     #[serde(skip)]
     pub tolerance: Option<LimitReport>,
+    /// When it is sent, by the sender's own clock. Sent as an extension.
+    #[serde(skip)]
+    pub asked: Option<Time>,
 }
 
 /// The reply of a rate limit's owner.
@@ -128,6 +132,9 @@
     pub incarnation: Option<Incarnation>,
     /// The permits that are granted.
     pub reply: rate_limit::Reply,
+    /// When they were asked for, by the clock of the instance that asked. Sent as an extension.
+    #[serde(skip)]
+    pub asked: Option<Time>,
 }
 
 /// Tells the owner of a limit what became of requests that were sent with its permits.
@@ -239,6 +246,8 @@
             [] => Vec::new(),
             _ => postcard::from_bytes(rest)?,
         };
+        let asked =
+            |index: usize| extensions.get(index).and_then(|it| postcard::from_bytes(it).ok());
         if let Self::Placed(_, loads) = &mut datagram {
             let paces = extensions.first().and_then(|it| postcard::from_bytes(it).ok());
             let paces: Vec<Option<pace::Observation>> = paces.unwrap_or_default();
@@ -257,7 +266,9 @@
                     broadcast::Update::Tolerance(report) => Some(report),
                     _ => None,
                 });
+                request.asked = asked(1);
             }
+            Self::PermitReply(reply) => reply.asked = asked(0),
             _ => {}
         }
         Ok((datagram, streams))
@@ -271,9 +282,15 @@
                 let extensions = message.updates.iter().filter(|it| it.update.is_extension());
                 extensions.map(encode).collect()
             }
-            Self::PermitRequest(PermitRequest { tolerance, .. }) => {
-                let update = tolerance.iter().cloned().map(broadcast::Update::Tolerance);
-                update.map(|update| encode(&broadcast::Aged { update, age_ms: 0 })).collect()
+            Self::PermitRequest(PermitRequest { tolerance, asked, .. }) => {
+                let update = tolerance.clone().map(broadcast::Update::Tolerance);
+                let tolerance = update.map(|update| encode(&broadcast::Aged { update, age_ms: 0 }));
+                let mut extensions = vec![tolerance.transpose()?.unwrap_or_default()];
+                extensions.extend(asked.map(|it| postcard::to_stdvec(&it)).transpose()?);
+                Ok(extensions)
+            }
+            Self::PermitReply(PermitReply { asked, .. }) => {
+                asked.iter().map(postcard::to_stdvec).collect()
             }
             Self::Placed(_, loads)
                 if loads.iter().any(|it| it.pace.is_some() || it.progress.is_some()) =>
--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -226,13 +226,16 @@
         }
     }
 
-    /// Applies the owner's reply.
-    pub fn apply_reply(&mut self, now: Time, reply: Reply) {
+    /// Applies the owner's reply to the request for a permit that was sent at `asked`, from which permits count: a reply
+    /// may arrive or be read late, when the owner has long handed out as many again. Returns whether requests that wait
+    /// for a permit may go on.
+    pub fn apply_reply(&mut self, now: Time, asked: Time, reply: Reply) -> bool {
         match reply {
+            Reply::Granted(_) if asked + PERMIT_VALIDITY <= now => return false,
             Reply::Granted(permits) => {
                 let left = if self.has_permit(now) { self.permits } else { 0 };
                 self.permits = left + u32::from(permits);
-                self.valid_until = now + PERMIT_VALIDITY;
+                self.valid_until = self.valid_until.max(asked + PERMIT_VALIDITY);
                 self.closed_until = now;
             }
             Reply::Denied(ms) => {
@@ -240,6 +243,7 @@
                 self.closed_until = self.closed_until.max(until);
             }
         }
+        true
     }
 
     /// Records that the owner didn't reply in time.
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -6,10 +6,15 @@
 
 use proptest::{collection::vec, prelude::*};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use shallotlead_base::time::Time;
 use shallotlead_gateway::{
     broadcast::{Aged, Update},
     build,
-    gossip::{Datagram, Heartbeat, LimitReport, Member, Members, Message, Source},
+    gossip::{
+        Datagram, Heartbeat, LimitReport, Member, Members, Message, PermitReply, PermitRequest,
+        Source,
+    },
+    rate_limit,
 };
 use support::{at, member};
 
@@ -357,6 +362,38 @@
     assert_eq!(Datagram::decode(&bytes), Ok((all, Vec::new())));
 }
 
+// An owner of an earlier release must read requests for permits, and an instance of one the replies.
+#[test]
+fn time_of_a_permit_request_is_hidden_from_earlier_releases() {
+    let report = LimitReport {
+        server: Arc::from("e0"),
+        incarnation: Some(9),
+        per_second: Some(3.0),
+        age_ms: 20,
+    };
+    let request = |tolerance, asked| {
+        let reply_to = SocketAddr::from(([10, 0, 0, 1], 7_000));
+        Datagram::PermitRequest(PermitRequest { limit: report.clone(), reply_to, tolerance, asked })
+    };
+    let reply = |asked| {
+        let (server, reply) = (Arc::from("e0"), rate_limit::Reply::Granted(2));
+        Datagram::PermitReply(PermitReply { server, incarnation: Some(9), reply, asked })
+    };
+    let asked = Some(Time::from_millis(123_456));
+    let tolerance = Some(report.clone());
+    for (datagram, earlier) in [
+        (request(None, asked), request(None, None)),
+        (request(tolerance.clone(), asked), request(None, None)),
+        (request(tolerance, None), request(None, None)),
+        (reply(asked), reply(None)),
+        (reply(None), reply(None)),
+    ] {
+        let bytes = datagram.encode(&[]).expect("it is encoded");
+        assert_eq!(postcard::from_bytes::<Datagram>(&bytes), Ok(earlier));
+        assert_eq!(Datagram::decode(&bytes), Ok((datagram, Vec::new())));
+    }
+}
+
 // An instance of a later release adds an update that this one doesn't know. The others must count.
 #[test]
 fn updates_of_later_releases_are_skipped() {
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -319,7 +319,7 @@
     assert_eq!(chosen(&pool, 1_000).unwrap().server, first.server);
     let limit = &mut pool.get_mut(first.server).limit;
     limit.observe(at(0), Some(2.0));
-    limit.apply_reply(at(1_000), Reply::Denied(700));
+    limit.apply_reply(at(1_000), at(1_000), Reply::Denied(700));
     let choice = chosen(&pool, 1_000).unwrap();
     assert_ne!(choice.server, first.server);
     assert_eq!(choice.fetch_from, Some(pool.get(first.server).address));
--- a/crates/gateway/tests/rate_limit.rs
+++ b/crates/gateway/tests/rate_limit.rs
@@ -116,13 +116,23 @@
 #[test]
 fn permit_that_came_late_serves_the_next_request_but_not_forever() {
     let mut limit = limit(2.0);
-    limit.apply_reply(at(3_000), Reply::Granted(1));
+    assert!(limit.apply_reply(at(3_000), at(3_000), Reply::Granted(1)));
     assert!(!limit.is_closed(at(3_499)));
     assert_eq!(limit.acquire(at(3_499), None), Permission::Granted);
-    limit.apply_reply(at(4_000), Reply::Granted(1));
+    assert!(limit.apply_reply(at(4_000), at(4_000), Reply::Granted(1)));
     assert_eq!(limit.acquire(at(4_500), None), Permission::Ask);
 }
 
+#[test]
+fn permit_counts_from_when_it_was_asked_for() {
+    let mut limit = limit(2.0);
+    assert!(limit.apply_reply(at(3_400), at(3_000), Reply::Granted(2)));
+    assert_eq!(limit.acquire(at(3_499), None), Permission::Granted);
+    assert_eq!(limit.acquire(at(3_500), None), Permission::Ask);
+    assert!(!limit.apply_reply(at(3_500), at(3_000), Reply::Granted(2)));
+    assert_eq!(limit.acquire(at(3_500), None), Permission::Ask);
+}
+
 #[test]
 fn instance_that_is_not_the_owner_hands_out_nothing_and_starts_anew_when_it_is() {
     let mut limit = limit(2.0);
@@ -184,6 +194,22 @@
     }
 }
 
+// Replies are held back on their way for some seconds and arrive together. The permits counted from then, and all that
+// the owner had handed out meanwhile was used at once, besides what it handed out anew.
+#[test]
+fn permits_that_arrive_late_together_do_not_exceed_the_limit() {
+    for seed in 0..10 {
+        let mut sim = Simulation::open(seed, 20, &[200.0]);
+        sim.advertise_limit(0, Some(10.0));
+        sim.run(Duration::from_secs(5));
+        sim.replies_held_until = Some(sim.now + Duration::from_secs(6));
+        for _ in 0..50 {
+            sim.run(Duration::from_millis(200));
+            sim.check(Counted::SinceForwarded).unwrap_or_else(|err| panic!("seed {seed}: {err}"));
+        }
+    }
+}
+
 /// Simulates random faults and limits, and checks each window.
 fn simulate(seed: u64) -> Result<(), String> {
     let mut rng = <rand::rngs::SmallRng as rand::SeedableRng>::seed_from_u64(seed ^ 0x5eed);
--- a/crates/gateway/tests/support/fragile.rs
+++ b/crates/gateway/tests/support/fragile.rs
@@ -153,8 +153,8 @@
     Returned { server: usize, life: u32 },
     Answered { server: usize, life: u32, job: Job, answer: Answer, tolerance: Option<f64> },
     Told { to: usize, server: usize, life: u32, tolerance: Option<f64>, at: Time },
-    Asked { to: usize, from: usize, server: usize, tolerance: Option<f64>, at: Time },
-    Replied { to: usize, server: usize, reply: Reply },
+    Asked { to: usize, from: usize, server: usize, tolerance: Option<f64>, at: Time, asked: Time },
+    Replied { to: usize, server: usize, asked: Time, reply: Reply },
     PermitTimedOut(usize, usize),
     SettleDue(usize, u64),
     Settled { to: usize, life: u32, report: Report },
@@ -300,7 +300,7 @@
                     client.limits[server].adopt_tolerance(at, tolerance);
                 }
             }
-            Event::Asked { to, from, server, tolerance, at } => {
+            Event::Asked { to, from, server, tolerance, at, asked } => {
                 let share = self.share(to, server);
                 let life = self.service().backends[server].life;
                 let client = &mut self.service().clients[to];
@@ -308,9 +308,9 @@
                 client.limits[server].adopt_tolerance(at, tolerance);
                 let reply = client.limits[server].grant(now, share);
                 self.permit_requests += 1;
-                self.post_datagram(to, from, Event::Replied { to: from, server, reply });
+                self.post_datagram(to, from, Event::Replied { to: from, server, asked, reply });
             }
-            Event::Replied { to, server, reply } => self.reply(to, server, reply),
+            Event::Replied { to, server, asked, reply } => self.reply(to, server, asked, reply),
             Event::PermitTimedOut(instance, server) => {
                 let client = &mut self.service().clients[instance];
                 let timed_out = client.waiting.extract_if(.., |it| it.0 == server && it.2 <= now);
@@ -399,7 +399,7 @@
         self.post_datagram(
             instance,
             to,
-            Event::Asked { to, from: instance, server, tolerance, at },
+            Event::Asked { to, from: instance, server, tolerance, at, asked: now },
         );
         self.post(PERMIT_WAIT, Event::PermitTimedOut(instance, server));
     }
@@ -622,10 +622,12 @@
         }
     }
 
-    fn reply(&mut self, instance: usize, server: usize, reply: Reply) {
+    fn reply(&mut self, instance: usize, server: usize, asked: Time, reply: Reply) {
         let now = self.now;
         let client = &mut self.service().clients[instance];
-        client.limits[server].apply_reply(now, reply);
+        if !client.limits[server].apply_reply(now, asked, reply) {
+            return;
+        }
         let permits = match reply {
             Reply::Granted(it) => usize::from(it),
             Reply::Denied(_) => usize::MAX,
--- a/crates/gateway/tests/support/limited.rs
+++ b/crates/gateway/tests/support/limited.rs
@@ -50,6 +50,8 @@
     pub(crate) rng: SmallRng,
     /// Share of datagrams that are lost.
     pub(crate) loss: f64,
+    /// Until when replies to permit requests are held back on their way.
+    pub(crate) replies_held_until: Option<Time>,
     /// Pairs of instances that do not reach each other.
     pub(crate) partitioned_pairs: Vec<(usize, usize)>,
     /// Number of permit requests received.
@@ -106,9 +108,16 @@
     /// A rate limit update arrives.
     LimitArrived { to: usize, server: usize, per_second: Option<f64>, at: Time },
     /// A permit request arrives.
-    PermitRequested { to: usize, from: usize, server: usize, per_second: Option<f64>, at: Time },
+    PermitRequested {
+        to: usize,
+        from: usize,
+        server: usize,
+        per_second: Option<f64>,
+        at: Time,
+        asked: Time,
+    },
     /// The reply to it arrives.
-    PermitReplied { to: usize, server: usize, reply: Reply },
+    PermitReplied { to: usize, server: usize, asked: Time, reply: Reply },
     /// A request has waited long enough for a server's permit.
     PermitTimedOut(usize, usize),
     /// An instance is ready that started as this incarnation.
@@ -173,6 +182,7 @@
             serial: 0,
             rng: SmallRng::seed_from_u64(seed),
             loss: 0.0,
+            replies_held_until: None,
             partitioned_pairs: Vec::new(),
             permit_requests: 0,
             service: None,
@@ -355,16 +365,20 @@
             Event::LimitArrived { to, server, per_second, at } => {
                 self.instances[to].limits[server].adopt(at, per_second);
             }
-            Event::PermitRequested { to, from, server, per_second, at } => {
+            Event::PermitRequested { to, from, server, per_second, at, asked } => {
                 self.permit_requests += 1;
                 let share = self.share(to, server);
                 let limit = &mut self.instances[to].limits[server];
                 limit.adopt(at, per_second);
                 let reply = limit.grant(now, share);
-                self.send_datagram(to, from, Event::PermitReplied { to: from, server, reply });
+                let replied = Event::PermitReplied { to: from, server, asked, reply };
+                match self.replies_held_until.filter(|it| now < *it) {
+                    Some(until) => self.schedule(until.since(now), replied),
+                    None => self.send_datagram(to, from, replied),
+                }
             }
-            Event::PermitReplied { to, server, reply } => {
-                self.handle_permit_reply(to, server, reply)
+            Event::PermitReplied { to, server, asked, reply } => {
+                self.handle_permit_reply(to, server, asked, reply)
             }
             Event::Service(event) => self.handle_service(event),
             Event::Ready(instance, incarnation) => {
@@ -402,17 +416,19 @@
                 let per_second = it.limits[server].per_second();
                 let at = now - it.limits[server].age(now);
                 it.waiting[server].push(now + PERMIT_WAIT);
-                let request =
-                    Event::PermitRequested { to: owner, from: instance, server, per_second, at };
+                let (to, from, asked) = (owner, instance, now);
+                let request = Event::PermitRequested { to, from, server, per_second, at, asked };
                 self.send_datagram(instance, owner, request);
                 self.schedule(PERMIT_WAIT, Event::PermitTimedOut(instance, server));
             }
         }
     }
 
-    fn handle_permit_reply(&mut self, instance: usize, server: usize, reply: Reply) {
+    fn handle_permit_reply(&mut self, instance: usize, server: usize, asked: Time, reply: Reply) {
         let now = self.now;
-        self.instances[instance].limits[server].apply_reply(now, reply);
+        if !self.instances[instance].limits[server].apply_reply(now, asked, reply) {
+            return;
+        }
         let waiting = std::mem::take(&mut self.instances[instance].waiting[server]);
         if let Reply::Granted(permits) = reply {
             let (sent, rest) = waiting.split_at(waiting.len().min(usize::from(permits)));
