Refuse requests with incomplete bodies in one function

Requests whose bodies aren't complete were refused in two places, for want of memory and at the end of a shutdown, and the condition that a body is arriving stood in three. `parse_caller_input` was one match of over a hundred lines.

They are a `Partial` now, refused by `refuse_partial`; `Caller::is_receiving_body` is the condition, and what is left of a refused body is a `Discard`. Each state of a caller has its function: `parse_head` with `begin_body`, `parse_body` and `skip_body`. Callers see no difference. At the end of a shutdown the memory of the bodies that have arrived in part is given back before the refusals, not after each.

--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -35,14 +35,7 @@
     /// A request's body is arriving.
     Body(Box<Incoming>),
     /// A request was refused whose body is still arriving, and what is left of it is read and dropped.
-    Discarding {
-        /// What is left of the body.
-        framing: Framing,
-        /// Number of bytes that are dropped at most.
-        left: usize,
-        /// Whether the connection is closed after it.
-        closes: bool,
-    },
+    Discarding(Discard),
     /// The exchange at this index is in progress.
     Busy(usize),
     /// The last answer was queued; the connection is closed once it is sent.
@@ -68,6 +61,29 @@
     }
 }
 
+/// A request that is refused before its body is complete.
+struct Partial {
+    head: Request,
+    /// What is left of the body.
+    framing: Framing,
+    arrived: Time,
+}
+
+impl From<Incoming> for Partial {
+    fn from(it: Incoming) -> Self {
+        Self { head: it.head, framing: it.framing, arrived: it.arrived }
+    }
+}
+
+/// What is left of the body of a refused request.
+struct Discard {
+    framing: Framing,
+    /// Number of bytes that are dropped at most.
+    left: usize,
+    /// Whether the connection is closed after it.
+    closes: bool,
+}
+
 /// Why a connection is ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Overrun {
@@ -89,6 +105,22 @@
         matches!(self.state, State::Idle) && SWEEP_INTERVAL <= now.since(self.since)
     }
 
+    /// Whether a request's body is still arriving, also of one that is refused already.
+    fn is_receiving_body(&self) -> bool {
+        matches!(self.state, State::Body(_) | State::Discarding(_))
+    }
+
+    /// Takes the request whose body is arriving, if there is one.
+    fn take_incoming(&mut self) -> Option<Box<Incoming>> {
+        match std::mem::replace(&mut self.state, State::Idle) {
+            State::Body(it) => Some(it),
+            other => {
+                self.state = other;
+                None
+            }
+        }
+    }
+
     /// The time limit that it has exceeded, if any.
     fn overrun(&self, now: Time, limits: &History, is_leaving: bool) -> Option<Overrun> {
         let age = now.since(self.since);
@@ -101,7 +133,7 @@
                 (is_leaving || limits.idle_time(self.since) < age).then_some(Overrun::Idle)
             }
             (State::Body(it), _) => (it.limits(limits).idle_timeout < age).then_some(Overrun::Slow),
-            (State::Discarding { .. }, _) => {
+            (State::Discarding(_), _) => {
                 (limits.idle_time(self.since) < age).then_some(Overrun::Lingering)
             }
             (State::Closing, _) => (LINGER_TIMEOUT < age).then_some(Overrun::Lingering),
@@ -118,8 +150,8 @@
     Continue,
     /// The request is complete.
     Dispatch(Box<Incoming>),
-    /// There is no memory for the body, of which this is left.
-    Refuse(Box<Request>, Framing, Time),
+    /// There is no memory for the body.
+    Refuse(Box<Partial>),
     /// The input is no valid request.
     Malformed(Error),
     /// The body exceeds the limit.
@@ -138,8 +170,9 @@
                     self.begin_exchange(key, head, Body::new(body, hold), arrived);
                     return;
                 }
-                Step::Refuse(head, framing, arrived) => {
-                    self.refuse_body(key, &head, framing, arrived);
+                Step::Refuse(partial) => {
+                    self.refuse_partial(key, &partial, Refusal::NoMemory);
+                    self.memory_refusals += 1;
                     return;
                 }
                 Step::Malformed(error) => {
@@ -155,124 +188,138 @@
     }
 
     fn parse_caller_input(&mut self, key: Key) -> Step {
-        let Self { net, roles, now, limits, memory, .. } = self;
-        let Some(Role::Caller(caller)) = roles.get_mut(&key) else { return Step::Wait };
-        let Some(socket) = net.get_mut(key) else { return Step::Wait };
-        match &mut caller.state {
+        let Some(Role::Caller(caller)) = self.roles.get(&key) else { return Step::Wait };
+        match caller.state {
+            State::Idle => self.parse_head(key),
+            State::Body(_) => self.parse_body(key),
+            State::Discarding(_) => self.skip_body(key),
             State::Busy(_) => Step::Wait,
             State::Closing => {
-                socket.input.clear();
+                if let Some(socket) = self.net.get_mut(key) {
+                    socket.input.clear();
+                }
                 Step::Wait
             }
-            State::Discarding { framing, left, closes } => {
-                let mut dropped = Vec::new();
-                let done = framing.decode(&mut socket.input, &mut dropped);
-                *left = left.saturating_sub(dropped.len());
-                match done {
-                    Ok(false) if 0 < *left => {
-                        caller.since = *now;
-                        net.resume_reading(key);
-                        Step::Wait
-                    }
-                    Ok(true) if !*closes => {
-                        caller.state = State::Idle;
-                        caller.since = *now;
-                        self.parse_caller_input(key)
-                    }
-                    Ok(_) | Err(_) => {
-                        caller.state = State::Closing;
-                        self.handle_caller_flushed(key);
-                        Step::Wait
-                    }
+        }
+    }
+
+    /// Parses the head of the next request, unless too much of the last answer is still to be sent.
+    fn parse_head(&mut self, key: Key) -> Step {
+        let Self { net, roles, now, limits, .. } = self;
+        let Some(Role::Caller(caller)) = roles.get_mut(&key) else { return Step::Wait };
+        let Some(socket) = net.get_mut(key) else { return Step::Wait };
+        if MAX_UNSENT_BYTES < socket.unsent_bytes() {
+            return Step::Wait;
+        }
+        let arrived = *caller.head_since.get_or_insert(*now);
+        let limits = limits.since(arrived);
+        let head = match Request::decode(&mut socket.input, limits.max_head_bytes) {
+            Ok(Some(head)) => head,
+            Ok(None) => {
+                if socket.input.is_empty() {
+                    caller.head_since = None;
                 }
+                return Step::Wait;
             }
-            State::Idle if MAX_UNSENT_BYTES < socket.unsent_bytes() => Step::Wait,
-            State::Idle => {
-                let arrived = *caller.head_since.get_or_insert(*now);
-                let limits = limits.since(arrived);
-                let head = match Request::decode(&mut socket.input, limits.max_head_bytes) {
-                    Ok(Some(head)) => head,
-                    Ok(None) => {
-                        if socket.input.is_empty() {
-                            caller.head_since = None;
-                        }
-                        return Step::Wait;
-                    }
-                    Err(error) => return Step::Malformed(error),
-                };
-                caller.head_since = None;
-                socket.begin_answer();
-                if matches!(head.framing, Framing::Length(len) if (limits.max_body_bytes as u64) < len)
-                {
-                    return Step::TooLarge;
-                }
-                let expects_continue = head.fields.contains_token("expect", "100-continue");
-                let framing = head.framing;
-                let stated = if let Framing::Length(len) = framing { len } else { 0 };
-                let stated = usize::try_from(stated).unwrap_or(usize::MAX);
-                let Some(hold) = memory.take(stated) else {
-                    if expects_continue && socket.input.is_empty() {
-                        // Otherwise it wouldn't be known whether the body follows.
-                        net.send(key, CONTINUE);
-                    }
-                    return Step::Refuse(Box::new(head), framing, arrived);
-                };
-                let incoming = Incoming { head, framing, body: Vec::new(), hold, arrived, limits };
-                caller.state = State::Body(Box::new(incoming));
+            Err(error) => return Step::Malformed(error),
+        };
+        caller.head_since = None;
+        socket.begin_answer();
+        if matches!(head.framing, Framing::Length(len) if (limits.max_body_bytes as u64) < len) {
+            return Step::TooLarge;
+        }
+        self.begin_body(key, head, arrived, limits)
+    }
+
+    /// Takes the memory for the body of the request with this head, and waits for it.
+    fn begin_body(&mut self, key: Key, head: Request, arrived: Time, limits: Limits) -> Step {
+        let Self { net, roles, now, memory, .. } = self;
+        let Some(Role::Caller(caller)) = roles.get_mut(&key) else { return Step::Wait };
+        let is_waiting = head.fields.contains_token("expect", "100-continue")
+            && net.get(key).is_some_and(|it| it.input.is_empty());
+        let framing = head.framing;
+        let stated = if let Framing::Length(len) = framing { len } else { 0 };
+        let stated = usize::try_from(stated).unwrap_or(usize::MAX);
+        let Some(hold) = memory.take(stated) else {
+            if is_waiting {
+                // Otherwise it wouldn't be known whether the body follows.
+                net.send(key, CONTINUE);
+            }
+            return Step::Refuse(Box::new(Partial { head, framing, arrived }));
+        };
+        let incoming = Incoming { head, framing, body: Vec::new(), hold, arrived, limits };
+        caller.state = State::Body(Box::new(incoming));
+        caller.since = *now;
+        if is_waiting { Step::Continue } else { self.parse_body(key) }
+    }
+
+    fn parse_body(&mut self, key: Key) -> Step {
+        let Self { net, roles, now, limits, memory, .. } = self;
+        let Some(Role::Caller(caller)) = roles.get_mut(&key) else { return Step::Wait };
+        let Some(socket) = net.get_mut(key) else { return Step::Wait };
+        let State::Body(incoming) = &mut caller.state else { return Step::Wait };
+        let max_bytes = incoming.limits(limits).max_body_bytes;
+        let is_complete = match incoming.framing.decode(&mut socket.input, &mut incoming.body) {
+            Ok(it) => it,
+            Err(error) => return Step::Malformed(error),
+        };
+        if max_bytes < incoming.body.len() {
+            return Step::TooLarge;
+        }
+        let is_held = memory.extend(&mut incoming.hold, incoming.body.capacity());
+        if is_held && !is_complete {
+            caller.since = *now;
+            net.resume_reading(key);
+            return Step::Wait;
+        }
+        match caller.take_incoming() {
+            Some(it) if is_held => Step::Dispatch(it),
+            Some(it) => Step::Refuse(Box::new((*it).into())),
+            None => Step::Wait,
+        }
+    }
+
+    /// Drops what has arrived of the body of a refused request.
+    fn skip_body(&mut self, key: Key) -> Step {
+        let Self { net, roles, now, .. } = self;
+        let Some(Role::Caller(caller)) = roles.get_mut(&key) else { return Step::Wait };
+        let Some(socket) = net.get_mut(key) else { return Step::Wait };
+        let State::Discarding(discard) = &mut caller.state else { return Step::Wait };
+        let mut dropped = Vec::new();
+        let done = discard.framing.decode(&mut socket.input, &mut dropped);
+        discard.left = discard.left.saturating_sub(dropped.len());
+        match done {
+            Ok(false) if 0 < discard.left => {
                 caller.since = *now;
-                if expects_continue && socket.input.is_empty() {
-                    Step::Continue
-                } else {
-                    self.parse_caller_input(key)
-                }
+                net.resume_reading(key);
+                Step::Wait
             }
-            State::Body(incoming) => {
-                let limits = incoming.limits(limits);
-                let done = incoming.framing.decode(&mut socket.input, &mut incoming.body);
-                match done {
-                    Err(error) => Step::Malformed(error),
-                    Ok(_) if limits.max_body_bytes < incoming.body.len() => Step::TooLarge,
-                    Ok(_) if !memory.extend(&mut incoming.hold, incoming.body.capacity()) => {
-                        match std::mem::replace(&mut caller.state, State::Idle) {
-                            State::Body(it) => {
-                                let Incoming { head, framing, arrived, .. } = *it;
-                                Step::Refuse(Box::new(head), framing, arrived)
-                            }
-                            _ => Step::Wait,
-                        }
-                    }
-                    Ok(false) => {
-                        caller.since = *now;
-                        net.resume_reading(key);
-                        Step::Wait
-                    }
-                    Ok(true) => match std::mem::replace(&mut caller.state, State::Idle) {
-                        State::Body(incoming) => Step::Dispatch(incoming),
-                        _ => Step::Wait,
-                    },
-                }
+            Ok(true) if !discard.closes => {
+                caller.state = State::Idle;
+                caller.since = *now;
+                self.parse_head(key)
+            }
+            Ok(_) | Err(_) => {
+                caller.state = State::Closing;
+                self.handle_caller_flushed(key);
+                Step::Wait
             }
         }
     }
 
-    /// Refuses a request for whose body there is no memory; `framing` is what is left of it.
+    /// Refuses a request whose body isn't complete.
     ///
-    /// The rest is read and dropped: closing the connection would reset it, and the caller would lose the answer, and
-    /// bytes that aren't read take memory of the machine as well.
-    fn refuse_body(&mut self, key: Key, head: &Request, framing: Framing, arrived: Time) {
-        self.discard_body(key, framing, arrived);
-        let info = self.adapter.parse_request(head);
-        self.refuse(key, head, &info, Refusal::NoMemory, arrived, 0);
-        self.memory_refusals += 1;
-    }
-
-    /// Drops what is left of a body, up to the length that a body may have.
-    fn discard_body(&mut self, key: Key, framing: Framing, arrived: Time) {
-        let left = self.limits.since(arrived).max_body_bytes;
+    /// The rest is read and dropped, up to the length that a body may have: closing the connection would reset it, and
+    /// the caller would lose the answer, and bytes that aren't read take memory of the machine as well.
+    fn refuse_partial(&mut self, key: Key, partial: &Partial, refusal: Refusal) {
+        let Partial { head, framing, arrived } = partial;
+        let left = self.limits.since(*arrived).max_body_bytes;
         if let Some(Role::Caller(caller)) = self.roles.get_mut(&key) {
-            caller.state = State::Discarding { framing, left, closes: false };
+            caller.state = State::Discarding(Discard { framing: *framing, left, closes: false });
             caller.since = self.now;
         }
+        let info = self.adapter.parse_request(head);
+        self.refuse(key, head, &info, refusal, *arrived, 0);
     }
 
     /// Measures what is held, and logs it if requests were refused for it.
@@ -317,8 +364,8 @@
         }
         let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return };
         caller.since = self.now;
-        if let State::Discarding { closes, .. } = &mut caller.state {
-            *closes = !keeps_alive;
+        if let State::Discarding(discard) = &mut caller.state {
+            discard.closes = !keeps_alive;
             self.net.resume_reading(key);
             self.answered_callers.push(key);
             return;
@@ -354,7 +401,7 @@
                 caller.since = self.now;
                 self.read_caller(key);
             }
-            State::Body(_) | State::Discarding { .. } => {}
+            State::Body(_) | State::Discarding(_) => {}
         }
     }
 
@@ -368,7 +415,7 @@
         };
         match caller.state {
             State::Busy(index) => self.abandon_exchange(index, reason, self.unsent_bytes(key)),
-            State::Idle | State::Closing | State::Discarding { .. } => {
+            State::Idle | State::Closing | State::Discarding(_) => {
                 self.log_undelivered(key, reason);
             }
             State::Body(_) => {}
@@ -433,22 +480,17 @@
 
     /// Whether the body of any request is still arriving, also of one that is refused already.
     pub(crate) fn is_receiving_bodies(&self) -> bool {
-        let is_discarding =
-            |it: &Role| matches!(it, Role::Caller(Caller { state: State::Discarding { .. }, .. }));
-        self.roles.values().any(|it| is_receiving_body(it) || is_discarding(it))
+        self.roles.values().any(|it| matches!(it, Role::Caller(it) if it.is_receiving_body()))
     }
 
     /// Refuses the requests whose bodies are still arriving.
     pub(crate) fn refuse_incoming(&mut self, refusal: Refusal) {
-        let receiving = self.roles.iter().filter(|it| is_receiving_body(it.1)).map(|it| *it.0);
-        for key in receiving.collect::<Vec<Key>>() {
-            let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { continue };
-            let state = std::mem::replace(&mut caller.state, State::Idle);
-            let State::Body(incoming) = state else { continue };
-            let Incoming { head, framing, arrived, .. } = *incoming;
-            self.discard_body(key, framing, arrived);
-            let info = self.adapter.parse_request(&head);
-            self.refuse(key, &head, &info, refusal, arrived, 0);
+        let incoming = self.roles.iter_mut().filter_map(|(key, role)| match role {
+            Role::Caller(it) => Some((*key, Partial::from(*it.take_incoming()?))),
+            Role::Backend(_) | Role::Control(_) | Role::Endpoint(_) => None,
+        });
+        for (key, partial) in incoming.collect::<Vec<_>>() {
+            self.refuse_partial(key, &partial, refusal);
         }
     }
 
@@ -496,10 +538,6 @@
     }
 }
 
-fn is_receiving_body(role: &Role) -> bool {
-    matches!(role, Role::Caller(Caller { state: State::Body(_), .. }))
-}
-
 /// The status code that answers a request that can't be parsed.
 fn status(error: Error) -> u16 {
     match error {
