Ask servers for reports by one function

`request_report` only called `ask_server`. Its callers do so themselves now; nothing else has changed.

--- a/crates/gateway/src/core/probe.rs
+++ b/crates/gateway/src/core/probe.rs
@@ -81,12 +81,7 @@
     }
 
     fn probe(&mut self, id: pool::Id) {
-        self.request_report(id, PROBE_TIMEOUT, Purpose::Probe(id));
-    }
-
-    /// Requests a server's report of its load and weights.
-    pub(crate) fn request_report(&mut self, id: pool::Id, timeout: Duration, purpose: Purpose) {
-        self.ask_server(id, timeout, purpose);
+        self.ask_server(id, PROBE_TIMEOUT, Purpose::Probe(id));
     }
 
     /// Requests what `purpose` needs of a server: its report, or its health.
--- a/crates/gateway/src/core/quarantine.rs
+++ b/crates/gateway/src/core/quarantine.rs
@@ -131,7 +131,7 @@
     /// Checks whether a server that lost runs is alive.
     pub(crate) fn check_liveness(&mut self, id: pool::Id) {
         self.pool.get_mut(id).is_check_pending = false;
-        self.request_report(id, PROBE_TIMEOUT, Purpose::Liveness(id));
+        self.ask_server(id, PROBE_TIMEOUT, Purpose::Liveness(id));
     }
 
     /// Handles the result of a liveness check. A timeout proves nothing, as the server may be busy, unless its entry was
--- a/crates/gateway/src/core/rollout.rs
+++ b/crates/gateway/src/core/rollout.rs
@@ -34,7 +34,7 @@
 
     fn run_step(&mut self, step: Step) {
         match step {
-            Step::Query(id) => self.request_report(id, REPORT_TIMEOUT, Purpose::Report(id)),
+            Step::Query(id) => self.ask_server(id, REPORT_TIMEOUT, Purpose::Report(id)),
             Step::Announce(id, model, version) => {
                 let until = self.now + ANNOUNCEMENT_TTL;
                 self.pool.get_mut(id).switch = Some(Switch { version, until });
--- a/crates/gateway/src/core/unframed.rs
+++ b/crates/gateway/src/core/unframed.rs
@@ -115,7 +115,7 @@
         }
         match self.pool.get(server).incarnation {
             Some(_) => {
-                self.request_report(server, CHECK_TIMEOUT, Purpose::UnframedEnd(server, now));
+                self.ask_server(server, CHECK_TIMEOUT, Purpose::UnframedEnd(server, now));
             }
             None => self.check_health(server, now),
         }
