Hold requests at servers that are silent for 1.2 s in virtual time

Callers saw: nothing; this adds a check. Requests that a server had received before it fell silent for 1.2 s must be answered when it goes on, before their callers leave after 2 s without a byte. So far that was only tested with real servers and the machine's clock (platform/tests/silence.rs), where a machine that is late by 0.8 s fails the test.

--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -40,6 +40,8 @@
     ledger: Ledger,
     rng: SmallRng,
     traffic: Traffic,
+    /// After which time without a byte a stream is left.
+    patience: Option<Duration>,
     instances: Vec<SocketAddr>,
     /// Until when instances are avoided.
     avoided: Map<SocketAddr, Time>,
@@ -57,6 +59,7 @@
         handle: Handle,
         instances: Vec<SocketAddr>,
         traffic: Traffic,
+        patience: Option<Duration>,
         ledger: Ledger,
         seed: u64,
     ) -> Self {
@@ -65,6 +68,7 @@
             ledger,
             rng: SmallRng::seed_from_u64(seed),
             traffic,
+            patience,
             instances,
             avoided: Map::default(),
             flights: Map::default(),
@@ -142,6 +146,7 @@
             End::Unconnected => {
                 self.avoided.insert(flight.instance, now + AVOIDANCE);
             }
+            End::Left => self.ledger.records.borrow_mut().left += 1,
             End::Silent => self.ledger.unanswered(now, &flight.id, flight.instance, flight.sent),
             _ => {}
         }
@@ -189,6 +194,10 @@
         }
     }
 
+    fn leaves_at(&self, flight: &Flight) -> Option<Time> {
+        flight.leaves_at(self.patience?)
+    }
+
     /// Ends attempts that take too long.
     fn end_overdue(&mut self, now: Time) {
         let is_unopened =
@@ -196,6 +205,7 @@
         let end = |id: Id, it: &Flight| match () {
             () if is_unopened(id, it) => Some((id, End::Unconnected)),
             () if it.gives_up_at() <= now => Some((id, End::Silent)),
+            () if self.leaves_at(it).is_some_and(|it| it <= now) => Some((id, End::Left)),
             () => None,
         };
         let overdue = self.flights.iter().filter_map(|it| end(*it.0, it.1));
@@ -230,9 +240,10 @@
         let opening = self.flights.iter().filter(|it| !self.sockets.is_open(*it.0));
         let opening = opening.map(|it| it.1.sent + CONNECT_TIMEOUT).min();
         let overdue = self.flights.values().map(Flight::gives_up_at).min();
+        let leaving = self.flights.values().filter_map(|it| self.leaves_at(it)).min();
         let retry = self.waiting.peek().map(|it| it.0.0);
         let idle = self.idle.first().map(|it| it.0 + IDLE_TIME);
-        let due = [opening, overdue, retry, idle, self.traffic.due()];
+        let due = [opening, overdue, leaving, retry, idle, self.traffic.due()];
         Next::or_at(due.into_iter().flatten().min())
     }
 }
--- a/crates/emulator/src/caller/flight.rs
+++ b/crates/emulator/src/caller/flight.rs
@@ -26,6 +26,8 @@
     pub(super) instance: SocketAddr,
     pub(super) sent: Time,
     pub(super) first_event: Option<Duration>,
+    /// When bytes came last.
+    heard: Time,
     /// The head of the answer, and what is left of its body.
     head: Option<(Response, Framing)>,
     /// Bytes of the body that weren't checked yet.
@@ -45,7 +47,16 @@
 impl Flight {
     pub(super) fn new(request: Request, attempt: u64, instance: SocketAddr, now: Time) -> Self {
         let id = format!("{}-{}-{attempt}", request.kind.route(), request.number).into();
-        Self { request, id, instance, sent: now, first_event: None, head: None, body: Vec::new() }
+        Self {
+            request,
+            id,
+            instance,
+            sent: now,
+            first_event: None,
+            heard: now,
+            head: None,
+            body: Vec::new(),
+        }
     }
 
     fn deadline(&self) -> Duration {
@@ -67,6 +78,11 @@
         self.sent + self.deadline() + SILENCE_MARGIN
     }
 
+    /// When its caller leaves if nothing comes for `patience`.
+    pub(super) fn leaves_at(&self, patience: Duration) -> Option<Time> {
+        self.request.kind.is_stream().then_some(self.heard + patience)
+    }
+
     pub(super) fn to_bytes(&self) -> Vec<u8> {
         let Request { kind, number, parts, events, received, first_id, .. } = &self.request;
         let mut out = Vec::new();
@@ -89,6 +105,7 @@
 
     /// Takes what has arrived.
     pub(super) fn read(&mut self, now: Time, input: &mut Vec<u8>) -> Progress {
+        self.heard = now;
         if self.head.is_none() {
             match Response::decode(input, MAX_HEAD_BYTES, false) {
                 Ok(None) => return Progress::Partial,
--- a/crates/emulator/src/ledger.rs
+++ b/crates/emulator/src/ledger.rs
@@ -86,6 +86,8 @@
     Unconnected,
     /// Without any answer in time.
     Silent,
+    /// By the caller, as nothing had come for too long.
+    Left,
 }
 
 /// A promise that didn't hold.
@@ -131,6 +133,7 @@
     pub(crate) requests: u64,
     pub(crate) answered: u64,
     pub(crate) failed: u64,
+    pub(crate) left: u64,
     pub(crate) refusals: u64,
     pub(crate) declined: u64,
     /// Times to the first event of prompts that were answered.
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -22,6 +22,8 @@
     pub answered: u64,
     /// Requests that their callers gave up.
     pub failed: u64,
+    /// Attempts that their callers left, as nothing came.
+    pub left: u64,
     /// Attempts that were refused as not run.
     pub refusals: u64,
     /// Requests that servers declined.
@@ -52,6 +54,7 @@
         requests: records.requests,
         answered: records.answered,
         failed: records.failed,
+        left: records.left,
         refusals: records.refusals,
         declined: records.declined,
         broken_off_streams: records.broken_off.len() as u64,
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -42,6 +42,8 @@
     pub retries: budget::Policy,
     /// Requests a second that callers may send through all instances together, all of one organisation.
     pub quota_per_s: Option<f64>,
+    /// Callers leave a stream from which nothing comes for so long, also before its first event.
+    pub patience: Option<Duration>,
     /// Fraction of packets that are lost.
     pub loss: f64,
     /// What goes wrong.
@@ -70,6 +72,7 @@
             },
             retries: budget::Policy { ratio: 0.2, window: Duration::from_secs(10), slack: 20.0 },
             quota_per_s: None,
+            patience: None,
             loss: 0.0,
             faults: Vec::new(),
         }
--- a/crates/emulator/src/world/deployment.rs
+++ b/crates/emulator/src/world/deployment.rs
@@ -135,7 +135,7 @@
         match self.roles[host] {
             Role::Callers => {
                 let end = ORIGIN + self.scenario.duration;
-                let Scenario { requests_per_s, prefixes, .. } = self.scenario;
+                let Scenario { requests_per_s, prefixes, patience, .. } = self.scenario;
                 let traffic = Traffic::new(
                     self.rng.random(),
                     requests_per_s,
@@ -145,7 +145,14 @@
                 );
                 let instances = (0..self.scenario.instances).map(Target::Instance);
                 let instances = instances.map(|it| listen(self.host(it)).callers).collect();
-                Box::new(Callers::open(handle, instances, traffic, self.ledger.clone(), seed))
+                Box::new(Callers::open(
+                    handle,
+                    instances,
+                    traffic,
+                    patience,
+                    self.ledger.clone(),
+                    seed,
+                ))
             }
             Role::Part(Target::Store) => {
                 let latency = self.store_latency.clone();
