Count errors that are kept while a request is retried towards the memory held

Callers saw: nothing yet. An instance whose servers answer with long errors holds more than its account of memory says, and can be killed with all its requests.

Cause: the account counts what waits in an exchange for its caller, not the error of an earlier server, which is kept in case that no later one answers (512 KB and a read at most for each request, no bound over all), nor what an attempt that was set aside has brought.

Evidence: kept_errors_are_counted failed before: "timed out waiting until both are counted", with an error of 500,000 bytes kept while 505,000 bytes of the next answer had arrived. The attempt set aside has no test of its own.

--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -134,6 +134,13 @@
         self.route.execution == Execution::Idempotent && !self.delivery.is_passed_through
     }
 
+    /// Bytes that its buffers take, without its own body.
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        let kept = self.kept_error.as_ref().map_or(0, |it| it.1.capacity());
+        let standby = self.standby.as_ref().map_or(0, Standby::buffered_bytes);
+        self.delivery.pending.capacity() + kept + standby
+    }
+
     /// Whether an answer of unknown length is sent to its caller in chunks. Otherwise it ends with the connection.
     pub(crate) fn is_chunked(&self) -> bool {
         self.head.is_http11
--- a/crates/gateway/src/core/standby.rs
+++ b/crates/gateway/src/core/standby.rs
@@ -31,6 +31,13 @@
     Migration { until: Time },
 }
 
+impl Standby {
+    /// Bytes that its buffer takes.
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        self.pending.capacity()
+    }
+}
+
 impl Core {
     /// Keeps the current attempt open beside the next one.
     pub(crate) fn set_aside(&mut self, index: usize, cause: Cause) {
