Count answers to the instance's own requests towards the memory held

Callers saw: nothing yet; found by reading. What the store, backend servers and other instances have sent of an answer takes up to 4 MB a connection (256 KB for servers), and a list of the store keeps all its pages until the last one has come, without a bound on their number. The account of memory knew of neither.

Evidence: control_answers_under_way_are_counted and pages_of_a_list_are_counted failed before: "timed out waiting until half a page is counted" and "until a page is counted", each run alone and both in a run of the file.

The number of pages is still not bounded.

--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -325,7 +325,7 @@
     /// Measures what is held, and logs it if requests were refused for it.
     pub(crate) fn sweep_memory(&mut self) {
         let pending = self.exchanges.iter().map(|it| it.1.buffered_bytes());
-        let buffered = pending.sum::<usize>() + self.net.trim();
+        let buffered = pending.sum::<usize>() + self.control_bytes() + self.net.trim();
         self.memory.set_buffered(buffered);
         let most = self.memory.take_most();
         let refused = std::mem::take(&mut self.memory_refusals);
--- a/crates/gateway/src/core/control.rs
+++ b/crates/gateway/src/core/control.rs
@@ -99,6 +99,14 @@
         }
     }
 
+    /// Bytes of earlier pages of its answer.
+    fn page_bytes(&self) -> usize {
+        match self {
+            Self::Store { pages, .. } => pages.bytes(),
+            _ => 0,
+        }
+    }
+
     /// Whether it must not arrive after its time limit.
     fn is_order(&self) -> bool {
         matches!(self, Self::Order(..))
@@ -380,6 +388,16 @@
         self.end_control(request.connection, End::TimedOut);
     }
 
+    /// Bytes of the answers that are under way.
+    pub(super) fn control_bytes(&self) -> usize {
+        let answers = self.roles.values().map(|it| match it {
+            Role::Control(Connection { reading: Some((.., body)), .. }) => body.capacity(),
+            _ => 0,
+        });
+        let pages = self.control_requests.iter().map(|it| it.1.purpose.page_bytes());
+        answers.sum::<usize>() + pages.sum::<usize>()
+    }
+
     /// Connections on which a watch of the store is open.
     pub(super) fn store_watches(&self) -> Vec<Key> {
         let is_watch =
--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -32,6 +32,11 @@
 }
 
 impl Pages {
+    /// Bytes of their values.
+    pub(crate) fn bytes(&self) -> usize {
+        self.objects.iter().map(|it| it.value.len()).sum()
+    }
+
     /// Adds a page that was read at `version`. Returns the version up to which all pages show every change: objects on
     /// the first one may have changed since.
     fn add(&mut self, objects: Vec<Object>, version: Version) -> Version {
