Count connections' buffers towards the memory held when they grow

Callers saw: nothing yet; found by reading.

Evidence: buffers_are_counted_when_they_grow failed with the measuring at reads and sends taken out: "assertion failed: READ_BYTES <= account.held()". (On the code before it doesn't compile, as a socket knew nothing of the account.)

Change: a socket has a part of the account, which it sets when it reads, sends, or its input was parsed, whatever is left. Requests with bodies are refused by it; reading isn't paused.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -268,7 +268,8 @@
         let Host { clock, network, log, metrics, seed } = host;
         let now = clock.now();
         let listen = settings.listen;
-        let mut net = Net::new(network);
+        let memory = memory::Account::new(settings.memory_bytes);
+        let mut net = Net::new(network, memory.clone());
         let endpoints = [
             (listen.callers, Endpoint::Callers),
             (listen.ready, Endpoint::Ready),
@@ -329,7 +330,7 @@
             config: None,
             removed_services: Map::default(),
             limits: limits::History::default(),
-            memory: memory::Account::new(settings.memory_bytes),
+            memory,
             memory_refusals: 0,
             pool: Pool::default(),
             prefixes: PrefixIndex::default(),
@@ -427,6 +428,7 @@
             Some(Role::Endpoint(_)) => self.read_endpoint(key),
             None => self.net.close(key),
         }
+        self.net.measure(key);
     }
 
     fn on_flushed(&mut self, key: Key) {
--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -259,7 +259,9 @@
         let Some(socket) = net.get_mut(key) else { return Step::Wait };
         let State::Body(incoming) = &mut caller.state else { return Step::Wait };
         let max_bytes = incoming.limits(limits).max_body_bytes;
-        let is_complete = match incoming.framing.decode(&mut socket.input, &mut incoming.body) {
+        let decoded = incoming.framing.decode(&mut socket.input, &mut incoming.body);
+        socket.measure();
+        let is_complete = match decoded {
             Ok(it) => it,
             Err(error) => return Step::Malformed(error),
         };
@@ -325,8 +327,8 @@
     /// Measures what is held, and logs it if requests were refused for it.
     pub(crate) fn sweep_memory(&mut self) {
         let pending = self.exchanges.iter().map(|it| it.1.buffered_bytes());
-        let buffered = pending.sum::<usize>() + self.control_bytes() + self.net.trim();
-        self.memory.set_buffered(buffered);
+        self.memory.set_buffered(pending.sum::<usize>() + self.control_bytes());
+        self.net.trim();
         let most = self.memory.take_most();
         let refused = std::mem::take(&mut self.memory_refusals);
         if refused == 0 {
@@ -353,6 +355,7 @@
     pub(crate) fn read_answered_callers(&mut self) {
         while let Some(key) = self.answered_callers.pop() {
             self.read_caller(key);
+            self.net.measure(key);
         }
     }
 
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -53,7 +53,7 @@
 
     /// Takes `bytes`, unless they are not left.
     pub fn take(&mut self, bytes: usize) -> Option<Hold> {
-        let mut hold = Hold { account: Rc::clone(&self.held), bytes: 0 };
+        let mut hold = self.empty_hold();
         self.extend(&mut hold, bytes).then_some(hold)
     }
 
@@ -69,6 +69,11 @@
         true
     }
 
+    /// A part of nothing, for what can only be recorded.
+    pub fn empty_hold(&self) -> Hold {
+        Hold { account: Rc::clone(&self.held), bytes: 0 }
+    }
+
     /// Records how many bytes are in buffers that have no holds.
     pub fn set_buffered(&mut self, bytes: usize) {
         self.buffered = bytes;
@@ -78,7 +83,15 @@
     /// The most that was held since the last call.
     pub fn take_most(&mut self) -> usize {
         let held = self.held();
-        std::mem::replace(&mut self.most, held)
+        std::mem::replace(&mut self.most, held).max(held)
+    }
+}
+
+impl Hold {
+    /// Records that it is `bytes`, which are in use already, whether or not they are left.
+    pub fn record(&mut self, bytes: usize) {
+        self.account.set(self.account.get().saturating_sub(self.bytes).saturating_add(bytes));
+        self.bytes = bytes;
     }
 }
 
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -22,7 +22,7 @@
         network::{Datagrams, Listener, Network, Ready, Stream},
         system::network::KEEPALIVE_INTERVAL,
     },
-    memory::Body,
+    memory::{Account, Body},
 };
 
 pub(crate) use socket::Socket;
@@ -125,6 +125,7 @@
 /// All sockets of the process.
 pub(crate) struct Net {
     network: Box<dyn Network>,
+    memory: Account,
     ready: Vec<Ready>,
     slots: Slab<(u64, Slot)>,
     datagrams: Option<Box<dyn Datagrams>>,
@@ -136,10 +137,11 @@
 }
 
 impl Net {
-    /// The reactor's sockets on `network`, none so far.
-    pub(crate) fn new(network: Box<dyn Network>) -> Self {
+    /// The reactor's sockets on `network`, none so far. What their buffers take is recorded in `memory`.
+    pub(crate) fn new(network: Box<dyn Network>, memory: Account) -> Self {
         Self {
             network,
+            memory,
             ready: Vec::new(),
             slots: Slab::new(),
             datagrams: None,
@@ -198,14 +200,20 @@
         }
     }
 
-    /// Gives back room of buffers that are empty. Returns the number of bytes that the buffers of all streams take,
-    /// without shared ones.
-    pub(crate) fn trim(&mut self) -> usize {
-        let streams = self.slots.iter_mut().map(|it| match &mut it.1.1 {
-            Slot::Stream(socket) => socket.trim(),
-            Slot::Listener(..) => 0,
-        });
-        streams.sum()
+    /// Gives back room of buffers that are empty.
+    pub(crate) fn trim(&mut self) {
+        for (_, (_, slot)) in &mut self.slots {
+            if let Slot::Stream(socket) = slot {
+                socket.trim();
+            }
+        }
+    }
+
+    /// Records what the stream's buffers take after its input was parsed.
+    pub(crate) fn measure(&mut self, key: Key) {
+        if let Some(socket) = self.get_mut(key) {
+            socket.measure();
+        }
     }
 
     /// Appends `bytes` to the output buffer and writes as much as the kernel accepts. An error is returned as
@@ -340,7 +348,8 @@
         let key = self.next_key();
         let silence = tolerance.longest_silence();
         stream.register(key.index, silence)?;
-        self.slots.insert((key.serial, Slot::Stream(Socket::new(stream, silence))));
+        let socket = Socket::new(stream, silence, self.memory.empty_hold());
+        self.slots.insert((key.serial, Slot::Stream(socket)));
         Ok(key)
     }
 
--- a/crates/gateway/src/net/output.rs
+++ b/crates/gateway/src/net/output.rs
@@ -40,12 +40,18 @@
         self.unsent
     }
 
-    /// Gives back the room of an empty buffer. Returns the number of bytes that its own buffers take if any are unsent.
-    pub(super) fn trim(&mut self) -> usize {
+    /// Gives back the room of an empty buffer.
+    pub(super) fn trim(&mut self) {
+        if self.unsent == 0
+            && let Some(Part::Owned(it)) = self.parts.front_mut()
+        {
+            it.shrink_to(IDLE_BYTES);
+        }
+    }
+
+    /// Number of bytes that its own buffers take, if any are unsent.
+    pub(super) fn buffered_bytes(&self) -> usize {
         if self.unsent == 0 {
-            if let Some(Part::Owned(it)) = self.parts.front_mut() {
-                it.shrink_to(IDLE_BYTES);
-            }
             return 0;
         }
         let owned = |it: &Part| if let Part::Owned(it) = it { it.capacity() } else { 0 };
--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -6,7 +6,10 @@
     time::Duration,
 };
 
-use crate::{host::network::Stream, memory::Body};
+use crate::{
+    host::network::Stream,
+    memory::{Body, Hold},
+};
 
 use super::{
     DELIVERY_TIMEOUT, Event, Key, LONG_ANSWER_BYTES, MAX_INPUT_BYTES, output::Output, read_once,
@@ -21,6 +24,8 @@
     /// Received bytes that are not consumed yet.
     pub(crate) input: Vec<u8>,
     output: Output,
+    /// Covers the buffers that aren't empty, without shared ones.
+    hold: Hold,
     pub(super) is_connecting: bool,
     /// Whether reading is paused because the input buffer is full.
     pub(super) is_paused: bool,
@@ -39,11 +44,12 @@
 }
 
 impl Socket {
-    pub(super) fn new(stream: Box<dyn Stream>, silence: Duration) -> Self {
+    pub(super) fn new(stream: Box<dyn Stream>, silence: Duration, hold: Hold) -> Self {
         Self {
             stream,
             input: Vec::new(),
             output: Output::default(),
+            hold,
             is_connecting: false,
             is_paused: false,
             is_read_closed: false,
@@ -75,15 +81,19 @@
         }
     }
 
-    /// Gives back the room of empty buffers. Returns the number of bytes that the others take.
-    pub(super) fn trim(&mut self) -> usize {
-        let mut taken = self.output.trim();
+    /// Gives back the room of empty buffers.
+    pub(super) fn trim(&mut self) {
+        self.output.trim();
         if self.input.is_empty() {
             self.input.shrink_to(IDLE_BYTES);
-        } else {
-            taken += self.input.capacity();
         }
-        taken
+        self.measure();
+    }
+
+    /// Records what its buffers take.
+    pub(crate) fn measure(&mut self) {
+        let input = if self.input.is_empty() { 0 } else { self.input.capacity() };
+        self.hold.record(input + self.output.buffered_bytes());
     }
 
     /// Number of output bytes that the kernel has not accepted yet.
@@ -139,6 +149,7 @@
         if was_empty {
             self.begin_flush();
         }
+        self.measure();
     }
 
     /// Like [`Socket::push`], with `shared` after `bytes`, which isn't copied.
@@ -150,6 +161,7 @@
         if was_empty {
             self.begin_flush();
         }
+        self.measure();
     }
 
     fn begin_flush(&mut self) {
@@ -175,7 +187,9 @@
         if self.unsent_bytes() == 0 {
             return true;
         }
-        match self.flush() {
+        let flushed = self.flush();
+        self.measure();
+        match flushed {
             Ok(()) if self.unsent_bytes() == 0 => events.push(Event::Flushed(key)),
             Ok(()) => {}
             Err(kind) => {
@@ -204,6 +218,7 @@
             }
             Ok(Some(len)) => {
                 self.input.extend_from_slice(&chunk[..len]);
+                self.measure();
                 events.push(Event::Readable(key));
                 // A short read has emptied the kernel's buffer, so that a second one would block.
                 len == chunk.len() || self.is_read_closed
--- a/crates/gateway/src/net/tests.rs
+++ b/crates/gateway/src/net/tests.rs
@@ -12,9 +12,14 @@
 };
 
 use super::{
-    DELIVERY_TIMEOUT, Key, LONG_ANSWER_BYTES, PEER_TIMEOUT, Socket, Tolerance, output::Output,
+    DELIVERY_TIMEOUT, Key, LONG_ANSWER_BYTES, PEER_TIMEOUT, READ_CHUNK_BYTES, Socket, Tolerance,
+    output::Output,
 };
 
+/// What a caller sends, and what it is sent in vain, bytes.
+const READ_BYTES: usize = 100_000;
+const SENT_BYTES: usize = 20_000;
+
 /// When the kernel gives up an established connection with nothing unacknowledged, by its options.
 struct Keepalive {
     first_probe: Duration,
@@ -113,10 +118,11 @@
     }
 }
 
-/// What a peer takes, and how long it may be silent.
+/// What a peer takes and sends, and how long it may be silent.
 #[derive(Default)]
 struct Peer {
     room: usize,
+    sends: usize,
     silence: Duration,
     changes: usize,
 }
@@ -125,8 +131,11 @@
 struct Slow(Rc<RefCell<Peer>>);
 
 impl Read for Slow {
-    fn read(&mut self, _: &mut [u8]) -> io::Result<usize> {
-        Err(ErrorKind::WouldBlock.into())
+    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
+        let mut peer = self.0.borrow_mut();
+        let len = buf.len().min(peer.sends);
+        peer.sends -= len;
+        if len == 0 { Err(ErrorKind::WouldBlock.into()) } else { Ok(len) }
     }
 }
 
@@ -174,10 +183,15 @@
 
 /// A connection to a caller that takes `room` bytes.
 fn slow_caller(room: usize) -> (Socket, Rc<RefCell<Peer>>) {
+    slow_caller_in(&Account::new(1 << 20), room)
+}
+
+/// The same, whose buffers are recorded in `account`.
+fn slow_caller_in(account: &Account, room: usize) -> (Socket, Rc<RefCell<Peer>>) {
     let peer = Rc::new(RefCell::new(Peer { room, ..Peer::default() }));
     let mut stream = Slow(peer.clone());
     stream.register(0, PEER_TIMEOUT).expect("it never fails");
-    (Socket::new(Box::new(stream), PEER_TIMEOUT), peer)
+    (Socket::new(Box::new(stream), PEER_TIMEOUT, account.empty_hold()), peer)
 }
 
 // A peer that takes nothing for now was taken for one that has vanished. Once it has taken all, it is waited for as
@@ -221,6 +235,25 @@
     assert_eq!(peer.borrow().changes, 0);
 }
 
+// What was read and queued between two sweeps was not counted: many callers at once were given what others had filled.
+#[test]
+fn buffers_are_counted_when_they_grow() {
+    let account = Account::new(1 << 20);
+    let (mut socket, peer) = slow_caller_in(&account, 0);
+    peer.borrow_mut().sends = READ_BYTES;
+    let mut chunk = [0; READ_CHUNK_BYTES];
+    while socket.read(Key { index: 0, serial: 1 }, &mut chunk, &mut Vec::new()) {}
+    assert_eq!(socket.input.len(), READ_BYTES);
+    assert!(READ_BYTES <= account.held());
+    socket.push(&[0; SENT_BYTES]);
+    assert!(READ_BYTES + SENT_BYTES <= account.held());
+    socket.input.clear();
+    socket.measure();
+    assert!((SENT_BYTES..READ_BYTES).contains(&account.held()));
+    drop(socket);
+    assert_eq!(account.held(), 0);
+}
+
 // An order that was lost went on being sent for a second and a half, longer than the next holder waits for it.
 #[test]
 fn kernel_gives_up_bytes_that_must_not_be_late() {
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -38,6 +38,21 @@
     assert_eq!(account.held(), 0);
 }
 
+// What is in use already can't be refused, but leaves less for others.
+#[test]
+fn recorded_bytes_are_not_left_for_others() {
+    let mut account = Account::new(MACHINE_BYTES);
+    let limit = account.limit();
+    let mut recorded = account.empty_hold();
+    recorded.record(limit + 10);
+    assert!(account.take(1).is_none());
+    recorded.record(limit - 10);
+    assert!(account.take(10).is_some());
+    assert!(account.take(11).is_none());
+    drop(recorded);
+    assert_eq!(account.held(), 0);
+}
+
 proptest! {
     #[test]
     fn no_more_is_held_than_the_limit(steps in prop::collection::vec((0..4_u8, 0..1_500_usize), 0..100)) {
