Look for a blank line in one pass

`has_blank_line` walked its input once for each form of a line break. It goes through it once now. A scratch program compared both on all 88,573 strings of up to ten bytes out of line feed, carriage return and another one: equal.

--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -26,5 +26,6 @@
 
 /// Whether `bytes` have a line break that is followed by a blank line.
 pub(crate) fn has_blank_line(bytes: &[u8]) -> bool {
-    bytes.windows(2).any(|it| it == b"\n\n") || bytes.windows(3).any(|it| it == b"\n\r\n")
+    let begins_blank = |it: &[u8]| it.starts_with(b"\n") || it.starts_with(b"\r\n");
+    bytes.iter().zip(1..).any(|(it, next)| *it == b'\n' && begins_blank(&bytes[next..]))
 }
