--- a/crates/gateway/src/build/record.rs
+++ b/crates/gateway/src/build/record.rs
@@ -14,8 +14,8 @@
 /// The builds of one service that may have begun streams which callers can still take up.
 ///
 /// A build is recorded before the first stream is sent to one of its servers. So a read of the record shows all builds
-/// that can have begun a stream of a request that arrived before the read was sent, however little the reader itself has
-/// heard. If there is only one, it is the stream's.
+/// that can have begun a stream of a request that arrived before the read was sent, however little the reader itself
+/// has heard. If there is only one, it is the stream's.
 #[derive(Clone, Debug, Default)]
 pub struct Record {
     /// The recorded builds, as last read or written.
--- a/crates/gateway/src/core/alternative.rs
+++ b/crates/gateway/src/core/alternative.rs
@@ -16,7 +16,8 @@
 impl Core {
     /// The server that would take the request at once in place of the current attempt's, or why there is none.
     ///
-    /// If none was heard of lately, the best of the others is probed, and the request considered again when it responds.
+    /// If none was heard of lately, the best of the others is probed, and the request considered again when it
+    /// responds.
     pub(super) fn choose_elsewhere(&mut self, index: usize) -> Result<Choice, &'static str> {
         if self.quarantine_verdict(index) != Verdict::Clear {
             return Err("quarantined");
--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -156,8 +156,8 @@
         entry.connections < share
     }
 
-    /// Makes the attempt on the connection the current one of its exchange, unless it is held back. Returns whether it is;
-    /// a connection that belongs to no attempt is closed.
+    /// Makes the attempt on the connection the current one of its exchange, unless it is held back. Returns whether it
+    /// is; a connection that belongs to no attempt is closed.
     fn focus_backend(&mut self, key: Key) -> bool {
         let Some(Role::Backend(Backend { exchange: Some(index), server, .. })) =
             self.roles.get(&key)
--- a/crates/gateway/src/core/build.rs
+++ b/crates/gateway/src/core/build.rs
@@ -16,8 +16,8 @@
 const QUERY_TIMEOUT: Duration = Duration::from_millis(40);
 /// The same for [`STARTUP_TIME`], while the others may restore what they knew.
 const STARTUP_QUERY_TIMEOUT: Duration = Duration::from_millis(400);
-/// For how long after the start the others may have started as well: they are told of restored streams, and what they tell
-/// is waited for.
+/// For how long after the start the others may have started as well: they are told of restored streams, and what they
+/// tell is waited for.
 pub(crate) const STARTUP_TIME: Duration = Duration::from_secs(3);
 /// How long it waits for the service's record to be read: twice the time of a slow store.
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
--- a/crates/gateway/src/core/copy.rs
+++ b/crates/gateway/src/core/copy.rs
@@ -31,8 +31,8 @@
     /// Continues a run that must not be repeated at the server with its copy, after its own server was lost.
     /// Returns whether it does.
     ///
-    /// Nothing runs twice: the second server, which should have the copy, can only continue the run. The connection to the
-    /// first server is closed before, or once the second one has taken over from one that doesn't respond.
+    /// Nothing runs twice: the second server, which should have the copy, can only continue the run. The connection to
+    /// the first server is closed before, or once the second one has taken over from one that doesn't respond.
     pub(crate) fn continue_at_copy(&mut self, index: usize, reason: &'static str) -> bool {
         if !LOST_REASONS.contains(&reason) {
             return false;
--- a/crates/gateway/src/core/ejection.rs
+++ b/crates/gateway/src/core/ejection.rs
@@ -14,8 +14,9 @@
         }
     }
 
-    /// Handles a server that refuses connections, as if its process had ended: ejects it, and sends its idempotent requests
-    /// elsewhere as well. Their connections show whether they are lost: it may be on the way that new ones are refused.
+    /// Handles a server that refuses connections, as if its process had ended: ejects it, and sends its idempotent
+    /// requests elsewhere as well. Their connections show whether they are lost: it may be on the way that new ones are
+    /// refused.
     pub(crate) fn handle_ended_server(&mut self, server: pool::Id) {
         if !self.eject_unresponsive(server) {
             return;
--- a/crates/gateway/src/core/failure.rs
+++ b/crates/gateway/src/core/failure.rs
@@ -1,4 +1,5 @@
-//! What follows when an attempt brings no answer: its server declined the request or wasn't reached, or the answer broke.
+//! What follows when an attempt brings no answer: its server declined the request or wasn't reached, or the answer
+//! broke.
 
 use std::time::Duration;
 
--- a/crates/gateway/src/core/handover.rs
+++ b/crates/gateway/src/core/handover.rs
@@ -76,8 +76,9 @@
 
     /// An instance that reaches the servers, as far as known.
     ///
-    /// Ready ones of this data centre come first. After a refusal it is one of another data centre, as a data centre may
-    /// lose the servers as a whole, and after that also one that isn't ready: it may be cut off from another service only.
+    /// Ready ones of this data centre come first. After a refusal it is one of another data centre, as a data centre
+    /// may lose the servers as a whole, and after that also one that isn't ready: it may be cut off from another
+    /// service only.
     fn handover_target(&mut self, index: usize) -> Option<pool::Id> {
         let now = self.now;
         let exchange = self.exchanges.get(index).filter(|it| it.handovers < MAX_HANDOVERS)?;
--- a/crates/gateway/src/core/quarantine.rs
+++ b/crates/gateway/src/core/quarantine.rs
@@ -134,8 +134,8 @@
         self.ask_server(id, PROBE_TIMEOUT, Purpose::Liveness(id));
     }
 
-    /// Handles the result of a liveness check. A timeout proves nothing, as the server may be busy, unless its entry was
-    /// removed as well.
+    /// Handles the result of a liveness check. A timeout proves nothing, as the server may be busy, unless its entry
+    /// was removed as well.
     pub(crate) fn handle_liveness_reply(&mut self, id: pool::Id, outcome: &Outcome) {
         self.apply_report(id, outcome);
         match outcome {
--- a/crates/gateway/src/core/reach.rs
+++ b/crates/gateway/src/core/reach.rs
@@ -42,8 +42,8 @@
         self.handle_reach_change(&service, change);
     }
 
-    /// Records that requests of the service can't be sent to any server, if all are ejected. Answers on connections that
-    /// live on may keep failures from being seen in a row. Returns whether the reach was lost by that.
+    /// Records that requests of the service can't be sent to any server, if all are ejected. Answers on connections
+    /// that live on may keep failures from being seen in a row. Returns whether the reach was lost by that.
     pub(crate) fn check_all_ejected(&mut self, service: &Arc<str>) -> bool {
         let servers = self.usable_ids(service);
         let is_in_rotation = |id: &pool::Id| self.pool.get(*id).health.is_in_rotation();
@@ -101,8 +101,8 @@
     }
 
     /// Probes some servers of services that are out of reach, which get no requests that would show their return. The
-    /// probes of ejected ones come too rarely for that. While one service is out of reach, the others are probed as well:
-    /// one that gets no requests may be out of reach, too.
+    /// probes of ejected ones come too rarely for that. While one service is out of reach, the others are probed as
+    /// well: one that gets no requests may be out of reach, too.
     pub(crate) fn probe_reach(&mut self) {
         let now = self.now;
         if self.reach.values().all(|it| it.lost_since().is_none()) {
--- a/crates/gateway/src/core/retry.rs
+++ b/crates/gateway/src/core/retry.rs
@@ -27,8 +27,8 @@
 }
 
 impl Core {
-    /// Resends a stream that a server declined, after `pause` or just before its caller leaves, and as soon as the retry
-    /// budget allows it.
+    /// Resends a stream that a server declined, after `pause` or just before its caller leaves, and as soon as the
+    /// retry budget allows it.
     ///
     /// An instance has only a small share of the budget, which a few streams that are declined together use up
     /// within milliseconds. Waiting lets the budget grow while the caller still waits; without it, streams that
--- a/crates/gateway/src/core/stall.rs
+++ b/crates/gateway/src/core/stall.rs
@@ -32,8 +32,8 @@
         }
     }
 
-    /// Has a stream that has stalled continued elsewhere. One that must not be repeated goes on at its copy, and only if
-    /// its server doesn't respond.
+    /// Has a stream that has stalled continued elsewhere. One that must not be repeated goes on at its copy, and only
+    /// if its server doesn't respond.
     pub(crate) fn check_stall(&mut self, index: usize) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(index) else { return };
--- a/crates/gateway/src/core/time_limit.rs
+++ b/crates/gateway/src/core/time_limit.rs
@@ -97,8 +97,8 @@
         }
     }
 
-    /// Records once that the server hasn't begun to answer for so long that it counts as a failure. The attempt goes on,
-    /// as the server may still answer.
+    /// Records once that the server hasn't begun to answer for so long that it counts as a failure. The attempt goes
+    /// on, as the server may still answer.
     fn record_overdue(&mut self, index: usize) {
         let Some(attempt) = self.exchanges.get(index).and_then(|it| it.attempt.as_ref()) else {
             return;
--- a/crates/gateway/src/core/unframed.rs
+++ b/crates/gateway/src/core/unframed.rs
@@ -2,8 +2,8 @@
 //!
 //! A connection ends in the same way whether its server has sent the whole answer or has crashed. Such an answer
 //! counts as complete only if its server turns out to have lived on. Whatever answers at its address may be another one
-//! that was started since, so that it has to name itself: by its incarnation in its report, or by its name in the answer
-//! about its health.
+//! that was started since, so that it has to name itself: by its incarnation in its report, or by its name in the
+//! answer about its health.
 
 use std::{io::ErrorKind, time::Duration};
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -350,8 +350,8 @@
     /// What answers have shown of its pace, if it states one. Sent as an extension.
     #[serde(skip)]
     pub pace: Option<pace::Observation>,
-    /// How long ago the newest prompt that it is known to have prefilled was sent, and had been prefilled, both in ms. Sent
-    /// as an extension.
+    /// How long ago the newest prompt that it is known to have prefilled was sent, and had been prefilled, both in ms.
+    /// Sent as an extension.
     #[serde(skip)]
     pub progress: Option<(u32, u32)>,
 }
--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -406,8 +406,8 @@
         ranked.into_iter().take(count).map(|it| it.1).collect()
     }
 
-    /// The same as [`Members::alive_fraction`], with those that a new instance presumes alive, and of all that are known,
-    /// also from their records only; `None` while it isn't known which instances there are.
+    /// The same as [`Members::alive_fraction`], with those that a new instance presumes alive, and of all that are
+    /// known, also from their records only; `None` while it isn't known which instances there are.
     ///
     /// Guards against an instance that starts while it is cut off from the others: it knows them from their records,
     /// and would take them for gone half a minute later.
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -4,8 +4,8 @@
 //! revision of the write that granted the lease. The holder counts its term from before it sent a write; a candidate
 //! counts from after it read one. Both use clocks that advance while the machine is suspended. As servers do not
 //! check tokens, a new holder leaves a gap before its first order, counted from when the last orders of its predecessor
-//! may arrive at the latest. A holder that releases the lease records what remains of the gap, including that of earlier
-//! holders.
+//! may arrive at the latest. A holder that releases the lease records what remains of the gap, including that of
+//! earlier holders.
 //!
 //! After the store was restored from a backup, its record may be outdated, or a write that was sent before may still
 //! take effect. The record names the era of the version that its write was conditional on; a record of another era is
--- a/crates/gateway/src/lease/record.rs
+++ b/crates/gateway/src/lease/record.rs
@@ -37,8 +37,8 @@
     /// Makes the content of each write unique, so that a lost reply can be resolved by a read.
     write: u64,
     /// Set when the lease is released: servers that were recently ordered by this or an earlier holder, each with the
-    /// time in milliseconds since the order's latest possible arrival, negative if that is still to come. Earlier releases
-    /// can't read a negative one, and take the lease for one that wasn't released.
+    /// time in milliseconds since the order's latest possible arrival, negative if that is still to come. Earlier
+    /// releases can't read a negative one, and take the lease for one that wasn't released.
     released: Option<Vec<(Arc<str>, i64)>>,
     /// Set when the lease is released: for how many milliseconds no server may be ordered.
     #[serde(default)]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,8 +4,8 @@
 //! All that an instance takes from its machine is in [`host::Host`].
 //!
 //! The modules that make decisions do no I/O ([`placement`], [`budget`], [`lease`], [`rollout`], [`gossip`],
-//! [`broadcast`], [`memory`], [`pool`], [`publication`], [`quota`], [`shutdown`]); the reactor executes the decisions. All knowledge of the platform's
-//! names and formats is in the implementation of [`adapter::Adapter`].
+//! [`broadcast`], [`memory`], [`pool`], [`publication`], [`quota`], [`shutdown`]); the reactor executes the decisions.
+//! All knowledge of the platform's names and formats is in the implementation of [`adapter::Adapter`].
 
 pub mod adapter;
 pub mod admission;
--- a/crates/gateway/src/net/tests.rs
+++ b/crates/gateway/src/net/tests.rs
@@ -62,8 +62,8 @@
     }
 }
 
-// A server that is silent for a moment in which a probe is sent: the connection, with all that waits on it, was given up
-// half a second after the server had gone on.
+// A server that is silent for a moment in which a probe is sent: the connection, with all that waits on it, was given
+// up half a second after the server had gone on.
 #[test]
 fn connection_outlasts_a_server_that_is_silent_for_a_second_and_a_half() {
     let keepalive = Keepalive::of(Tolerance::Server);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -494,8 +494,8 @@
         servers.peek().is_some() && servers.all(|it| it.1.presence == Presence::Draining)
     }
 
-    /// When the first of `service`'s servers wants requests again, if all that take new ones are backed off. `build`: only
-    /// servers of this build count.
+    /// When the first of `service`'s servers wants requests again, if all that take new ones are backed off. `build`:
+    /// only servers of this build count.
     pub fn backed_off_until(
         &self,
         now: Time,
--- a/crates/gateway/src/pool/backlog.rs
+++ b/crates/gateway/src/pool/backlog.rs
@@ -1,9 +1,9 @@
 //! The prompts that one server has still to prefill, as far as instances tell each other.
 //!
-//! Answers the load of prompts that arrive faster than they are prefilled for a while. The expected times of all prompts
-//! known to have been sent add up, and so do their errors: without correction, waits are expected that don't exist for as
-//! long as the load lasts, and prompts are refused beside idle servers. Each first token shows how far the server has
-//! come. Does no I/O.
+//! Answers the load of prompts that arrive faster than they are prefilled for a while. The expected times of all
+//! prompts known to have been sent add up, and so do their errors: without correction, waits are expected that don't
+//! exist for as long as the load lasts, and prompts are refused beside idle servers. Each first token shows how far the
+//! server has come. Does no I/O.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -71,8 +71,8 @@
         self.share_until = now;
     }
 
-    /// Applies a report made at `at` that nothing waits and that what runs occupies the server for `running`: it can have
-    /// no more to prefill than that and what was sent since.
+    /// Applies a report made at `at` that nothing waits and that what runs occupies the server for `running`: it can
+    /// have no more to prefill than that and what was sent since.
     pub(super) fn limit_to_running(&mut self, at: Time, running: Duration) {
         let until = at + running + self.sent_after(at - REPORT_LAG);
         self.busy_until = self.busy_until.min(until);
