Name the two timers of a shutdown

`Timer::ShutdownEnd` was set for two moments: when the requests that are left are ended, and when the process exits. They are `RequestsEnd` and `Exit` now; both are handled as before.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -131,8 +131,10 @@
     CrashReport(pool::Id),
     /// Reports of what became of requests to servers at risk.
     Settlement,
-    /// The end of the grace period of the shutdown.
-    ShutdownEnd,
+    /// The end of the requests that are left in a shutdown.
+    RequestsEnd,
+    /// The exit of the process after a shutdown.
+    Exit,
 }
 
 /// Flags by which other threads and signal handlers control the event loop.
@@ -480,7 +482,7 @@
                 Timer::UnframedEnd(id) => self.check_unframed_ends(id),
                 Timer::CrashReport(id) => self.broadcast_crash(id),
                 Timer::Settlement => self.report_unsettled(),
-                Timer::ShutdownEnd => self.end_requests(),
+                Timer::RequestsEnd | Timer::Exit => self.end_requests(),
             }
         }
         self.tick_storage();
@@ -605,8 +607,8 @@
         if self.shutdown.is_none() && self.signals.shutdown.load(Ordering::Relaxed) {
             let shutdown = Shutdown::new(self.now, self.settings.shutdown_grace);
             self.shutdown = Some(shutdown);
-            self.set_timer(shutdown.ends_requests_at(), Timer::ShutdownEnd);
-            self.set_timer(shutdown.exits_at(), Timer::ShutdownEnd);
+            self.set_timer(shutdown.ends_requests_at(), Timer::RequestsEnd);
+            self.set_timer(shutdown.exits_at(), Timer::Exit);
             self.members.me_mut().is_leaving = true;
             self.members.me_mut().is_ready = false;
             self.lease.release();
