Give the shutdown a file of the core

What it did on a signal to shut down and until the process exits, the end of the requests that are left in time_limit.rs, and the flags of the signals stand in core/shutdown.rs now.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -34,6 +34,7 @@
 mod retry_budget;
 mod rollout;
 mod services;
+mod shutdown;
 mod signals;
 mod stall;
 mod staleness;
@@ -46,22 +47,11 @@
 mod unframed;
 mod weights;
 
-use std::{
-    cmp::Reverse,
-    collections::BinaryHeap,
-    io,
-    rc::Rc,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{cmp::Reverse, collections::BinaryHeap, io, rc::Rc, sync::Arc, time::Duration};
 
 use exchange::Exchange;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use shallotlead_base::{hash::Map, time::Time};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use slab::Slab;
 use stats::Stats;
 
@@ -90,6 +80,8 @@
     uplink::Uplink,
 };
 
+pub(crate) use shutdown::Signals;
+
 /// Longest wait in one poll of the sockets.
 const MAX_POLL_WAIT: Duration = Duration::from_millis(250);
 /// A longer pause of the process makes what it reads next no proof that the sender lives on.
@@ -137,29 +129,6 @@
     Exit,
 }
 
-/// Flags by which other threads and signal handlers control the event loop.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Signals {
-    /// Shut down gracefully.
-    pub(crate) shutdown: Arc<AtomicBool>,
-    /// The settings file may have changed.
-    pub(crate) reload: Arc<AtomicBool>,
-    /// Exit at once, as after SIGKILL.
-    pub(crate) abort: Arc<AtomicBool>,
-}
-
-impl Signals {
-    /// Registers handlers that set the flags on SIGTERM, SIGINT and SIGHUP.
-    pub(crate) fn register() -> io::Result<Self> {
-        let signals = Self::default();
-        for signal in [SIGTERM, SIGINT] {
-            signal_hook::flag::register(signal, Arc::clone(&signals.shutdown))?;
-        }
-        signal_hook::flag::register(SIGHUP, Arc::clone(&signals.reload))?;
-        Ok(signals)
-    }
-}
-
 /// The state of one instance.
 pub(crate) struct Core {
     settings: Settings,
@@ -600,52 +569,11 @@
         next.map_or(MAX_POLL_WAIT, |it| it.since(self.now).min(MAX_POLL_WAIT))
     }
 
-    fn handle_signals(&mut self) {
-        if self.signals.reload.swap(false, Ordering::Relaxed) {
-            self.log.line(self.now, "reload").text("result", "settings need a restart");
-        }
-        if self.shutdown.is_none() && self.signals.shutdown.load(Ordering::Relaxed) {
-            let shutdown = Shutdown::new(self.now, self.settings.shutdown_grace);
-            self.shutdown = Some(shutdown);
-            self.set_timer(shutdown.ends_requests_at(), Timer::RequestsEnd);
-            self.set_timer(shutdown.exits_at(), Timer::Exit);
-            self.members.me_mut().is_leaving = true;
-            self.members.me_mut().is_ready = false;
-            self.lease.release();
-            self.rollout.clear();
-            self.log.line(self.now, "leaving").number("open_requests", self.exchanges.len());
-            self.broadcast_membership();
-        }
-    }
-
     /// Whether this instance accepts requests.
     fn is_ready(&self) -> bool {
         self.shutdown.is_none() && self.config.is_some()
     }
 
-    /// Whether the shutdown has gone on for so long that no more requests are accepted.
-    fn has_stopped_accepting(&self) -> bool {
-        self.shutdown.is_some_and(|it| !it.is_accepting(self.now))
-    }
-
-    /// Whether the event loop should end.
-    pub(crate) fn has_finished(&self) -> bool {
-        if self.signals.abort.load(Ordering::Relaxed) {
-            return true;
-        }
-        let Some(shutdown) = self.shutdown else { return false };
-        shutdown.exits_at() <= self.now
-            || (shutdown.may_exit(self.now)
-                && self.exchanges.is_empty()
-                && !self.is_receiving_bodies()
-                && self.has_sent_all())
-    }
-
-    /// Whether all bytes to all peers were handed to the kernel.
-    fn has_sent_all(&self) -> bool {
-        self.roles.keys().all(|it| self.net.get(*it).is_none_or(|it| it.unsent_bytes() == 0))
-    }
-
     fn allocate_serial(&mut self) -> u64 {
         self.next_serial += 1;
         self.next_serial
--- a/crates/gateway/src/core/time_limit.rs
+++ b/crates/gateway/src/core/time_limit.rs
@@ -143,16 +143,8 @@
         self.end_unfinished(index, Refusal::TimeOut, 504);
     }
 
-    /// Ends the requests that are left at the end of a shutdown's grace period.
-    pub(crate) fn end_requests(&mut self) {
-        for index in self.exchanges_where(|_| true) {
-            self.end_unfinished(index, Refusal::ShuttingDown, 502);
-        }
-        self.refuse_incoming(Refusal::ShuttingDown);
-    }
-
     /// Ends a request before its answer: refuses it if it didn't run, else fails it with `status`.
-    fn end_unfinished(&mut self, index: usize, refusal: Refusal, status: u16) {
+    pub(super) fn end_unfinished(&mut self, index: usize, refusal: Refusal, status: u16) {
         let Some(exchange) = self.exchanges.get(index) else { return };
         let connection = exchange.attempt.as_ref().map(|it| it.connection);
         let was_never_sent = connection.is_none_or(|it| self.is_connecting(it));
