--- a/crates/emulator/tests/short_silences.rs
+++ b/crates/emulator/tests/short_silences.rs
@@ -15,6 +15,8 @@
 const SILENCE: Duration = Duration::from_millis(1_200);
 /// Within this time from its start, no instance can know of a silence.
 const UNNOTICED: Duration = Duration::from_millis(200);
+/// When an engine that requests were moved to is killed, after the start of the silence.
+const KILL_DELAY: Duration = Duration::from_millis(500);
 /// Callers leave a stream after such a gap.
 const MAX_GAP: Duration = Duration::from_secs(2);
 /// Least number of requests that the silences of a play must catch.
@@ -95,7 +97,10 @@
 fn lost(scenario: &Scenario) -> Vec<String> {
     let report = world::run(scenario);
     assert_eq!(report.violations, [], "{report}");
-    let attempts = read_attempts(&report);
+    lost_of(scenario, &read_attempts(&report))
+}
+
+fn lost_of(scenario: &Scenario, attempts: &HashMap<String, Attempt>) -> Vec<String> {
     let is_caught = |it: &Attempt| scenario.faults.iter().any(|fault| it.is_caught(fault));
     let caught = attempts.values().filter(|it| is_caught(it)).count();
     assert!(FEWEST_CAUGHT <= caught, "too few requests are caught: {caught}");
@@ -165,3 +170,29 @@
         });
     }
 }
+
+// Requests left a silent engine for one that was killed under them, and ended before the first one went on.
+#[test]
+fn requests_moved_from_a_silent_engine_in_vain_are_answered() {
+    let mut faults = silences(&engines(1), SILENCE);
+    faults.extend(SILENCES.map(|at| Fault {
+        harm: Harm::Kill(Target::Engine(1)),
+        at: at + KILL_DELAY,
+        lasts: Duration::from_millis(200),
+    }));
+    let mut lost = Vec::new();
+    for seed in 0..SEEDS {
+        let scenario = scenario(1, 2, seed, faults.clone());
+        let report = world::run(&scenario);
+        assert_eq!(report.violations, [], "{report}");
+        let mut attempts = read_attempts(&report);
+        attempts.retain(|_, it| {
+            let first = it.arrivals.first();
+            first.is_some_and(|it| it.1 == "e0") && faults.iter().any(|fault| it.is_caught(fault))
+        });
+        let moved = attempts.values().filter(|it| it.arrivals.iter().any(|it| it.1 == "e1"));
+        assert!(0 < moved.count(), "seed {seed}: none is moved");
+        lost.extend(lost_of(&scenario, &attempts));
+    }
+    assert!(lost.is_empty(), "{} are lost: {lost:#?}", lost.len());
+}
