Count units of quotas from when they were asked for

Callers saw: an organisation used more than its quota, through an instance that got the replies of the quota's owners late.

Units were good for 500 ms from when an owner's reply was handled, so that replies that were held back were all good at once, when as many had long been handed out again.

Change: the question says when it is sent, by the clock of its sender; the reply returns that, and units count from then. Both are extensions, which earlier releases skip. A denial still counts from its handling, and units of a request that hasn't run from when they are put back.

Calls of `Account::apply_reply` in tests have the new argument; their checks are unchanged. The test of the extensions covers these messages as well and has a name for both.

--- a/crates/gateway/src/core/quota.rs
+++ b/crates/gateway/src/core/quota.rs
@@ -124,7 +124,7 @@
         let serial = exchange.serial;
         self.set_timer(until, Timer::Exchange(index, serial));
         let reply_to = self.members.me().peers;
-        let request = QuotaRequest { organisation, cost, owner, reply_to };
+        let request = QuotaRequest { organisation, cost, owner, reply_to, asked: Some(now) };
         self.send_to(&[owner], &Datagram::QuotaRequest(request));
         self.stats.count_quota("asked");
     }
@@ -166,22 +166,23 @@
 
     /// Answers another instance's question.
     pub(crate) fn handle_quota_request(&mut self, request: QuotaRequest) {
-        let QuotaRequest { organisation, cost, owner, reply_to } = request;
+        let QuotaRequest { organisation, cost, owner, reply_to, asked } = request;
         let reply = match self.quotas.get_mut(&organisation) {
             Some(it) => it.grant(self.now, cost),
             // The other instance knows an earlier or later configuration.
             None if self.config.is_some() => Reply::Granted(cost),
             None => return,
         };
-        let message = QuotaReply { organisation, cost, owner, reply };
+        let message = QuotaReply { organisation, cost, owner, reply, asked };
         self.send_to(&[reply_to], &Datagram::QuotaReply(message));
     }
 
     /// Handles an owner's reply: dispatches the requests that it lets go on, the most urgent first.
     pub(crate) fn handle_quota_reply(&mut self, message: &QuotaReply) {
-        let QuotaReply { organisation, cost, owner, reply } = message;
+        let QuotaReply { organisation, cost, owner, reply, asked } = message;
         let Some(account) = self.quotas.get_mut(organisation) else { return };
-        account.apply_reply(self.now, *owner, *cost, *reply);
+        let asked = asked.map_or(self.now, |it| it.min(self.now));
+        account.apply_reply(self.now, asked, *owner, *cost, *reply);
         let is_denied = matches!(reply, Reply::Denied(_));
         let is_waiting = |it: &Exchange| {
             let wait = it.quota_wait.filter(|_| it.has_organisation(organisation));
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -165,6 +165,9 @@
     pub owner: SocketAddr,
     /// Address for the reply.
     pub reply_to: SocketAddr,
+    /// When it is sent, by the sender's own clock. Sent as an extension.
+    #[serde(skip)]
+    pub asked: Option<Time>,
 }
 
 /// An owner's reply.
@@ -178,6 +181,9 @@
     pub owner: SocketAddr,
     /// What it grants.
     pub reply: quota::Reply,
+    /// When it was asked, by the clock of the instance that asked. Sent as an extension.
+    #[serde(skip)]
+    pub asked: Option<Time>,
 }
 
 /// One datagram between instances.
@@ -269,6 +275,8 @@
                 request.asked = asked(1);
             }
             Self::PermitReply(reply) => reply.asked = asked(0),
+            Self::QuotaRequest(request) => request.asked = asked(0),
+            Self::QuotaReply(reply) => reply.asked = asked(0),
             _ => {}
         }
         Ok((datagram, streams))
@@ -289,7 +297,9 @@
                 extensions.extend(asked.map(|it| postcard::to_stdvec(&it)).transpose()?);
                 Ok(extensions)
             }
-            Self::PermitReply(PermitReply { asked, .. }) => {
+            Self::PermitReply(PermitReply { asked, .. })
+            | Self::QuotaRequest(QuotaRequest { asked, .. })
+            | Self::QuotaReply(QuotaReply { asked, .. }) => {
                 asked.iter().map(postcard::to_stdvec).collect()
             }
             Self::Placed(_, loads)
--- a/crates/gateway/src/quota/account.rs
+++ b/crates/gateway/src/quota/account.rs
@@ -207,12 +207,20 @@
         }
     }
 
-    /// Applies the reply of `owner`, which was asked for `cost`.
-    pub fn apply_reply(&mut self, now: Time, owner: SocketAddr, cost: f64, reply: Reply) {
+    /// Applies the reply of `owner`, which was asked for `cost` at `asked`. Units count from then: a reply may arrive or
+    /// be read late, when as many have long been handed out again.
+    pub fn apply_reply(
+        &mut self,
+        now: Time,
+        asked: Time,
+        owner: SocketAddr,
+        cost: f64,
+        reply: Reply,
+    ) {
         match reply {
             Reply::Granted(units) => {
                 self.closed.remove(&owner);
-                self.put_back(now, units);
+                self.add_obtained(now, asked, units);
             }
             Reply::Denied(ms) => {
                 let before = self.closed.get(&owner).filter(|it| now < it.until);
@@ -233,11 +241,20 @@
         self.closed.insert(owner, closure);
     }
 
-    /// Lets another request use the units of one that has not run. `Reply::Granted` arrives the same way.
+    /// Lets another request use the units of one that has not run.
     pub fn put_back(&mut self, now: Time, units: f64) {
+        self.add_obtained(now, now, units);
+    }
+
+    /// Adds units that count from `from`.
+    fn add_obtained(&mut self, now: Time, from: Time, units: f64) {
+        let until = from + PERMIT_VALIDITY;
+        if until <= now {
+            return;
+        }
         let left = if now < self.valid_until { self.obtained } else { 0.0 };
         self.obtained = left + units;
-        self.valid_until = now + PERMIT_VALIDITY;
+        self.valid_until = self.valid_until.max(until);
     }
 
     fn take_obtained(&mut self, now: Time, cost: f64) -> bool {
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -12,9 +12,9 @@
     build,
     gossip::{
         Datagram, Heartbeat, LimitReport, Member, Members, Message, PermitReply, PermitRequest,
-        Source,
+        QuotaReply, QuotaRequest, Source,
     },
-    rate_limit,
+    quota, rate_limit,
 };
 use support::{at, member};
 
@@ -362,23 +362,32 @@
     assert_eq!(Datagram::decode(&bytes), Ok((all, Vec::new())));
 }
 
-// An owner of an earlier release must read requests for permits, and an instance of one the replies.
+// An owner of an earlier release must read requests for permits and units, and an instance of one the replies.
 #[test]
-fn time_of_a_permit_request_is_hidden_from_earlier_releases() {
+fn time_of_a_question_is_hidden_from_earlier_releases() {
     let report = LimitReport {
         server: Arc::from("e0"),
         incarnation: Some(9),
         per_second: Some(3.0),
         age_ms: 20,
     };
+    let reply_to = SocketAddr::from(([10, 0, 0, 1], 7_000));
     let request = |tolerance, asked| {
-        let reply_to = SocketAddr::from(([10, 0, 0, 1], 7_000));
         Datagram::PermitRequest(PermitRequest { limit: report.clone(), reply_to, tolerance, asked })
     };
     let reply = |asked| {
         let (server, reply) = (Arc::from("e0"), rate_limit::Reply::Granted(2));
         Datagram::PermitReply(PermitReply { server, incarnation: Some(9), reply, asked })
     };
+    let (organisation, owner): (Arc<str>, _) = (Arc::from("o"), reply_to);
+    let question = |asked| {
+        let organisation = organisation.clone();
+        Datagram::QuotaRequest(QuotaRequest { organisation, cost: 2.0, owner, reply_to, asked })
+    };
+    let grant = |asked| {
+        let (organisation, reply) = (organisation.clone(), quota::Reply::Granted(2.0));
+        Datagram::QuotaReply(QuotaReply { organisation, cost: 2.0, owner, reply, asked })
+    };
     let asked = Some(Time::from_millis(123_456));
     let tolerance = Some(report.clone());
     for (datagram, earlier) in [
@@ -387,6 +396,8 @@
         (request(tolerance, None), request(None, None)),
         (reply(asked), reply(None)),
         (reply(None), reply(None)),
+        (question(asked), question(None)),
+        (grant(asked), grant(None)),
     ] {
         let bytes = datagram.encode(&[]).expect("it is encoded");
         assert_eq!(postcard::from_bytes::<Datagram>(&bytes), Ok(earlier));
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -81,9 +81,9 @@
     account.record_timeout(at(5), first.expect("an owner is asked"));
     let second = ask(&mut account, 5);
     assert_ne!(first, second);
-    account.apply_reply(at(7), second.expect("an owner is asked"), 1.0, Reply::Denied(300));
+    account.apply_reply(at(7), at(7), second.expect("an owner is asked"), 1.0, Reply::Denied(300));
     assert_eq!(ask(&mut account, 7), first, "its datagram may have been lost");
-    account.apply_reply(at(9), first.expect("an owner"), 1.0, Reply::Denied(400));
+    account.apply_reply(at(9), at(9), first.expect("an owner"), 1.0, Reply::Denied(400));
     assert_eq!(account.acquire(at(9), 1.0, 0), Permission::Denied(Duration::from_millis(298)));
     assert_eq!(ask(&mut account, 308), second);
 }
@@ -97,6 +97,33 @@
     assert!(matches!(account.acquire(at(1_000), 1.0, 0), Permission::Denied(_)));
 }
 
+#[test]
+fn units_count_from_when_they_were_asked_for() {
+    let mut account = Account::new(requests(10.0), Duration::from_secs(8));
+    account.apply_reply(at(400), at(0), address(1), 1.0, Reply::Granted(2.0));
+    assert_eq!(account.acquire(at(499), 1.0, 0), Permission::Granted);
+    assert!(!account.has_obtained(at(500), 1.0));
+    account.apply_reply(at(500), at(0), address(1), 1.0, Reply::Granted(2.0));
+    assert!(!account.has_obtained(at(500), 1.0));
+}
+
+// Owners' replies are held back on their way for some seconds and arrive together. The units counted from then, and all
+// that was handed out meanwhile was used at once, besides what was handed out anew.
+#[test]
+fn units_that_arrive_late_together_do_not_exceed_the_quota() {
+    for seed in 0..10 {
+        let limit = requests(40.0);
+        let mut quotas = Quotas::open(20, limit, REQUESTS_SLACK, seed);
+        quotas.demand = 30.0 * limit.per_second;
+        let owners = quotas.owners();
+        quotas.entry = (0..20).find(|it| !owners.contains(it));
+        quotas.run(10_000);
+        quotas.replies_held_until = quotas.fleet.now_ms + 10_000;
+        quotas.run(20_000);
+        quotas.check().unwrap_or_else(|err| panic!("seed {seed}: {err}"));
+    }
+}
+
 // Seven times what it may send, through all instances and through one: the quota holds, and almost all of it is used.
 #[test]
 fn almost_all_of_a_quota_is_used_and_no_more() {
--- a/crates/gateway/tests/support/quotas.rs
+++ b/crates/gateway/tests/support/quotas.rs
@@ -1,11 +1,11 @@
 //! Simulates in virtual time instances that receive the requests of one organisation, and sums up what they admit.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use shallotlead_base::hash;
+use shallotlead_base::{hash, time::Time};
 use shallotlead_gateway::quota::{
-    Account, Limit, MAX_QUESTIONS, Permission, SETTLING_TIME, Share, Unit,
+    Account, Limit, MAX_QUESTIONS, Permission, Reply, SETTLING_TIME, Share, Unit,
 };
 
 use super::{
@@ -43,9 +43,21 @@
     pub(crate) denied: usize,
     /// Questions to other instances.
     pub(crate) asked: usize,
+    /// Until when owners' replies are held back on their way, and those that are.
+    pub(crate) replies_held_until: u64,
+    held: Vec<HeldReply>,
     pub(crate) rng: SmallRng,
 }
 
+/// An owner's reply to `index` that is held back.
+struct HeldReply {
+    index: usize,
+    owner: SocketAddr,
+    cost: f64,
+    asked: Time,
+    reply: Reply,
+}
+
 impl Quotas {
     /// `count` instances that have run for ten seconds without requests.
     pub(crate) fn open(count: usize, limit: Limit, slack: f64, seed: u64) -> Self {
@@ -61,6 +73,8 @@
             used: Vec::new(),
             denied: 0,
             asked: 0,
+            replies_held_until: 0,
+            held: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
         };
         quotas.run(10_000);
@@ -93,6 +107,7 @@
         for _ in 0..ms / STEP_MS {
             self.fleet.run(STEP_MS, |_| {});
             self.update_owners();
+            self.deliver_held();
             let per_step = self.demand / mean * STEP_MS as f64 / 1e3;
             let extra = self.rng.random_bool(per_step.fract());
             for _ in 0..per_step as usize + usize::from(extra) {
@@ -173,7 +188,17 @@
         self.denied += 1;
     }
 
-    fn ask(&mut self, index: usize, owner: std::net::SocketAddr, cost: f64) {
+    fn deliver_held(&mut self) {
+        let now = self.fleet.now_ms;
+        if now < self.replies_held_until {
+            return;
+        }
+        for HeldReply { index, owner, cost, asked, reply } in self.held.drain(..) {
+            self.accounts[index].apply_reply(at(now), asked, owner, cost, reply);
+        }
+    }
+
+    fn ask(&mut self, index: usize, owner: SocketAddr, cost: f64) {
         let now = at(self.fleet.now_ms);
         self.asked += 1;
         let other = index_at(owner);
@@ -182,8 +207,11 @@
             return;
         }
         let reply = self.accounts[other].grant(now, cost);
-        if self.fleet.delivers(other, index) {
-            self.accounts[index].apply_reply(now, owner, cost, reply);
+        if self.fleet.now_ms < self.replies_held_until {
+            self.held.push(HeldReply { index, owner, cost, asked: now, reply });
+            self.accounts[index].record_timeout(now, owner);
+        } else if self.fleet.delivers(other, index) {
+            self.accounts[index].apply_reply(now, now, owner, cost, reply);
         } else {
             self.accounts[index].record_timeout(now, owner);
         }
