Compare the name in an answer with the asked server's in one place

Whether an answer names another server was written out in four places, and that of a report or health check a second time where its evidence is weighed. They ask ResponseInfo::names_another now; an answer of another server ends before its outcome is made, so that the outcome has no copy of the name. Nothing else changes. The tests of what servers say, unframed ends and quarantine pass.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -193,6 +193,13 @@
     pub is_signed: bool,
 }
 
+impl ResponseInfo {
+    /// Whether it names another server than the one with this `name`.
+    pub fn names_another(&self, name: &str) -> bool {
+        self.server.as_deref().is_some_and(|it| it != name)
+    }
+}
+
 /// What has become of a handed-over request that the receiving instance refuses.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RefusedHandover {
--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -275,8 +275,7 @@
         // An answer "not run" without an id that arrives late may mean an earlier request of this connection,
         // and the current one would run twice. It counts only on a new connection, or if it has the name of
         // another server, which runs no request that is meant for this one.
-        let server = &self.pool.get(backend.server).name;
-        let is_other_server = answer.server.as_ref().is_some_and(|it| **it != **server);
+        let is_other_server = answer.names_another(&self.pool.get(backend.server).name);
         if answer.id.is_none() && answer.is_declined && backend.is_reused && !is_other_server {
             self.handle_broken_attempt(index, "nameless");
             return;
--- a/crates/gateway/src/core/control.rs
+++ b/crates/gateway/src/core/control.rs
@@ -148,8 +148,9 @@
 
 /// The outcome of a request.
 pub(crate) enum Outcome {
-    /// A complete answer was received. `server`: the name of the server that answered, if given.
-    Answered { status: u16, server: Option<Box<str>>, fields: Fields, body: Vec<u8> },
+    /// A complete answer was received. `is_named`: it names the server that answered, which is the one that was asked
+    /// for a report or its health.
+    Answered { status: u16, is_named: bool, fields: Fields, body: Vec<u8> },
     /// No connection could be opened, so that the request had no effect.
     NotSent,
     /// The connection was refused, as nothing listens at the address, or another server answered there; the request had
@@ -304,24 +305,16 @@
         if request.purpose.is_order() {
             self.net.set_tolerance(key, Tolerance::Peer);
         }
-        let (status, fields, server) = (head.status, head.fields, answer.server.clone());
-        let outcome = Outcome::Answered { status, server, fields, body };
-        self.apply_control_signals(&request.purpose, &answer, &outcome);
-        match request.purpose.reporting_server().filter(|it| self.is_of_another(*it, &outcome)) {
-            Some(id) => {
-                self.handle_replaced_server(id);
-                self.handle_control_outcome(request.purpose, Outcome::Refused);
-            }
-            None => self.handle_control_outcome(request.purpose, outcome),
-        }
-    }
-
-    /// Whether the answer names another server than the one that was asked.
-    fn is_of_another(&self, id: pool::Id, outcome: &Outcome) -> bool {
-        match outcome {
-            Outcome::Answered { server: Some(name), .. } => **name != *self.pool.get(id).name,
-            _ => false,
+        let is_of_another = |it: &pool::Id| answer.names_another(&self.pool.get(*it).name);
+        if let Some(id) = request.purpose.reporting_server().filter(is_of_another) {
+            self.handle_replaced_server(id);
+            self.handle_control_outcome(request.purpose, Outcome::Refused);
+            return;
         }
+        let (status, fields, is_named) = (head.status, head.fields, answer.server.is_some());
+        let outcome = Outcome::Answered { status, is_named, fields, body };
+        self.apply_control_signals(&request.purpose, &answer, &outcome);
+        self.handle_control_outcome(request.purpose, outcome);
     }
 
     /// Closes a connection, and ends the request on it, if any.
--- a/crates/gateway/src/core/failure.rs
+++ b/crates/gateway/src/core/failure.rs
@@ -33,7 +33,7 @@
         let weights = attempt.weights;
         let entry = self.pool.get_mut(server);
         let reason = match head.status {
-            421 if answer.server.as_deref().is_some_and(|it| it != &*entry.name) => "other-server",
+            421 if answer.names_another(&entry.name) => "other-server",
             421 => "other-weights",
             _ if attempt.is_from_copy => "no-copy",
             _ => REASON_FULL,
--- a/crates/gateway/src/core/signals.rs
+++ b/crates/gateway/src/core/signals.rs
@@ -65,10 +65,9 @@
         let Some(id) = purpose.server() else { return };
         let Outcome::Answered { status, body, .. } = outcome else { return };
         let server = self.pool.get(id);
-        let is_named = answer.server.as_ref().is_none_or(|it| **it == *server.name);
         // Another server, or another incarnation of this one, may have the address now.
         let reported = self.adapter.parse_report(body).and_then(|it| it.incarnation);
-        if *status == 421 || !is_named || !server.may_be(reported) {
+        if *status == 421 || answer.names_another(&server.name) || !server.may_be(reported) {
             return;
         }
         if answer.is_draining {
--- a/crates/gateway/src/core/unframed.rs
+++ b/crates/gateway/src/core/unframed.rs
@@ -204,15 +204,15 @@
         let known = self.pool.get(server);
         match outcome {
             _ if self.pool.is_followed(server) => Evidence::MayHaveEnded,
-            Outcome::Answered { server: Some(name), body, .. } => {
+            Outcome::Answered { is_named: true, body, .. } => {
                 let reported = self.adapter.parse_report(body).and_then(|it| it.incarnation);
-                match **name == *known.name && known.may_be(reported) {
+                match known.may_be(reported) {
                     true => Evidence::Alive,
                     false => Evidence::MayHaveEnded,
                 }
             }
             // A full server declines such requests like others.
-            Outcome::Answered { server: None, .. } | Outcome::Reset => Evidence::Inconclusive,
+            Outcome::Answered { is_named: false, .. } | Outcome::Reset => Evidence::Inconclusive,
             Outcome::Lost | Outcome::NotSent | Outcome::Refused => Evidence::MayHaveEnded,
         }
     }
