--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -224,7 +224,7 @@
 
 /// The setting is empty if the platform has no quotas.
 fn quota_window(ini: &Ini) -> Result<Duration, Error> {
-    if ini.get_from(Some("quotas"), "window_s").is_none_or(str::is_empty) {
+    if !is_set(ini, "quotas", "window_s") {
         return Ok(DEFAULT_QUOTA_WINDOW);
     }
     duration(ini, "quotas", "window_s", &SECONDS)
@@ -232,7 +232,7 @@
 
 /// The setting is empty if the platform states no limit.
 fn max_stale_weights(ini: &Ini) -> Result<Duration, Error> {
-    if ini.get_from(Some("weights"), "oldest_ms").is_none_or(str::is_empty) {
+    if !is_set(ini, "weights", "oldest_ms") {
         return Ok(DEFAULT_MAX_STALE_WEIGHTS);
     }
     duration(ini, "weights", "oldest_ms", &MILLISECONDS)
@@ -243,7 +243,7 @@
 
 /// Memory of the machine. The setting is empty if the platform states no limit; then it is what the system says.
 fn memory_bytes(ini: &Ini) -> Result<usize, Error> {
-    if ini.get_from(Some("memory"), "limit_mb").is_none_or(str::is_empty) {
+    if !is_set(ini, "memory", "limit_mb") {
         return Ok(system_memory_bytes().unwrap_or(memory::DEFAULT_MACHINE_BYTES));
     }
     let megabytes = quantity(ini, "memory", "limit_mb", &COUNT)?;
@@ -270,13 +270,12 @@
     quarantine::Policy { crash_threshold: 3, retention: Duration::from_secs(600) };
 
 fn quarantine(ini: &Ini) -> Result<quarantine::Policy, Error> {
-    let is_set = |key| ini.get_from(Some("quarantine"), key).is_some_and(|it| !it.is_empty());
     let mut policy = DEFAULT_QUARANTINE;
-    if is_set("crashes") {
+    if is_set(ini, "quarantine", "crashes") {
         let crashes: NonZeroUsize = number(ini, "quarantine", "crashes", "a number above 0")?;
         policy.crash_threshold = crashes.get();
     }
-    if is_set("keep_s") {
+    if is_set(ini, "quarantine", "keep_s") {
         let retention_s: u32 = number(ini, "quarantine", "keep_s", "a whole number of seconds")?;
         policy.retention = Duration::from_secs(retention_s.into());
     }
@@ -285,8 +284,7 @@
 
 /// Bandwidth of the link in bytes per second. The setting is empty if the platform states no limit.
 fn link_bytes_per_s(ini: &Ini) -> Result<f64, Error> {
-    let is_set = ini.get_from(Some("link"), "mbit_per_second").is_some_and(|it| !it.is_empty());
-    let mbit: f64 = match is_set {
+    let mbit: f64 = match is_set(ini, "link", "mbit_per_second") {
         true => quantity(ini, "link", "mbit_per_second", &COUNT)?,
         false => DEFAULT_LINK_MBIT_PER_S,
     };
@@ -314,6 +312,11 @@
         .collect()
 }
 
+/// Whether the setting has a value. The platform leaves those empty that it has none for.
+fn is_set(ini: &Ini, section: &str, key: &str) -> bool {
+    ini.get_from(Some(section), key).is_some_and(|it| !it.is_empty())
+}
+
 fn text<'a>(
     ini: &'a Ini,
     section: &'static str,
