Say by None that no lost prompt of this instance had a part

Its position was 0 in the evidence and the largest number among the candidates, which both meant this. The order of the candidates is the same. The tests of the quarantine pass.

--- a/crates/gateway/src/quarantine/blame.rs
+++ b/crates/gateway/src/quarantine/blame.rs
@@ -32,16 +32,14 @@
 /// The same for a part that no server has survived a short time ago.
 const SUSPICIOUS_SHARE: f64 = 0.5;
 
-/// Position of a part that only other instances have lost prompts with. It may be behind any other part.
-const UNPLACED: usize = usize::MAX;
-
 /// A part that may be the cause of crashes.
 struct Candidate {
     identity: Identity,
     /// Number of crashes in which it was and that no other part explains.
     crashes: usize,
-    /// Its position in the prompts of this instance, from 1; [`UNPLACED`] if none of those lost had it.
-    depth: usize,
+    /// Its position in the prompts of this instance, from 1; `None` if none of those lost had it, so that it may be
+    /// behind any other part.
+    depth: Option<usize>,
     /// Servers have survived it a short time ago.
     was_sound: bool,
     /// Servers would have survived it again since the first crash, if it did no harm.
@@ -66,7 +64,7 @@
             is_significant.then_some(Candidate {
                 identity: *identity,
                 crashes: evidence.incarnations(now).filter(|it| !explained.contains(it)).count(),
-                depth: if evidence.depth == 0 { UNPLACED } else { evidence.depth },
+                depth: evidence.depth,
                 was_sound,
                 is_ripe: is_ripe || !was_sound,
             })
@@ -78,8 +76,11 @@
             most as f64 * share <= it.crashes as f64
         };
         let leading = candidates.iter().filter(is_leading);
-        let leading = leading.max_by_key(|it| (!it.was_sound, it.depth, it.crashes, it.identity));
-        leading.filter(|it| it.is_ripe && it.depth != UNPLACED).map(|it| it.identity)
+        let rank = |it: &&Candidate| {
+            (!it.was_sound, it.depth.is_none(), it.depth, it.crashes, it.identity)
+        };
+        let leading = leading.max_by_key(rank);
+        leading.filter(|it| it.is_ripe && it.depth.is_some()).map(|it| it.identity)
     }
 
     /// Number of crashes that put a part in quarantine whose crashes were at these `times`: the more
--- a/crates/gateway/src/quarantine/evidence.rs
+++ b/crates/gateway/src/quarantine/evidence.rs
@@ -24,8 +24,8 @@
     pub(super) last_crash: Time,
     /// When as many crashes were known as put it in quarantine.
     pub(super) reached: Option<Time>,
-    /// Position of a part in the prompts of this instance, from 1; 0 if none of those lost had it.
-    pub(super) depth: usize,
+    /// Position of a part in the prompts of this instance, from 1; `None` if none of those lost had it.
+    pub(super) depth: Option<usize>,
     /// The parts before it in these prompts.
     pub(super) ancestors: Vec<Identity>,
     /// Whether a part in quarantine did no harm a short time before, so that the crashes may have
@@ -52,7 +52,7 @@
             lost,
             last_crash: now,
             reached: None,
-            depth: 0,
+            depth: None,
             ancestors,
             is_doubtful: false,
             has_open_trial: false,
@@ -94,7 +94,7 @@
 
     /// Records that a prompt of this instance that was lost had the part behind these `ancestors`.
     pub(super) fn record_position(&mut self, ancestors: &[Identity]) {
-        self.depth = self.depth.max(ancestors.len() + 1);
+        self.depth = self.depth.max(Some(ancestors.len() + 1));
         for it in ancestors {
             if self.ancestors.len() < MAX_ANCESTORS && !self.ancestors.contains(it) {
                 self.ancestors.push(*it);
