Date the questions behind replies in one place

Replies with permits and with units of quotas read the time of their question in the same way. The doc of points in time allows one that its own process gets back. The tests of rate limits and quotas pass.

--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A point on one process's monotonic clock, in microseconds since an arbitrary origin. Never
-/// compare points of different processes; messages carry ages or durations instead.
+/// compare points of different processes; messages carry ages or durations instead, or a point only
+/// for its own process to get it back.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
 )]
--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -257,6 +257,12 @@
         self.members.neighbours(self.now).map(|it| it.peers).collect()
     }
 
+    /// When this instance sent the question whose reply says that it was `asked` then. Earlier releases don't say it, and
+    /// an earlier process of this instance may have asked.
+    pub(super) fn asked_at(&self, asked: Option<Time>) -> Time {
+        asked.map_or(self.now, |it| it.min(self.now))
+    }
+
     /// Sends a datagram to each target. Returns the number of bytes sent.
     pub(crate) fn send_to(&mut self, targets: &[SocketAddr], datagram: &Datagram) -> usize {
         self.send_with(targets, datagram, &[])
--- a/crates/gateway/src/core/quota.rs
+++ b/crates/gateway/src/core/quota.rs
@@ -180,8 +180,8 @@
     /// Handles an owner's reply: dispatches the requests that it lets go on, the most urgent first.
     pub(crate) fn handle_quota_reply(&mut self, message: &QuotaReply) {
         let QuotaReply { organisation, cost, owner, reply, asked } = message;
+        let asked = self.asked_at(*asked);
         let Some(account) = self.quotas.get_mut(organisation) else { return };
-        let asked = asked.map_or(self.now, |it| it.min(self.now));
         account.apply_reply(self.now, asked, *owner, *cost, *reply);
         let is_denied = matches!(reply, Reply::Denied(_));
         let is_waiting = |it: &Exchange| {
--- a/crates/gateway/src/core/rate_limit.rs
+++ b/crates/gateway/src/core/rate_limit.rs
@@ -190,7 +190,7 @@
         let Some(id) = self.pool.find_incarnation(&reply.server, reply.incarnation) else {
             return;
         };
-        let asked = reply.asked.map_or(self.now, |it| it.min(self.now));
+        let asked = self.asked_at(reply.asked);
         if !self.pool.get_mut(id).limit.apply_reply(self.now, asked, reply.reply) {
             return;
         }
