Call a socket's time limit its timeout

A socket's time limit was called silence, tolerance, limit and lenient, and tolerance is also what servers name of rejections. It is the timeout now, as in the constants' names and the kernel's option: `net::Timeout`, `Net::set_timeout`, `Stream::set_timeout`. A socket's timeout is extended to `DELIVERY_TIMEOUT` while the peer may only be slow to read; `is_delivering` stays for the answer that the kernel may still hold. Names only; `limit_is_left_alone_for_short_answers` is `timeout_is_left_alone_for_short_answers`, with the same checks. The emulator's network keeps its own terms.

--- a/crates/emulator/src/network/handle.rs
+++ b/crates/emulator/src/network/handle.rs
@@ -120,13 +120,13 @@
 }
 
 impl network::Stream for Stream {
-    fn register(&mut self, token: usize, silence: Duration) -> io::Result<()> {
-        self.network.borrow_mut().register(self.id, token, silence);
+    fn register(&mut self, token: usize, timeout: Duration) -> io::Result<()> {
+        self.network.borrow_mut().register(self.id, token, timeout);
         Ok(())
     }
 
-    fn set_silence(&mut self, silence: Duration) -> io::Result<()> {
-        self.network.borrow_mut().set_silence(self.id, silence);
+    fn set_timeout(&mut self, timeout: Duration) -> io::Result<()> {
+        self.network.borrow_mut().set_silence(self.id, timeout);
         Ok(())
     }
 
--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -8,7 +8,7 @@
         body::Framing,
         head::{Decoder, Response},
     },
-    net::{Key, Socket, Tolerance},
+    net::{Key, Socket, Timeout},
     pool,
 };
 
@@ -81,11 +81,11 @@
             return None;
         }
         let entry = self.pool.get(server);
-        let tolerance = match entry.is_instance {
-            true => Tolerance::Peer,
-            false => Tolerance::Server,
+        let timeout = match entry.is_instance {
+            true => Timeout::Peer,
+            false => Timeout::Server,
         };
-        match self.net.connect(entry.address, tolerance) {
+        match self.net.connect(entry.address, timeout) {
             Ok(key) => {
                 self.pool.get_mut(server).connections += 1;
                 let backend = Backend {
--- a/crates/gateway/src/core/control.rs
+++ b/crates/gateway/src/core/control.rs
@@ -13,7 +13,7 @@
         head::{Decoder, Fields, Response},
         write,
     },
-    net::{CONNECT_TIMEOUT, Key, Socket, Tolerance},
+    net::{CONNECT_TIMEOUT, Key, Socket, Timeout},
     pool,
 };
 
@@ -202,7 +202,7 @@
         let deadline = self.now + timeout;
         let mut check_at = deadline;
         if purpose.is_order() {
-            self.net.set_tolerance(connection, Tolerance::Limit(timeout / 2));
+            self.net.set_timeout(connection, Timeout::Exactly(timeout / 2));
             if self.is_connecting(connection) {
                 check_at = check_at.min(self.now + CONNECT_TIMEOUT);
             }
@@ -230,7 +230,7 @@
             conn.is_reused = true;
             return Some(*key);
         }
-        match self.net.connect(address, Tolerance::Peer) {
+        match self.net.connect(address, Timeout::Peer) {
             Ok(key) => {
                 let conn = Connection {
                     address,
@@ -303,7 +303,7 @@
         }
         let request = self.control_requests.remove(index);
         if request.purpose.is_order() {
-            self.net.set_tolerance(key, Tolerance::Peer);
+            self.net.set_timeout(key, Timeout::Peer);
         }
         let is_of_another = |it: &pool::Id| answer.names_another(&self.pool.get(*it).name);
         if let Some(id) = request.purpose.reporting_server().filter(is_of_another) {
--- a/crates/gateway/src/host/network.rs
+++ b/crates/gateway/src/host/network.rs
@@ -47,10 +47,10 @@
 /// A connection. Dropping it closes it; bytes that were written are still sent.
 pub trait Stream: Read + Write {
     /// Has [`Network::poll`] return this stream's events with `token`. The connection fails once its peer has
-    /// acknowledged nothing for `silence`, or no further byte, even if it is alive and only doesn't read.
-    fn register(&mut self, token: usize, silence: Duration) -> io::Result<()>;
-    /// Changes that limit.
-    fn set_silence(&mut self, silence: Duration) -> io::Result<()>;
+    /// acknowledged nothing for `timeout`, or no further byte, even if it is alive and only doesn't read.
+    fn register(&mut self, token: usize, timeout: Duration) -> io::Result<()>;
+    /// Changes that timeout.
+    fn set_timeout(&mut self, timeout: Duration) -> io::Result<()>;
     /// Reads without consuming the bytes.
     fn peek(&self, buf: &mut [u8]) -> io::Result<usize>;
     /// Takes the error that has ended the connection or the attempt to open it.
--- a/crates/gateway/src/host/system/network.rs
+++ b/crates/gateway/src/host/system/network.rs
@@ -148,9 +148,9 @@
 }
 
 impl network::Stream for Stream {
-    fn register(&mut self, token: usize, silence: Duration) -> io::Result<()> {
+    fn register(&mut self, token: usize, timeout: Duration) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
-        self.set_silence(silence)?;
+        self.set_timeout(timeout)?;
         let raw = self.raw();
         let keepalive =
             TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
@@ -161,8 +161,8 @@
         Ok(())
     }
 
-    fn set_silence(&mut self, silence: Duration) -> io::Result<()> {
-        self.raw().set_tcp_user_timeout(Some(silence))
+    fn set_timeout(&mut self, timeout: Duration) -> io::Result<()> {
+        self.raw().set_tcp_user_timeout(Some(timeout))
     }
 
     fn peek(&self, buf: &mut [u8]) -> io::Result<usize> {
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -56,24 +56,23 @@
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
-/// How long a silent peer is waited for.
+/// How long a connection is kept on which the peer acknowledges nothing.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Tolerance {
+pub(crate) enum Timeout {
     /// A caller, another instance or the store.
     Peer,
     /// A backend server.
     Server,
     /// A backend server for which no bytes may be on their way for longer than about twice this.
-    Limit(Duration),
+    Exactly(Duration),
 }
 
-impl Tolerance {
-    /// How long a connection is kept on which the peer acknowledges nothing.
-    fn longest_silence(self) -> Duration {
+impl Timeout {
+    fn duration(self) -> Duration {
         match self {
             Self::Peer => PEER_TIMEOUT,
             Self::Server => SERVER_TIMEOUT,
-            Self::Limit(it) => it,
+            Self::Exactly(it) => it,
         }
     }
 }
@@ -175,9 +174,9 @@
     }
 
     /// Starts to connect to `address`. The outcome is known once the socket becomes writable.
-    pub(crate) fn connect(&mut self, address: SocketAddr, tolerance: Tolerance) -> io::Result<Key> {
+    pub(crate) fn connect(&mut self, address: SocketAddr, timeout: Timeout) -> io::Result<Key> {
         let stream = self.network.connect(address)?;
-        let key = self.add_stream(stream, tolerance)?;
+        let key = self.add_stream(stream, timeout)?;
         if let Some(socket) = self.get_mut(key) {
             socket.is_connecting = true;
         }
@@ -238,10 +237,10 @@
         }
     }
 
-    /// Changes how long a silent peer is waited for.
-    pub(crate) fn set_tolerance(&mut self, key: Key, tolerance: Tolerance) {
+    /// Changes how long the connection is kept on which the peer acknowledges nothing.
+    pub(crate) fn set_timeout(&mut self, key: Key, timeout: Timeout) {
         if let Some(socket) = self.get_mut(key) {
-            socket.set_silence(tolerance.longest_silence());
+            socket.set_timeout(timeout.duration());
         }
     }
 
@@ -337,18 +336,18 @@
                     return;
                 }
             };
-            match self.add_stream(stream, Tolerance::Peer) {
+            match self.add_stream(stream, Timeout::Peer) {
                 Ok(key) => events.push(Event::Accepted(key, endpoint)),
                 Err(err) => log::warn!("failed to set up an accepted connection: {err}"),
             }
         }
     }
 
-    fn add_stream(&mut self, mut stream: Box<dyn Stream>, tolerance: Tolerance) -> io::Result<Key> {
+    fn add_stream(&mut self, mut stream: Box<dyn Stream>, timeout: Timeout) -> io::Result<Key> {
         let key = self.next_key();
-        let silence = tolerance.longest_silence();
-        stream.register(key.index, silence)?;
-        let socket = Socket::new(stream, silence, self.memory.empty_hold());
+        let timeout = timeout.duration();
+        stream.register(key.index, timeout)?;
+        let socket = Socket::new(stream, timeout, self.memory.empty_hold());
         self.slots.insert((key.serial, Slot::Stream(socket)));
         Ok(key)
     }
--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -34,9 +34,9 @@
     /// Whether the end of the input, or an error, was reached.
     is_read_finished: bool,
     /// How long the peer may acknowledge nothing while it isn't waited for to read.
-    silence: Duration,
-    /// Whether the longer limit is in force, as the peer may only be slow to read.
-    is_lenient: bool,
+    timeout: Duration,
+    /// Whether [`DELIVERY_TIMEOUT`] is in force instead, as the peer may only be slow to read.
+    is_extended: bool,
     /// Number of bytes that were sent since the last request.
     answer_bytes: usize,
     /// Whether a long answer is complete that the kernel may still hold.
@@ -44,7 +44,7 @@
 }
 
 impl Socket {
-    pub(super) fn new(stream: Box<dyn Stream>, silence: Duration, hold: Hold) -> Self {
+    pub(super) fn new(stream: Box<dyn Stream>, timeout: Duration, hold: Hold) -> Self {
         Self {
             stream,
             input: Vec::new(),
@@ -54,22 +54,22 @@
             is_paused: false,
             is_read_closed: false,
             is_read_finished: false,
-            silence,
-            is_lenient: false,
+            timeout,
+            is_extended: false,
             answer_bytes: 0,
             is_delivering: false,
         }
     }
 
     /// Sets how long the connection is kept on which the peer acknowledges nothing.
-    pub(super) fn set_silence(&mut self, silence: Duration) {
-        self.silence = silence;
-        self.apply_silence();
+    pub(super) fn set_timeout(&mut self, timeout: Duration) {
+        self.timeout = timeout;
+        self.apply_timeout();
     }
 
-    fn apply_silence(&mut self) {
-        let silence = if self.is_lenient { DELIVERY_TIMEOUT } else { self.silence };
-        if let Err(err) = self.stream.set_silence(silence) {
+    fn apply_timeout(&mut self) {
+        let timeout = if self.is_extended { DELIVERY_TIMEOUT } else { self.timeout };
+        if let Err(err) = self.stream.set_timeout(timeout) {
             log::debug!("failed to set a connection's time limit: {err}");
         }
     }
@@ -121,24 +121,24 @@
     pub(crate) fn begin_answer(&mut self) {
         self.answer_bytes = 0;
         self.is_delivering = false;
-        self.adapt_silence();
+        self.adapt_timeout();
     }
 
     /// Ends it: nothing runs for the peer any more.
     pub(super) fn end_answer(&mut self) {
         self.is_delivering = LONG_ANSWER_BYTES <= self.answer_bytes;
-        self.adapt_silence();
+        self.adapt_timeout();
     }
 
     /// Chooses how long the peer may acknowledge nothing. The kernel doesn't tell one that has vanished from one that
     /// doesn't read.
-    fn adapt_silence(&mut self) {
-        let is_lenient = self.is_delivering || 0 < self.unsent_bytes();
-        if is_lenient == self.is_lenient || self.is_connecting {
+    fn adapt_timeout(&mut self) {
+        let is_extended = self.is_delivering || 0 < self.unsent_bytes();
+        if is_extended == self.is_extended || self.is_connecting {
             return;
         }
-        self.is_lenient = is_lenient;
-        self.apply_silence();
+        self.is_extended = is_extended;
+        self.apply_timeout();
     }
 
     /// Appends to the output buffer and writes as much as the kernel accepts at once.
@@ -241,7 +241,7 @@
                 Err(err) => return Err(err.kind()),
             }
         }
-        self.adapt_silence();
+        self.adapt_timeout();
         Ok(())
     }
 }
--- a/crates/gateway/src/net/tests.rs
+++ b/crates/gateway/src/net/tests.rs
@@ -12,7 +12,7 @@
 };
 
 use super::{
-    DELIVERY_TIMEOUT, Key, LONG_ANSWER_BYTES, PEER_TIMEOUT, READ_CHUNK_BYTES, Socket, Tolerance,
+    DELIVERY_TIMEOUT, Key, LONG_ANSWER_BYTES, PEER_TIMEOUT, READ_CHUNK_BYTES, Socket, Timeout,
     output::Output,
 };
 
@@ -28,12 +28,12 @@
 }
 
 impl Keepalive {
-    fn of(tolerance: Tolerance) -> Self {
+    fn of(timeout: Timeout) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address: SocketAddr = listener.local_addr().expect("it is bound");
         let network = Network::open().expect("a poll");
         let mut stream = network.open_stream(address).expect("a connection");
-        stream.register(0, tolerance.longest_silence()).expect("the options are known");
+        stream.register(0, timeout.duration()).expect("the options are known");
         let raw = stream.raw();
         Self {
             first_probe: raw.tcp_keepalive_time().expect("it is set"),
@@ -66,7 +66,7 @@
 // up half a second after the server had gone on.
 #[test]
 fn connection_outlasts_a_server_that_is_silent_for_a_second_and_a_half() {
-    let keepalive = Keepalive::of(Tolerance::Server);
+    let keepalive = Keepalive::of(Timeout::Server);
     for from in (0..3_000).step_by(50) {
         for length in [10, 500, 1_000, 1_500] {
             let from_ms = Duration::from_millis(from);
@@ -79,7 +79,7 @@
 // Connections to other instances and to the store that are silent for good must be noticed soon.
 #[test]
 fn connection_to_a_lost_instance_is_given_up_within_three_seconds() {
-    let keepalive = Keepalive::of(Tolerance::Peer);
+    let keepalive = Keepalive::of(Timeout::Peer);
     assert!(keepalive.user_timeout <= Duration::from_secs(3));
     assert!(!keepalive.outlasts(Duration::ZERO, Duration::from_secs(60)));
     assert!(keepalive.first_probe + keepalive.interval * 2 <= Duration::from_secs(3));
@@ -118,12 +118,12 @@
     }
 }
 
-/// What a peer takes and sends, and how long it may be silent.
+/// What a peer takes and sends, and how long it may acknowledge nothing.
 #[derive(Default)]
 struct Peer {
     room: usize,
     sends: usize,
-    silence: Duration,
+    timeout: Duration,
     changes: usize,
 }
 
@@ -153,14 +153,14 @@
 }
 
 impl Stream for Slow {
-    fn register(&mut self, _: usize, silence: Duration) -> io::Result<()> {
-        self.0.borrow_mut().silence = silence;
+    fn register(&mut self, _: usize, timeout: Duration) -> io::Result<()> {
+        self.0.borrow_mut().timeout = timeout;
         Ok(())
     }
 
-    fn set_silence(&mut self, silence: Duration) -> io::Result<()> {
+    fn set_timeout(&mut self, timeout: Duration) -> io::Result<()> {
         let mut peer = self.0.borrow_mut();
-        (peer.silence, peer.changes) = (silence, peer.changes + 1);
+        (peer.timeout, peer.changes) = (timeout, peer.changes + 1);
         Ok(())
     }
 
@@ -200,13 +200,13 @@
 fn peer_that_takes_nothing_is_waited_for_until_it_has_taken_all() {
     let (mut socket, peer) = slow_caller(100);
     socket.push(&[0; 100]);
-    assert_eq!(peer.borrow().silence, PEER_TIMEOUT);
+    assert_eq!(peer.borrow().timeout, PEER_TIMEOUT);
     socket.push(&[0; 100]);
-    assert_eq!(peer.borrow().silence, DELIVERY_TIMEOUT);
-    for (room, silence) in [(50, DELIVERY_TIMEOUT), (50, PEER_TIMEOUT)] {
+    assert_eq!(peer.borrow().timeout, DELIVERY_TIMEOUT);
+    for (room, timeout) in [(50, DELIVERY_TIMEOUT), (50, PEER_TIMEOUT)] {
         peer.borrow_mut().room = room;
         assert!(socket.handle_writable(Key { index: 0, serial: 1 }, &mut Vec::new()));
-        assert_eq!(peer.borrow().silence, silence);
+        assert_eq!(peer.borrow().timeout, timeout);
     }
 }
 
@@ -216,16 +216,16 @@
     let (mut socket, peer) = slow_caller(usize::MAX);
     socket.begin_answer();
     socket.push(&[0; LONG_ANSWER_BYTES]);
-    assert_eq!(peer.borrow().silence, PEER_TIMEOUT);
+    assert_eq!(peer.borrow().timeout, PEER_TIMEOUT);
     socket.end_answer();
-    assert_eq!(peer.borrow().silence, DELIVERY_TIMEOUT);
+    assert_eq!(peer.borrow().timeout, DELIVERY_TIMEOUT);
     socket.begin_answer();
-    assert_eq!(peer.borrow().silence, PEER_TIMEOUT);
+    assert_eq!(peer.borrow().timeout, PEER_TIMEOUT);
 }
 
 // Short answers must not cost system calls.
 #[test]
-fn limit_is_left_alone_for_short_answers() {
+fn timeout_is_left_alone_for_short_answers() {
     let (mut socket, peer) = slow_caller(usize::MAX);
     for _ in 0..3 {
         socket.begin_answer();
@@ -262,10 +262,10 @@
     let address = listener.local_addr().expect("it is bound");
     let network = Network::open().expect("a poll");
     let mut stream = network.open_stream(address).expect("a connection");
-    stream.register(0, Tolerance::Peer.longest_silence()).expect("the options are known");
-    for tolerance in [Tolerance::Limit(limit), Tolerance::Peer] {
-        stream.set_silence(tolerance.longest_silence()).expect("the option is known");
+    stream.register(0, Timeout::Peer.duration()).expect("the options are known");
+    for timeout in [Timeout::Exactly(limit), Timeout::Peer] {
+        stream.set_timeout(timeout.duration()).expect("the option is known");
         let set = stream.raw().tcp_user_timeout().expect("it can be read");
-        assert_eq!(set, Some(tolerance.longest_silence()));
+        assert_eq!(set, Some(timeout.duration()));
     }
 }
