Read the limit on descriptors from the settings

An instance doesn't know how many descriptors its process may have open, so it can't keep any for its own connections. The setting is read and checked; nothing follows from it yet. Where it is empty the system's limit holds.

--- a/crates/emulator/src/world/deployment.rs
+++ b/crates/emulator/src/world/deployment.rs
@@ -304,6 +304,7 @@
         quarantine: quarantine::Policy { crash_threshold: 3, retention: Duration::from_secs(600) },
         shutdown_grace: Duration::from_secs(10),
         memory_bytes: 110_000_000,
+        max_descriptors: 4_100,
         log_lines_per_s: 400,
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,6 +11,7 @@
 };
 
 use ini::Ini;
+use rustix::process::{Resource, getrlimit};
 
 use crate::{budget, memory, quarantine};
 
@@ -49,6 +50,8 @@
     pub shutdown_grace: Duration,
     /// Memory of the machine, in bytes.
     pub memory_bytes: usize,
+    /// Number of descriptors that the process may have open.
+    pub max_descriptors: usize,
     /// Maximum log lines per second; lines above it are dropped and counted.
     pub log_lines_per_s: u32,
 }
@@ -152,7 +155,7 @@
     Range { max: 3_600e3, unit_s: 1e-3, expected: "a number of milliseconds from 0 to 3600000" };
 
 /// Names of all settings, by section.
-const KNOWN_KEYS: [(&str, &[&str]); 14] = [
+const KNOWN_KEYS: [(&str, &[&str]); 15] = [
     ("instance", &["name", "data_centre"]),
     ("listen", &["callers", "ready", "directory", "peers", "metrics"]),
     ("store", &["address", "reads_per_second", "writes_per_second"]),
@@ -166,6 +169,7 @@
     ("quarantine", &["crashes", "keep_s"]),
     ("shutdown", &["grace_s"]),
     ("memory", &["limit_mb"]),
+    ("descriptors", &["limit"]),
     ("log", &["lines_per_second"]),
 ];
 
@@ -218,6 +222,7 @@
         quarantine: quarantine(ini)?,
         shutdown_grace: duration(ini, "shutdown", "grace_s", &SECONDS)?,
         memory_bytes: memory_bytes(ini)?,
+        max_descriptors: max_descriptors(ini)?,
         log_lines_per_s: number(ini, "log", "lines_per_second", "a whole number")?,
     })
 }
@@ -265,6 +270,24 @@
     kibibytes.checked_mul(BYTES_PER_KIB)
 }
 
+/// The least limit on descriptors with which an instance can serve anybody.
+const MIN_DESCRIPTORS: usize = 256;
+
+/// Descriptors of the process. The setting is empty if the platform states no limit; then it is what the system says.
+fn max_descriptors(ini: &Ini) -> Result<usize, Error> {
+    const EXPECTED: &str = "a whole number from 256";
+    if !is_set(ini, "descriptors", "limit") {
+        let limit = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+        return Ok(usize::try_from(limit).unwrap_or(usize::MAX).max(MIN_DESCRIPTORS));
+    }
+    let limit = number(ini, "descriptors", "limit", EXPECTED)?;
+    if MIN_DESCRIPTORS <= limit {
+        return Ok(limit);
+    }
+    let found = text(ini, "descriptors", "limit", EXPECTED)?.to_owned();
+    Err(Error::Value { section: "descriptors", key: "limit", found, expected: EXPECTED })
+}
+
 /// Policy of the quarantine if nothing is set.
 const DEFAULT_QUARANTINE: quarantine::Policy =
     quarantine::Policy { crash_threshold: 3, retention: Duration::from_secs(600) };
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -44,6 +44,19 @@
     assert!(parse(&format!("{VALID}[memory]\nlimit_mb = 0\n")).is_err());
 }
 
+// Without its process's limit, an instance would let callers take the descriptors that it needs for servers.
+#[test]
+fn descriptors_of_the_process_are_set_or_what_the_system_says() {
+    let max_descriptors = |text: &str| parse(text).unwrap().max_descriptors;
+    assert_eq!(max_descriptors(&format!("{VALID}[descriptors]\nlimit = 4100\n")), 4_100);
+    assert!(256 <= max_descriptors(VALID));
+    let empty = format!("{VALID}[descriptors]\nlimit =\n");
+    assert_eq!(max_descriptors(&empty), max_descriptors(VALID));
+    for limit in ["many", "255", "-1"] {
+        assert!(parse(&format!("{VALID}[descriptors]\nlimit = {limit}\n")).is_err());
+    }
+}
+
 #[test]
 fn error_has_section_key_and_expected_value() {
     let missing = parse(&VALID.replace("name = i1\n", "")).unwrap_err();
