Leave descriptors for the instance's own connections

Callers saw an instance that accepted nobody, and one that could reach neither servers nor the store: connections that send nothing took all descriptors until the idle limit ended them, and those to readiness, directory, other instances and metrics were never ended.

Cause: connections were accepted without any bound, and after an error of accept the waiting ones were forgotten, as the kernel tells of them once.

Each port has a share of `[descriptors] limit` now. Where it is used up, connections that rest make room, a sixteenth at a time: lingering and never used ones first, then idle ones, then those whose request or answer has made no progress for a second. Nothing that runs is ended, and a connection on which bytes wait is read first. If none rests, waiting connections are closed at once, so that their callers go elsewhere.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -34,6 +34,7 @@
 mod retry_budget;
 mod rollout;
 mod services;
+mod shedding;
 mod shutdown;
 mod signals;
 mod stall;
@@ -102,7 +103,7 @@
     /// To the store, a backend server or another instance, for control requests.
     Control(control::Connection),
     /// From a client of one of the instance's own endpoints.
-    Endpoint(Endpoint),
+    Endpoint(endpoints::Client),
 }
 
 /// Work that is due at a point in time.
@@ -162,6 +163,8 @@
     memory: memory::Account,
     /// Requests that were refused since the last sweep, as there was no memory for them.
     memory_refusals: u32,
+    /// When connections may be looked through again for some to shed, as descriptors are short.
+    next_connection_search: Time,
     pool: Pool,
     prefixes: PrefixIndex,
     cache_stores: cache::Stores,
@@ -240,7 +243,7 @@
         let now = clock.now();
         let listen = settings.listen;
         let memory = memory::Account::new(settings.memory_bytes);
-        let mut net = Net::new(network, memory.clone());
+        let mut net = Net::new(network, memory.clone(), settings.max_descriptors);
         let endpoints = [
             (listen.callers, Endpoint::Callers),
             (listen.ready, Endpoint::Ready),
@@ -303,6 +306,7 @@
             limits: limits::History::default(),
             memory,
             memory_refusals: 0,
+            next_connection_search: now,
             pool: Pool::default(),
             prefixes: PrefixIndex::default(),
             cache_stores: cache::Stores::default(),
@@ -350,6 +354,7 @@
         self.read_answered_callers();
         self.tick();
         self.read_answered_callers();
+        self.shed_connections();
         Ok(())
     }
 
@@ -386,7 +391,7 @@
     fn on_accepted(&mut self, key: Key, endpoint: Endpoint) {
         let role = match endpoint {
             Endpoint::Callers => Role::Caller(caller::Caller::new(self.now)),
-            endpoint => Role::Endpoint(endpoint),
+            endpoint => Role::Endpoint(endpoints::Client { endpoint, since: self.now }),
         };
         self.roles.insert(key, role);
     }
@@ -472,6 +477,7 @@
                 self.net.close(key);
             }
         }
+        self.net.retry_accepting();
         self.sweep_callers();
         self.sweep_memory();
         self.sweep_services();
--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -20,9 +20,29 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
+/// Time without progress after which a request that is still arriving may make room for others.
+const STALL_TIME: Duration = Duration::from_secs(1);
+
+/// What a caller's connection rests in that may make room for others, in the order in which they do.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Rest {
+    /// Its last answer was sent, and it is to be closed.
+    Lingering,
+    /// No request has ever arrived on it.
+    Unused,
+    /// Between requests.
+    Idle,
+    /// A request has stopped arriving.
+    Stalled,
+    /// Its last answer isn't being read.
+    Undelivered,
+}
+
 /// State of a caller's connection.
 pub(crate) struct Caller {
     state: State,
+    /// Whether a request has arrived on it.
+    is_used: bool,
     /// When the current state began, the last answer was passed to the kernel, or a part of a body arrived.
     since: Time,
     /// When the first byte of an incomplete head arrived.
@@ -97,7 +117,7 @@
 
 impl Caller {
     pub(crate) fn new(now: Time) -> Self {
-        Self { state: State::Idle, since: now, head_since: None }
+        Self { state: State::Idle, is_used: false, since: now, head_since: None }
     }
 
     /// Whether it has sent nothing for a while since its last answer.
@@ -121,6 +141,20 @@
         }
     }
 
+    /// What it rests in and since when, if it may make room for others. `is_sent`: the kernel has all of its answers.
+    pub(crate) fn rest(&self, now: Time, is_sent: bool) -> Option<(Rest, Time)> {
+        let stalled = |rest, since| (STALL_TIME <= now.since(since)).then_some((rest, since));
+        match (&self.state, self.head_since) {
+            (State::Busy(_), _) => None,
+            (State::Body(_), _) => stalled(Rest::Stalled, self.since),
+            _ if !is_sent => stalled(Rest::Undelivered, self.since),
+            (State::Closing | State::Discarding(_), _) => stalled(Rest::Lingering, self.since),
+            (State::Idle, Some(arrived)) => stalled(Rest::Stalled, arrived),
+            (State::Idle, None) if self.is_used => Some((Rest::Idle, self.since)),
+            (State::Idle, None) => Some((Rest::Unused, self.since)),
+        }
+    }
+
     /// The time limit that it has exceeded, if any.
     fn overrun(&self, now: Time, limits: &History, is_leaving: bool) -> Option<Overrun> {
         let age = now.since(self.since);
@@ -224,6 +258,7 @@
             Err(error) => return Step::Malformed(error),
         };
         caller.head_since = None;
+        caller.is_used = true;
         socket.begin_answer();
         if matches!(head.framing, Framing::Length(len) if (limits.max_body_bytes as u64) < len) {
             return Step::TooLarge;
@@ -443,6 +478,28 @@
         }
     }
 
+    /// Ends a connection to make room for others. A request that is still arriving is refused.
+    pub(crate) fn shed_caller(&mut self, key: Key, refusal: Refusal) {
+        let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return };
+        if let Some(incoming) = caller.take_incoming() {
+            self.refuse_partial(key, &(*incoming).into(), refusal);
+        } else if caller.head_since.is_some() {
+            self.refuse_head(key, refusal);
+        }
+        self.log_undelivered(key, refusal.reason());
+        self.close_connection(key);
+    }
+
+    /// Refuses a request whose head isn't complete.
+    fn refuse_head(&mut self, key: Key, refusal: Refusal) {
+        self.stats.count_refusal(refusal.reason());
+        let mut extra = self.adapter.refusal_fields(None, refusal.retry_after(), None);
+        extra.push(("Connection", "close".into()));
+        let body = error_body(refusal.reason());
+        let bytes = write::response(refusal.status(), "application/json", &body, &extra);
+        self.net.send(key, &bytes);
+    }
+
     /// Closes connections that have been idle, slow or lingering for too long.
     pub(crate) fn sweep_callers(&mut self) {
         let now = self.now;
--- a/crates/gateway/src/core/endpoints.rs
+++ b/crates/gateway/src/core/endpoints.rs
@@ -8,9 +8,10 @@
 use std::net::SocketAddr;
 
 use serde::Serialize;
+use shallotlead_base::time::Time;
 
 use crate::{
-    core::{Core, Role, answer::MAX_UNSENT_BYTES, state::STATE_PATH},
+    core::{Core, Role, answer::MAX_UNSENT_BYTES, caller::Rest, state::STATE_PATH},
     http::{body::Framing, head::Request, write},
     net::{Endpoint, Key, Socket},
     quarantine::endpoint::Problem,
@@ -24,12 +25,27 @@
 /// Most addresses in an answer of the directory.
 const MAX_ADDRESSES: usize = 64;
 
+/// A client's connection to an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Client {
+    pub(crate) endpoint: Endpoint,
+    /// When it was opened, or a request was answered on it.
+    pub(crate) since: Time,
+}
+
+impl Client {
+    /// What it rests in and since when. `is_sent`: the kernel has all of its answers.
+    pub(crate) fn rest(&self, is_sent: bool) -> (Rest, Time) {
+        (if is_sent { Rest::Idle } else { Rest::Undelivered }, self.since)
+    }
+}
+
 impl Core {
     /// Answers the requests that arrived on a connection.
     pub(crate) fn read_endpoint(&mut self, key: Key) {
         loop {
-            let Some(Role::Endpoint(endpoint)) = self.roles.get(&key) else { return };
-            let endpoint = *endpoint;
+            let Some(Role::Endpoint(client)) = self.roles.get(&key) else { return };
+            let endpoint = client.endpoint;
             let Some(socket) = self.net.get_mut(key) else { return };
             if MAX_UNSENT_BYTES < socket.unsent_bytes() {
                 // Reading resumes once the client has taken its answers.
@@ -52,6 +68,9 @@
             let close = [("Connection", "close".to_owned())];
             let extra = if keeps_alive { &[][..] } else { &close[..] };
             self.net.send(key, &write::response(status, content_type, &body, extra));
+            if let Some(Role::Endpoint(client)) = self.roles.get_mut(&key) {
+                client.since = self.now;
+            }
             if !keeps_alive {
                 self.close_connection(key);
                 return;
--- a/crates/gateway/src/core/refusal.rs
+++ b/crates/gateway/src/core/refusal.rs
@@ -53,6 +53,8 @@
     },
     /// The memory for requests is used up.
     NoMemory,
+    /// The descriptors for callers' connections are used up.
+    NoConnection,
     /// Servers declined the request, and no further attempt is allowed.
     Declined,
     /// The deadline passed before the request was sent.
@@ -75,6 +77,7 @@
             | Self::OutOfReach { .. }
             | Self::UnknownBuild
             | Self::NoMemory
+            | Self::NoConnection
             | Self::Declined
             | Self::TimeOut => 503,
         }
@@ -102,6 +105,7 @@
             Self::UnknownBuild => "unknown-build",
             Self::OverQuota { .. } => "over-quota",
             Self::NoMemory => "no-memory",
+            Self::NoConnection => "no-connection",
             Self::Declined => "turned-away",
             Self::TimeOut => "time-out",
         }
@@ -134,6 +138,7 @@
             Self::Shortage(_)
             | Self::UnknownBuild
             | Self::NoMemory
+            | Self::NoConnection
             | Self::Declined
             | Self::TimeOut => Some(RETRY_AFTER),
         }
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -3,6 +3,7 @@
 //! This module is independent of protocols. [`Net::poll`] appends received bytes to the sockets' input
 //! buffers and returns events; [`Net::send`] appends to an output buffer.
 
+mod descriptors;
 mod output;
 mod socket;
 #[cfg(test)]
@@ -25,6 +26,7 @@
     memory::{Account, Body},
 };
 
+use descriptors::Descriptors;
 pub(crate) use socket::Socket;
 
 /// Time limit for opening a connection. TCP sends a lost SYN again only after a second, so that trying
@@ -51,6 +53,8 @@
 const LONG_ANSWER_BYTES: usize = 2 * 1024;
 /// Maximum number of rounds in one poll.
 const MAX_ROUNDS: usize = 64;
+/// Most waiting connections that are closed in a row, as there is no descriptor for them.
+const MAX_REJECTED: usize = 1_024;
 /// Token of the datagram socket; the other sockets' tokens count from zero.
 const DATAGRAM_TOKEN: usize = usize::MAX - 1;
 /// Maximum size of a received datagram.
@@ -99,6 +103,21 @@
     Metrics,
 }
 
+impl Endpoint {
+    const COUNT: usize = Self::Metrics as usize + 1;
+
+    /// Its name in logs, that of its address in the settings.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Ready => "ready",
+            Self::Directory => "directory",
+            Self::Peers => "peers",
+            Self::Metrics => "metrics",
+        }
+    }
+}
+
 /// Event on a socket.
 #[derive(Debug)]
 pub(crate) enum Event {
@@ -129,6 +148,11 @@
     slots: Slab<(u64, Slot)>,
     datagrams: Option<Box<dyn Datagrams>>,
     next_serial: u64,
+    descriptors: Descriptors,
+    /// Listeners with connections that wait for a descriptor.
+    blocked: Vec<Key>,
+    /// Listeners that failed to accept a connection.
+    failed: Vec<Key>,
     /// Streams that may have unread bytes in the kernel, for which no further edge-triggered event will come.
     unfinished_reads: Vec<Key>,
     read_chunk: Box<[u8]>,
@@ -136,8 +160,9 @@
 }
 
 impl Net {
-    /// The reactor's sockets on `network`, none so far. What their buffers take is recorded in `memory`.
-    pub(crate) fn new(network: Box<dyn Network>, memory: Account) -> Self {
+    /// The reactor's sockets on `network`, none so far. What their buffers take is recorded in `memory`. The process may
+    /// have `max_descriptors` open.
+    pub(crate) fn new(network: Box<dyn Network>, memory: Account, max_descriptors: usize) -> Self {
         Self {
             network,
             memory,
@@ -145,6 +170,9 @@
             slots: Slab::new(),
             datagrams: None,
             next_serial: 0,
+            descriptors: Descriptors::new(max_descriptors),
+            blocked: Vec::new(),
+            failed: Vec::new(),
             unfinished_reads: Vec::new(),
             read_chunk: vec![0; READ_CHUNK_BYTES].into(),
             datagram_buffer: vec![0; MAX_DATAGRAM_BYTES].into(),
@@ -176,7 +204,7 @@
     /// Starts to connect to `address`. The outcome is known once the socket becomes writable.
     pub(crate) fn connect(&mut self, address: SocketAddr, timeout: Timeout) -> io::Result<Key> {
         let stream = self.network.connect(address)?;
-        let key = self.add_stream(stream, timeout)?;
+        let key = self.add_stream(stream, timeout, None)?;
         if let Some(socket) = self.get_mut(key) {
             socket.is_connecting = true;
         }
@@ -250,7 +278,11 @@
         if !matches!(self.slots.get(key.index), Some((serial, _)) if *serial == key.serial) {
             return;
         }
-        self.slots.remove(key.index);
+        if let (_, Slot::Stream(Socket { endpoint: Some(endpoint), .. })) =
+            self.slots.remove(key.index)
+        {
+            self.descriptors.close(endpoint);
+        }
     }
 
     /// Closes the socket so that its peer gets a reset.
@@ -265,7 +297,8 @@
     ///
     /// Time limits are checked after this. After a pause of the process, what has arrived must be read before.
     pub(crate) fn poll(&mut self, timeout: Duration, events: &mut Vec<Event>) -> io::Result<()> {
-        let mut timeout = if self.unfinished_reads.is_empty() { timeout } else { Duration::ZERO };
+        let is_due = !self.unfinished_reads.is_empty() || self.may_resume_accepting();
+        let mut timeout = if is_due { Duration::ZERO } else { timeout };
         for _ in 0..MAX_ROUNDS {
             if !self.poll_round(timeout, events)? {
                 break;
@@ -282,6 +315,11 @@
         for key in std::mem::take(&mut self.unfinished_reads) {
             self.read(key, false, events);
         }
+        if self.may_resume_accepting() {
+            for key in std::mem::take(&mut self.blocked) {
+                self.accept(key, events);
+            }
+        }
         for it in ready.drain(..) {
             self.handle_ready(it, events);
         }
@@ -307,10 +345,7 @@
         let Some((serial, slot)) = self.slots.get_mut(index) else { return };
         let key = Key { index, serial: *serial };
         match slot {
-            Slot::Listener(_, endpoint) => {
-                let endpoint = *endpoint;
-                self.accept(key, endpoint, events);
-            }
+            Slot::Listener(..) => self.accept(key, events),
             Slot::Stream(socket) => {
                 if ready.is_writable && !socket.handle_writable(key, events) {
                     return;
@@ -322,32 +357,88 @@
         }
     }
 
-    fn accept(&mut self, listener: Key, endpoint: Endpoint, events: &mut Vec<Event>) {
+    /// The endpoints at which connections wait for a descriptor.
+    pub(crate) fn full_endpoints(&self) -> Vec<Endpoint> {
+        let endpoints = self.blocked.iter().filter_map(|it| self.endpoint(*it));
+        endpoints.filter(|it| !self.descriptors.has_left(*it)).collect()
+    }
+
+    /// Number of connections that `endpoint` may hold.
+    pub(crate) fn max_connections(&self, endpoint: Endpoint) -> usize {
+        self.descriptors.limit(endpoint)
+    }
+
+    /// Closes connections that wait at `endpoint`, which has no descriptor for them. Returns how many.
+    pub(crate) fn reject_waiting(&mut self, endpoint: Endpoint) -> usize {
+        let key = self.blocked.iter().find(|it| self.endpoint(**it) == Some(endpoint)).copied();
+        let slot = key.and_then(|it| self.slots.get_mut(it.index));
+        let Some((_, Slot::Listener(listener, _))) = slot else { return 0 };
+        (0..MAX_REJECTED).take_while(|_| listener.accept().is_ok()).count()
+    }
+
+    /// Has listeners that failed try again with the next poll.
+    pub(crate) fn retry_accepting(&mut self) {
+        self.blocked.append(&mut self.failed);
+    }
+
+    fn may_resume_accepting(&self) -> bool {
+        let mut endpoints = self.blocked.iter().filter_map(|it| self.endpoint(*it));
+        endpoints.any(|it| self.descriptors.has_left(it))
+    }
+
+    /// What the listener `key` serves, if it is open.
+    fn endpoint(&self, key: Key) -> Option<Endpoint> {
+        match self.slots.get(key.index) {
+            Some((serial, Slot::Listener(_, endpoint))) if *serial == key.serial => Some(*endpoint),
+            _ => None,
+        }
+    }
+
+    fn accept(&mut self, key: Key, events: &mut Vec<Event>) {
         loop {
-            let Some((_, Slot::Listener(it, _))) = self.slots.get_mut(listener.index) else {
+            let Some((_, Slot::Listener(listener, endpoint))) = self.slots.get_mut(key.index)
+            else {
                 return;
             };
-            let stream = match it.accept() {
+            let endpoint = *endpoint;
+            if !self.descriptors.has_left(endpoint) {
+                if !self.blocked.contains(&key) {
+                    self.blocked.push(key);
+                }
+                return;
+            }
+            let stream = match listener.accept() {
                 Ok(stream) => stream,
                 Err(err) if err.kind() == ErrorKind::WouldBlock => return,
                 Err(err) if err.kind() == ErrorKind::Interrupted => continue,
                 Err(err) => {
                     log::warn!("failed to accept a connection: {err}");
+                    // No further event comes for the connections that wait already.
+                    self.failed.push(key);
                     return;
                 }
             };
-            match self.add_stream(stream, Timeout::Peer) {
+            match self.add_stream(stream, Timeout::Peer, Some(endpoint)) {
                 Ok(key) => events.push(Event::Accepted(key, endpoint)),
                 Err(err) => log::warn!("failed to set up an accepted connection: {err}"),
             }
         }
     }
 
-    fn add_stream(&mut self, mut stream: Box<dyn Stream>, timeout: Timeout) -> io::Result<Key> {
+    /// `endpoint`: which one has accepted it, if any.
+    fn add_stream(
+        &mut self,
+        mut stream: Box<dyn Stream>,
+        timeout: Timeout,
+        endpoint: Option<Endpoint>,
+    ) -> io::Result<Key> {
         let key = self.next_key();
         let timeout = timeout.duration();
         stream.register(key.index, timeout)?;
-        let socket = Socket::new(stream, timeout, self.memory.empty_hold());
+        let socket = Socket::new(stream, timeout, endpoint, self.memory.empty_hold());
+        if let Some(endpoint) = endpoint {
+            self.descriptors.open(endpoint);
+        }
         self.slots.insert((key.serial, Slot::Stream(socket)));
         Ok(key)
     }
--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -12,7 +12,8 @@
 };
 
 use super::{
-    DELIVERY_TIMEOUT, Event, Key, LONG_ANSWER_BYTES, MAX_INPUT_BYTES, output::Output, read_once,
+    DELIVERY_TIMEOUT, Endpoint, Event, Key, LONG_ANSWER_BYTES, MAX_INPUT_BYTES, output::Output,
+    read_once,
 };
 
 /// Capacity that an empty buffer keeps at most.
@@ -21,6 +22,8 @@
 /// An open stream with its buffers.
 pub(crate) struct Socket {
     stream: Box<dyn Stream>,
+    /// Which endpoint has accepted it, if any.
+    pub(super) endpoint: Option<Endpoint>,
     /// Received bytes that are not consumed yet.
     pub(crate) input: Vec<u8>,
     output: Output,
@@ -44,9 +47,15 @@
 }
 
 impl Socket {
-    pub(super) fn new(stream: Box<dyn Stream>, timeout: Duration, hold: Hold) -> Self {
+    pub(super) fn new(
+        stream: Box<dyn Stream>,
+        timeout: Duration,
+        endpoint: Option<Endpoint>,
+        hold: Hold,
+    ) -> Self {
         Self {
             stream,
+            endpoint,
             input: Vec::new(),
             output: Output::default(),
             hold,
