Read requests only while there is memory for them

Callers lost their requests as processes ended: many clients that send at once took an instance over its machine's memory, also clients whose requests had been refused.

Cause: each poll read up to 256 KB from every connection before any of it was parsed or counted, into buffers that doubled; the account was told, not asked.

Connections to this instance are read only while the account has room, with a reserve so that requests without a body are answered when bodies have taken all of it; the others are put off until the next poll, in turn, and the kernel's window holds their peers. One such connection holds 64 KB of input, in a buffer that grows with what arrives. All room of buffers is counted, and given back at once while memory is short. The kernel receives no more on a connection than a 2,048th of the budget, which counts as taken for bodies while there is more to read. Those who send little are read as before, without further system calls.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -355,6 +355,9 @@
         self.tick();
         self.read_answered_callers();
         self.shed_connections();
+        if self.net.is_short() {
+            self.net.trim_all();
+        }
         Ok(())
     }
 
--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -232,6 +232,7 @@
                 if let Some(socket) = self.net.get_mut(key) {
                     socket.input.clear();
                 }
+                self.net.resume_reading(key);
                 Step::Wait
             }
         }
@@ -253,6 +254,8 @@
                 if socket.input.is_empty() {
                     caller.head_since = None;
                 }
+                socket.expect_input(limits.max_head_bytes + 1);
+                net.resume_reading(key);
                 return Step::Wait;
             }
             Err(error) => return Step::Malformed(error),
--- a/crates/gateway/src/host/network.rs
+++ b/crates/gateway/src/host/network.rs
@@ -42,6 +42,10 @@
 pub trait Listener {
     /// Accepts a connection.
     fn accept(&mut self) -> io::Result<Box<dyn Stream>>;
+    /// Bounds what the connections that it accepts from now on may receive before it is read, in bytes.
+    fn limit_unread(&mut self, _bytes: usize) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 /// A connection. Dropping it closes it; bytes that were written are still sent.
--- a/crates/gateway/src/host/system/network.rs
+++ b/crates/gateway/src/host/system/network.rs
@@ -103,6 +103,10 @@
         let (stream, _) = self.listener.accept()?;
         Ok(Box::new(Stream::new(stream, self.registry.clone())))
     }
+
+    fn limit_unread(&mut self, bytes: usize) -> io::Result<()> {
+        SockRef::from(&self.listener).set_recv_buffer_size(bytes)
+    }
 }
 
 impl Drop for Listener {
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -7,6 +7,17 @@
 /// Share (1/n) of the machine's memory that may be held. The rest is for the process itself, for what its allocator
 /// keeps and for the kernel's buffers, which hold as much again of bodies that are being sent.
 const BUDGET_DIVISOR: usize = 2;
+/// Share (1/n) of the budget that is read of callers' requests beyond it, so that they can be answered when bodies take
+/// all of it.
+const READ_RESERVE_DIVISOR: usize = 16;
+/// What is read beyond the budget at least, bytes.
+const MIN_READ_RESERVE: usize = 256 * 1024;
+
+/// Share (1/n) of the budget that one connection may have received unread, and its bounds in bytes. Below them, a sender
+/// would wait for each acknowledgement; above, nothing is gained.
+const UNREAD_DIVISOR: usize = 2_048;
+const MIN_UNREAD: usize = 16 * 1024;
+const MAX_UNREAD: usize = 128 * 1024;
 
 /// What is held of the budget.
 #[derive(Clone, Debug)]
@@ -15,7 +26,9 @@
     /// Taken by holds.
     held: Rc<Cell<usize>>,
     /// Bytes in buffers that have no holds, as last measured.
-    buffered: usize,
+    buffered: Rc<Cell<usize>>,
+    /// Bytes that the kernel may have received for connections from which more can be read.
+    unread: Rc<Cell<usize>>,
     most: usize,
 }
 
@@ -38,7 +51,7 @@
     /// The account of an instance on a machine with `machine_bytes` of memory.
     pub fn new(machine_bytes: usize) -> Self {
         let limit = machine_bytes / BUDGET_DIVISOR;
-        Self { limit, held: Rc::default(), buffered: 0, most: 0 }
+        Self { limit, held: Rc::default(), buffered: Rc::default(), unread: Rc::default(), most: 0 }
     }
 
     /// Bytes that may be held.
@@ -48,7 +61,29 @@
 
     /// Bytes that are held.
     pub fn held(&self) -> usize {
-        self.held.get().saturating_add(self.buffered)
+        self.held.get().saturating_add(self.buffered.get())
+    }
+
+    /// Bytes that the kernel may receive on one connection before they are read. They take the machine's memory as well.
+    pub fn unread_limit(&self) -> usize {
+        (self.limit / UNREAD_DIVISOR).clamp(MIN_UNREAD, MAX_UNREAD)
+    }
+
+    /// Bytes that are held beyond the limit.
+    pub fn excess(&self) -> usize {
+        self.held().saturating_sub(self.limit)
+    }
+
+    /// Whether `bytes` are left. Nothing always is.
+    pub fn has_left(&self, bytes: usize) -> bool {
+        let taken = self.held().saturating_add(self.unread.get());
+        bytes == 0 || taken.saturating_add(bytes) <= self.limit
+    }
+
+    /// Whether `bytes` may be read of callers' requests.
+    pub fn may_read(&self, bytes: usize) -> bool {
+        let reserve = (self.limit / READ_RESERVE_DIVISOR).max(MIN_READ_RESERVE);
+        self.held().saturating_add(bytes) <= self.limit.saturating_add(reserve)
     }
 
     /// Takes `bytes`, unless they are not left.
@@ -60,8 +95,8 @@
     /// Extends `hold` to `bytes` if it is less. Returns false if they are not left.
     pub fn extend(&mut self, hold: &mut Hold, bytes: usize) -> bool {
         let more = bytes.saturating_sub(hold.bytes);
-        if self.limit < self.held().saturating_add(more) {
-            return more == 0;
+        if !self.has_left(more) {
+            return false;
         }
         hold.bytes += more;
         self.held.set(self.held.get() + more);
@@ -69,6 +104,11 @@
         true
     }
 
+    /// A part of nothing of what the kernel has received.
+    pub fn empty_unread(&self) -> Hold {
+        Hold { account: Rc::clone(&self.unread), bytes: 0 }
+    }
+
     /// A part of nothing, for what can only be recorded.
     pub fn empty_hold(&self) -> Hold {
         Hold { account: Rc::clone(&self.held), bytes: 0 }
@@ -76,7 +116,7 @@
 
     /// Records how many bytes are in buffers that have no holds.
     pub fn set_buffered(&mut self, bytes: usize) {
-        self.buffered = bytes;
+        self.buffered.set(bytes);
         self.most = self.most.max(self.held());
     }
 
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -27,6 +27,7 @@
 };
 
 use descriptors::Descriptors;
+use socket::IDLE_BYTES;
 pub(crate) use socket::Socket;
 
 /// Time limit for opening a connection. TCP sends a lost SYN again only after a second, so that trying
@@ -36,6 +37,8 @@
 const READ_CHUNK_BYTES: usize = 32 * 1024;
 /// Size of a socket's input buffer from which on reading pauses until the input is consumed.
 const MAX_INPUT_BYTES: usize = 256 * 1024;
+/// The same for requests to this instance, unless a longer one is expected.
+const MAX_REQUEST_INPUT_BYTES: usize = 64 * 1024;
 /// How long the kernel keeps a connection to a caller, an instance or the store on which nothing is acknowledged. An
 /// interrupted link causes no reset; without this limit a write would hang until the request's deadline. The kernel
 /// counts a peer that doesn't read as silent even if it answers; see [`DELIVERY_TIMEOUT`].
@@ -51,6 +54,8 @@
 pub(crate) const DELIVERY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Length of an answer from which on it may not fit into what its caller receives without reading, bytes.
 const LONG_ANSWER_BYTES: usize = 2 * 1024;
+/// Longest wait for events while requests wait for memory to be read.
+const MEMORY_WAIT: Duration = Duration::from_millis(10);
 /// Maximum number of rounds in one poll.
 const MAX_ROUNDS: usize = 64;
 /// Most waiting connections that are closed in a row, as there is no descriptor for them.
@@ -155,6 +160,8 @@
     failed: Vec<Key>,
     /// Streams that may have unread bytes in the kernel, for which no further edge-triggered event will come.
     unfinished_reads: Vec<Key>,
+    /// Streams that aren't read before the next poll, and then only if there is memory for it.
+    put_off: Vec<Key>,
     read_chunk: Box<[u8]>,
     datagram_buffer: Box<[u8]>,
 }
@@ -174,6 +181,7 @@
             blocked: Vec::new(),
             failed: Vec::new(),
             unfinished_reads: Vec::new(),
+            put_off: Vec::new(),
             read_chunk: vec![0; READ_CHUNK_BYTES].into(),
             datagram_buffer: vec![0; MAX_DATAGRAM_BYTES].into(),
         }
@@ -182,7 +190,10 @@
     /// Listens at `address` for connections to `endpoint`.
     pub(crate) fn listen(&mut self, address: SocketAddr, endpoint: Endpoint) -> io::Result<Key> {
         let key = self.next_key();
-        let listener = self.network.listen(address, key.index)?;
+        let mut listener = self.network.listen(address, key.index)?;
+        if let Err(err) = listener.limit_unread(self.memory.unread_limit()) {
+            log::warn!("failed to bound what connections receive: {err}");
+        }
         self.slots.insert((key.serial, Slot::Listener(listener, endpoint)));
         Ok(key)
     }
@@ -227,11 +238,20 @@
         }
     }
 
-    /// Gives back room of buffers that are empty.
+    /// Gives back room of buffers that are empty, beyond what a quick peer needs.
     pub(crate) fn trim(&mut self) {
+        self.trim_to(IDLE_BYTES);
+    }
+
+    /// Gives back all room of buffers that are empty.
+    pub(crate) fn trim_all(&mut self) {
+        self.trim_to(0);
+    }
+
+    fn trim_to(&mut self, kept: usize) {
         for (_, (_, slot)) in &mut self.slots {
             if let Slot::Stream(socket) = slot {
-                socket.trim();
+                socket.trim(kept);
             }
         }
     }
@@ -298,7 +318,13 @@
     /// Time limits are checked after this. After a pause of the process, what has arrived must be read before.
     pub(crate) fn poll(&mut self, timeout: Duration, events: &mut Vec<Event>) -> io::Result<()> {
         let is_due = !self.unfinished_reads.is_empty() || self.may_resume_accepting();
-        let mut timeout = if is_due { Duration::ZERO } else { timeout };
+        let mut timeout = match self.put_off.is_empty() {
+            _ if is_due => Duration::ZERO,
+            true => timeout,
+            false if self.is_short() => timeout.min(MEMORY_WAIT),
+            false => Duration::ZERO,
+        };
+        self.resume_put_off();
         for _ in 0..MAX_ROUNDS {
             if !self.poll_round(timeout, events)? {
                 break;
@@ -308,6 +334,41 @@
         Ok(())
     }
 
+    /// Tries again to read the streams that were put off.
+    fn resume_put_off(&mut self) {
+        let keys = std::mem::take(&mut self.put_off);
+        for key in &keys {
+            if let Some(socket) = self.get_mut(*key) {
+                socket.is_put_off = false;
+            }
+        }
+        self.unfinished_reads.extend(keys);
+    }
+
+    /// Whether streams wait for memory to be read.
+    pub(crate) fn is_short(&self) -> bool {
+        !self.put_off.is_empty() && !self.memory.may_read(READ_CHUNK_BYTES)
+    }
+
+    /// Whether the stream may be read now. What servers, the store and other instances answer is read in any case, but
+    /// not much of it at a time while memory is short.
+    fn may_read(&mut self, key: Key) -> bool {
+        let has_memory = self.memory.may_read(READ_CHUNK_BYTES);
+        let Some(socket) = self.get_mut(key) else { return false };
+        let may_read = match socket.endpoint {
+            Some(_) => has_memory,
+            None => has_memory || socket.input.is_empty(),
+        };
+        if may_read {
+            return true;
+        }
+        socket.expect_unread(true);
+        if !std::mem::replace(&mut socket.is_put_off, true) {
+            self.put_off.push(key);
+        }
+        false
+    }
+
     /// Handles the sockets that are ready. Returns whether more may be.
     fn poll_round(&mut self, timeout: Duration, events: &mut Vec<Event>) -> io::Result<bool> {
         let mut ready = std::mem::take(&mut self.ready);
@@ -435,18 +496,25 @@
         let key = self.next_key();
         let timeout = timeout.duration();
         stream.register(key.index, timeout)?;
-        let socket = Socket::new(stream, timeout, endpoint, self.memory.empty_hold());
+        let holds = [self.memory.empty_hold(), self.memory.empty_unread()];
+        let mut socket = Socket::new(stream, timeout, endpoint, holds);
         if let Some(endpoint) = endpoint {
             self.descriptors.open(endpoint);
+            socket = socket.with_unread_limit(self.memory.unread_limit());
         }
         self.slots.insert((key.serial, Slot::Stream(socket)));
         Ok(key)
     }
 
     fn read(&mut self, key: Key, is_read_closed: bool, events: &mut Vec<Event>) {
-        let mut chunk = std::mem::take(&mut self.read_chunk);
         if let Some(socket) = self.get_mut(key) {
             socket.is_read_closed |= is_read_closed;
+        }
+        if !self.may_read(key) {
+            return;
+        }
+        let mut chunk = std::mem::take(&mut self.read_chunk);
+        if let Some(socket) = self.get_mut(key) {
             let more = socket.read(key, &mut chunk, events);
             if more {
                 self.unfinished_reads.push(key);
--- a/crates/gateway/src/net/output.rs
+++ b/crates/gateway/src/net/output.rs
@@ -4,8 +4,6 @@
 
 use crate::memory::Body;
 
-use super::socket::IDLE_BYTES;
-
 /// Length of the sent part of a buffer from which on it is removed, and capacity that an emptied buffer keeps.
 const COMPACT_BYTES: usize = 64 * 1024;
 
@@ -40,20 +38,17 @@
         self.unsent
     }
 
-    /// Gives back the room of an empty buffer.
-    pub(super) fn trim(&mut self) {
+    /// Gives back the room of an empty buffer beyond `kept` bytes.
+    pub(super) fn trim(&mut self, kept: usize) {
         if self.unsent == 0
             && let Some(Part::Owned(it)) = self.parts.front_mut()
         {
-            it.shrink_to(IDLE_BYTES);
+            it.shrink_to(kept);
         }
     }
 
-    /// Number of bytes that its own buffers take, if any are unsent.
+    /// Number of bytes that its own buffers take.
     pub(super) fn buffered_bytes(&self) -> usize {
-        if self.unsent == 0 {
-            return 0;
-        }
         let owned = |it: &Part| if let Part::Owned(it) = it { it.capacity() } else { 0 };
         self.parts.iter().map(owned).sum()
     }
--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -12,8 +12,8 @@
 };
 
 use super::{
-    DELIVERY_TIMEOUT, Endpoint, Event, Key, LONG_ANSWER_BYTES, MAX_INPUT_BYTES, output::Output,
-    read_once,
+    DELIVERY_TIMEOUT, Endpoint, Event, Key, LONG_ANSWER_BYTES, MAX_INPUT_BYTES,
+    MAX_REQUEST_INPUT_BYTES, READ_CHUNK_BYTES, output::Output, read_once,
 };
 
 /// Capacity that an empty buffer keeps at most.
@@ -27,11 +27,19 @@
     /// Received bytes that are not consumed yet.
     pub(crate) input: Vec<u8>,
     output: Output,
-    /// Covers the buffers that aren't empty, without shared ones.
+    /// Covers the buffers, without shared ones.
     hold: Hold,
+    /// Bytes that the kernel receives at most before they are read.
+    unread_limit: usize,
+    /// Covers what the kernel may have received, while there is more to read.
+    unread: Hold,
     pub(super) is_connecting: bool,
+    /// Length of the input from which on reading pauses until it is consumed.
+    max_input: usize,
     /// Whether reading is paused because the input buffer is full.
     pub(super) is_paused: bool,
+    /// Whether reading is put off because the memory for requests is used up.
+    pub(super) is_put_off: bool,
     /// Whether the kernel has signalled that the peer closed its side. Bytes before that may still be unread.
     pub(super) is_read_closed: bool,
     /// Whether the end of the input, or an error, was reached.
@@ -51,7 +59,7 @@
         stream: Box<dyn Stream>,
         timeout: Duration,
         endpoint: Option<Endpoint>,
-        hold: Hold,
+        [hold, unread]: [Hold; 2],
     ) -> Self {
         Self {
             stream,
@@ -59,8 +67,12 @@
             input: Vec::new(),
             output: Output::default(),
             hold,
+            unread_limit: 0,
+            unread,
             is_connecting: false,
+            max_input: if endpoint.is_some() { MAX_REQUEST_INPUT_BYTES } else { MAX_INPUT_BYTES },
             is_paused: false,
+            is_put_off: false,
             is_read_closed: false,
             is_read_finished: false,
             timeout,
@@ -70,6 +82,11 @@
         }
     }
 
+    /// Bounds what the kernel receives before it is read.
+    pub(super) fn with_unread_limit(self, bytes: usize) -> Self {
+        Self { unread_limit: bytes, ..self }
+    }
+
     /// Sets how long the connection is kept on which the peer acknowledges nothing.
     pub(super) fn set_timeout(&mut self, timeout: Duration) {
         self.timeout = timeout;
@@ -90,19 +107,23 @@
         }
     }
 
-    /// Gives back the room of empty buffers.
-    pub(super) fn trim(&mut self) {
-        self.output.trim();
+    /// Gives back the room of empty buffers beyond `kept` bytes for each.
+    pub(super) fn trim(&mut self, kept: usize) {
+        self.output.trim(kept);
         if self.input.is_empty() {
-            self.input.shrink_to(IDLE_BYTES);
+            self.input.shrink_to(kept);
         }
         self.measure();
     }
 
     /// Records what its buffers take.
     pub(crate) fn measure(&mut self) {
-        let input = if self.input.is_empty() { 0 } else { self.input.capacity() };
-        self.hold.record(input + self.output.buffered_bytes());
+        self.hold.record(self.input.capacity() + self.output.buffered_bytes());
+    }
+
+    /// Lets the input grow to `bytes` at least before reading pauses.
+    pub(crate) fn expect_input(&mut self, bytes: usize) {
+        self.max_input = self.max_input.max(bytes);
     }
 
     /// Number of output bytes that the kernel has not accepted yet.
@@ -211,13 +232,26 @@
 
     /// Reads up to one chunk. Returns whether more bytes may be available.
     pub(super) fn read(&mut self, key: Key, chunk: &mut [u8], events: &mut Vec<Event>) -> bool {
+        let more = self.read_chunk(key, chunk, events);
+        self.expect_unread(more || self.is_paused);
+        more
+    }
+
+    /// Records whether there is more to read.
+    pub(super) fn expect_unread(&mut self, has_more: bool) {
+        self.unread.record(if has_more { self.unread_limit } else { 0 });
+    }
+
+    fn read_chunk(&mut self, key: Key, chunk: &mut [u8], events: &mut Vec<Event>) -> bool {
         if self.is_read_finished || self.is_connecting {
             return false;
         }
-        if MAX_INPUT_BYTES <= self.input.len() {
+        if self.max_input <= self.input.len() {
             self.is_paused = true;
             return false;
         }
+        let room = chunk.len().min(self.max_input - self.input.len());
+        let chunk = &mut chunk[..room];
         match read_once(&mut *self.stream, chunk) {
             Ok(None) => false,
             Ok(Some(0)) => {
@@ -226,7 +260,7 @@
                 false
             }
             Ok(Some(len)) => {
-                self.input.extend_from_slice(&chunk[..len]);
+                self.append(&chunk[..len]);
                 self.measure();
                 events.push(Event::Readable(key));
                 // A short read has emptied the kernel's buffer, so that a second one would block.
@@ -240,6 +274,17 @@
         }
     }
 
+    /// Appends to the input. Its buffer grows with what arrives, not by doubling, as many are open at once.
+    fn append(&mut self, bytes: &[u8]) {
+        if self.input.capacity() - self.input.len() < bytes.len() {
+            let is_short = self.input.len() + bytes.len() <= IDLE_BYTES;
+            let step = if is_short { IDLE_BYTES } else { READ_CHUNK_BYTES };
+            let capacity = (self.input.len() + bytes.len()).next_multiple_of(step);
+            self.input.reserve_exact(capacity - self.input.len());
+        }
+        self.input.extend_from_slice(bytes);
+    }
+
     fn flush(&mut self) -> Result<(), ErrorKind> {
         while 0 < self.output.unsent_bytes() {
             match self.stream.write(self.output.next()) {
