Take memory for bodies before they grow, and once they arrive

Callers were refused for lack of memory beside clients that had sent only the heads of uploads, and chunked bodies took more memory than was left.

Cause: a stated length was taken from the account when the head arrived, whether or not anything followed. A chunked body grew first, by doubling, with its old and new room at once, and the account was asked after that; what it left behind fitted no other body. A chunk that is said to be longer than a body may be was read up to the limit.

A body's stated length is taken with its first byte; without room for it the request is refused at its head as before. The account is asked before a chunked body grows. Bodies are kept in segments of one length, which are never moved, and sent from there. A chunk that would exceed the limit is refused at its size.

--- a/crates/base/src/hash.rs
+++ b/crates/base/src/hash.rs
@@ -20,6 +20,15 @@
     xxh3::xxh3_64_with_seed(bytes, seed)
 }
 
+/// The hash [`seeded`] of the bytes of all `parts`, one after the other.
+pub fn seeded_parts<'a>(parts: impl IntoIterator<Item = &'a [u8]>, seed: u64) -> u64 {
+    let mut hasher = xxh3::Xxh3::with_seed(seed);
+    for part in parts {
+        hasher.update(part);
+    }
+    hasher.digest()
+}
+
 /// Rendezvous weight of `member` for `key` (Thaler and Ravishankar, highest random weight).
 pub fn weight(member: &str, key: u64) -> u64 {
     seeded(member.as_bytes(), key)
--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -11,7 +11,7 @@
     },
     http::{Error, body::Framing, head::Request, write},
     limits::History,
-    memory::{Body, Hold},
+    memory::{Account, Body, Hold, Segments},
     net::{DELIVERY_TIMEOUT, Key, Socket},
 };
 
@@ -66,8 +66,8 @@
 struct Incoming {
     head: Request,
     framing: Framing,
-    body: Vec<u8>,
-    /// Covers the stated length, otherwise what has arrived.
+    body: Segments,
+    /// Covers the stated length once a part has arrived, otherwise the room for what has arrived.
     hold: Hold,
     arrived: Time,
     /// The limits for it when its head was complete.
@@ -79,6 +79,43 @@
     fn limits(&self, history: &History) -> Limits {
         self.limits.most_generous(history.since(self.arrived))
     }
+
+    /// Takes the memory for the next `arrived` bytes. Returns false if it isn't left.
+    fn grow(&mut self, arrived: usize, memory: &mut Account) -> bool {
+        if arrived == 0 {
+            return true;
+        }
+        let needed = match self.framing {
+            Framing::Length(left) => self.body.len().saturating_add(to_usize(left)),
+            _ => self.body.capacity() + arrived + Segments::SEGMENT,
+        };
+        memory.extend(&mut self.hold, needed)
+    }
+
+    /// Moves what has arrived to the body. Returns whether it is complete.
+    fn decode(&mut self, input: &mut Vec<u8>) -> Result<bool, Error> {
+        let left = match self.framing {
+            Framing::Length(left) => to_usize(left),
+            _ => usize::MAX,
+        };
+        let mut part = Vec::new();
+        let is_complete = self.framing.decode(input, &mut part)?;
+        self.body.push(&part, left);
+        if !matches!(self.framing, Framing::Length(_)) {
+            self.hold.record(self.body.capacity());
+        }
+        Ok(is_complete)
+    }
+
+    /// Whether it has more than `max_bytes`, or will have.
+    fn is_too_large(&self, max_bytes: usize) -> bool {
+        let total = (self.body.len() as u64).saturating_add(self.framing.least_left());
+        (max_bytes as u64) < total
+    }
+}
+
+fn to_usize(bytes: u64) -> usize {
+    usize::try_from(bytes).unwrap_or(usize::MAX)
 }
 
 /// A request that is refused before its body is complete.
@@ -269,25 +306,24 @@
         self.begin_body(key, head, arrived, limits)
     }
 
-    /// Takes the memory for the body of the request with this head, and waits for it.
+    /// Waits for the body of the request with this head, unless there is no memory for it.
     fn begin_body(&mut self, key: Key, head: Request, arrived: Time, limits: Limits) -> Step {
-        let Self { net, roles, now, memory, .. } = self;
-        let Some(Role::Caller(caller)) = roles.get_mut(&key) else { return Step::Wait };
         let is_waiting = head.fields.contains_token("expect", "100-continue")
-            && net.get(key).is_some_and(|it| it.input.is_empty());
+            && self.net.get(key).is_some_and(|it| it.input.is_empty());
         let framing = head.framing;
-        let stated = if let Framing::Length(len) = framing { len } else { 0 };
-        let stated = usize::try_from(stated).unwrap_or(usize::MAX);
-        let Some(hold) = memory.take(stated) else {
+        let stated = to_usize(framing.least_left());
+        if !self.memory.has_left(stated) {
             if is_waiting {
                 // Otherwise it wouldn't be known whether the body follows.
-                net.send(key, CONTINUE);
+                self.net.send(key, CONTINUE);
             }
             return Step::Refuse(Box::new(Partial { head, framing, arrived }));
-        };
-        let incoming = Incoming { head, framing, body: Vec::new(), hold, arrived, limits };
+        }
+        let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return Step::Wait };
+        let hold = self.memory.empty_hold();
+        let incoming = Incoming { head, framing, body: Segments::default(), hold, arrived, limits };
         caller.state = State::Body(Box::new(incoming));
-        caller.since = *now;
+        caller.since = self.now;
         if is_waiting { Step::Continue } else { self.parse_body(key) }
     }
 
@@ -297,26 +333,26 @@
         let Some(socket) = net.get_mut(key) else { return Step::Wait };
         let State::Body(incoming) = &mut caller.state else { return Step::Wait };
         let max_bytes = incoming.limits(limits).max_body_bytes;
-        let decoded = incoming.framing.decode(&mut socket.input, &mut incoming.body);
-        socket.measure();
-        let is_complete = match decoded {
+        if !incoming.grow(socket.input.len(), memory) {
+            return match caller.take_incoming() {
+                Some(it) => Step::Refuse(Box::new((*it).into())),
+                None => Step::Wait,
+            };
+        }
+        let is_complete = match incoming.decode(&mut socket.input) {
             Ok(it) => it,
             Err(error) => return Step::Malformed(error),
         };
-        if max_bytes < incoming.body.len() {
+        socket.measure();
+        if incoming.is_too_large(max_bytes) {
             return Step::TooLarge;
         }
-        let is_held = memory.extend(&mut incoming.hold, incoming.body.capacity());
-        if is_held && !is_complete {
+        if !is_complete {
             caller.since = *now;
             net.resume_reading(key);
             return Step::Wait;
         }
-        match caller.take_incoming() {
-            Some(it) if is_held => Step::Dispatch(it),
-            Some(it) => Step::Refuse(Box::new((*it).into())),
-            None => Step::Wait,
-        }
+        caller.take_incoming().map_or(Step::Wait, Step::Dispatch)
     }
 
     /// Drops what has arrived of the body of a refused request.
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -211,7 +211,9 @@
     pub(crate) fn identity(&self) -> &Identity {
         let organisation = self.organisation.as_ref().map_or("", |it| &*it.name);
         let Self { head, info, body, .. } = self;
-        let identity = || Identity::of(organisation, &head.method, &info.host, &head.target, body);
+        let (method, target) = (&head.method, &head.target);
+        let identity =
+            || Identity::of_segments(organisation, method, &info.host, target, body.segments());
         self.identity.get_or_init(identity)
     }
 
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -51,6 +51,14 @@
         Self::Chunked(Chunk::Size)
     }
 
+    /// Number of bytes that the body has still to come at least, as far as it was stated.
+    pub const fn least_left(self) -> u64 {
+        match self {
+            Self::Length(left) | Self::Chunked(Chunk::Data(left)) => left,
+            Self::Empty | Self::Chunked(_) | Self::UntilClose => 0,
+        }
+    }
+
     /// Moves the bytes of the body from the front of `input` to `body`. Returns whether the body is complete;
     /// a body that ends with the connection never is.
     pub fn decode(&mut self, input: &mut Vec<u8>, body: &mut Vec<u8>) -> Result<bool, Error> {
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -1,6 +1,6 @@
 //! The budget of memory for what an instance holds for its callers and peers.
 
-use std::{cell::Cell, ops::Deref, rc::Rc};
+use std::{cell::Cell, rc::Rc};
 
 /// Memory of the machine if nothing is known of it: the least of any known deployment.
 pub const DEFAULT_MACHINE_BYTES: usize = 100_000_000;
@@ -39,10 +39,17 @@
     bytes: usize,
 }
 
+/// Bytes in pieces of bounded length: they are never moved while they grow, and the memory of one fits another.
+#[derive(Debug, Default)]
+pub struct Segments {
+    segments: Vec<Vec<u8>>,
+    len: usize,
+}
+
 /// A request's body with its part of the budget.
 #[derive(Debug)]
 pub struct Body {
-    bytes: Vec<u8>,
+    bytes: Segments,
     /// Kept until the last user of the body is done with it.
     _hold: Hold,
 }
@@ -135,18 +142,83 @@
     }
 }
 
+impl Segments {
+    /// Length of a segment, and most room beyond its bytes that pushing them takes, bytes.
+    pub const SEGMENT: usize = 32 * 1024;
+
+    /// Number of bytes.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether it has no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Bytes that it takes.
+    pub fn capacity(&self) -> usize {
+        self.segments.iter().map(Vec::capacity).sum()
+    }
+
+    /// Appends `bytes`. `left`: how many there will be at most, with these.
+    pub fn push(&mut self, mut bytes: &[u8], mut left: usize) {
+        while !bytes.is_empty() {
+            if self.segments.last().is_none_or(|it| Self::SEGMENT <= it.len()) {
+                self.segments.push(Vec::new());
+            }
+            let Some(last) = self.segments.last_mut() else { return };
+            let room = Self::SEGMENT - last.len();
+            let (now, rest) = bytes.split_at(bytes.len().min(room));
+            if last.capacity() - last.len() < now.len() {
+                // All but short bodies are in segments of one length, so that each fits where another one was.
+                let is_short = left == now.len() && last.is_empty();
+                last.reserve_exact(if is_short { left } else { room });
+            }
+            last.extend_from_slice(now);
+            self.len += now.len();
+            left -= now.len().min(left);
+            bytes = rest;
+        }
+    }
+}
+
 impl Body {
     /// A complete body.
-    pub fn new(bytes: Vec<u8>, hold: Hold) -> Self {
+    pub fn new(bytes: Segments, hold: Hold) -> Self {
         Self { bytes, _hold: hold }
     }
-}
 
-impl Deref for Body {
-    type Target = [u8];
+    /// Number of bytes.
+    pub fn len(&self) -> usize {
+        self.bytes.len
+    }
+
+    /// Whether it has no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// Its bytes, in order.
+    pub fn segments(&self) -> impl Iterator<Item = &[u8]> {
+        self.bytes.segments.iter().map(Vec::as_slice)
+    }
+
+    /// Number of segments.
+    pub fn segment_count(&self) -> usize {
+        self.bytes.segments.len()
+    }
+
+    /// The segment at `index`.
+    pub fn segment(&self, index: usize) -> &[u8] {
+        self.bytes.segments.get(index).map_or(&[], Vec::as_slice)
+    }
+}
 
-    fn deref(&self) -> &[u8] {
-        &self.bytes
+impl From<Vec<u8>> for Segments {
+    fn from(bytes: Vec<u8>) -> Self {
+        let len = bytes.len();
+        Self { segments: if bytes.is_empty() { Vec::new() } else { vec![bytes] }, len }
     }
 }
 
--- a/crates/gateway/src/net/output.rs
+++ b/crates/gateway/src/net/output.rs
@@ -20,14 +20,15 @@
 #[derive(Debug)]
 enum Part {
     Owned(Vec<u8>),
-    Shared(Rc<Body>),
+    /// A segment of a body, by its index.
+    Shared(Rc<Body>, usize),
 }
 
 impl Part {
     fn bytes(&self) -> &[u8] {
         match self {
             Self::Owned(it) => it,
-            Self::Shared(it) => it,
+            Self::Shared(it, segment) => it.segment(*segment),
         }
     }
 }
@@ -74,7 +75,8 @@
             self.parts.clear();
         }
         self.unsent += bytes.len();
-        self.parts.push_back(Part::Shared(bytes));
+        let segments = 0..bytes.segment_count();
+        self.parts.extend(segments.map(|it| Part::Shared(Rc::clone(&bytes), it)));
     }
 
     /// The bytes to send next; empty if there are none.
--- a/crates/gateway/src/net/tests.rs
+++ b/crates/gateway/src/net/tests.rs
@@ -90,8 +90,8 @@
 fn shared_bytes_are_sent_in_order_without_a_copy_and_let_go() {
     let mut account = Account::new(1 << 20);
     let hold = account.take(100_000).expect("it is left");
-    let body = Rc::new(Body::new(vec![7; 100_000], hold));
-    let empty = Rc::new(Body::new(Vec::new(), account.take(0).expect("it is left")));
+    let body = Rc::new(Body::new(vec![7; 100_000].into(), hold));
+    let empty = Rc::new(Body::new(Vec::new().into(), account.take(0).expect("it is left")));
     for step in [1_000, 30_000, 70_000, 1 << 20] {
         let mut output = Output::default();
         output.push(b"head");
@@ -103,13 +103,16 @@
             let bytes = output.next();
             let shared = bytes.as_ptr_range();
             if bytes.first() == Some(&7) {
-                assert!(body.as_ptr_range().contains(&shared.start), "the body was copied");
+                assert!(
+                    body.segment(0).as_ptr_range().contains(&shared.start),
+                    "the body was copied"
+                );
             }
             let len = bytes.len().min(step);
             sent.extend_from_slice(&bytes[..len]);
             output.advance(len);
         }
-        assert_eq!(sent, [b"head", &body[..], b"next"].concat());
+        assert_eq!(sent, [b"head", body.segment(0), b"next"].concat());
         assert_eq!(Rc::strong_count(&body), 1, "sent bytes are kept");
         output.push(b"a");
         output.advance(1);
--- a/crates/gateway/src/quarantine/identity.rs
+++ b/crates/gateway/src/quarantine/identity.rs
@@ -28,11 +28,23 @@
     /// Identity of a request of `organisation`, which is empty for callers without one. `target`:
     /// path and query.
     pub fn of(organisation: &str, method: &str, host: &str, target: &str, body: &[u8]) -> Self {
-        let parts = [method.as_bytes(), host.as_bytes(), target.as_bytes(), body];
+        Self::of_segments(organisation, method, host, target, [body])
+    }
+
+    /// Like [`Identity::of`], of a request whose body is in `segments`.
+    pub fn of_segments<'a>(
+        organisation: &str,
+        method: &str,
+        host: &str,
+        target: &str,
+        segments: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Self {
+        let parts = [method.as_bytes(), host.as_bytes(), target.as_bytes()];
+        let seed = parts.iter().fold(0, |seed, it| hash::seeded(it, seed));
         let caller = hash::stable(organisation.as_bytes());
         Self {
             caller: if is_tagged(caller) { !caller } else { caller },
-            content: parts.iter().fold(0, |seed, it| hash::seeded(it, seed)),
+            content: hash::seeded_parts(segments, seed),
         }
     }
 
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -30,7 +30,7 @@
 #[test]
 fn body_is_counted_until_it_is_dropped() {
     let mut account = Account::new(MACHINE_BYTES);
-    let body = std::rc::Rc::new(Body::new(vec![1; 500], account.take(500).unwrap()));
+    let body = std::rc::Rc::new(Body::new(vec![1; 500].into(), account.take(500).unwrap()));
     let other = std::rc::Rc::clone(&body);
     drop(body);
     assert_eq!((account.held(), other.len()), (500, 500));
