Take the room for reading requests out of the budget

A sixteenth of the budget is left to it now, so that all of it together is a half. On 48 MB the crowds of stalled bodies are bounded at 1.5 MB less.

--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -7,12 +7,11 @@
 /// Share (1/n) of the machine's memory that may be held. The rest is for the process itself, for what its allocator
 /// keeps and for the kernel's buffers, which hold as much again of bodies that are being sent.
 const BUDGET_DIVISOR: usize = 2;
-/// Share (1/n) of the budget that is read of callers' requests beyond it, so that they can be answered when bodies take
-/// all of it.
+/// Share (1/n) of the budget that is left to reading requests, so that they can be answered when bodies have taken the
+/// rest.
 const READ_RESERVE_DIVISOR: usize = 16;
-/// What is read beyond the budget at least, bytes.
-const MIN_READ_RESERVE: usize = 256 * 1024;
-
+/// Up to how many bytes that are held requests are read in any case.
+const MIN_READ_LIMIT: usize = 256 * 1024;
 /// Share (1/n) of the budget that one connection may have received unread, and its bounds in bytes. Below them, a sender
 /// would wait for each acknowledgement; above, nothing is gained.
 const UNREAD_DIVISOR: usize = 2_048;
@@ -22,7 +21,8 @@
 /// What is held of the budget.
 #[derive(Clone, Debug)]
 pub struct Account {
-    limit: usize,
+    /// Bytes that may be held with what is read of requests.
+    budget: usize,
     /// Taken by holds.
     held: Rc<Cell<usize>>,
     /// Bytes in buffers that have no holds, as last measured.
@@ -57,13 +57,19 @@
 impl Account {
     /// The account of an instance on a machine with `machine_bytes` of memory.
     pub fn new(machine_bytes: usize) -> Self {
-        let limit = machine_bytes / BUDGET_DIVISOR;
-        Self { limit, held: Rc::default(), buffered: Rc::default(), unread: Rc::default(), most: 0 }
+        let budget = machine_bytes / BUDGET_DIVISOR;
+        Self {
+            budget,
+            held: Rc::default(),
+            buffered: Rc::default(),
+            unread: Rc::default(),
+            most: 0,
+        }
     }
 
-    /// Bytes that may be held.
+    /// Bytes that may be held of bodies and buffers.
     pub fn limit(&self) -> usize {
-        self.limit
+        self.budget - self.budget / READ_RESERVE_DIVISOR
     }
 
     /// Bytes that are held.
@@ -73,24 +79,23 @@
 
     /// Bytes that the kernel may receive on one connection before they are read. They take the machine's memory as well.
     pub fn unread_limit(&self) -> usize {
-        (self.limit / UNREAD_DIVISOR).clamp(MIN_UNREAD, MAX_UNREAD)
+        (self.budget / UNREAD_DIVISOR).clamp(MIN_UNREAD, MAX_UNREAD)
     }
 
     /// Bytes that are held beyond the limit.
     pub fn excess(&self) -> usize {
-        self.held().saturating_sub(self.limit)
+        self.held().saturating_sub(self.limit())
     }
 
     /// Whether `bytes` are left. Nothing always is.
     pub fn has_left(&self, bytes: usize) -> bool {
         let taken = self.held().saturating_add(self.unread.get());
-        bytes == 0 || taken.saturating_add(bytes) <= self.limit
+        bytes == 0 || taken.saturating_add(bytes) <= self.limit()
     }
 
     /// Whether `bytes` may be read of callers' requests.
     pub fn may_read(&self, bytes: usize) -> bool {
-        let reserve = (self.limit / READ_RESERVE_DIVISOR).max(MIN_READ_RESERVE);
-        self.held().saturating_add(bytes) <= self.limit.saturating_add(reserve)
+        self.held().saturating_add(bytes) <= self.budget.max(MIN_READ_LIMIT)
     }
 
     /// Takes `bytes`, unless they are not left.
