Bound what is read of refused requests, and read it last

Callers waited behind clients whose requests had been refused: what those went on to send was read like everybody else's and thrown away, hundreds of times the limit of a body.

Cause: what is left to drop of a refused body counted its content, so that chunks of one byte with long extensions were read two hundred times as long; behind an answer that closes the connection, bytes were read as long as they came within a second. Nor did a body within the limit have any bound on what its chunks' sizes and extensions add. Clients that close and reconnect left more and more connections from which this had still to be read.

A body may be eight times as long on its way as its content, and 64 KiB longer; chunks of one byte are six times as long. What follows a refused request is dropped up to these lengths, behind a last answer up to that of a body. Such connections are read for 256 KiB in each poll, after which others have their turn, and 128 at a time; another one takes the place of the oldest.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -48,7 +48,14 @@
 mod unframed;
 mod weights;
 
-use std::{cmp::Reverse, collections::BinaryHeap, io, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+    io,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use exchange::Exchange;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -141,6 +148,8 @@
     roles: Map<Key, Role>,
     /// Callers' connections that were answered and have further input to be read in this turn.
     answered_callers: Vec<Key>,
+    /// Callers' connections whose input is dropped, in the order in which that began, and others that are gone.
+    dropping: VecDeque<Key>,
     /// Listening sockets for callers; closed during shutdown.
     listeners: Vec<Key>,
     now: Time,
@@ -292,6 +301,7 @@
             events: Vec::new(),
             roles: Map::default(),
             answered_callers: Vec::new(),
+            dropping: VecDeque::new(),
             listeners,
             now,
             started: now,
--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -18,6 +18,12 @@
 /// How long a connection lingers after its last answer while the caller still sends. Closing it with
 /// unread input would reset it, and the caller would lose the answer.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// How many times as long as its content a chunked body may be: chunks of one byte are six times as long.
+const CHUNKED_FACTOR: usize = 8;
+/// What a chunked body may be longer in any case, bytes.
+const CHUNKED_BYTES: usize = 64 * 1024;
+/// Refused requests whose rest is read and dropped at a time. Each takes what the kernel receives for it.
+const MAX_DROPPING: usize = 128;
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Time without progress after which a request that is still arriving may make room for others.
@@ -58,8 +64,9 @@
     Discarding(Discard),
     /// The exchange at this index is in progress.
     Busy(usize),
-    /// The last answer was queued; the connection is closed once it is sent.
-    Closing,
+    /// The last answer was queued; the connection is closed once it is sent. This many bytes that arrive until then are
+    /// dropped.
+    Closing(usize),
 }
 
 /// A request whose body is incomplete.
@@ -67,6 +74,8 @@
     head: Request,
     framing: Framing,
     body: Segments,
+    /// Number of bytes that have arrived for it, with the chunks' sizes and extensions.
+    received: usize,
     /// Covers the stated length once a part has arrived, otherwise the room for what has arrived.
     hold: Hold,
     arrived: Time,
@@ -98,9 +107,11 @@
             Framing::Length(left) => to_usize(left),
             _ => usize::MAX,
         };
+        let arrived = input.len();
         let mut part = Vec::new();
         let is_complete = self.framing.decode(input, &mut part)?;
         self.body.push(&part, left);
+        self.received += arrived - input.len();
         if !matches!(self.framing, Framing::Length(_)) {
             self.hold.record(self.body.capacity());
         }
@@ -110,7 +121,7 @@
     /// Whether it has more than `max_bytes`, or will have.
     fn is_too_large(&self, max_bytes: usize) -> bool {
         let total = (self.body.len() as u64).saturating_add(self.framing.least_left());
-        (max_bytes as u64) < total
+        (max_bytes as u64) < total || max_received_bytes(max_bytes) < self.received
     }
 }
 
@@ -118,6 +129,11 @@
     usize::try_from(bytes).unwrap_or(usize::MAX)
 }
 
+/// Number of bytes that may arrive for a body of `bytes`, with the chunks' sizes and extensions.
+fn max_received_bytes(bytes: usize) -> usize {
+    bytes.saturating_mul(CHUNKED_FACTOR).saturating_add(CHUNKED_BYTES)
+}
+
 /// A request that is refused before its body is complete.
 struct Partial {
     head: Request,
@@ -137,6 +153,8 @@
     framing: Framing,
     /// Number of bytes that are dropped at most.
     left: usize,
+    /// The same, of the bytes that arrive for them.
+    left_received: usize,
     /// Whether the connection is closed after it.
     closes: bool,
 }
@@ -185,7 +203,7 @@
             (State::Busy(_), _) => None,
             (State::Body(_), _) => stalled(Rest::Stalled, self.since),
             _ if !is_sent => stalled(Rest::Undelivered, self.since),
-            (State::Closing | State::Discarding(_), _) => stalled(Rest::Lingering, self.since),
+            (State::Closing(_) | State::Discarding(_), _) => stalled(Rest::Lingering, self.since),
             (State::Idle, Some(arrived)) => stalled(Rest::Stalled, arrived),
             (State::Idle, None) if self.is_used => Some((Rest::Idle, self.since)),
             (State::Idle, None) => Some((Rest::Unused, self.since)),
@@ -207,7 +225,7 @@
             (State::Discarding(_), _) => {
                 (limits.idle_time(self.since) < age).then_some(Overrun::Lingering)
             }
-            (State::Closing, _) => (LINGER_TIMEOUT < age).then_some(Overrun::Lingering),
+            (State::Closing(_), _) => (LINGER_TIMEOUT < age).then_some(Overrun::Lingering),
             (State::Busy(_), _) => None,
         }
     }
@@ -265,13 +283,7 @@
             State::Body(_) => self.parse_body(key),
             State::Discarding(_) => self.skip_body(key),
             State::Busy(_) => Step::Wait,
-            State::Closing => {
-                if let Some(socket) = self.net.get_mut(key) {
-                    socket.input.clear();
-                }
-                self.net.resume_reading(key);
-                Step::Wait
-            }
+            State::Closing(_) => self.drop_input(key),
         }
     }
 
@@ -321,7 +333,15 @@
         }
         let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return Step::Wait };
         let hold = self.memory.empty_hold();
-        let incoming = Incoming { head, framing, body: Segments::default(), hold, arrived, limits };
+        let incoming = Incoming {
+            head,
+            framing,
+            body: Segments::default(),
+            received: 0,
+            hold,
+            arrived,
+            limits,
+        };
         caller.state = State::Body(Box::new(incoming));
         caller.since = self.now;
         if is_waiting { Step::Continue } else { self.parse_body(key) }
@@ -362,10 +382,12 @@
         let Some(socket) = net.get_mut(key) else { return Step::Wait };
         let State::Discarding(discard) = &mut caller.state else { return Step::Wait };
         let mut dropped = Vec::new();
+        let arrived = socket.input.len();
         let done = discard.framing.decode(&mut socket.input, &mut dropped);
         discard.left = discard.left.saturating_sub(dropped.len());
+        discard.left_received = discard.left_received.saturating_sub(arrived - socket.input.len());
         match done {
-            Ok(false) if 0 < discard.left => {
+            Ok(false) if 0 < discard.left && 0 < discard.left_received => {
                 caller.since = *now;
                 net.resume_reading(key);
                 Step::Wait
@@ -373,10 +395,11 @@
             Ok(true) if !discard.closes => {
                 caller.state = State::Idle;
                 caller.since = *now;
+                net.set_dropping(key, false);
                 self.parse_head(key)
             }
             Ok(_) | Err(_) => {
-                caller.state = State::Closing;
+                self.begin_closing(key);
                 self.handle_caller_flushed(key);
                 Step::Wait
             }
@@ -391,9 +414,12 @@
         let Partial { head, framing, arrived } = partial;
         let left = self.limits.since(*arrived).max_body_bytes;
         if let Some(Role::Caller(caller)) = self.roles.get_mut(&key) {
-            caller.state = State::Discarding(Discard { framing: *framing, left, closes: false });
+            let left_received = max_received_bytes(left);
+            let discard = Discard { framing: *framing, left, left_received, closes: false };
+            caller.state = State::Discarding(discard);
             caller.since = self.now;
         }
+        self.begin_dropping(key);
         let info = self.adapter.parse_request(head);
         self.refuse(key, head, &info, refusal, *arrived, 0);
     }
@@ -456,14 +482,61 @@
             }
             return;
         }
-        caller.state = State::Closing;
+        self.begin_closing(key);
         self.handle_caller_flushed(key);
     }
 
+    /// Has the connection closed once its last answer is sent.
+    fn begin_closing(&mut self, key: Key) {
+        let left = self.limits.since(self.now).max_body_bytes;
+        self.begin_dropping(key);
+        if let Some(Role::Caller(caller)) = self.roles.get_mut(&key) {
+            caller.state = State::Closing(left);
+            caller.since = self.now;
+        }
+    }
+
+    /// Has what arrives on the connection read after what others send, and closes the one that has been dropping for
+    /// longest if there are too many.
+    fn begin_dropping(&mut self, key: Key) {
+        if self.net.is_dropping(key) {
+            return;
+        }
+        self.net.set_dropping(key, true);
+        self.dropping.push_back(key);
+        if self.dropping.len() <= MAX_DROPPING {
+            return;
+        }
+        self.dropping.retain(|it| self.net.is_dropping(*it));
+        if MAX_DROPPING < self.dropping.len()
+            && let Some(first) = self.dropping.pop_front()
+        {
+            self.log_undelivered(first, "too-many");
+            self.close_connection(first);
+        }
+    }
+
+    /// Drops what arrives after the last request.
+    fn drop_input(&mut self, key: Key) -> Step {
+        let Self { net, roles, .. } = self;
+        let Some(Role::Caller(caller)) = roles.get_mut(&key) else { return Step::Wait };
+        let Some(socket) = net.get_mut(key) else { return Step::Wait };
+        let State::Closing(left) = &mut caller.state else { return Step::Wait };
+        *left = left.saturating_sub(socket.input.len());
+        socket.input.clear();
+        if 0 < *left {
+            net.resume_reading(key);
+        } else {
+            self.log_undelivered(key, "too-much");
+            self.close_connection(key);
+        }
+        Step::Wait
+    }
+
     pub(crate) fn handle_caller_flushed(&mut self, key: Key) {
         let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return };
         match caller.state {
-            State::Closing => {
+            State::Closing(_) => {
                 caller.since = self.now;
                 let is_clean = self
                     .net
@@ -492,7 +565,7 @@
         };
         match caller.state {
             State::Busy(index) => self.abandon_exchange(index, reason, self.unsent_bytes(key)),
-            State::Idle | State::Closing | State::Discarding(_) => {
+            State::Idle | State::Closing(_) | State::Discarding(_) => {
                 self.log_undelivered(key, reason);
             }
             State::Body(_) => {}
@@ -507,14 +580,8 @@
         let extra = [("Connection", "close".to_owned())];
         let bytes = write::response(status, "application/json", &error_body(reason), &extra);
         self.net.send(key, &bytes);
-        let Self { net, roles, now, .. } = self;
-        if let Some(Role::Caller(caller)) = roles.get_mut(&key) {
-            caller.state = State::Closing;
-            caller.since = *now;
-        }
-        if let Some(socket) = net.get_mut(key) {
-            socket.input.clear();
-        }
+        self.begin_closing(key);
+        self.drop_input(key);
     }
 
     /// Ends a connection to make room for others. A request that is still arriving is refused.
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -54,6 +54,8 @@
 pub(crate) const DELIVERY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Length of an answer from which on it may not fit into what its caller receives without reading, bytes.
 const LONG_ANSWER_BYTES: usize = 2 * 1024;
+/// Bytes of refused requests that are read and dropped in one poll. They must not keep others waiting.
+const MAX_DROPPED_BYTES: usize = 256 * 1024;
 /// Longest wait for events while requests wait for memory to be read.
 const MEMORY_WAIT: Duration = Duration::from_millis(10);
 /// Maximum number of rounds in one poll.
@@ -162,6 +164,8 @@
     unfinished_reads: Vec<Key>,
     /// Streams that aren't read before the next poll, and then only if there is memory for it.
     put_off: Vec<Key>,
+    /// Bytes of refused requests that may still be read in this poll.
+    droppable: usize,
     read_chunk: Box<[u8]>,
     datagram_buffer: Box<[u8]>,
 }
@@ -182,6 +186,7 @@
             failed: Vec::new(),
             unfinished_reads: Vec::new(),
             put_off: Vec::new(),
+            droppable: 0,
             read_chunk: vec![0; READ_CHUNK_BYTES].into(),
             datagram_buffer: vec![0; MAX_DATAGRAM_BYTES].into(),
         }
@@ -317,6 +322,7 @@
     ///
     /// Time limits are checked after this. After a pause of the process, what has arrived must be read before.
     pub(crate) fn poll(&mut self, timeout: Duration, events: &mut Vec<Event>) -> io::Result<()> {
+        self.droppable = MAX_DROPPED_BYTES;
         let is_due = !self.unfinished_reads.is_empty() || self.may_resume_accepting();
         let mut timeout = match self.put_off.is_empty() {
             _ if is_due => Duration::ZERO,
@@ -350,12 +356,26 @@
         !self.put_off.is_empty() && !self.memory.may_read(READ_CHUNK_BYTES)
     }
 
+    /// Sets whether what arrives is dropped, so that it is read after what others send.
+    pub(crate) fn set_dropping(&mut self, key: Key, is_dropping: bool) {
+        if let Some(socket) = self.get_mut(key) {
+            socket.is_dropping = is_dropping;
+        }
+    }
+
+    /// Whether what arrives on the stream is dropped.
+    pub(crate) fn is_dropping(&self, key: Key) -> bool {
+        self.get(key).is_some_and(|it| it.is_dropping)
+    }
+
     /// Whether the stream may be read now. What servers, the store and other instances answer is read in any case, but
     /// not much of it at a time while memory is short.
     fn may_read(&mut self, key: Key) -> bool {
         let has_memory = self.memory.may_read(READ_CHUNK_BYTES);
+        let may_drop = 0 < self.droppable;
         let Some(socket) = self.get_mut(key) else { return false };
         let may_read = match socket.endpoint {
+            Some(_) if socket.is_dropping => may_drop,
             Some(_) => has_memory,
             None => has_memory || socket.input.is_empty(),
         };
@@ -515,7 +535,12 @@
         }
         let mut chunk = std::mem::take(&mut self.read_chunk);
         if let Some(socket) = self.get_mut(key) {
+            let before = socket.input.len();
             let more = socket.read(key, &mut chunk, events);
+            let (len, is_dropping) = (socket.input.len() - before, socket.is_dropping);
+            if is_dropping {
+                self.droppable = self.droppable.saturating_sub(len);
+            }
             if more {
                 self.unfinished_reads.push(key);
             }
--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -38,6 +38,8 @@
     max_input: usize,
     /// Whether reading is paused because the input buffer is full.
     pub(super) is_paused: bool,
+    /// Whether what arrives is dropped.
+    pub(super) is_dropping: bool,
     /// Whether reading is put off because the memory for requests is used up.
     pub(super) is_put_off: bool,
     /// Whether the kernel has signalled that the peer closed its side. Bytes before that may still be unread.
@@ -72,6 +74,7 @@
             is_connecting: false,
             max_input: if endpoint.is_some() { MAX_REQUEST_INPUT_BYTES } else { MAX_INPUT_BYTES },
             is_paused: false,
+            is_dropping: false,
             is_put_off: false,
             is_read_closed: false,
             is_read_finished: false,
