Shed what makes no progress while memory is short

Callers with sound uploads were refused for as long as others held the account: uploads that go on with a byte a second renewed their time and kept a stated length for hours, and requests behind running ones, or answers that nobody reads, took the rest.

Cause: whoever came last was refused. Nothing that was held was ever let go before its own time limit.

While the account is short, the room of empty buffers is given back, and connections are shed in one order: first requests of which no 16 KB have arrived for a second, answers that are not taken and what lingers, those with the oldest progress first; while requests wait to be read, requests behind one that runs, whose connection is closed after its answer; while more than the budget is held, callers that are sent answers. A request that is shed before it is complete is refused as not run. As long as the account has room nobody is shed, so that a single request may take as long as the limits allow.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -172,7 +172,11 @@
     memory: memory::Account,
     /// Requests that were refused since the last sweep, as there was no memory for them.
     memory_refusals: u32,
-    /// When connections may be looked through again for some to shed, as descriptors are short.
+    /// Connections that were shed since the last sweep, as memory was short.
+    memory_sheds: u32,
+    /// When connections may be looked through again for some to shed, as memory is short.
+    next_memory_search: Time,
+    /// The same, as descriptors are short.
     next_connection_search: Time,
     pool: Pool,
     prefixes: PrefixIndex,
@@ -316,6 +320,8 @@
             limits: limits::History::default(),
             memory,
             memory_refusals: 0,
+            memory_sheds: 0,
+            next_memory_search: now,
             next_connection_search: now,
             pool: Pool::default(),
             prefixes: PrefixIndex::default(),
@@ -365,9 +371,7 @@
         self.tick();
         self.read_answered_callers();
         self.shed_connections();
-        if self.net.is_short() {
-            self.net.trim_all();
-        }
+        self.shed_memory();
         Ok(())
     }
 
--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -28,6 +28,8 @@
 
 /// Time without progress after which a request that is still arriving may make room for others.
 const STALL_TIME: Duration = Duration::from_secs(1);
+/// Number of bytes of a body that count as progress.
+const PROGRESS_BYTES: usize = 16 * 1024;
 
 /// What a caller's connection rests in that may make room for others, in the order in which they do.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -53,6 +55,8 @@
     since: Time,
     /// When the first byte of an incomplete head arrived.
     head_since: Option<Time>,
+    /// Whether requests behind the one that runs are dropped.
+    drops_requests: bool,
 }
 
 enum State {
@@ -81,6 +85,8 @@
     arrived: Time,
     /// The limits for it when its head was complete.
     limits: Limits,
+    /// When the last part arrived that is long enough to count as progress, and how much had arrived by then.
+    progressed: (Time, usize),
 }
 
 impl Incoming {
@@ -89,25 +95,28 @@
         self.limits.most_generous(history.since(self.arrived))
     }
 
-    /// Takes the memory for the next `arrived` bytes. Returns false if it isn't left.
-    fn grow(&mut self, arrived: usize, memory: &mut Account) -> bool {
+    /// Takes the memory for the next `arrived` bytes. Returns how much is missing, if it isn't left.
+    fn grow(&mut self, arrived: usize, memory: &mut Account) -> Result<(), usize> {
         if arrived == 0 {
-            return true;
+            return Ok(());
         }
         let needed = match self.framing {
             Framing::Length(left) => self.body.len().saturating_add(to_usize(left)),
             _ => self.body.capacity() + arrived + Segments::SEGMENT,
         };
-        memory.extend(&mut self.hold, needed)
+        match memory.extend(&mut self.hold, needed) {
+            true => Ok(()),
+            false => Err(needed - self.hold.bytes()),
+        }
     }
 
     /// Moves what has arrived to the body. Returns whether it is complete.
-    fn decode(&mut self, input: &mut Vec<u8>) -> Result<bool, Error> {
+    fn decode(&mut self, now: Time, input: &mut Vec<u8>) -> Result<bool, Error> {
+        let arrived = input.len();
         let left = match self.framing {
             Framing::Length(left) => to_usize(left),
             _ => usize::MAX,
         };
-        let arrived = input.len();
         let mut part = Vec::new();
         let is_complete = self.framing.decode(input, &mut part)?;
         self.body.push(&part, left);
@@ -115,6 +124,9 @@
         if !matches!(self.framing, Framing::Length(_)) {
             self.hold.record(self.body.capacity());
         }
+        if self.progressed.1 + PROGRESS_BYTES <= self.body.len() {
+            self.progressed = (now, self.body.len());
+        }
         Ok(is_complete)
     }
 
@@ -172,7 +184,26 @@
 
 impl Caller {
     pub(crate) fn new(now: Time) -> Self {
-        Self { state: State::Idle, is_used: false, since: now, head_since: None }
+        Self {
+            state: State::Idle,
+            is_used: false,
+            since: now,
+            head_since: None,
+            drops_requests: false,
+        }
+    }
+
+    /// When its current state began, or it last made progress.
+    pub(crate) fn since(&self) -> Time {
+        self.since
+    }
+
+    /// Index of the exchange that is in progress on it, if one is.
+    pub(crate) fn exchange(&self) -> Option<usize> {
+        match self.state {
+            State::Busy(index) => Some(index),
+            _ => None,
+        }
     }
 
     /// Whether it has sent nothing for a while since its last answer.
@@ -201,7 +232,7 @@
         let stalled = |rest, since| (STALL_TIME <= now.since(since)).then_some((rest, since));
         match (&self.state, self.head_since) {
             (State::Busy(_), _) => None,
-            (State::Body(_), _) => stalled(Rest::Stalled, self.since),
+            (State::Body(it), _) => stalled(Rest::Stalled, it.progressed.0),
             _ if !is_sent => stalled(Rest::Undelivered, self.since),
             (State::Closing(_) | State::Discarding(_), _) => stalled(Rest::Lingering, self.since),
             (State::Idle, Some(arrived)) => stalled(Rest::Stalled, arrived),
@@ -282,6 +313,12 @@
             State::Idle => self.parse_head(key),
             State::Body(_) => self.parse_body(key),
             State::Discarding(_) => self.skip_body(key),
+            State::Busy(_) if caller.drops_requests => {
+                if let Some(socket) = self.net.get_mut(key) {
+                    socket.input.clear();
+                }
+                Step::Wait
+            }
             State::Busy(_) => Step::Wait,
             State::Closing(_) => self.drop_input(key),
         }
@@ -324,7 +361,7 @@
             && self.net.get(key).is_some_and(|it| it.input.is_empty());
         let framing = head.framing;
         let stated = to_usize(framing.least_left());
-        if !self.memory.has_left(stated) {
+        if !self.make_room(stated) {
             if is_waiting {
                 // Otherwise it wouldn't be known whether the body follows.
                 self.net.send(key, CONTINUE);
@@ -341,25 +378,40 @@
             hold,
             arrived,
             limits,
+            progressed: (self.now, 0),
         };
         caller.state = State::Body(Box::new(incoming));
         caller.since = self.now;
         if is_waiting { Step::Continue } else { self.parse_body(key) }
     }
 
+    /// Takes the memory for what has arrived of a body. Returns false if it isn't left.
+    fn grow_body(&mut self, key: Key) -> bool {
+        let Err(missing) = self.try_grow_body(key) else { return true };
+        self.make_room(missing) && self.try_grow_body(key).is_ok()
+    }
+
+    fn try_grow_body(&mut self, key: Key) -> Result<(), usize> {
+        let Self { net, roles, memory, .. } = self;
+        let Some(Role::Caller(caller)) = roles.get_mut(&key) else { return Ok(()) };
+        let State::Body(incoming) = &mut caller.state else { return Ok(()) };
+        incoming.grow(net.get(key).map_or(0, |it| it.input.len()), memory)
+    }
+
     fn parse_body(&mut self, key: Key) -> Step {
-        let Self { net, roles, now, limits, memory, .. } = self;
+        let is_held = self.grow_body(key);
+        let Self { net, roles, now, limits, .. } = self;
         let Some(Role::Caller(caller)) = roles.get_mut(&key) else { return Step::Wait };
         let Some(socket) = net.get_mut(key) else { return Step::Wait };
-        let State::Body(incoming) = &mut caller.state else { return Step::Wait };
-        let max_bytes = incoming.limits(limits).max_body_bytes;
-        if !incoming.grow(socket.input.len(), memory) {
+        if !is_held {
             return match caller.take_incoming() {
                 Some(it) => Step::Refuse(Box::new((*it).into())),
                 None => Step::Wait,
             };
         }
-        let is_complete = match incoming.decode(&mut socket.input) {
+        let State::Body(incoming) = &mut caller.state else { return Step::Wait };
+        let max_bytes = incoming.limits(limits).max_body_bytes;
+        let is_complete = match incoming.decode(*now, &mut socket.input) {
             Ok(it) => it,
             Err(error) => return Step::Malformed(error),
         };
@@ -431,12 +483,13 @@
         self.net.trim();
         let most = self.memory.take_most();
         let refused = std::mem::take(&mut self.memory_refusals);
-        if refused == 0 {
+        if refused == 0 && self.memory_sheds == 0 {
             return;
         }
         self.log
             .line(self.now, "no_memory")
             .number("refused", refused)
+            .number("shed", std::mem::take(&mut self.memory_sheds))
             .number("held_bytes", self.memory.held())
             .number("most_bytes", most)
             .number("limit_bytes", self.memory.limit());
@@ -473,7 +526,7 @@
             self.answered_callers.push(key);
             return;
         }
-        if keeps_alive {
+        if keeps_alive && !caller.drops_requests {
             caller.state = State::Idle;
             // The next request may already be buffered.
             self.net.resume_reading(key);
@@ -538,10 +591,10 @@
         match caller.state {
             State::Closing(_) => {
                 caller.since = self.now;
-                let is_clean = self
-                    .net
-                    .get(key)
-                    .is_some_and(|it| it.unsent_bytes() == 0 && it.input.is_empty());
+                let drops_requests = caller.drops_requests;
+                let is_clean = self.net.get(key).is_some_and(|it| {
+                    it.unsent_bytes() == 0 && it.input.is_empty() && !drops_requests
+                });
                 if is_clean {
                     self.close_connection(key);
                 }
@@ -587,8 +640,10 @@
     /// Ends a connection to make room for others. A request that is still arriving is refused.
     pub(crate) fn shed_caller(&mut self, key: Key, refusal: Refusal) {
         let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return };
-        if let Some(incoming) = caller.take_incoming() {
-            self.refuse_partial(key, &(*incoming).into(), refusal);
+        if let State::Busy(index) = caller.state {
+            self.abandon_exchange(index, refusal.reason(), self.unsent_bytes(key));
+        } else if matches!(caller.state, State::Body(_)) {
+            self.refuse_incoming_at(key, refusal);
         } else if caller.head_since.is_some() {
             self.refuse_head(key, refusal);
         }
@@ -596,6 +651,30 @@
         self.close_connection(key);
     }
 
+    /// Refuses the request whose body is still arriving on the connection, if there is one. Returns whether there was.
+    pub(crate) fn refuse_incoming_at(&mut self, key: Key, refusal: Refusal) -> bool {
+        let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return false };
+        let Some(incoming) = caller.take_incoming() else { return false };
+        self.refuse_partial(key, &(*incoming).into(), refusal);
+        true
+    }
+
+    /// Drops the requests behind the one that runs, if one does. The connection is closed after its answer. Returns
+    /// whether one does.
+    pub(crate) fn drop_requests(&mut self, key: Key) -> bool {
+        let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return false };
+        if !matches!(caller.state, State::Busy(_)) {
+            return false;
+        }
+        caller.drops_requests = true;
+        if let Some(socket) = self.net.get_mut(key) {
+            socket.input = Vec::new();
+            socket.measure();
+        }
+        self.net.resume_reading(key);
+        true
+    }
+
     /// Refuses a request whose head isn't complete.
     fn refuse_head(&mut self, key: Key, refusal: Refusal) {
         self.stats.count_refusal(refusal.reason());
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -140,6 +140,11 @@
 }
 
 impl Hold {
+    /// Bytes that it covers.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Records that it is `bytes`, which are in use already, whether or not they are left.
     pub fn record(&mut self, bytes: usize) {
         self.account.set(self.account.get().saturating_sub(self.bytes).saturating_add(bytes));
--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -124,6 +124,11 @@
         self.hold.record(self.input.capacity() + self.output.buffered_bytes());
     }
 
+    /// Bytes that its buffers took when they were last measured.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.hold.bytes()
+    }
+
     /// Lets the input grow to `bytes` at least before reading pauses.
     pub(crate) fn expect_input(&mut self, bytes: usize) {
         self.max_input = self.max_input.max(bytes);
