Count answers as they arrive, and buffer less of them while memory is short

Callers lost their requests when an instance ended under long answers that nobody reads: 300 callers that ask for 400 KB and don't read took 84 MB of 48.

Cause: an answer of up to 512 KB is buffered until it is complete, so that a broken one can be requested again, and was counted every 250 ms only. Reading from servers went on whatever was held.

Answers count when they arrive, from 16 KB on. Short answers are handled as before.

--- a/crates/gateway/src/core/answer.rs
+++ b/crates/gateway/src/core/answer.rs
@@ -23,7 +23,8 @@
 
 /// Bytes that may wait to be sent to a slow caller before reading from its server stops.
 pub(crate) const MAX_UNSENT_BYTES: usize = 64 * 1024;
-/// Longest answer, bytes, that is buffered until it is complete, so that a broken one can be requested again.
+/// Longest answer, bytes, that is buffered until it is complete, so that a broken one can be requested again. While
+/// memory is short, it is [`MAX_UNSENT_BYTES`].
 const MAX_BUFFERED_BYTES: usize = 512 * 1024;
 
 impl Core {
@@ -91,12 +92,13 @@
             return self.relay(index, body) && (!done || self.finish_stream(index));
         }
         exchange.delivery.pending.extend_from_slice(body);
+        exchange.delivery.measure(&self.memory);
         // Tests `is_passed_through` and not whether the caller already has a head: a stream that continues
         // at another server may be declined there, and that answer's body must not be forwarded as the rest
         // of the stream. Otherwise such streams would be aborted right after a 503.
-        if exchange.delivery.is_passed_through
-            || MAX_BUFFERED_BYTES < exchange.delivery.pending.len()
-        {
+        let max_buffered =
+            if 0 < self.memory.excess() { MAX_UNSENT_BYTES } else { MAX_BUFFERED_BYTES };
+        if exchange.delivery.is_passed_through || max_buffered < exchange.delivery.pending.len() {
             return self.pass_through(index);
         }
         if !done {
@@ -139,7 +141,8 @@
         let bytes = self.buffered_answer(exchange, &reply.head, &exchange.delivery.pending);
         let caller = exchange.caller;
         if let Some(exchange) = self.exchanges.get_mut(index) {
-            exchange.delivery.pending.clear();
+            exchange.delivery.pending = Vec::new();
+            exchange.delivery.measure(&self.memory);
             exchange.delivery.first_sent.get_or_insert(self.now);
         }
         self.net.send(caller, &bytes);
@@ -178,6 +181,7 @@
         let Some(exchange) = self.exchanges.get_mut(index) else { return false };
         exchange.delivery.is_passed_through = true;
         let body = std::mem::take(&mut exchange.delivery.pending);
+        exchange.delivery.measure(&self.memory);
         let caller = exchange.caller;
         let mut bytes = Vec::with_capacity(body.len() + 16);
         exchange.write_piece(&mut bytes, &body);
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -24,7 +24,7 @@
         head::{Request, Response},
         write,
     },
-    memory::Body,
+    memory::{Account, Body, Hold},
     net::Key,
     placement::{self, Shortage},
     pool::{self, Pool},
@@ -35,6 +35,9 @@
 const RESUME_MARGIN: Duration = Duration::from_millis(200);
 /// Time that an answer needs to reach its caller before the deadline.
 const DELIVERY_MARGIN: Duration = Duration::from_millis(10);
+/// Length of the unsent part of an answer from which on it is counted when it arrives, bytes. Shorter ones are counted
+/// with each sweep.
+const MIN_COUNTED_BYTES: usize = 16 * 1024;
 /// Most parts of a prompt that may be found to crash servers, to bound what one request adds.
 const MAX_BLAMED_PARTS: usize = 32;
 /// A caller's request and the state of its answer.
@@ -115,6 +118,8 @@
     pub(crate) last_event: Option<u64>,
     /// Received bytes that are not sent yet: an incomplete event, or part of a whole answer.
     pub(crate) pending: Vec<u8>,
+    /// Covers them, once they are many.
+    pub(crate) hold: Option<Hold>,
     /// When the last piece was sent.
     pub(crate) last_sent: Time,
     /// When the caller had last taken all that it was sent, so that reading from the server went on.
@@ -125,6 +130,16 @@
     pub(crate) first_sent: Option<Time>,
 }
 
+impl Delivery {
+    /// Records what the bytes take that are not sent yet.
+    pub(crate) fn measure(&mut self, memory: &Account) {
+        let bytes = self.pending.capacity();
+        if MIN_COUNTED_BYTES <= bytes || self.hold.is_some() {
+            self.hold.get_or_insert_with(|| memory.empty_hold()).record(bytes);
+        }
+    }
+}
+
 impl Exchange {
     /// Whether it may be sent again. Another server's answer can't be joined to a part of one that isn't a stream of
     /// events.
@@ -136,7 +151,8 @@
     pub(crate) fn buffered_bytes(&self) -> usize {
         let kept = self.kept_error.as_ref().map_or(0, |it| it.1.capacity());
         let standby = self.standby.as_ref().map_or(0, Standby::buffered_bytes);
-        self.delivery.pending.capacity() + kept + standby
+        let counted = self.delivery.hold.as_ref().map_or(0, Hold::bytes);
+        self.delivery.pending.capacity().saturating_sub(counted) + kept + standby
     }
 
     /// Whether an answer of unknown length is sent to its caller in chunks. Otherwise it ends with the connection.
