Keep the error of a reset that a write has met

A part of a server's answer can reach its caller as complete if the answer has neither length nor chunks and its connection is reset while the request is written.

Cause: the kernel tells of a reset once. If a write meets it, and a write that begins right after it was queued is one whose result was left to the next event, then reads return what had arrived, and after that the end of the connection as if it had been closed properly. Shown with sockets of the kernel: after a write with "connection reset by peer", reads return the part and then nothing.

The socket keeps the error and returns it in place of the end. reset_that_a_write_has_met_is_no_proper_end failed before (PeerClosed in place of the reset) and passes. Not seen at callers: the kept connection must be reset between the look whether it is quiet and the write.

--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -46,6 +46,8 @@
     pub(super) is_read_closed: bool,
     /// Whether the end of the input, or an error, was reached.
     is_read_finished: bool,
+    /// The error that a write has met. The kernel returns it once, and reads say afterwards that the peer closed its side.
+    write_error: Option<ErrorKind>,
     /// How long the peer may acknowledge nothing while it isn't waited for to read.
     timeout: Duration,
     /// Whether [`DELIVERY_TIMEOUT`] is in force instead, as the peer may only be slow to read.
@@ -78,6 +80,7 @@
             is_put_off: false,
             is_read_closed: false,
             is_read_finished: false,
+            write_error: None,
             timeout,
             is_extended: false,
             answer_bytes: 0,
@@ -207,7 +210,8 @@
 
     fn begin_flush(&mut self) {
         if !self.is_connecting {
-            // The kernel reports a failure as an event as well; only that one ends the connection.
+            // The kernel reports a failure as an event as well, with what arrived before it; only that one ends the
+            // connection.
             let _ = self.flush();
         }
     }
@@ -267,7 +271,10 @@
             Ok(None) => false,
             Ok(Some(0)) => {
                 self.is_read_finished = true;
-                events.push(Event::PeerClosed(key));
+                events.push(match self.write_error {
+                    Some(kind) => Event::Failed(key, kind),
+                    None => Event::PeerClosed(key),
+                });
                 false
             }
             Ok(Some(len)) => {
@@ -303,7 +310,10 @@
                 Ok(len) => self.output.advance(len),
                 Err(err) if err.kind() == ErrorKind::WouldBlock => break,
                 Err(err) if err.kind() == ErrorKind::Interrupted => {}
-                Err(err) => return Err(err.kind()),
+                Err(err) => {
+                    self.write_error = Some(err.kind());
+                    return Err(err.kind());
+                }
             }
         }
         self.adapt_timeout();
--- a/crates/gateway/src/net/tests.rs
+++ b/crates/gateway/src/net/tests.rs
@@ -12,8 +12,8 @@
 };
 
 use super::{
-    DELIVERY_TIMEOUT, Key, LONG_ANSWER_BYTES, PEER_TIMEOUT, READ_CHUNK_BYTES, Socket, Timeout,
-    output::Output,
+    DELIVERY_TIMEOUT, Event, Key, LONG_ANSWER_BYTES, PEER_TIMEOUT, READ_CHUNK_BYTES, Socket,
+    Timeout, output::Output,
 };
 
 /// What a caller sends, and what it is sent in vain, bytes.
@@ -124,6 +124,9 @@
 /// What a peer takes and sends, and how long it may acknowledge nothing.
 #[derive(Default)]
 struct Peer {
+    /// Whether it has reset the connection and closed it. The kernel tells of a reset once, to whoever reads or writes first.
+    reset: Option<ErrorKind>,
+    is_closed: bool,
     room: usize,
     sends: usize,
     timeout: Duration,
@@ -138,6 +141,9 @@
         let mut peer = self.0.borrow_mut();
         let len = buf.len().min(peer.sends);
         peer.sends -= len;
+        if len == 0 && peer.is_closed {
+            return peer.reset.take().map_or(Ok(0), |it| Err(it.into()));
+        }
         if len == 0 { Err(ErrorKind::WouldBlock.into()) } else { Ok(len) }
     }
 }
@@ -145,6 +151,9 @@
 impl Write for Slow {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         let mut peer = self.0.borrow_mut();
+        if let Some(kind) = peer.reset.take() {
+            return Err(kind.into());
+        }
         let len = buf.len().min(peer.room);
         peer.room -= len;
         if len == 0 { Err(ErrorKind::WouldBlock.into()) } else { Ok(len) }
@@ -221,6 +230,31 @@
     }
 }
 
+// A write took the error of a reset connection from the socket, and the next read said that the peer had closed it
+// properly: a part of an answer without a length passed for the whole.
+#[test]
+fn reset_that_a_write_has_met_is_no_proper_end() {
+    let key = Key { index: 0, serial: 1 };
+    for writes in [false, true] {
+        let (mut socket, peer) = slow_caller(usize::MAX);
+        *peer.borrow_mut() = Peer {
+            sends: READ_BYTES,
+            reset: Some(ErrorKind::ConnectionReset),
+            is_closed: true,
+            ..Peer::default()
+        };
+        if writes {
+            socket.push(&[0; SENT_BYTES]);
+        }
+        let mut events = Vec::new();
+        while socket.read(key, &mut [0; READ_CHUNK_BYTES], &mut events) {}
+        socket.read(key, &mut [0; READ_CHUNK_BYTES], &mut events);
+        let end = events.last();
+        let is_reset = matches!(end, Some(Event::Failed(_, ErrorKind::ConnectionReset)));
+        assert!(is_reset, "{writes}: {end:?}");
+    }
+}
+
 // A long answer that is complete may be in the kernel's buffers as a whole.
 #[test]
 fn caller_is_waited_for_after_a_long_answer_until_its_next_request() {
