Take no answer for whole whose connection ends within its request

A caller's upload got a part of a server's answer as the whole: the server answered at once with a 200 that had no length, sent part of its body and ended the connection while the upload was written.

Cause: such an answer ends with its connection, and counts once its server turns out to live on. A server that closes its side before it has read the request resets the connection only when more of it arrives, which came after the end had been read, or never, as this side closed too. The server lives on, and so the part was vouched for.

If the connection of a successful answer without length or chunks ends while its request isn't sent, the attempt is broken (closed-within-request): 502, or another attempt if the request may be repeated. Failures count by their head as before.

An upload of which the kernel has taken the rest isn't told apart yet.

--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -3,7 +3,7 @@
 use std::{io::ErrorKind, time::Duration};
 
 use crate::{
-    core::{Core, Role, idle::Idle, reply::Reply},
+    core::{Core, Role, exchange::Exchange, idle::Idle, reply::Reply},
     http::{
         body::Framing,
         head::{Decoder, Response},
@@ -339,6 +339,7 @@
         }
         // What a slow caller or another attempt has kept from being parsed still belongs to the answer.
         self.read_response(key, Pacing::None);
+        let is_sent = self.net.get(key).is_none_or(|it| it.unsent_bytes() == 0);
         let Some(Role::Backend(backend)) = self.roles.get(&key) else { return };
         let Some(index) = backend.exchange else {
             self.close_backend(key);
@@ -353,6 +354,11 @@
             self.record_unframed_end(index, body_bytes, kind);
         }
         if body_bytes.is_some() && kind.is_none() {
+            if !is_sent && self.is_success(index) {
+                // More of the request would have the connection reset: its end says nothing of the answer.
+                self.handle_broken_attempt(index, "closed-within-request");
+                return;
+            }
             self.close_backend(key);
             self.handle_unframed_end(index);
             return;
@@ -367,6 +373,11 @@
         }
     }
 
+    /// Whether the head that was received for the exchange says that the request succeeded.
+    fn is_success(&self, index: usize) -> bool {
+        self.exchanges.get(index).and_then(Exchange::reply).is_some_and(Reply::is_success)
+    }
+
     /// Closes a connection to a server and updates the server's count.
     pub(crate) fn close_backend(&mut self, key: Key) {
         if let Some(Role::Backend(it)) = self.roles.get(&key) {
