Take answers whose status is none for garbled

Cause: heads of responses were taken as the parser read them, which takes any three digits. This holds for all that reads answers by it: of servers, streams, reports, health, orders, the store and other instances. Entry instances' client takes none below 100, but all up to 999.

A head whose status is below 100 or above 599 is malformed: the attempt is broken as garbled (502, or another attempt), a control call has failed. At entry instances the attempt is lost.

--- a/crates/entry/src/backend/http.rs
+++ b/crates/entry/src/backend/http.rs
@@ -52,6 +52,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait for the answer to a short control call.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest status code of an answer; the client takes none below 100.
+const MAX_STATUS: u16 = 599;
 /// Idle connections kept for control calls: enough for the servers that one instance keeps, so that
 /// a poll needs no new connection.
 const IDLE_CONNECTIONS: usize = 256;
@@ -116,6 +118,7 @@
         let sent =
             if call.body.is_empty() { agent.run(request.map(|_| ())) } else { agent.run(request) };
         match sent {
+            Ok(response) if MAX_STATUS < response.status().as_u16() => Err(Failure::Lost),
             Ok(response) => Ok(answer(call, response)),
             Err(_) if !connected.load(Ordering::Acquire) => Err(Failure::Unreachable),
             Err(_) => Err(Failure::Lost),
--- a/crates/entry/src/backend/http/tests.rs
+++ b/crates/entry/src/backend/http/tests.rs
@@ -119,6 +119,17 @@
     assert!(request.join().unwrap().ends_with("{}"));
 }
 
+// An answer with a status that is none was passed on to the caller.
+#[test]
+fn answer_whose_status_is_none_is_lost() {
+    for status in ["000", "099", "600", "999"] {
+        let head = format!("HTTP/1.1 {status} None\r\ncontent-length: 0\r\n\r\n");
+        let (address, _request) = server(move |it| it.write_all(head.as_bytes()).unwrap());
+        let answer = Http::new().attempt(&call(address), &control());
+        assert_eq!(answer.map(|it| it.status).unwrap_err(), Failure::Lost, "{status}");
+    }
+}
+
 #[test]
 fn redirect_is_not_followed() {
     // A request that may run once would run at two places: a server that already ran it answers
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -1,11 +1,15 @@
 //! Parses the heads of requests and responses.
 
+use std::ops::Range;
+
 use crate::http::{Error, body::Framing, has_blank_line};
 
 /// Maximum number of header fields in one head.
 const MAX_FIELDS: usize = 100;
 /// Length of a response's head up to which each further piece of it is parsed at once.
 const SHORT_HEAD_BYTES: usize = 4 * 1024;
+/// Status codes of responses, interim ones too.
+const STATUSES: Range<u16> = 100..600;
 /// Longest part of the line breaks at the end of a head that may have arrived before the rest.
 const PARTIAL_END_BYTES: usize = 2;
 
@@ -238,7 +242,7 @@
             Ok(httparse::Status::Partial) => return Ok(None),
             Err(_) => return Err(Error::Head),
         }
-        let status = parsed.code.ok_or(Error::Head)?;
+        let status = parsed.code.filter(|it| STATUSES.contains(it)).ok_or(Error::Head)?;
         if !(100..200).contains(&status) {
             let fields = to_fields(parsed.headers);
             return Response::new(status, parsed.version == Some(1), fields, is_to_head).map(Some);
