Notice resets behind the end of an answer

A part of a server's answer without length or chunks reached its caller as the whole if the connection was reset right behind its end, as when a server closes its side of it while an upload is on its way and ends.

Cause: once the end was received, the kernel reports the end and not the reset to whoever reads, also if both have arrived. The connection was closed at its end, before the reset could come, and the server, which lived on, was asked in vain.

The error of the connection is asked for at its end, and the connection stays open until the server was checked and is asked again. An attempt whose connection was reset is broken. One system call more for each answer that ends with its connection.

--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -350,6 +350,7 @@
             .as_ref()
             .filter(|it| it.framing == Framing::UntilClose && !it.is_foreign);
         let body_bytes = unframed.map(|it| it.body_bytes);
+        let kind = kind.or_else(|| body_bytes.and_then(|_| self.take_connection_error(key)));
         if let Some(body_bytes) = body_bytes {
             self.record_unframed_end(index, body_bytes, kind);
         }
@@ -359,7 +360,7 @@
                 self.handle_broken_attempt(index, "closed-within-request");
                 return;
             }
-            self.close_backend(key);
+            // Stays open until the server was checked: it may still be reset.
             self.handle_unframed_end(index);
             return;
         }
@@ -373,6 +374,11 @@
         }
     }
 
+    /// The error that has ended the connection, if one has.
+    pub(crate) fn take_connection_error(&mut self, key: Key) -> Option<ErrorKind> {
+        self.net.get_mut(key)?.take_error()
+    }
+
     /// Whether the head that was received for the exchange says that the request succeeded.
     fn is_success(&self, index: usize) -> bool {
         self.exchanges.get(index).and_then(Exchange::reply).is_some_and(Reply::is_success)
--- a/crates/gateway/src/core/unframed.rs
+++ b/crates/gateway/src/core/unframed.rs
@@ -156,6 +156,10 @@
     fn judge_unframed_ends(&mut self, server: pool::Id, begun: Time, evidence: Evidence) {
         for index in self.unframed_ends(server, Some(begun)) {
             self.focus_server(index, server);
+            if evidence == Evidence::Alive && self.is_connection_reset(index) {
+                self.handle_broken_attempt(index, "reset");
+                continue;
+            }
             let Some(end) = self.exchanges.get_mut(index).and_then(Exchange::end_mut) else {
                 continue;
             };
@@ -217,8 +221,19 @@
         }
     }
 
+    /// Whether the answer's connection was reset after its end.
+    fn is_connection_reset(&mut self, index: usize) -> bool {
+        let attempt = self.exchanges.get(index).and_then(|it| it.attempt.as_ref());
+        let connection = attempt.map(|it| it.connection);
+        connection.is_some_and(|it| self.take_connection_error(it).is_some())
+    }
+
     /// Passes on the end of an answer that is complete.
     fn complete_unframed(&mut self, index: usize) {
+        let attempt = self.exchanges.get(index).and_then(|it| it.attempt.as_ref());
+        if let Some(connection) = attempt.map(|it| it.connection) {
+            self.close_backend(connection);
+        }
         if self.receive_body(index, &[], true) {
             self.finish_exchange(index);
         }
--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -150,6 +150,12 @@
         self.is_connecting
     }
 
+    /// The error that has ended the connection, also behind the end of what was received.
+    pub(crate) fn take_error(&mut self) -> Option<ErrorKind> {
+        let own = self.stream.take_error().ok().flatten().map(|it| it.kind());
+        self.write_error.or(own)
+    }
+
     /// Whether bytes have arrived that were not read from the kernel.
     pub(crate) fn has_unread(&mut self) -> bool {
         self.stream.peek(&mut [0]).is_ok_and(|it| 0 < it)
