Give requests that arrive, discards and segments files of their own

What is left of a refused body, a request whose body arrives, what a connection rests in, accepting connections and segments are in files of their own; short bodies take no more than their length, and connections whose last answer is still being sent don't make room for others that drop their input.

--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -1,5 +1,9 @@
 //! Callers' connections: reads their requests and enforces their time limits.
 
+mod discard;
+mod incoming;
+mod rest;
+
 use std::{io::ErrorKind, time::Duration};
 
 use shallotlead_base::time::Time;
@@ -11,40 +15,24 @@
     },
     http::{Error, body::Framing, head::Request, write},
     limits::History,
-    memory::{Account, Body, Hold, Segments},
+    memory::Body,
     net::{DELIVERY_TIMEOUT, Key, Socket},
 };
 
+use discard::{Discard, Progress};
+use incoming::{Incoming, Partial};
+pub(crate) use rest::Rest;
+
 /// How long a connection lingers after its last answer while the caller still sends. Closing it with
 /// unread input would reset it, and the caller would lose the answer.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
-/// How many times as long as its content a chunked body may be: chunks of one byte are six times as long.
-const CHUNKED_FACTOR: usize = 8;
-/// What a chunked body may be longer in any case, bytes.
-const CHUNKED_BYTES: usize = 64 * 1024;
 /// Refused requests whose rest is read and dropped at a time. Each takes what the kernel receives for it.
 const MAX_DROPPING: usize = 128;
-const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
-
 /// Time without progress after which a request that is still arriving may make room for others.
 const STALL_TIME: Duration = Duration::from_secs(1);
-/// Number of bytes of a body that count as progress.
-const PROGRESS_BYTES: usize = 16 * 1024;
-
-/// What a caller's connection rests in that may make room for others, in the order in which they do.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) enum Rest {
-    /// Its last answer was sent, and it is to be closed.
-    Lingering,
-    /// No request has ever arrived on it.
-    Unused,
-    /// Between requests.
-    Idle,
-    /// A request has stopped arriving.
-    Stalled,
-    /// Its last answer isn't being read.
-    Undelivered,
-}
+/// Bytes behind a last answer that are dropped in any case.
+const MIN_DROPPED_BYTES: usize = 64 * 1024;
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// State of a caller's connection.
 pub(crate) struct Caller {
@@ -73,104 +61,6 @@
     Closing(usize),
 }
 
-/// A request whose body is incomplete.
-struct Incoming {
-    head: Request,
-    framing: Framing,
-    body: Segments,
-    /// Number of bytes that have arrived for it, with the chunks' sizes and extensions.
-    received: usize,
-    /// Covers the stated length once a part has arrived, otherwise the room for what has arrived.
-    hold: Hold,
-    arrived: Time,
-    /// The limits for it when its head was complete.
-    limits: Limits,
-    /// When the last part arrived that is long enough to count as progress, and how much had arrived by then.
-    progressed: (Time, usize),
-}
-
-impl Incoming {
-    /// The limits for it: the most generous ones since it began to arrive.
-    fn limits(&self, history: &History) -> Limits {
-        self.limits.most_generous(history.since(self.arrived))
-    }
-
-    /// Takes the memory for the next `arrived` bytes. Returns how much is missing, if it isn't left.
-    fn grow(&mut self, arrived: usize, memory: &mut Account) -> Result<(), usize> {
-        if arrived == 0 {
-            return Ok(());
-        }
-        let needed = match self.framing {
-            Framing::Length(left) => self.body.len().saturating_add(to_usize(left)),
-            _ => self.body.capacity() + arrived + Segments::SEGMENT,
-        };
-        match memory.extend(&mut self.hold, needed) {
-            true => Ok(()),
-            false => Err(needed - self.hold.bytes()),
-        }
-    }
-
-    /// Moves what has arrived to the body. Returns whether it is complete.
-    fn decode(&mut self, now: Time, input: &mut Vec<u8>) -> Result<bool, Error> {
-        let arrived = input.len();
-        let left = match self.framing {
-            Framing::Length(left) => to_usize(left),
-            _ => usize::MAX,
-        };
-        let mut part = Vec::new();
-        let is_complete = self.framing.decode(input, &mut part)?;
-        self.body.push(&part, left);
-        self.received += arrived - input.len();
-        if !matches!(self.framing, Framing::Length(_)) {
-            self.hold.record(self.body.capacity());
-        }
-        if self.progressed.1 + PROGRESS_BYTES <= self.body.len() {
-            self.progressed = (now, self.body.len());
-        }
-        Ok(is_complete)
-    }
-
-    /// Whether it has more than `max_bytes`, or will have.
-    fn is_too_large(&self, max_bytes: usize) -> bool {
-        let total = (self.body.len() as u64).saturating_add(self.framing.least_left());
-        (max_bytes as u64) < total || max_received_bytes(max_bytes) < self.received
-    }
-}
-
-fn to_usize(bytes: u64) -> usize {
-    usize::try_from(bytes).unwrap_or(usize::MAX)
-}
-
-/// Number of bytes that may arrive for a body of `bytes`, with the chunks' sizes and extensions.
-fn max_received_bytes(bytes: usize) -> usize {
-    bytes.saturating_mul(CHUNKED_FACTOR).saturating_add(CHUNKED_BYTES)
-}
-
-/// A request that is refused before its body is complete.
-struct Partial {
-    head: Request,
-    /// What is left of the body.
-    framing: Framing,
-    arrived: Time,
-}
-
-impl From<Incoming> for Partial {
-    fn from(it: Incoming) -> Self {
-        Self { head: it.head, framing: it.framing, arrived: it.arrived }
-    }
-}
-
-/// What is left of the body of a refused request.
-struct Discard {
-    framing: Framing,
-    /// Number of bytes that are dropped at most.
-    left: usize,
-    /// The same, of the bytes that arrive for them.
-    left_received: usize,
-    /// Whether the connection is closed after it.
-    closes: bool,
-}
-
 /// Why a connection is ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Overrun {
@@ -232,7 +122,7 @@
         let stalled = |rest, since| (STALL_TIME <= now.since(since)).then_some((rest, since));
         match (&self.state, self.head_since) {
             (State::Busy(_), _) => None,
-            (State::Body(it), _) => stalled(Rest::Stalled, it.progressed.0),
+            (State::Body(it), _) => stalled(Rest::Stalled, it.progressed()),
             _ if !is_sent => stalled(Rest::Undelivered, self.since),
             (State::Closing(_) | State::Discarding(_), _) => stalled(Rest::Lingering, self.since),
             (State::Idle, Some(arrived)) => stalled(Rest::Stalled, arrived),
@@ -360,7 +250,7 @@
         let is_waiting = head.fields.contains_token("expect", "100-continue")
             && self.net.get(key).is_some_and(|it| it.input.is_empty());
         let framing = head.framing;
-        let stated = to_usize(framing.least_left());
+        let stated = usize::try_from(framing.least_left()).unwrap_or(usize::MAX);
         if !self.make_room(stated) {
             if is_waiting {
                 // Otherwise it wouldn't be known whether the body follows.
@@ -369,17 +259,7 @@
             return Step::Refuse(Box::new(Partial { head, framing, arrived }));
         }
         let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return Step::Wait };
-        let hold = self.memory.empty_hold();
-        let incoming = Incoming {
-            head,
-            framing,
-            body: Segments::default(),
-            received: 0,
-            hold,
-            arrived,
-            limits,
-            progressed: (self.now, 0),
-        };
+        let incoming = Incoming::new(head, self.memory.empty_hold(), arrived, limits, self.now);
         caller.state = State::Body(Box::new(incoming));
         caller.since = self.now;
         if is_waiting { Step::Continue } else { self.parse_body(key) }
@@ -433,24 +313,19 @@
         let Some(Role::Caller(caller)) = roles.get_mut(&key) else { return Step::Wait };
         let Some(socket) = net.get_mut(key) else { return Step::Wait };
         let State::Discarding(discard) = &mut caller.state else { return Step::Wait };
-        let mut dropped = Vec::new();
-        let arrived = socket.input.len();
-        let done = discard.framing.decode(&mut socket.input, &mut dropped);
-        discard.left = discard.left.saturating_sub(dropped.len());
-        discard.left_received = discard.left_received.saturating_sub(arrived - socket.input.len());
-        match done {
-            Ok(false) if 0 < discard.left && 0 < discard.left_received => {
+        match discard.skip(&mut socket.input) {
+            Progress::Incomplete => {
                 caller.since = *now;
                 net.resume_reading(key);
                 Step::Wait
             }
-            Ok(true) if !discard.closes => {
+            Progress::Complete if !discard.closes => {
                 caller.state = State::Idle;
                 caller.since = *now;
                 net.set_dropping(key, false);
                 self.parse_head(key)
             }
-            Ok(_) | Err(_) => {
+            Progress::Complete | Progress::Invalid => {
                 self.begin_closing(key);
                 self.handle_caller_flushed(key);
                 Step::Wait
@@ -464,11 +339,9 @@
     /// the caller would lose the answer, and bytes that aren't read take memory of the machine as well.
     fn refuse_partial(&mut self, key: Key, partial: &Partial, refusal: Refusal) {
         let Partial { head, framing, arrived } = partial;
-        let left = self.limits.since(*arrived).max_body_bytes;
+        let max_bytes = self.limits.since(*arrived).max_body_bytes;
         if let Some(Role::Caller(caller)) = self.roles.get_mut(&key) {
-            let left_received = max_received_bytes(left);
-            let discard = Discard { framing: *framing, left, left_received, closes: false };
-            caller.state = State::Discarding(discard);
+            caller.state = State::Discarding(Discard::new(*framing, max_bytes));
             caller.since = self.now;
         }
         self.begin_dropping(key);
@@ -541,7 +414,7 @@
 
     /// Has the connection closed once its last answer is sent.
     fn begin_closing(&mut self, key: Key) {
-        let left = self.limits.since(self.now).max_body_bytes;
+        let left = self.limits.since(self.now).max_body_bytes.max(MIN_DROPPED_BYTES);
         self.begin_dropping(key);
         if let Some(Role::Caller(caller)) = self.roles.get_mut(&key) {
             caller.state = State::Closing(left);
@@ -549,8 +422,8 @@
         }
     }
 
-    /// Has what arrives on the connection read after what others send, and closes the one that has been dropping for
-    /// longest if there are too many.
+    /// Has what arrives on the connection read after what others send. If there are too many of them, the one for which
+    /// that began first is closed.
     fn begin_dropping(&mut self, key: Key) {
         if self.net.is_dropping(key) {
             return;
@@ -561,10 +434,11 @@
             return;
         }
         self.dropping.retain(|it| self.net.is_dropping(*it));
+        // Answers that are still being sent are left alone.
+        let first = self.dropping.iter().position(|it| self.unsent_bytes(*it) == 0);
         if MAX_DROPPING < self.dropping.len()
-            && let Some(first) = self.dropping.pop_front()
+            && let Some(first) = first.and_then(|it| self.dropping.remove(it))
         {
-            self.log_undelivered(first, "too-many");
             self.close_connection(first);
         }
     }
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -7,6 +7,16 @@
 /// Maximum length of the trailer after the last chunk.
 const MAX_TRAILER_BYTES: usize = 8 * 1024;
 
+/// How many times as long as its content a chunked body may be: chunks of one byte are six times as long.
+const CHUNKED_FACTOR: usize = 8;
+/// What may arrive beyond that in any case, bytes.
+const EXTRA_BYTES: usize = 64 * 1024;
+
+/// Number of bytes that may arrive for a body of `bytes`, with the sizes and extensions of its chunks.
+pub const fn max_received_bytes(bytes: usize) -> usize {
+    bytes.saturating_mul(CHUNKED_FACTOR).saturating_add(EXTRA_BYTES)
+}
+
 /// Framing and decoding state: what is still to come of a body.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Framing {
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -1,7 +1,11 @@
 //! The budget of memory for what an instance holds for its callers and peers.
 
+mod segments;
+
 use std::{cell::Cell, rc::Rc};
 
+pub use segments::Segments;
+
 /// Memory of the machine if nothing is known of it: the least of any known deployment.
 pub const DEFAULT_MACHINE_BYTES: usize = 100_000_000;
 /// Share (1/n) of the machine's memory that may be held. The rest is for the process itself, for what its allocator
@@ -39,13 +43,6 @@
     bytes: usize,
 }
 
-/// Bytes in pieces of bounded length: they are never moved while they grow, and the memory of one fits another.
-#[derive(Debug, Default)]
-pub struct Segments {
-    segments: Vec<Vec<u8>>,
-    len: usize,
-}
-
 /// A request's body with its part of the budget.
 #[derive(Debug)]
 pub struct Body {
@@ -152,47 +149,6 @@
     }
 }
 
-impl Segments {
-    /// Length of a segment, and most room beyond its bytes that pushing them takes, bytes.
-    pub const SEGMENT: usize = 32 * 1024;
-
-    /// Number of bytes.
-    pub fn len(&self) -> usize {
-        self.len
-    }
-
-    /// Whether it has no bytes.
-    pub fn is_empty(&self) -> bool {
-        self.len == 0
-    }
-
-    /// Bytes that it takes.
-    pub fn capacity(&self) -> usize {
-        self.segments.iter().map(Vec::capacity).sum()
-    }
-
-    /// Appends `bytes`. `left`: how many there will be at most, with these.
-    pub fn push(&mut self, mut bytes: &[u8], mut left: usize) {
-        while !bytes.is_empty() {
-            if self.segments.last().is_none_or(|it| Self::SEGMENT <= it.len()) {
-                self.segments.push(Vec::new());
-            }
-            let Some(last) = self.segments.last_mut() else { return };
-            let room = Self::SEGMENT - last.len();
-            let (now, rest) = bytes.split_at(bytes.len().min(room));
-            if last.capacity() - last.len() < now.len() {
-                // All but short bodies are in segments of one length, so that each fits where another one was.
-                let is_short = left == now.len() && last.is_empty();
-                last.reserve_exact(if is_short { left } else { room });
-            }
-            last.extend_from_slice(now);
-            self.len += now.len();
-            left -= now.len().min(left);
-            bytes = rest;
-        }
-    }
-}
-
 impl Body {
     /// A complete body.
     pub fn new(bytes: Segments, hold: Hold) -> Self {
@@ -201,7 +157,7 @@
 
     /// Number of bytes.
     pub fn len(&self) -> usize {
-        self.bytes.len
+        self.bytes.len()
     }
 
     /// Whether it has no bytes.
@@ -211,24 +167,17 @@
 
     /// Its bytes, in order.
     pub fn segments(&self) -> impl Iterator<Item = &[u8]> {
-        self.bytes.segments.iter().map(Vec::as_slice)
+        self.bytes.iter()
     }
 
     /// Number of segments.
     pub fn segment_count(&self) -> usize {
-        self.bytes.segments.len()
+        self.bytes.count()
     }
 
     /// The segment at `index`.
     pub fn segment(&self, index: usize) -> &[u8] {
-        self.bytes.segments.get(index).map_or(&[], Vec::as_slice)
-    }
-}
-
-impl From<Vec<u8>> for Segments {
-    fn from(bytes: Vec<u8>) -> Self {
-        let len = bytes.len();
-        Self { segments: if bytes.is_empty() { Vec::new() } else { vec![bytes] }, len }
+        self.bytes.get(index)
     }
 }
 
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -1,7 +1,7 @@
 //! The budget of memory.
 
 use proptest::prelude::*;
-use shallotlead_gateway::memory::{Account, Body};
+use shallotlead_gateway::memory::{Account, Body, Segments};
 
 const MACHINE_BYTES: usize = 2_000;
 
@@ -54,6 +54,25 @@
 }
 
 proptest! {
+    // Bodies grew by doubling, with the old and the new room at once.
+    #[test]
+    fn segments_take_little_more_than_their_bytes(
+        lengths in prop::collection::vec(0..70_000_usize, 0..8),
+        is_length_known: bool,
+    ) {
+        let all: Vec<u8> = (0..lengths.iter().sum()).map(|it: usize| it as u8).collect();
+        let mut segments = Segments::default();
+        for length in lengths {
+            let begin = segments.len();
+            let left = if is_length_known { all.len() - begin } else { usize::MAX };
+            segments.push(&all[begin..begin + length], left);
+            prop_assert!(segments.capacity() < segments.len() + Segments::SEGMENT);
+        }
+        prop_assert!(segments.iter().flatten().eq(&all));
+        prop_assert_eq!(segments.len(), all.len());
+        prop_assert!(!is_length_known || segments.capacity() == all.len());
+    }
+
     #[test]
     fn no_more_is_held_than_the_limit(steps in prop::collection::vec((0..4_u8, 0..1_500_usize), 0..100)) {
         let mut account = Account::new(MACHINE_BYTES);
