Name inactive connections and deferred reads by the terms of the field

Connections that are closed for others are inactive, each for a reason; streams that aren't read before the next poll are deferred.

--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -2,7 +2,7 @@
 
 mod discard;
 mod incoming;
-mod rest;
+mod inactivity;
 
 use std::{io::ErrorKind, time::Duration};
 
@@ -20,15 +20,15 @@
 };
 
 use discard::{Discard, Progress};
+pub(crate) use inactivity::Inactivity;
 use incoming::{Incoming, Partial};
-pub(crate) use rest::Rest;
 
 /// How long a connection lingers after its last answer while the caller still sends. Closing it with
 /// unread input would reset it, and the caller would lose the answer.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Refused requests whose rest is read and dropped at a time. Each takes what the kernel receives for it.
 const MAX_DROPPING: usize = 128;
-/// Time without progress after which a request that is still arriving may make room for others.
+/// Time without progress after which a connection may be closed for others.
 const STALL_TIME: Duration = Duration::from_secs(1);
 /// Bytes behind a last answer that are dropped in any case.
 const MIN_DROPPED_BYTES: usize = 64 * 1024;
@@ -117,17 +117,19 @@
         }
     }
 
-    /// What it rests in and since when, if it may make room for others. `is_sent`: the kernel has all of its answers.
-    pub(crate) fn rest(&self, now: Time, is_sent: bool) -> Option<(Rest, Time)> {
-        let stalled = |rest, since| (STALL_TIME <= now.since(since)).then_some((rest, since));
+    /// Why nothing happens on it and since when, if it may be closed for others. `is_sent`: the kernel has all of its answers.
+    pub(crate) fn inactivity(&self, now: Time, is_sent: bool) -> Option<(Inactivity, Time)> {
+        let stalled = |kind, since| (STALL_TIME <= now.since(since)).then_some((kind, since));
         match (&self.state, self.head_since) {
             (State::Busy(_), _) => None,
-            (State::Body(it), _) => stalled(Rest::Stalled, it.progressed()),
-            _ if !is_sent => stalled(Rest::Undelivered, self.since),
-            (State::Closing(_) | State::Discarding(_), _) => stalled(Rest::Lingering, self.since),
-            (State::Idle, Some(arrived)) => stalled(Rest::Stalled, arrived),
-            (State::Idle, None) if self.is_used => Some((Rest::Idle, self.since)),
-            (State::Idle, None) => Some((Rest::Unused, self.since)),
+            (State::Body(it), _) => stalled(Inactivity::Stalled, it.progressed()),
+            _ if !is_sent => stalled(Inactivity::Undelivered, self.since),
+            (State::Closing(_) | State::Discarding(_), _) => {
+                stalled(Inactivity::Lingering, self.since)
+            }
+            (State::Idle, Some(arrived)) => stalled(Inactivity::Stalled, arrived),
+            (State::Idle, None) if self.is_used => Some((Inactivity::Idle, self.since)),
+            (State::Idle, None) => Some((Inactivity::Unused, self.since)),
         }
     }
 
--- a/crates/gateway/src/core/caller/rest.rs
+++ b/crates/gateway/src/core/caller/inactivity.rs
@@ -1,8 +1,8 @@
-//! What a caller's connection rests in.
+//! Why nothing happens on a caller's connection.
 
-/// What a caller's connection rests in that may make room for others, in the order in which they do.
+/// Why nothing happens on a connection, so that it may be closed for others. The first ones are closed first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) enum Rest {
+pub(crate) enum Inactivity {
     /// Its last answer was sent, and it is to be closed.
     Lingering,
     /// No request has ever arrived on it.
--- a/crates/gateway/src/core/endpoints.rs
+++ b/crates/gateway/src/core/endpoints.rs
@@ -11,7 +11,7 @@
 use shallotlead_base::time::Time;
 
 use crate::{
-    core::{Core, Role, answer::MAX_UNSENT_BYTES, caller::Rest, state::STATE_PATH},
+    core::{Core, Role, answer::MAX_UNSENT_BYTES, caller::Inactivity, state::STATE_PATH},
     http::{body::Framing, head::Request, write},
     net::{Endpoint, Key, Socket},
     quarantine::endpoint::Problem,
@@ -34,9 +34,9 @@
 }
 
 impl Client {
-    /// What it rests in and since when. `is_sent`: the kernel has all of its answers.
-    pub(crate) fn rest(&self, is_sent: bool) -> (Rest, Time) {
-        (if is_sent { Rest::Idle } else { Rest::Undelivered }, self.since)
+    /// Why nothing happens on it and since when. `is_sent`: the kernel has all of its answers.
+    pub(crate) fn inactivity(&self, is_sent: bool) -> (Inactivity, Time) {
+        (if is_sent { Inactivity::Idle } else { Inactivity::Undelivered }, self.since)
     }
 }
 
--- a/crates/gateway/src/core/shedding.rs
+++ b/crates/gateway/src/core/shedding.rs
@@ -7,7 +7,7 @@
 use crate::{
     core::{
         Core, Role,
-        caller::{Caller, Rest},
+        caller::{Caller, Inactivity},
         refusal::Refusal,
     },
     net::{Endpoint, Key, Socket},
@@ -38,20 +38,20 @@
         }
         for endpoint in self.net.full_endpoints() {
             let limit = self.net.max_connections(endpoint);
-            let spare = self.spare_connections(endpoint, (limit / SHARE_DIVISOR).max(1));
-            for key in &spare {
+            let inactive = self.inactive_connections(endpoint, (limit / SHARE_DIVISOR).max(1));
+            for key in &inactive {
                 self.shed_connection(*key);
             }
-            let rejected = if spare.is_empty() { self.net.reject_waiting(endpoint) } else { 0 };
-            if spare.is_empty() {
+            let rejected = if inactive.is_empty() { self.net.reject_waiting(endpoint) } else { 0 };
+            if inactive.is_empty() {
                 self.next_connection_search = self.now + SEARCH_INTERVAL;
             }
-            if !spare.is_empty() || 0 < rejected {
+            if !inactive.is_empty() || 0 < rejected {
                 self.log
                     .line(self.now, "connections_short")
                     .text("endpoint", endpoint.name())
                     .number("limit", limit)
-                    .number("closed", spare.len())
+                    .number("closed", inactive.len())
                     .number("rejected", rejected);
             }
         }
@@ -131,8 +131,8 @@
                 false => Some((Order::Receiving, resumed)),
             };
         }
-        match caller.rest(self.now, is_sent) {
-            Some((Rest::Unused | Rest::Idle, _)) => None,
+        match caller.inactivity(self.now, is_sent) {
+            Some((Inactivity::Unused | Inactivity::Idle, _)) => None,
             Some((_, since)) => Some((Order::Stalled, since)),
             None if is_sent => None,
             None => Some((Order::Receiving, caller.since())),
@@ -152,15 +152,17 @@
     }
 
     /// Up to `count` connections to `endpoint` on which no request runs or has just arrived.
-    fn spare_connections(&self, endpoint: Endpoint, count: usize) -> Vec<Key> {
+    fn inactive_connections(&self, endpoint: Endpoint, count: usize) -> Vec<Key> {
         let connections = self.roles.iter().filter_map(|(key, role)| {
             let is_sent = self.is_sent(*key);
-            let rest = match role {
-                Role::Caller(it) if endpoint == Endpoint::Callers => it.rest(self.now, is_sent),
-                Role::Endpoint(it) if it.endpoint == endpoint => Some(it.rest(is_sent)),
+            let inactivity = match role {
+                Role::Caller(it) if endpoint == Endpoint::Callers => {
+                    it.inactivity(self.now, is_sent)
+                }
+                Role::Endpoint(it) if it.endpoint == endpoint => Some(it.inactivity(is_sent)),
                 _ => None,
             };
-            Some((rest?, *key))
+            Some((inactivity?, *key))
         });
         let mut connections: Vec<_> = connections.collect();
         connections.sort_unstable_by_key(|it| it.0);
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -162,7 +162,7 @@
     /// Streams that may have unread bytes in the kernel, for which no further edge-triggered event will come.
     unfinished_reads: Vec<Key>,
     /// Streams that aren't read before the next poll, and then only if there is memory for it.
-    put_off: Vec<Key>,
+    deferred: Vec<Key>,
     /// Bytes of refused requests that may still be read in this poll.
     droppable: usize,
     read_chunk: Box<[u8]>,
@@ -184,7 +184,7 @@
             blocked: Vec::new(),
             failed: Vec::new(),
             unfinished_reads: Vec::new(),
-            put_off: Vec::new(),
+            deferred: Vec::new(),
             droppable: 0,
             read_chunk: vec![0; READ_CHUNK_BYTES].into(),
             datagram_buffer: vec![0; MAX_DATAGRAM_BYTES].into(),
@@ -323,13 +323,13 @@
     pub(crate) fn poll(&mut self, timeout: Duration, events: &mut Vec<Event>) -> io::Result<()> {
         self.droppable = MAX_DROPPED_BYTES;
         let is_due = !self.unfinished_reads.is_empty() || self.may_resume_accepting();
-        let mut timeout = match self.put_off.is_empty() {
+        let mut timeout = match self.deferred.is_empty() {
             _ if is_due => Duration::ZERO,
             true => timeout,
             false if self.is_short() => timeout.min(MEMORY_WAIT),
             false => Duration::ZERO,
         };
-        self.resume_put_off();
+        self.resume_deferred();
         for _ in 0..MAX_ROUNDS {
             if !self.poll_round(timeout, events)? {
                 break;
@@ -339,12 +339,12 @@
         Ok(())
     }
 
-    /// Tries again to read the streams that were put off.
-    fn resume_put_off(&mut self) {
-        let keys = std::mem::take(&mut self.put_off);
+    /// Tries again to read the streams that were deferred.
+    fn resume_deferred(&mut self) {
+        let keys = std::mem::take(&mut self.deferred);
         for key in &keys {
             if let Some(socket) = self.get_mut(*key) {
-                socket.is_put_off = false;
+                socket.is_deferred = false;
             }
         }
         self.unfinished_reads.extend(keys);
@@ -352,7 +352,7 @@
 
     /// Whether streams wait for memory to be read.
     pub(crate) fn is_short(&self) -> bool {
-        !self.put_off.is_empty() && !self.memory.may_read(READ_CHUNK_BYTES)
+        !self.deferred.is_empty() && !self.memory.may_read(READ_CHUNK_BYTES)
     }
 
     /// Sets whether what arrives is dropped, so that it is read after what others send.
@@ -382,8 +382,8 @@
             return true;
         }
         socket.expect_unread(true);
-        if !std::mem::replace(&mut socket.is_put_off, true) {
-            self.put_off.push(key);
+        if !std::mem::replace(&mut socket.is_deferred, true) {
+            self.deferred.push(key);
         }
         false
     }
--- a/crates/gateway/src/net/accept.rs
+++ b/crates/gateway/src/net/accept.rs
@@ -64,9 +64,11 @@
                 Err(err) if err.kind() == ErrorKind::WouldBlock => return,
                 Err(err) if err.kind() == ErrorKind::Interrupted => continue,
                 Err(err) => {
-                    log::warn!("failed to accept a connection: {err}");
                     // No further event comes for the connections that wait already.
-                    self.failed.push(key);
+                    if !self.failed.contains(&key) {
+                        log::warn!("failed to accept a connection: {err}");
+                        self.failed.push(key);
+                    }
                     return;
                 }
             };
--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -41,7 +41,7 @@
     /// Whether what arrives is dropped.
     pub(super) is_dropping: bool,
     /// Whether reading is put off because the memory for requests is used up.
-    pub(super) is_put_off: bool,
+    pub(super) is_deferred: bool,
     /// Whether the kernel has signalled that the peer closed its side. Bytes before that may still be unread.
     pub(super) is_read_closed: bool,
     /// Whether the end of the input, or an error, was reached.
@@ -77,7 +77,7 @@
             max_input: if endpoint.is_some() { MAX_REQUEST_INPUT_BYTES } else { MAX_INPUT_BYTES },
             is_paused: false,
             is_dropping: false,
-            is_put_off: false,
+            is_deferred: false,
             is_read_closed: false,
             is_read_finished: false,
             write_error: None,
