Read servers by single reads unless memory is ample

Cause: up to 256 KB of each of a hundred servers were read in one poll as long as the budget wasn't used up, and became as many answers in the same turn. A slower process finds more waiting.

While more than half of the budget is held, no more than one read of a server waits to be parsed.

--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -90,6 +90,11 @@
         bytes == 0 || taken.saturating_add(bytes) <= self.limit()
     }
 
+    /// Whether no more than half of the budget is held.
+    pub fn is_ample(&self) -> bool {
+        self.held() <= self.budget / 2
+    }
+
     /// Whether `bytes` may be read of callers' requests.
     pub fn may_read(&self, bytes: usize) -> bool {
         self.held().saturating_add(bytes) <= self.budget.max(MIN_READ_LIMIT)
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -368,15 +368,15 @@
     }
 
     /// Whether the stream may be read now. What servers, the store and other instances answer is read in any case, but
-    /// not much of it at a time while memory is short.
+    /// not much of it at a time unless memory is ample: what is read of many in one poll may become as many answers.
     fn may_read(&mut self, key: Key) -> bool {
         let has_memory = self.memory.may_read(READ_CHUNK_BYTES);
-        let may_drop = 0 < self.droppable;
+        let (may_drop, is_ample) = (0 < self.droppable, self.memory.is_ample());
         let Some(socket) = self.get_mut(key) else { return false };
         let may_read = match socket.endpoint {
             Some(_) if socket.is_dropping => may_drop,
             Some(_) => has_memory,
-            None => has_memory || socket.input.is_empty(),
+            None => is_ample || socket.input.is_empty(),
         };
         if may_read {
             return true;
