Ask in one place what a body has still to come and what is unsent

Lengths stated in heads were turned into memory sizes in four places, whether a peer was sent everything was asked by a copy of Core::unsent_bytes in two, and sockets were handed their parts of the account as a pair and a limit afterwards. Framing::least_left serves the head, the body and what is too large; Core::unsent_bytes serves callers, servers and shedding; a socket takes its parts from the account. No change of behaviour.

--- a/crates/gateway/src/core/backend.rs
+++ b/crates/gateway/src/core/backend.rs
@@ -339,7 +339,7 @@
         }
         // What a slow caller or another attempt has kept from being parsed still belongs to the answer.
         self.read_response(key, Pacing::None);
-        let is_sent = self.net.get(key).is_none_or(|it| it.unsent_bytes() == 0);
+        let is_sent = self.unsent_bytes(key) == 0;
         let Some(Role::Backend(backend)) = self.roles.get(&key) else { return };
         let Some(index) = backend.exchange else {
             self.close_backend(key);
--- a/crates/gateway/src/core/caller.rs
+++ b/crates/gateway/src/core/caller.rs
@@ -13,7 +13,7 @@
     core::{
         Core, Role, SWEEP_INTERVAL, answer::MAX_UNSENT_BYTES, ending::error_body, refusal::Refusal,
     },
-    http::{Error, body::Framing, head::Request, write},
+    http::{Error, head::Request, write},
     limits::History,
     memory::Body,
     net::{DELIVERY_TIMEOUT, Key, Socket},
@@ -241,7 +241,7 @@
         caller.head_since = None;
         caller.is_used = true;
         socket.begin_answer();
-        if matches!(head.framing, Framing::Length(len) if (limits.max_body_bytes as u64) < len) {
+        if limits.max_body_bytes < head.framing.least_left() {
             return Step::TooLarge;
         }
         self.begin_body(key, head, arrived, limits)
@@ -252,8 +252,7 @@
         let is_waiting = head.fields.contains_token("expect", "100-continue")
             && self.net.get(key).is_some_and(|it| it.input.is_empty());
         let framing = head.framing;
-        let stated = usize::try_from(framing.least_left()).unwrap_or(usize::MAX);
-        if !self.make_room(stated) {
+        if !self.make_room(framing.least_left()) {
             if is_waiting {
                 // Otherwise it wouldn't be known whether the body follows.
                 self.net.send(key, CONTINUE);
@@ -621,8 +620,8 @@
         0 < self.unsent_bytes(key) && self.now.since(caller.since) < DELIVERY_TIMEOUT
     }
 
-    /// Number of bytes for the caller that the kernel hasn't taken.
-    fn unsent_bytes(&self, key: Key) -> usize {
+    /// Number of bytes for the peer that the kernel hasn't taken.
+    pub(crate) fn unsent_bytes(&self, key: Key) -> usize {
         self.net.get(key).map_or(0, Socket::unsent_bytes)
     }
 
--- a/crates/gateway/src/core/caller/incoming.rs
+++ b/crates/gateway/src/core/caller/incoming.rs
@@ -63,7 +63,7 @@
             return Ok(());
         }
         let needed = match self.framing {
-            Framing::Length(left) => self.body.len().saturating_add(to_usize(left)),
+            Framing::Length(_) => self.total(),
             _ => self.body.capacity() + arrived + Segments::SEGMENT,
         };
         match memory.extend(&mut self.hold, needed) {
@@ -76,7 +76,7 @@
     pub(super) fn decode(&mut self, now: Time, input: &mut Vec<u8>) -> Result<bool, Error> {
         let arrived = input.len();
         let left = match self.framing {
-            Framing::Length(left) => to_usize(left),
+            Framing::Length(_) => self.framing.least_left(),
             _ => usize::MAX,
         };
         let mut part = Vec::new();
@@ -94,8 +94,12 @@
 
     /// Whether it has more than `max_bytes`, or will have.
     pub(super) fn is_too_large(&self, max_bytes: usize) -> bool {
-        let total = (self.body.len() as u64).saturating_add(self.framing.least_left());
-        (max_bytes as u64) < total || max_received_bytes(max_bytes) < self.received
+        max_bytes < self.total() || max_received_bytes(max_bytes) < self.received
+    }
+
+    /// Its length, as far as it has arrived or was stated.
+    fn total(&self) -> usize {
+        self.body.len().saturating_add(self.framing.least_left())
     }
 }
 
@@ -112,7 +116,3 @@
         Self { head: it.head, framing: it.framing, arrived: it.arrived }
     }
 }
-
-fn to_usize(bytes: u64) -> usize {
-    usize::try_from(bytes).unwrap_or(usize::MAX)
-}
--- a/crates/gateway/src/core/shedding.rs
+++ b/crates/gateway/src/core/shedding.rs
@@ -143,7 +143,7 @@
         self.memory_sheds += 1;
         let is_caller = matches!(self.roles.get(&key), Some(Role::Caller(_)));
         let is_refused = self.refuse_incoming_at(key, Refusal::NoMemory)
-            || (self.is_sent(key) && self.drop_requests(key));
+            || (self.unsent_bytes(key) == 0 && self.drop_requests(key));
         match is_caller {
             _ if is_refused => {}
             true => self.shed_caller(key, Refusal::NoMemory),
@@ -154,7 +154,7 @@
     /// Up to `count` connections to `endpoint` on which no request runs or has just arrived.
     fn inactive_connections(&self, endpoint: Endpoint, count: usize) -> Vec<Key> {
         let connections = self.roles.iter().filter_map(|(key, role)| {
-            let is_sent = self.is_sent(*key);
+            let is_sent = self.unsent_bytes(*key) == 0;
             let inactivity = match role {
                 Role::Caller(it) if endpoint == Endpoint::Callers => {
                     it.inactivity(self.now, is_sent)
@@ -170,11 +170,6 @@
         keys.filter(|it| self.net.get(*it).is_some_and(Socket::is_quiet)).take(count).collect()
     }
 
-    /// Whether the kernel has all that was to be sent on the connection.
-    fn is_sent(&self, key: Key) -> bool {
-        self.net.get(key).is_none_or(|it| it.unsent_bytes() == 0)
-    }
-
     fn shed_connection(&mut self, key: Key) {
         if matches!(self.roles.get(&key), Some(Role::Caller(_))) {
             self.shed_caller(key, Refusal::NoConnection);
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -62,9 +62,9 @@
     }
 
     /// Number of bytes that the body has still to come at least, as far as it was stated.
-    pub const fn least_left(self) -> u64 {
+    pub fn least_left(self) -> usize {
         match self {
-            Self::Length(left) | Self::Chunked(Chunk::Data(left)) => left,
+            Self::Length(left) | Self::Chunked(Chunk::Data(left)) => to_usize(left),
             Self::Empty | Self::Chunked(_) | Self::UntilClose => 0,
         }
     }
@@ -92,8 +92,12 @@
     }
 }
 
+fn to_usize(bytes: u64) -> usize {
+    usize::try_from(bytes).unwrap_or(usize::MAX)
+}
+
 fn move_bytes(input: &mut Vec<u8>, body: &mut Vec<u8>, left: &mut u64) {
-    let len = usize::try_from(*left).unwrap_or(usize::MAX).min(input.len());
+    let len = to_usize(*left).min(input.len());
     reserve(body, len, *left);
     body.extend(input.drain(..len));
     *left -= len as u64;
@@ -105,7 +109,7 @@
     if len <= body.capacity() - body.len() {
         return;
     }
-    let left = usize::try_from(left).unwrap_or(usize::MAX);
+    let left = to_usize(left);
     body.reserve_exact(body.len().saturating_add(len).min(left));
 }
 
@@ -127,7 +131,7 @@
                 };
             }
             Chunk::Data(left) => {
-                let len = usize::try_from(*left).unwrap_or(usize::MAX).min(rest.len());
+                let len = to_usize(*left).min(rest.len());
                 body.extend_from_slice(&rest[..len]);
                 *at += len;
                 *left -= len as u64;
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -447,11 +447,9 @@
         let key = self.next_key();
         let timeout = timeout.duration();
         stream.register(key.index, timeout)?;
-        let holds = [self.memory.empty_hold(), self.memory.empty_unread()];
-        let mut socket = Socket::new(stream, timeout, endpoint, holds);
+        let socket = Socket::new(stream, timeout, endpoint, &self.memory);
         if let Some(endpoint) = endpoint {
             self.descriptors.open(endpoint);
-            socket = socket.with_unread_limit(self.memory.unread_limit());
         }
         self.slots.insert((key.serial, Slot::Stream(socket)));
         Ok(key)
--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     host::network::Stream,
-    memory::{Body, Hold},
+    memory::{Account, Body, Hold},
 };
 
 use super::{
@@ -63,16 +63,16 @@
         stream: Box<dyn Stream>,
         timeout: Duration,
         endpoint: Option<Endpoint>,
-        [hold, unread]: [Hold; 2],
+        memory: &Account,
     ) -> Self {
         Self {
             stream,
             endpoint,
             input: Vec::new(),
             output: Output::default(),
-            hold,
-            unread_limit: 0,
-            unread,
+            hold: memory.empty_hold(),
+            unread_limit: endpoint.map_or(0, |_| memory.unread_limit()),
+            unread: memory.empty_unread(),
             is_connecting: false,
             max_input: if endpoint.is_some() { MAX_REQUEST_INPUT_BYTES } else { MAX_INPUT_BYTES },
             is_paused: false,
@@ -88,11 +88,6 @@
         }
     }
 
-    /// Bounds what the kernel receives before it is read.
-    pub(super) fn with_unread_limit(self, bytes: usize) -> Self {
-        Self { unread_limit: bytes, ..self }
-    }
-
     /// Sets how long the connection is kept on which the peer acknowledges nothing.
     pub(super) fn set_timeout(&mut self, timeout: Duration) {
         self.timeout = timeout;
--- a/crates/gateway/src/net/tests.rs
+++ b/crates/gateway/src/net/tests.rs
@@ -203,15 +203,7 @@
     let peer = Rc::new(RefCell::new(Peer { room, ..Peer::default() }));
     let mut stream = Slow(peer.clone());
     stream.register(0, PEER_TIMEOUT).expect("it never fails");
-    (
-        Socket::new(
-            Box::new(stream),
-            PEER_TIMEOUT,
-            None,
-            [account.empty_hold(), account.empty_unread()],
-        ),
-        peer,
-    )
+    (Socket::new(Box::new(stream), PEER_TIMEOUT, None, account), peer)
 }
 
 // A peer that takes nothing for now was taken for one that has vanished. Once it has taken all, it is waited for as
