Let bodies be read as their segments

A body repeated four methods of the segments that it holds. It derefs to them, as it did to its bytes before. No change of behaviour.

Run: clippy; the gateway's unit and memory tests; the adapter's memory and early_answers.

--- a/crates/gateway/src/core/attempt.rs
+++ b/crates/gateway/src/core/attempt.rs
@@ -265,7 +265,7 @@
         if MIN_SHARED_BYTES <= body.len() {
             self.net.send_shared(connection, &head, body);
         } else {
-            body.segments().for_each(|it| head.extend_from_slice(it));
+            body.iter().for_each(|it| head.extend_from_slice(it));
             self.net.send(connection, &head);
         }
         if is_connecting {
--- a/crates/gateway/src/core/exchange.rs
+++ b/crates/gateway/src/core/exchange.rs
@@ -229,7 +229,7 @@
         let Self { head, info, body, .. } = self;
         let (method, target) = (&head.method, &head.target);
         let identity =
-            || Identity::of_segments(organisation, method, &info.host, target, body.segments());
+            || Identity::of_segments(organisation, method, &info.host, target, body.iter());
         self.identity.get_or_init(identity)
     }
 
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -2,7 +2,7 @@
 
 mod segments;
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, ops::Deref, rc::Rc};
 
 pub use segments::Segments;
 
@@ -159,30 +159,13 @@
     pub fn new(bytes: Segments, hold: Hold) -> Self {
         Self { bytes, _hold: hold }
     }
+}
 
-    /// Number of bytes.
-    pub fn len(&self) -> usize {
-        self.bytes.len()
-    }
-
-    /// Whether it has no bytes.
-    pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
-    }
-
-    /// Its bytes, in order.
-    pub fn segments(&self) -> impl Iterator<Item = &[u8]> {
-        self.bytes.iter()
-    }
-
-    /// Number of segments.
-    pub fn segment_count(&self) -> usize {
-        self.bytes.count()
-    }
+impl Deref for Body {
+    type Target = Segments;
 
-    /// The segment at `index`.
-    pub fn segment(&self, index: usize) -> &[u8] {
-        self.bytes.get(index)
+    fn deref(&self) -> &Segments {
+        &self.bytes
     }
 }
 
--- a/crates/gateway/src/net/output.rs
+++ b/crates/gateway/src/net/output.rs
@@ -28,7 +28,7 @@
     fn bytes(&self) -> &[u8] {
         match self {
             Self::Owned(it) => it,
-            Self::Shared(it, segment) => it.segment(*segment),
+            Self::Shared(it, segment) => it.get(*segment),
         }
     }
 }
@@ -75,7 +75,7 @@
             self.parts.clear();
         }
         self.unsent += bytes.len();
-        let segments = 0..bytes.segment_count();
+        let segments = 0..bytes.count();
         self.parts.extend(segments.map(|it| Part::Shared(Rc::clone(&bytes), it)));
     }
 
--- a/crates/gateway/src/net/tests.rs
+++ b/crates/gateway/src/net/tests.rs
@@ -103,16 +103,13 @@
             let bytes = output.next();
             let shared = bytes.as_ptr_range();
             if bytes.first() == Some(&7) {
-                assert!(
-                    body.segment(0).as_ptr_range().contains(&shared.start),
-                    "the body was copied"
-                );
+                assert!(body.get(0).as_ptr_range().contains(&shared.start), "the body was copied");
             }
             let len = bytes.len().min(step);
             sent.extend_from_slice(&bytes[..len]);
             output.advance(len);
         }
-        assert_eq!(sent, [b"head", body.segment(0), b"next"].concat());
+        assert_eq!(sent, [b"head", body.get(0), b"next"].concat());
         assert_eq!(Rc::strong_count(&body), 1, "sent bytes are kept");
         output.push(b"a");
         output.advance(1);
