Size inputs by powers of two

Cause: an input of more than 4 KB took a multiple of 32 KB, so that 1,500 heads of 16 KB took the account up at half of them. The others were deferred until the first ones were shed, and waited in the kernel, which counts on the machine as well.

Inputs take the next power of two: the heads fit.

--- a/crates/gateway/src/net/socket.rs
+++ b/crates/gateway/src/net/socket.rs
@@ -293,12 +293,11 @@
         }
     }
 
-    /// Appends to the input. Its buffer grows with what arrives, not by doubling, as many are open at once.
+    /// Appends to the input. Buffers have few sizes, so that each fits where another one was.
     fn append(&mut self, bytes: &[u8]) {
         if self.input.capacity() - self.input.len() < bytes.len() {
-            let is_short = self.input.len() + bytes.len() <= IDLE_BYTES;
-            let step = if is_short { IDLE_BYTES } else { READ_CHUNK_BYTES };
-            let capacity = (self.input.len() + bytes.len()).next_multiple_of(step);
+            let needed = self.input.len() + bytes.len();
+            let capacity = needed.next_power_of_two().max(IDLE_BYTES);
             self.input.reserve_exact(capacity - self.input.len());
         }
         self.input.extend_from_slice(bytes);
