Log and count lists that are long under way or given up

Logs couldn't tell a list that never goes on from a store that doesn't answer: store_lost names the kind only, and nothing says which page was asked for, how many were read and how much of them is held. list_long, list_failed and two counters do. No decision changes.

--- a/crates/gateway/src/core/control.rs
+++ b/crates/gateway/src/core/control.rs
@@ -162,6 +162,16 @@
     Lost,
 }
 
+impl Outcome {
+    /// The status of the answer; zero if there is none.
+    pub(crate) fn status(&self) -> u16 {
+        match self {
+            Self::Answered { status, .. } => *status,
+            Self::NotSent | Self::Refused | Self::Reset | Self::Lost => 0,
+        }
+    }
+}
+
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum End {
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -231,6 +231,18 @@
             .increment(1);
     }
 
+    /// Counts a page of a list that has further ones.
+    pub(crate) fn count_list_page(&mut self, kind: &str) {
+        metrics::counter!("shallotlead_list_pages_total", "kind" => kind.to_owned()).increment(1);
+    }
+
+    /// Counts a list that was given up.
+    pub(crate) fn count_failed_list(&mut self, kind: &str, reason: &'static str) {
+        let kind = kind.to_owned();
+        metrics::counter!("shallotlead_lists_failed_total", "kind" => kind, "reason" => reason)
+            .increment(1);
+    }
+
     /// Counts a change of another instance's status.
     pub(crate) fn count_member_change(&mut self, status: &'static str) {
         metrics::counter!("shallotlead_member_changes_total", "standing" => status).increment(1);
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -6,6 +6,7 @@
 mod document;
 mod era;
 mod open_streams;
+mod pages;
 mod quarantine;
 mod subscription;
 mod withheld;
@@ -33,10 +34,10 @@
 };
 
 use builds::Builds;
-pub(crate) use call::Pages;
 pub(crate) use document::{Document, decompress};
 use era::Era;
 use open_streams::Journal;
+pub(crate) use pages::Pages;
 use quarantine::Records;
 use subscription::Subscription;
 pub(crate) use subscription::{Basis, Topic};
--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -3,10 +3,7 @@
 
 use std::time::Duration;
 
-use shallotlead_base::{
-    id::Version,
-    store::{Call, Object, Reply},
-};
+use shallotlead_base::store::{Call, Reply};
 use shallotlead_platform::{outcome::Outcome, scheduler::CallId};
 
 use crate::{
@@ -14,37 +11,18 @@
     core::{
         Core,
         control::{self, Purpose},
+        storage::Pages,
     },
 };
 
 /// Timeout of a call. The store usually answers in 4 ms, and in 250 ms when it is slow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest part of an object's name in log lines, bytes.
+const MAX_LOGGED_NAME: usize = 100;
 /// Time beyond the wait in which a watch has to be answered in a large fleet, where other instances
 /// depend on those that watch.
 const LARGE_FLEET_WATCH_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// The pages of a list that were read so far.
-#[derive(Default)]
-pub(crate) struct Pages {
-    objects: Vec<Object>,
-    /// The store's version when the first of them was read.
-    version: Option<Version>,
-}
-
-impl Pages {
-    /// Bytes of their values.
-    pub(crate) fn bytes(&self) -> usize {
-        self.objects.iter().map(|it| it.value.len()).sum()
-    }
-
-    /// Adds a page that was read at `version`. Returns the version up to which all pages show every change: objects on
-    /// the first one may have changed since.
-    fn add(&mut self, objects: Vec<Object>, version: Version) -> Version {
-        self.objects.extend(objects);
-        *self.version.get_or_insert(version)
-    }
-}
-
 impl Core {
     pub(super) fn send_call(&mut self, sent: CallId, mut call: Call) {
         if let Some(outcome) = self.reply_if_outdated(&call) {
@@ -62,18 +40,11 @@
                 CALL_TIMEOUT
             }
         };
-        self.send_page(sent, call, Pages::default(), timeout, None);
+        self.send_page(sent, call, Pages::default(), timeout);
     }
 
-    fn send_page(
-        &mut self,
-        sent: CallId,
-        call: Call,
-        pages: Pages,
-        timeout: Duration,
-        after: Option<&str>,
-    ) {
-        let request = self.adapter.store_request(&call, after);
+    fn send_page(&mut self, sent: CallId, call: Call, pages: Pages, timeout: Duration) {
+        let request = self.adapter.store_request(&call, pages.after());
         let purpose = Purpose::Store { sent, call, pages, timeout };
         self.send_control(self.storage.address, &request, timeout, purpose);
     }
@@ -86,6 +57,7 @@
         timeout: Duration,
         answer: control::Outcome,
     ) {
+        let status = answer.status();
         let outcome = match answer {
             control::Outcome::NotSent | control::Outcome::Refused => {
                 Outcome::Unavailable { retry_after: None }
@@ -97,12 +69,13 @@
                 let is_usable = self.accept_era(&fields, is_refusal);
                 // Pages of different eras don't form a consistent list.
                 let era = self.storage.era.number();
-                let is_inconsistent = pages.version.is_some_and(|it| it.era() != era);
+                let is_inconsistent = pages.version().is_some_and(|it| it.era() != era);
                 match self.adapter.parse_store_reply(&call, status, &fields, &body) {
                     _ if !is_usable || is_inconsistent => Outcome::Lost,
                     StoreReply::Page { objects, last, version } => {
-                        pages.add(objects, version);
-                        self.send_page(sent, call, pages, timeout, Some(&last));
+                        pages.add(objects, version, &last);
+                        self.record_page(&call, &pages);
+                        self.send_page(sent, call, pages, timeout);
                         return;
                     }
                     StoreReply::Done(outcome) => self.discard_if_outdated(&call, outcome),
@@ -111,16 +84,55 @@
         };
         let outcome = match outcome {
             Outcome::Answered(Reply::Listed { objects, version }) => {
-                let version = pages.add(objects, version);
-                Outcome::Answered(Reply::Listed { objects: pages.objects, version })
+                let (objects, version) = pages.finish(objects, version);
+                Outcome::Answered(Reply::Listed { objects, version })
             }
             it => it,
         };
+        if matches!(call, Call::List { .. }) && !matches!(outcome, Outcome::Answered(_)) {
+            self.record_failed_list(&call, &pages, outcome_name(&outcome), status);
+        }
         self.stats.count_store_call(call_kind(&call), outcome_name(&outcome));
         self.update_connectivity(&call, &outcome);
         self.storage.scheduler.handle_outcome(sent, outcome, self.now);
     }
 
+    /// Counts a page of a list with further pages, and logs the list if it is long.
+    fn record_page(&mut self, call: &Call, pages: &Pages) {
+        let kind = call_kind(call);
+        self.stats.count_list_page(kind);
+        if pages.is_logged() {
+            self.log
+                .line(self.now, "list_long")
+                .text("kind", kind)
+                .number("pages", pages.count())
+                .number("objects", pages.object_count())
+                .number("held_bytes", pages.bytes())
+                .text("after", shorten(pages.after().unwrap_or_default()));
+        }
+    }
+
+    /// Logs and counts a list that was given up.
+    fn record_failed_list(
+        &mut self,
+        call: &Call,
+        pages: &Pages,
+        reason: &'static str,
+        status: u16,
+    ) {
+        let kind = call_kind(call);
+        self.stats.count_failed_list(kind, reason);
+        self.log
+            .line(self.now, "list_failed")
+            .text("kind", kind)
+            .text("reason", reason)
+            .number("status", status)
+            .number("pages", pages.count())
+            .number("objects", pages.object_count())
+            .number("held_bytes", pages.bytes())
+            .text("after", shorten(pages.after().unwrap_or_default()));
+    }
+
     /// Cancels the open watches, as the changes that they wait for may have been lost. The
     /// scheduler sends them again.
     pub(super) fn cancel_watches(&mut self) {
@@ -181,6 +193,11 @@
     }
 }
 
+/// The beginning of a name that others have chosen.
+fn shorten(name: &str) -> &str {
+    &name[..name.floor_char_boundary(MAX_LOGGED_NAME)]
+}
+
 fn outcome_name(outcome: &Outcome) -> &'static str {
     match outcome {
         Outcome::Answered(_) => "answered",
