Apply lists page by page

Change: the objects of a page are applied when it arrives, as those of a whole list were before. Kept until the end are the store's version at the first page, from which the watch begins, and the names of registered servers, of which the missing ones are removed once the list is complete. A page that is refused or lost is asked for again by the next call, rather than all pages before it; pages of another era of the store are dropped as before.

--- a/crates/gateway/src/core/control.rs
+++ b/crates/gateway/src/core/control.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     adapter::ControlRequest,
-    core::{Core, Role, Timer, idle::Idle, state, storage::Pages},
+    core::{Core, Role, Timer, idle::Idle, state},
     http::{
         body::Framing,
         head::{Decoder, Fields, Response},
@@ -28,8 +28,8 @@
 
 /// What a request is sent for; decides who handles its outcome.
 pub(crate) enum Purpose {
-    /// A call to the store, with the pages of a list that were read so far.
-    Store { sent: CallId, call: Call, pages: Pages, timeout: Duration },
+    /// A call to the store.
+    Store { sent: CallId, call: Call, timeout: Duration },
     /// Reads a backend server's report of its load and weights.
     Report(pool::Id),
     /// Checks whether a backend server responds.
@@ -99,14 +99,6 @@
         }
     }
 
-    /// Bytes of earlier pages of its answer.
-    fn page_bytes(&self) -> usize {
-        match self {
-            Self::Store { pages, .. } => pages.bytes(),
-            _ => 0,
-        }
-    }
-
     /// Whether it must not arrive after its time limit.
     fn is_order(&self) -> bool {
         matches!(self, Self::Order(..))
@@ -397,8 +389,7 @@
             Role::Control(Connection { reading: Some((.., body)), .. }) => body.capacity(),
             _ => 0,
         });
-        let pages = self.control_requests.iter().map(|it| it.1.purpose.page_bytes());
-        answers.sum::<usize>() + pages.sum::<usize>()
+        answers.sum()
     }
 
     /// Connections on which a watch of the store is open.
@@ -413,8 +404,8 @@
     /// Passes the outcome of a request to the handler for its purpose.
     pub(super) fn handle_control_outcome(&mut self, purpose: Purpose, outcome: Outcome) {
         match purpose {
-            Purpose::Store { sent, call, pages, timeout } => {
-                self.handle_store_answer(sent, call, pages, timeout, outcome);
+            Purpose::Store { sent, call, timeout } => {
+                self.handle_store_answer(sent, call, timeout, outcome);
             }
             Purpose::Report(id) => self.handle_report(id, &outcome),
             Purpose::Probe(id) => self.handle_probe_reply(id, &outcome),
--- a/crates/gateway/src/core/ingest.rs
+++ b/crates/gateway/src/core/ingest.rs
@@ -4,7 +4,7 @@
 
 use shallotlead_base::{
     id::Version,
-    store::{Change, Key, Object},
+    store::{Call, Change, Key, Object},
 };
 
 use crate::{
@@ -12,33 +12,39 @@
     config::Config,
     core::{
         Core,
-        storage::{Basis, Document, Entry, Source, Topic},
+        storage::{Basis, Document, Entry, Pages, Source, Topic},
     },
     gossip::{self, Member},
     pool::{self, Presence},
 };
 
 impl Core {
-    /// Applies a full list of one kind. Servers that aren't in it are removed.
-    pub(crate) fn apply_list(
+    /// Applies a page of a list that was read at `version`. Returns the version up to which all pages so far show every
+    /// change.
+    pub(crate) fn apply_page(
         &mut self,
-        topic: Topic,
+        call: &Call,
         objects: &[Object],
         version: Version,
-        basis: Basis,
-    ) {
+    ) -> Version {
+        let Some((topic, basis)) = self.storage.list_source(call) else { return version };
         for object in objects {
             self.apply_object(topic, object, basis);
         }
-        if topic == Topic::Platform(ObjectKind::Servers) {
-            let names: Vec<Arc<str>> = objects.iter().map(|it| it.key.name.clone()).collect();
-            let is_steady = self.storage.connectivity.is_steady(self.now);
-            for change in self.pool.retain(self.now, &names, version.0, is_steady) {
-                if let pool::Change::Gone(id) = change {
-                    self.relay_removal(id);
-                }
-                self.handle_server_change(change, "not listed");
+        let is_servers = topic == Topic::Platform(ObjectKind::Servers);
+        let names = objects.iter().map(|it| &it.key.name);
+        let servers = names.filter(|it| is_servers && self.pool.find(it).is_some()).cloned();
+        self.storage.add_page(call, objects.len(), servers.collect(), version)
+    }
+
+    /// Removes the servers that aren't in a full list, which was read at `version`.
+    pub(crate) fn remove_unlisted(&mut self, pages: &Pages, version: Version) {
+        let is_steady = self.storage.connectivity.is_steady(self.now);
+        for change in self.pool.retain(self.now, pages.servers(), version.0, is_steady) {
+            if let pool::Change::Gone(id) = change {
+                self.relay_removal(id);
             }
+            self.handle_server_change(change, "not listed");
         }
     }
 
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -11,7 +11,7 @@
 mod subscription;
 mod withheld;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{mem, net::SocketAddr, sync::Arc, time::Duration};
 
 use shallotlead_base::{
     hash::Map,
@@ -223,6 +223,54 @@
         }
     }
 
+    /// The subscription that a list is for.
+    fn listed(&self, call: &Call) -> Option<&Subscription> {
+        let Call::List { kind } = call else { return None };
+        self.subscriptions.iter().find(|it| it.kind == *kind)
+    }
+
+    /// The same, for updates.
+    fn listed_mut(&mut self, call: &Call) -> Option<&mut Subscription> {
+        let Call::List { kind } = call else { return None };
+        self.subscriptions.iter_mut().find(|it| it.kind == *kind)
+    }
+
+    /// The pages of a list that were read so far.
+    fn pages(&self, call: &Call) -> Option<&Pages> {
+        self.listed(call).map(|it| &it.pages)
+    }
+
+    /// What a list is read for, and what its pages show about the changes on them.
+    pub(crate) fn list_source(&self, call: &Call) -> Option<(Topic, Basis)> {
+        self.listed(call).map(|it| (it.topic, it.list_basis()))
+    }
+
+    /// Adds a page of a list. Returns the version up to which all pages show every change.
+    pub(crate) fn add_page(
+        &mut self,
+        call: &Call,
+        objects: usize,
+        servers: Vec<Arc<str>>,
+        version: Version,
+    ) -> Version {
+        let subscription = self.listed_mut(call);
+        subscription.map_or(version, |it| it.pages.add(objects, servers, version))
+    }
+
+    /// Makes a list begin with its first page again.
+    fn discard_pages(&mut self, call: &Call) {
+        if let Some(it) = self.listed_mut(call) {
+            it.pages = Pages::default();
+        }
+    }
+
+    /// Makes a list go on after a name.
+    fn advance_list(&mut self, call: &Call, after: &str) {
+        if let Some(it) = self.listed_mut(call) {
+            it.pages.advance(after);
+        }
+    }
+
     /// Until when all published weights are known.
     pub(crate) fn weights_known_until(&self, now: Time) -> Option<Time> {
         let is_weights = |it: &&Subscription| it.topic == Topic::Platform(ObjectKind::Weights);
@@ -415,14 +463,17 @@
         let topic = subscription.topic;
         let before = subscription.revision;
         match reply {
-            Reply::Listed { objects, version } => {
-                let basis = subscription.finish_call(now, false);
+            Reply::Listed { version, .. } => {
+                subscription.finish_call(now, false);
                 subscription.revision = Some(*version);
+                let pages = mem::take(&mut subscription.pages);
                 self.storage.era.mark_listed(&subscription.kind);
                 if topic == Topic::Platform(ObjectKind::Configuration) {
                     self.peers.catchup.reset();
                 }
-                self.apply_list(topic, objects, *version, basis);
+                if topic == Topic::Platform(ObjectKind::Servers) {
+                    self.remove_unlisted(&pages, *version);
+                }
                 self.finish_read(topic, before, *version);
             }
             Reply::Changed { changes, version } => {
--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -40,12 +40,13 @@
                 CALL_TIMEOUT
             }
         };
-        self.send_page(sent, call, Pages::default(), timeout);
+        self.send_page(sent, call, timeout);
     }
 
-    fn send_page(&mut self, sent: CallId, call: Call, pages: Pages, timeout: Duration) {
-        let request = self.adapter.store_request(&call, pages.after());
-        let purpose = Purpose::Store { sent, call, pages, timeout };
+    fn send_page(&mut self, sent: CallId, call: Call, timeout: Duration) {
+        let pages = self.storage.pages(&call);
+        let request = self.adapter.store_request(&call, pages.and_then(Pages::after));
+        let purpose = Purpose::Store { sent, call, timeout };
         self.send_control(self.storage.address, &request, timeout, purpose);
     }
 
@@ -53,7 +54,6 @@
         &mut self,
         sent: CallId,
         call: Call,
-        mut pages: Pages,
         timeout: Duration,
         answer: control::Outcome,
     ) {
@@ -63,43 +63,49 @@
                 Outcome::Unavailable { retry_after: None }
             }
             control::Outcome::Reset | control::Outcome::Lost => Outcome::Lost,
-            control::Outcome::Answered { status, fields, body, .. } => {
+            control::Outcome::Answered { fields, body, .. } => {
                 // A refusal only says that the call had no effect; it may lack the era.
                 let is_refusal = matches!(status, 429 | 503);
                 let is_usable = self.accept_era(&fields, is_refusal);
-                // Pages of different eras don't form a consistent list.
-                let era = self.storage.era.number();
-                let is_inconsistent = pages.version().is_some_and(|it| it.era() != era);
                 match self.adapter.parse_store_reply(&call, status, &fields, &body) {
-                    _ if !is_usable || is_inconsistent => Outcome::Lost,
+                    _ if !is_usable || self.is_list_outdated(&call) => {
+                        self.storage.discard_pages(&call);
+                        Outcome::Lost
+                    }
                     StoreReply::Page { objects, last, version } => {
-                        pages.add(objects, version, &last);
-                        self.record_page(&call, &pages);
-                        self.send_page(sent, call, pages, timeout);
+                        self.apply_page(&call, &objects, version);
+                        self.storage.advance_list(&call, &last);
+                        self.record_page(&call);
+                        self.send_page(sent, call, timeout);
                         return;
                     }
+                    StoreReply::Done(Outcome::Answered(Reply::Listed { objects, version })) => {
+                        let version = self.apply_page(&call, &objects, version);
+                        Outcome::Answered(Reply::Listed { objects: Vec::new(), version })
+                    }
                     StoreReply::Done(outcome) => self.discard_if_outdated(&call, outcome),
                 }
             }
         };
-        let outcome = match outcome {
-            Outcome::Answered(Reply::Listed { objects, version }) => {
-                let (objects, version) = pages.finish(objects, version);
-                Outcome::Answered(Reply::Listed { objects, version })
-            }
-            it => it,
-        };
         if matches!(call, Call::List { .. }) && !matches!(outcome, Outcome::Answered(_)) {
-            self.record_failed_list(&call, &pages, outcome_name(&outcome), status);
+            self.record_failed_list(&call, outcome_name(&outcome), status);
         }
         self.stats.count_store_call(call_kind(&call), outcome_name(&outcome));
         self.update_connectivity(&call, &outcome);
         self.storage.scheduler.handle_outcome(sent, outcome, self.now);
     }
 
+    /// Whether pages of the list were read in an earlier era of the store: they don't form a consistent list with later
+    /// ones.
+    fn is_list_outdated(&self, call: &Call) -> bool {
+        let era = self.storage.era.number();
+        let version = self.storage.pages(call).and_then(Pages::version);
+        version.is_some_and(|it| it.era() != era)
+    }
+
     /// Counts a page of a list with further pages, and logs the list if it is long.
-    fn record_page(&mut self, call: &Call, pages: &Pages) {
-        let kind = call_kind(call);
+    fn record_page(&mut self, call: &Call) {
+        let (kind, Some(pages)) = (call_kind(call), self.storage.pages(call)) else { return };
         self.stats.count_list_page(kind);
         if pages.is_logged() {
             self.log
@@ -107,20 +113,13 @@
                 .text("kind", kind)
                 .number("pages", pages.count())
                 .number("objects", pages.object_count())
-                .number("held_bytes", pages.bytes())
                 .text("after", shorten(pages.after().unwrap_or_default()));
         }
     }
 
     /// Logs and counts a list that was given up.
-    fn record_failed_list(
-        &mut self,
-        call: &Call,
-        pages: &Pages,
-        reason: &'static str,
-        status: u16,
-    ) {
-        let kind = call_kind(call);
+    fn record_failed_list(&mut self, call: &Call, reason: &'static str, status: u16) {
+        let (kind, Some(pages)) = (call_kind(call), self.storage.pages(call)) else { return };
         self.stats.count_failed_list(kind, reason);
         self.log
             .line(self.now, "list_failed")
@@ -129,7 +128,6 @@
             .number("status", status)
             .number("pages", pages.count())
             .number("objects", pages.object_count())
-            .number("held_bytes", pages.bytes())
             .text("after", shorten(pages.after().unwrap_or_default()));
     }
 
--- a/crates/gateway/src/core/storage/pages.rs
+++ b/crates/gateway/src/core/storage/pages.rs
@@ -1,37 +1,39 @@
 //! The pages of a list that were read so far.
 
-use std::mem;
+use std::sync::Arc;
 
-use shallotlead_base::{id::Version, store::Object};
+use shallotlead_base::id::Version;
 
 /// Number of pages from which on a list is logged while it is read: further ones at each power of two.
 const LOGGED_PAGES: u32 = 8;
 
-/// The pages of a list that were read so far.
+/// The pages of a list that were read so far. What was on them is applied page by page and isn't kept.
 #[derive(Default)]
 pub(crate) struct Pages {
-    objects: Vec<Object>,
+    count: u32,
+    objects: usize,
+    /// Names of registered servers on them.
+    servers: Vec<Arc<str>>,
     /// The store's version when the first of them was read.
     version: Option<Version>,
-    count: u32,
     /// The name after which the next page begins.
     after: Option<Box<str>>,
 }
 
 impl Pages {
-    /// Bytes of their values.
-    pub(crate) fn bytes(&self) -> usize {
-        self.objects.iter().map(|it| it.value.len()).sum()
+    /// Number of pages.
+    pub(super) fn count(&self) -> u32 {
+        self.count
     }
 
     /// Number of objects on them.
     pub(super) fn object_count(&self) -> usize {
-        self.objects.len()
+        self.objects
     }
 
-    /// Number of pages.
-    pub(super) fn count(&self) -> u32 {
-        self.count
+    /// Names of registered servers on them.
+    pub(crate) fn servers(&self) -> &[Arc<str>] {
+        &self.servers
     }
 
     /// The name after which the next page begins; `None` for the first page.
@@ -49,22 +51,22 @@
         LOGGED_PAGES <= self.count && self.count.is_power_of_two()
     }
 
-    /// Adds a page that was read at `version`, after which the list goes on behind the name `last`.
-    pub(super) fn add(&mut self, objects: Vec<Object>, version: Version, last: &str) {
-        self.objects.extend(objects);
-        self.version.get_or_insert(version);
+    /// Adds a page of `objects`, which was read at `version`, and the registered `servers` on it. Returns the version up
+    /// to which all pages show every change: objects on the first one may have changed since.
+    pub(super) fn add(
+        &mut self,
+        objects: usize,
+        servers: Vec<Arc<str>>,
+        version: Version,
+    ) -> Version {
         self.count += 1;
-        self.after = Some(last.into());
+        self.objects += objects;
+        self.servers.extend(servers);
+        *self.version.get_or_insert(version)
     }
 
-    /// Adds the last page, which was read at `version`. Returns all objects, and the version up to which they show every
-    /// change: objects on the first page may have changed since.
-    pub(super) fn finish(
-        &mut self,
-        objects: Vec<Object>,
-        version: Version,
-    ) -> (Vec<Object>, Version) {
-        self.objects.extend(objects);
-        (mem::take(&mut self.objects), *self.version.get_or_insert(version))
+    /// Sets the name after which the next page begins.
+    pub(super) fn advance(&mut self, after: &str) {
+        self.after = Some(after.into());
     }
 }
--- a/crates/gateway/src/core/storage/subscription.rs
+++ b/crates/gateway/src/core/storage/subscription.rs
@@ -4,7 +4,7 @@
 
 use shallotlead_base::{id::Version, store::Call, time::Time};
 
-use crate::adapter::ObjectKind;
+use crate::{adapter::ObjectKind, core::storage::Pages};
 
 /// Longest wait of a watch. The platform allows at most 30 s; TCP keep-alive probes detect a dead
 /// connection sooner.
@@ -44,6 +44,8 @@
     pub(super) topic: Topic,
     /// Version up to which the kind was read; `None` before the first list.
     pub(super) revision: Option<Version>,
+    /// The pages of its list that were read so far.
+    pub(super) pages: Pages,
     pub(super) is_in_flight: bool,
     /// When the next call may be sent.
     pub(super) next_at: Time,
@@ -72,6 +74,7 @@
             kind: Arc::from(kind),
             topic,
             revision: None,
+            pages: Pages::default(),
             is_in_flight: false,
             next_at: now,
             last_answer: Time::ZERO,
@@ -84,7 +87,10 @@
     /// Marks the next call as sent.
     pub(super) fn start_call(&mut self, now: Time) {
         self.is_in_flight = true;
-        self.sent_at = now;
+        // A list that goes on with a further page shows nothing later than its first page.
+        if self.pages.count() == 0 {
+            self.sent_at = now;
+        }
         self.is_interrupted |=
             self.last_answer != Time::ZERO && MAX_UNWATCHED < now.since(self.last_answer);
     }
@@ -117,6 +123,11 @@
         self.is_interrupted = true;
     }
 
+    /// What the pages of a list show about the changes on them.
+    pub(super) fn list_basis(&self) -> Basis {
+        Basis { is_live: false, unchanged_until: self.confirmed_at }
+    }
+
     /// Marks the call as answered by a list or, if `is_watch`, by a watch. Returns what that shows about the changes
     /// in it.
     pub(super) fn finish_call(&mut self, now: Time, is_watch: bool) -> Basis {
