Cut long texts in log lines

A name of a megabyte, or an error that quotes such a value, became a log line of as much, which waits in memory until it is written. Texts are cut after 1,024 bytes, at a character's end.

--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -17,8 +17,6 @@
 
 /// Timeout of a call. The store usually answers in 4 ms, and in 250 ms when it is slow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Longest part of an object's name in log lines, bytes.
-const MAX_LOGGED_NAME: usize = 100;
 /// Time beyond the wait in which a watch has to be answered in a large fleet, where other instances
 /// depend on those that watch.
 const LARGE_FLEET_WATCH_TIMEOUT: Duration = Duration::from_millis(600);
@@ -113,7 +111,7 @@
                 .text("kind", kind)
                 .number("pages", pages.count())
                 .number("objects", pages.object_count())
-                .text("after", shorten(pages.after().unwrap_or_default()));
+                .text("after", pages.after().unwrap_or_default());
         }
     }
 
@@ -128,7 +126,7 @@
             .number("status", status)
             .number("pages", pages.count())
             .number("objects", pages.object_count())
-            .text("after", shorten(pages.after().unwrap_or_default()));
+            .text("after", pages.after().unwrap_or_default());
     }
 
     /// Cancels the open watches, as the changes that they wait for may have been lost. The
@@ -191,11 +189,6 @@
     }
 }
 
-/// The beginning of a name that others have chosen.
-fn shorten(name: &str) -> &str {
-    &name[..name.floor_char_boundary(MAX_LOGGED_NAME)]
-}
-
 fn outcome_name(outcome: &Outcome) -> &'static str {
     match outcome {
         Outcome::Answered(_) => "answered",
--- a/crates/gateway/src/json_log.rs
+++ b/crates/gateway/src/json_log.rs
@@ -17,6 +17,8 @@
 const FLUSH_INTERVAL: Duration = Duration::from_millis(400);
 /// Buffer size from which on it is handed over at once.
 const FULL_BUFFER_BYTES: usize = 16 * 1024;
+/// Longest part of a text that is written, bytes.
+const MAX_TEXT_BYTES: usize = 1_024;
 /// Lines per second that [`Log::priority_line`] may write beyond the rate limit.
 const PRIORITY_LINES_PER_S: u32 = 40;
 
@@ -141,12 +143,14 @@
 }
 
 impl Line<'_> {
-    /// Adds a text field.
+    /// Adds a text field. Of a long text only the beginning is written: others choose it, such as names in the store.
     pub fn text(mut self, name: &str, value: &str) -> Self {
         if let Some(log) = &mut self.log {
             let _ = write!(log.buffer, ",\"{name}\":\"");
-            escape(&mut log.buffer, value);
-            log.buffer.push('"');
+            let is_cut = MAX_TEXT_BYTES < value.len();
+            let end = value.floor_char_boundary(MAX_TEXT_BYTES);
+            escape(&mut log.buffer, &value[..end]);
+            log.buffer.push_str(if is_cut { "…\"" } else { "\"" });
         }
         self
     }
