Let a list that can't be read hold up its own kind alone

Callers saw no service (no-server) although peers knew the servers: a list that the store rejects, whose answer can't be read or whose page comes again was tried without end, or counted as a loss of the whole store, whose circuit then held back all other calls. The peers weren't asked for the servers, as other kinds were answered in between.

Change: a list is given up when a page begins where one has begun before, when the store rejects it (4xx) or its answer can't be read. That is an answer of the store, which has no effect on other kinds; what was read stays applied, nothing is removed, and the kind is listed again after 150 ms, later after up to 5 s.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -337,6 +337,8 @@
         /// The store's version when it was read.
         version: Version,
     },
+    /// The store rejects the list, or its answer can't be read.
+    Rejected,
 }
 
 /// Kinds of objects in the platform's store.
--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -7,7 +7,7 @@
 use shallotlead_base::time::Time;
 
 use crate::{
-    adapter::ControlRequest,
+    adapter::{ControlRequest, ObjectKind},
     catchup::Answer,
     core::{
         Core,
@@ -67,6 +67,8 @@
     Behind,
     /// The store doesn't answer this instance.
     StoreAway,
+    /// The store's list of servers can't be read.
+    Unlisted,
     /// Datagrams to this instance, which doesn't watch the store, may have been lost.
     CatchUp,
 }
@@ -77,6 +79,7 @@
         match self {
             Self::Behind => "behind",
             Self::StoreAway => "store-away",
+            Self::Unlisted => "unlisted",
             Self::CatchUp => "make-up",
         }
     }
@@ -103,12 +106,14 @@
         let is_due = self.storage.has_all_entries()
             && !self.members.me().is_watching
             && CATCH_UP_INTERVAL <= now.since(self.peers.last_query);
-        let reason = match (is_unreachable, is_due) {
-            (true, _) => Reason::StoreAway,
-            (false, true) => Reason::CatchUp,
-            (false, false) => return,
+        let is_unlisted = self.storage.is_list_failing(ObjectKind::Servers);
+        let reason = match (is_unreachable, is_unlisted, is_due) {
+            (true, ..) => Reason::StoreAway,
+            (false, true, _) => Reason::Unlisted,
+            (false, false, true) => Reason::CatchUp,
+            (false, false, false) => return,
         };
-        let Some(peer) = self.choose_peer(is_unreachable) else { return };
+        let Some(peer) = self.choose_peer(is_unreachable || is_unlisted) else { return };
         self.peers.last_query = now;
         self.peers.awaits_reply = true;
         let revision = self.storage.entries_synced_to;
@@ -235,7 +240,9 @@
                 let random = self.random();
                 self.peers.catchup.finish_request(self.now, query.peer, result, random);
             }
-            Reason::StoreAway | Reason::CatchUp => self.peers.awaits_reply = false,
+            Reason::StoreAway | Reason::Unlisted | Reason::CatchUp => {
+                self.peers.awaits_reply = false
+            }
         }
     }
 
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -240,6 +240,12 @@
         self.listed(call).map(|it| &it.pages)
     }
 
+    /// Whether a kind has to be listed and that fails.
+    pub(crate) fn is_list_failing(&self, kind: ObjectKind) -> bool {
+        let mut subscriptions = self.subscriptions.iter();
+        subscriptions.any(|it| it.topic == Topic::Platform(kind) && it.is_list_failing())
+    }
+
     /// What a list is read for, and what its pages show about the changes on them.
     pub(crate) fn list_source(&self, call: &Call) -> Option<(Topic, Basis)> {
         self.listed(call).map(|it| (it.topic, it.list_basis()))
@@ -264,13 +270,18 @@
         }
     }
 
-    /// Makes a list go on after a name.
-    fn advance_list(&mut self, call: &Call, after: &str) {
+    /// Gives up a list.
+    fn reject_list(&mut self, call: &Call) {
         if let Some(it) = self.listed_mut(call) {
-            it.pages.advance(after);
+            it.reject_list();
         }
     }
 
+    /// Makes a list go on after a name. Returns false if it has done so before.
+    fn advance_list(&mut self, call: &Call, after: &str) -> bool {
+        self.listed_mut(call).is_some_and(|it| it.pages.advance(after))
+    }
+
     /// Until when all published weights are known.
     pub(crate) fn weights_known_until(&self, now: Time) -> Option<Time> {
         let is_weights = |it: &&Subscription| it.topic == Topic::Platform(ObjectKind::Weights);
@@ -503,7 +514,8 @@
             }
             Reply::Failed(Failure::NotApplied { retry_after }) => {
                 subscription.fail_call();
-                subscription.next_at = now + (*retry_after).min(RETRY_DELAY * 4);
+                let delay = (*retry_after).min(RETRY_DELAY * 4).max(subscription.list_delay());
+                subscription.next_at = now + delay;
             }
             Reply::Failed(Failure::Unknown)
             | Reply::Got(_)
--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use shallotlead_base::store::{Call, Reply};
+use shallotlead_base::store::{Call, Failure, Reply};
 use shallotlead_platform::{outcome::Outcome, scheduler::CallId};
 
 use crate::{
@@ -11,7 +11,7 @@
     core::{
         Core,
         control::{self, Purpose},
-        storage::Pages,
+        storage::{Pages, RETRY_DELAY},
     },
 };
 
@@ -72,16 +72,19 @@
                     }
                     StoreReply::Page { objects, last, version } => {
                         self.apply_page(&call, &objects, version);
-                        self.storage.advance_list(&call, &last);
-                        self.record_page(&call);
-                        self.send_page(sent, call, timeout);
-                        return;
+                        if self.storage.advance_list(&call, &last) {
+                            self.record_page(&call);
+                            self.send_page(sent, call, timeout);
+                            return;
+                        }
+                        self.reject_list(&call, "repeated", status)
                     }
                     StoreReply::Done(Outcome::Answered(Reply::Listed { objects, version })) => {
                         let version = self.apply_page(&call, &objects, version);
                         Outcome::Answered(Reply::Listed { objects: Vec::new(), version })
                     }
                     StoreReply::Done(outcome) => self.discard_if_outdated(&call, outcome),
+                    StoreReply::Rejected => self.reject_list(&call, "rejected", status),
                 }
             }
         };
@@ -101,6 +104,14 @@
         version.is_some_and(|it| it.era() != era)
     }
 
+    /// Gives up a list that the store answers, but that can't be read to its end. Other kinds aren't affected.
+    fn reject_list(&mut self, call: &Call, reason: &'static str, status: u16) -> Outcome {
+        self.record_failed_list(call, reason, status);
+        self.storage.reject_list(call);
+        let failure = Failure::NotApplied { retry_after: RETRY_DELAY };
+        Outcome::Answered(Reply::Failed(failure))
+    }
+
     /// Counts a page of a list with further pages, and logs the list if it is long.
     fn record_page(&mut self, call: &Call) {
         let (kind, Some(pages)) = (call_kind(call), self.storage.pages(call)) else { return };
--- a/crates/gateway/src/core/storage/pages.rs
+++ b/crates/gateway/src/core/storage/pages.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use shallotlead_base::id::Version;
+use shallotlead_base::{
+    hash::{self, Set},
+    id::Version,
+};
 
 /// Number of pages from which on a list is logged while it is read: further ones at each power of two.
 const LOGGED_PAGES: u32 = 8;
@@ -18,6 +21,8 @@
     version: Option<Version>,
     /// The name after which the next page begins.
     after: Option<Box<str>>,
+    /// Hashes of the names after which pages began.
+    begun_after: Set<u64>,
 }
 
 impl Pages {
@@ -65,8 +70,11 @@
         *self.version.get_or_insert(version)
     }
 
-    /// Sets the name after which the next page begins.
-    pub(super) fn advance(&mut self, after: &str) {
+    /// Sets the name after which the next page begins. Returns false if one has begun there before: the list would never
+    /// end.
+    #[must_use]
+    pub(super) fn advance(&mut self, after: &str) -> bool {
         self.after = Some(after.into());
+        self.begun_after.insert(hash::stable(after.as_bytes()))
     }
 }
--- a/crates/gateway/src/core/storage/subscription.rs
+++ b/crates/gateway/src/core/storage/subscription.rs
@@ -4,7 +4,10 @@
 
 use shallotlead_base::{id::Version, store::Call, time::Time};
 
-use crate::{adapter::ObjectKind, core::storage::Pages};
+use crate::{
+    adapter::ObjectKind,
+    core::storage::{Pages, RETRY_DELAY},
+};
 
 /// Longest wait of a watch. The platform allows at most 30 s; TCP keep-alive probes detect a dead
 /// connection sooner.
@@ -27,6 +30,11 @@
 /// The same for the instances' own records; instances also inform each other directly.
 const INSTANCES_WATCH_DELAY: Duration = Duration::from_secs(2);
 
+/// Failed calls from which on a list counts as failing, as single ones are lost at any time.
+const LIST_ATTEMPTS: u32 = 3;
+/// Longest delay before a list is tried again that was rejected.
+const MAX_LIST_DELAY: Duration = Duration::from_secs(5);
+
 /// What is mirrored.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Topic {
@@ -57,6 +65,10 @@
     sent_at: Time,
     /// A call has failed, or none was sent for a while, since the last answer.
     is_interrupted: bool,
+    /// Failed calls since the last answer.
+    failures: u32,
+    /// How often its list was rejected since it was read last.
+    rejections: u32,
 }
 
 /// What an answer of the store shows about when its changes were made.
@@ -81,6 +93,8 @@
             confirmed_at: None,
             sent_at: Time::ZERO,
             is_interrupted: false,
+            failures: 0,
+            rejections: 0,
         }
     }
 
@@ -121,6 +135,26 @@
     /// Marks a call as failed, which may be sent again.
     pub(super) fn fail_call(&mut self) {
         self.is_interrupted = true;
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Gives up its list, which begins with its first page again.
+    pub(super) fn reject_list(&mut self) {
+        self.pages = Pages::default();
+        self.rejections = self.rejections.saturating_add(1);
+    }
+
+    /// Whether the kind has to be listed and that fails, though other calls may be answered.
+    pub(super) fn is_list_failing(&self) -> bool {
+        self.revision.is_none() && (0 < self.rejections || LIST_ATTEMPTS <= self.failures)
+    }
+
+    /// Delay before a list that was rejected is tried again.
+    pub(super) fn list_delay(&self) -> Duration {
+        match self.rejections {
+            0 => Duration::ZERO,
+            it => (RETRY_DELAY * (1 << (it - 1).min(16))).min(MAX_LIST_DELAY),
+        }
     }
 
     /// What the pages of a list show about the changes on them.
@@ -137,6 +171,7 @@
         let unchanged_until = self.confirmed_at.replace(confirmed_at);
         self.last_answer = now;
         self.is_interrupted = false;
+        (self.failures, self.rejections) = (0, 0);
         Basis { is_live, unchanged_until }
     }
 
