Read changes that are too long for one answer by a list

Nothing of a kind was read any more by instances that watch it, once changes of more than 4 MB came together, such as a few long objects of others: the watch's answer is longer than any that is read, and the next watch, from the same revision on, brings the same one. New servers weren't used, and ones that leave were.

Change: an answer that is too long is told apart from a reset. To a watch it means that the changes have to be listed, which the store sends page by page.

--- a/crates/gateway/src/core/cache.rs
+++ b/crates/gateway/src/core/cache.rs
@@ -148,6 +148,7 @@
             | Outcome::NotSent
             | Outcome::Refused
             | Outcome::Reset
+            | Outcome::TooLong
             | Outcome::Lost => None,
         };
         store.has_open_call = false;
--- a/crates/gateway/src/core/control.rs
+++ b/crates/gateway/src/core/control.rs
@@ -150,6 +150,8 @@
     Refused,
     /// The peer reset the connection: it is alive, but accepts no more requests.
     Reset,
+    /// The answer is longer than any that is read.
+    TooLong,
     /// The connection ended without a complete answer; the request may have had its effect.
     Lost,
 }
@@ -159,7 +161,7 @@
     pub(crate) fn status(&self) -> u16 {
         match self {
             Self::Answered { status, .. } => *status,
-            Self::NotSent | Self::Refused | Self::Reset | Self::Lost => 0,
+            Self::NotSent | Self::Refused | Self::Reset | Self::TooLong | Self::Lost => 0,
         }
     }
 }
@@ -171,6 +173,8 @@
     Closed,
     /// It failed, or the input was no valid answer.
     Reset,
+    /// The answer is too long.
+    TooLong,
     /// A time limit passed.
     TimedOut,
 }
@@ -286,7 +290,8 @@
         match framing.decode(&mut socket.input, body) {
             Ok(true) => self.finish_control(key),
             Ok(false) if body.len() <= max_body => self.net.resume_reading(key),
-            Ok(false) | Err(_) => self.end_control(key, End::Reset),
+            Ok(false) => self.end_control(key, End::TooLong),
+            Err(_) => self.end_control(key, End::Reset),
         }
     }
 
@@ -355,6 +360,7 @@
                 End::Reset if is_unsent => Outcome::Refused,
                 _ if is_unsent => Outcome::NotSent,
                 End::Reset => Outcome::Reset,
+                End::TooLong => Outcome::TooLong,
                 End::Closed | End::TimedOut => Outcome::Lost,
             };
             self.handle_control_outcome(request.purpose, outcome);
--- a/crates/gateway/src/core/probe.rs
+++ b/crates/gateway/src/core/probe.rs
@@ -103,7 +103,7 @@
     pub(crate) fn handle_probe_reply(&mut self, id: pool::Id, outcome: &Outcome) {
         let is_responsive = match outcome {
             // A server that has reached its connection limit resets further connections.
-            Outcome::Answered { .. } | Outcome::Reset => true,
+            Outcome::Answered { .. } | Outcome::Reset | Outcome::TooLong => true,
             Outcome::NotSent | Outcome::Refused => false,
             // Engines answer probes without a free slot. Other servers queue them like requests, so that a
             // missing answer on an open connection says nothing about their health.
--- a/crates/gateway/src/core/quarantine.rs
+++ b/crates/gateway/src/core/quarantine.rs
@@ -144,7 +144,7 @@
                 self.handle_crash(id);
                 self.handle_ended_server(id);
             }
-            Outcome::Answered { .. } | Outcome::Reset
+            Outcome::Answered { .. } | Outcome::Reset | Outcome::TooLong
                 if self.pool.get(id).presence != Presence::Gone =>
             {
                 self.pool.get_mut(id).has_ended = false;
@@ -157,7 +157,11 @@
                 self.handle_crash(id);
             }
             // The server's entry will show whether it ended.
-            Outcome::Answered { .. } | Outcome::Reset | Outcome::NotSent | Outcome::Lost => {}
+            Outcome::Answered { .. }
+            | Outcome::Reset
+            | Outcome::TooLong
+            | Outcome::NotSent
+            | Outcome::Lost => {}
         }
         self.retry_after_liveness_check(id, matches!(outcome, Outcome::Refused));
     }
--- a/crates/gateway/src/core/rollout.rs
+++ b/crates/gateway/src/core/rollout.rs
@@ -136,7 +136,11 @@
                 self.lease.handle_order_answer(self.now, &self.pool.get(id).name, sent);
                 Some(self.adapter.parse_order_reply(*status))
             }
-            Outcome::NotSent | Outcome::Refused | Outcome::Reset | Outcome::Lost => None,
+            Outcome::NotSent
+            | Outcome::Refused
+            | Outcome::Reset
+            | Outcome::TooLong
+            | Outcome::Lost => None,
         };
         self.log
             .line(self.now, "order_answered")
--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -288,6 +288,7 @@
             Outcome::Answered { .. } => ("refused", 0),
             Outcome::NotSent | Outcome::Refused => ("not-sent", 0),
             Outcome::Reset => ("reset", 0),
+            Outcome::TooLong => ("too-long", 0),
             Outcome::Lost => ("lost", 0),
         };
         self.stats.count_state_query(result);
--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -60,6 +60,7 @@
             control::Outcome::NotSent | control::Outcome::Refused => {
                 Outcome::Unavailable { retry_after: None }
             }
+            control::Outcome::TooLong => self.handle_long_answer(&call),
             control::Outcome::Reset | control::Outcome::Lost => Outcome::Lost,
             control::Outcome::Answered { fields, body, .. } => {
                 // A refusal only says that the call had no effect; it may lack the era.
@@ -104,6 +105,16 @@
         version.is_some_and(|it| it.era() != era)
     }
 
+    /// Handles an answer that is longer than any that is read. The changes that a watch waits for are read page by page
+    /// instead.
+    fn handle_long_answer(&mut self, call: &Call) -> Outcome {
+        match call {
+            Call::Watch { .. } => Outcome::Answered(Reply::Failed(Failure::Compacted)),
+            Call::List { .. } => self.reject_list(call, "too-long", 0),
+            Call::Get(_) | Call::Put { .. } | Call::Delete { .. } => Outcome::Lost,
+        }
+    }
+
     /// Gives up a list that the store answers, but that can't be read to its end. Other kinds aren't affected.
     fn reject_list(&mut self, call: &Call, reason: &'static str, status: u16) -> Outcome {
         self.record_failed_list(call, reason, status);
--- a/crates/gateway/src/core/unframed.rs
+++ b/crates/gateway/src/core/unframed.rs
@@ -190,7 +190,7 @@
         let report = match outcome {
             Outcome::Answered { status: 200, body, .. } => self.adapter.parse_report(body),
             Outcome::Answered { .. } => None,
-            Outcome::Reset => return Evidence::Inconclusive,
+            Outcome::Reset | Outcome::TooLong => return Evidence::Inconclusive,
             Outcome::Lost | Outcome::NotSent | Outcome::Refused => return Evidence::MayHaveEnded,
         };
         match report {
@@ -216,7 +216,9 @@
                 }
             }
             // A full server declines such requests like others.
-            Outcome::Answered { is_named: false, .. } | Outcome::Reset => Evidence::Inconclusive,
+            Outcome::Answered { is_named: false, .. } | Outcome::Reset | Outcome::TooLong => {
+                Evidence::Inconclusive
+            }
             Outcome::Lost | Outcome::NotSent | Outcome::Refused => Evidence::MayHaveEnded,
         }
     }
