Split entries among datagrams by their length

Instances of a large fleet that don't watch the store missed servers' entries until they asked for them, 4 s later at most: forty entries went into one datagram whatever their length, and no socket sends one beyond 64 KB. The test had one of 656,312 bytes before. Entries are now split by their length as well, so that incompressible ones fit.

--- a/crates/gateway/src/core/peers/outbox.rs
+++ b/crates/gateway/src/core/peers/outbox.rs
@@ -4,9 +4,14 @@
 
 use crate::gossip::{Entries, Entry};
 
+#[cfg(test)]
+mod tests;
+
 /// Most entries in one datagram: 40 entries of about 400 bytes are less than 16 KB, and a few KB
 /// when compressed.
 const MAX_ENTRIES: usize = 40;
+/// Longest text of several entries in one datagram, bytes. Long ones may not compress.
+const MAX_BYTES: usize = 32 * 1024;
 
 /// Entries that were read since the last message to the neighbours.
 #[derive(Debug, Default)]
@@ -54,16 +59,28 @@
     pub(crate) fn into_datagrams(mut self) -> Vec<io::Result<Entries>> {
         self.entries.sort_by_key(|it| it.revision);
         let mut after = self.complete_after;
-        let mut chunks = self.entries.chunks(MAX_ENTRIES).peekable();
+        let mut rest = self.entries.as_slice();
         let mut all = Vec::new();
-        while let Some(chunk) = chunks.next() {
+        while !rest.is_empty() {
+            let (chunk, later) = rest.split_at(datagram_len(rest));
+            rest = later;
             let last = chunk.last().map_or(self.complete_until, |it| it.revision);
-            let is_end = chunks.peek().is_none();
-            let until =
-                if is_end { self.complete_until } else { last.min(self.complete_until).max(after) };
+            let until = match rest {
+                [] => self.complete_until,
+                _ => last.min(self.complete_until).max(after),
+            };
             all.push(Entries::pack(chunk, after, until));
             after = until;
         }
         all
     }
 }
+
+/// Number of entries from the first one on that one datagram takes; at least one.
+fn datagram_len(entries: &[Entry]) -> usize {
+    let bytes = entries.iter().scan(0, |sum, it| {
+        *sum += it.server.len() + it.value.as_ref().map_or(0, Vec::len);
+        Some(*sum)
+    });
+    bytes.take(MAX_ENTRIES).take_while(|it| *it <= MAX_BYTES).count().max(1)
+}
