Keep and relay no content of entries that name no server

Instances held whatever others wrote among the servers' entries, up to 1 MB an object, for as long as they ran, and sent it to the other instances: with each change, and to each that asked for the entries, where one batch beyond 4 MB can't be unpacked, so that it got none of the servers.

Change: of an entry that can't be read only its name and revision are kept, with empty content, which other instances, also of earlier releases, take for unreadable as before. Entries of more than 16 KB count as unreadable. A watcher that relays a change which it knew already sends what it keeps, not what its watch returned.

--- a/crates/gateway/src/core/ingest.rs
+++ b/crates/gateway/src/core/ingest.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    adapter::{ObjectKind, ServerEntry},
+    adapter::{Malformed, ObjectKind, ServerEntry},
     config::Config,
     core::{
         Core,
@@ -18,6 +18,9 @@
     pool::{self, Presence},
 };
 
+/// Longest entry of a server, bytes. Entries are sent to other instances, several in one datagram.
+const MAX_ENTRY_BYTES: usize = 16 * 1024;
+
 impl Core {
     /// Applies a page of a list that was read at `version`. Returns the version up to which all pages so far show every
     /// change.
@@ -153,12 +156,13 @@
     /// datagram of the first watcher would otherwise miss a change without noticing, until the
     /// entry changes again. So each watcher sends everything that its watch returned.
     pub(crate) fn relay_known_entry(&mut self, change: &Change) {
-        let (name, revision, value) = match change {
-            Change::Put(it) => (&it.key.name, it.version.0, Some(&it.value)),
-            Change::Delete(key, version) => (&key.name, version.0, None),
+        let (name, revision) = match change {
+            Change::Put(it) => (&it.key.name, it.version.0),
+            Change::Delete(key, version) => (&key.name, version.0),
         };
-        if revision <= self.storage.entry_revision(name) {
-            self.peers.outbox.add(gossip::Entry::new(name, revision, value));
+        let known = self.storage.entries.get(name).filter(|it| revision <= it.revision);
+        if let Some(it) = known {
+            self.peers.outbox.add(gossip::Entry::new(name, it.revision, it.value.as_ref()));
         }
     }
 
@@ -173,7 +177,10 @@
         if revision <= self.storage.entry_revision(name) {
             return;
         }
-        let parsed = value.map(|it| self.adapter.parse_server_entry(it));
+        let parsed = value.map(|it| self.parse_entry(it));
+        // Of an entry that names no server only the name and revision are kept and relayed, whatever its length.
+        let is_readable = parsed.as_ref().is_some_and(Result::is_ok);
+        let value = value.map(|it| if is_readable { it.clone() } else { Arc::default() });
         let new_version =
             parsed.as_ref().and_then(|it| it.as_ref().ok()).map(ServerEntry::entry_version);
         let known = self.storage.entries.get(name);
@@ -194,22 +201,17 @@
         let written_version = new_version.or(known_version);
         self.storage
             .entries
-            .insert(name.clone(), Entry { revision, value: value.cloned(), written_version });
+            .insert(name.clone(), Entry { revision, value: value.clone(), written_version });
         // The first list isn't relayed, as other instances have it too: 294 instances that started
         // together would send 162 MB for 209 servers.
         if source == Source::Store && value.is_some() && self.storage.has_all_entries() {
-            self.peers.outbox.add(gossip::Entry::new(name, revision, value));
+            self.peers.outbox.add(gossip::Entry::new(name, revision, value.as_ref()));
         }
         let change = match parsed {
             None => self.pool.remove(self.now, name, revision),
             Some(Ok(entry)) => self.pool.put(self.now, name, revision, entry),
             Some(Err(err)) => {
-                self.log
-                    .line(self.now, "entry_unreadable")
-                    .text("server", name)
-                    .number("revision", revision)
-                    .text("error", &err.to_string());
-                self.stats.count_unreadable_entry();
+                self.record_unreadable(name, revision, &err.to_string());
                 self.pool.mark_unreadable(name, revision)
             }
         };
@@ -219,6 +221,22 @@
         self.handle_server_change(change, "entry");
     }
 
+    fn record_unreadable(&mut self, name: &str, revision: u64, error: &str) {
+        self.log
+            .line(self.now, "entry_unreadable")
+            .text("server", name)
+            .number("revision", revision)
+            .text("error", error);
+        self.stats.count_unreadable_entry();
+    }
+
+    fn parse_entry(&self, value: &[u8]) -> Result<ServerEntry, Malformed> {
+        if MAX_ENTRY_BYTES < value.len() {
+            return Err(Malformed(format!("longer than {MAX_ENTRY_BYTES} bytes")));
+        }
+        self.adapter.parse_server_entry(value)
+    }
+
     pub(crate) fn handle_server_change(&mut self, change: pool::Change, reason: &str) {
         let now = self.now;
         let (id, change_name) = match change {
