Use no server whose name can't be a header field's value

The name of a server's entry is sent to it as a header field, as it was: with line ends in it, others who write to the store could add fields to callers' requests, or a whole request.

--- a/crates/gateway/src/core/ingest.rs
+++ b/crates/gateway/src/core/ingest.rs
@@ -15,12 +15,16 @@
         storage::{Basis, Document, Entry, Pages, Source, Topic},
     },
     gossip::{self, Member},
+    http::write,
     pool::{self, Presence},
 };
 
 /// Longest entry of a server, bytes. Entries are sent to other instances, several in one datagram.
 const MAX_ENTRY_BYTES: usize = 16 * 1024;
 
+/// Longest name of a server, bytes. It becomes a header field's value.
+const MAX_NAME_BYTES: usize = 256;
+
 impl Core {
     /// Applies a page of a list that was read at `version`. Returns the version up to which all pages so far show every
     /// change.
@@ -177,6 +181,12 @@
         if revision <= self.storage.entry_revision(name) {
             return;
         }
+        if MAX_NAME_BYTES < name.len() || !write::is_field_value(name) {
+            if value.is_some() {
+                self.record_unreadable(name, revision, "its name can't be that of a server");
+            }
+            return;
+        }
         let parsed = value.map(|it| self.parse_entry(it));
         // Of an entry that names no server only the name and revision are kept and relayed, whatever its length.
         let is_readable = parsed.as_ref().is_some_and(Result::is_ok);
--- a/crates/gateway/src/http/write.rs
+++ b/crates/gateway/src/http/write.rs
@@ -24,6 +24,11 @@
     out.extend_from_slice(b"\r\n");
 }
 
+/// Whether a header field can have this value, so that it is read as it was written.
+pub fn is_field_value(text: &str) -> bool {
+    !text.is_empty() && text.trim() == text && !text.bytes().any(|it| it.is_ascii_control())
+}
+
 /// Appends a header field whose value is a number.
 pub fn number_field(out: &mut Vec<u8>, name: &str, value: u64) {
     let _ = write!(out, "{name}: {value}\r\n");
