Charge each page of a list to the budget of reads

The store refuses calls beyond a rate that all instances share (429). Further pages of a list were sent at once, without a token: a long list of each instance, as after a start of all, took the rate from the calls of others, and lists that were refused began anew.

Change: each page ends its call, and the subscription submits the next one, which waits its turn like any read, with its own place among priorities, pauses after a refusal and the circuit.

--- a/crates/gateway/src/core/control.rs
+++ b/crates/gateway/src/core/control.rs
@@ -29,7 +29,7 @@
 /// What a request is sent for; decides who handles its outcome.
 pub(crate) enum Purpose {
     /// A call to the store.
-    Store { sent: CallId, call: Call, timeout: Duration },
+    Store { sent: CallId, call: Call },
     /// Reads a backend server's report of its load and weights.
     Report(pool::Id),
     /// Checks whether a backend server responds.
@@ -410,9 +410,7 @@
     /// Passes the outcome of a request to the handler for its purpose.
     pub(super) fn handle_control_outcome(&mut self, purpose: Purpose, outcome: Outcome) {
         match purpose {
-            Purpose::Store { sent, call, timeout } => {
-                self.handle_store_answer(sent, call, timeout, outcome);
-            }
+            Purpose::Store { sent, call } => self.handle_store_answer(sent, call, outcome),
             Purpose::Report(id) => self.handle_report(id, &outcome),
             Purpose::Probe(id) => self.handle_probe_reply(id, &outcome),
             Purpose::Liveness(id) => self.handle_liveness_reply(id, &outcome),
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -474,6 +474,7 @@
         let topic = subscription.topic;
         let before = subscription.revision;
         match reply {
+            Reply::Listed { .. } if subscription.pages.has_more() => subscription.next_at = now,
             Reply::Listed { version, .. } => {
                 subscription.finish_call(now, false);
                 subscription.revision = Some(*version);
--- a/crates/gateway/src/core/storage/call.rs
+++ b/crates/gateway/src/core/storage/call.rs
@@ -38,13 +38,9 @@
                 CALL_TIMEOUT
             }
         };
-        self.send_page(sent, call, timeout);
-    }
-
-    fn send_page(&mut self, sent: CallId, call: Call, timeout: Duration) {
-        let pages = self.storage.pages(&call);
-        let request = self.adapter.store_request(&call, pages.and_then(Pages::after));
-        let purpose = Purpose::Store { sent, call, timeout };
+        let after = self.storage.pages(&call).and_then(Pages::after);
+        let request = self.adapter.store_request(&call, after);
+        let purpose = Purpose::Store { sent, call };
         self.send_control(self.storage.address, &request, timeout, purpose);
     }
 
@@ -52,7 +48,6 @@
         &mut self,
         sent: CallId,
         call: Call,
-        timeout: Duration,
         answer: control::Outcome,
     ) {
         let status = answer.status();
@@ -72,13 +67,13 @@
                         Outcome::Lost
                     }
                     StoreReply::Page { objects, last, version } => {
-                        self.apply_page(&call, &objects, version);
+                        let version = self.apply_page(&call, &objects, version);
                         if self.storage.advance_list(&call, &last) {
                             self.record_page(&call);
-                            self.send_page(sent, call, timeout);
-                            return;
+                            Outcome::Answered(Reply::Listed { objects: Vec::new(), version })
+                        } else {
+                            self.reject_list(&call, "repeated", status)
                         }
-                        self.reject_list(&call, "repeated", status)
                     }
                     StoreReply::Done(Outcome::Answered(Reply::Listed { objects, version })) => {
                         let version = self.apply_page(&call, &objects, version);
--- a/crates/gateway/src/core/storage/pages.rs
+++ b/crates/gateway/src/core/storage/pages.rs
@@ -21,6 +21,8 @@
     version: Option<Version>,
     /// The name after which the next page begins.
     after: Option<Box<str>>,
+    /// Whether a further page follows.
+    has_more: bool,
     /// Hashes of the names after which pages began.
     begun_after: Set<u64>,
 }
@@ -51,6 +53,11 @@
         self.version
     }
 
+    /// Whether a further page follows.
+    pub(super) fn has_more(&self) -> bool {
+        self.has_more
+    }
+
     /// Whether the list has become so long that it is logged now.
     pub(super) fn is_logged(&self) -> bool {
         LOGGED_PAGES <= self.count && self.count.is_power_of_two()
@@ -65,6 +72,7 @@
         version: Version,
     ) -> Version {
         self.count += 1;
+        self.has_more = false;
         self.objects += objects;
         self.servers.extend(servers);
         *self.version.get_or_insert(version)
@@ -75,6 +83,7 @@
     #[must_use]
     pub(super) fn advance(&mut self, after: &str) -> bool {
         self.after = Some(after.into());
+        self.has_more = true;
         self.begun_after.insert(hash::stable(after.as_bytes()))
     }
 }
