Hold by tests that only lists that the store rejects are delayed

Callers of instances that start while the store is away must not wait for longer than before after its return.

--- a/crates/gateway/src/core/storage/subscription.rs
+++ b/crates/gateway/src/core/storage/subscription.rs
@@ -9,6 +9,9 @@
     core::storage::{Pages, RETRY_DELAY},
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Longest wait of a watch. The platform allows at most 30 s; TCP keep-alive probes detect a dead
 /// connection sooner.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
@@ -67,8 +70,8 @@
     is_interrupted: bool,
     /// Failed calls since the last answer.
     failures: u32,
-    /// How often its list was rejected since it was read last.
-    rejections: u32,
+    /// Lists that the store answered, but that couldn't be read to their end, since the last answer.
+    rejected_lists: u32,
 }
 
 /// What an answer of the store shows about when its changes were made.
@@ -94,7 +97,7 @@
             sent_at: Time::ZERO,
             is_interrupted: false,
             failures: 0,
-            rejections: 0,
+            rejected_lists: 0,
         }
     }
 
@@ -138,20 +141,21 @@
         self.failures = self.failures.saturating_add(1);
     }
 
-    /// Gives up its list, which begins with its first page again.
+    /// Gives up a list that can't be read to its end. The next one begins with the first page.
     pub(super) fn reject_list(&mut self) {
         self.pages = Pages::default();
-        self.rejections = self.rejections.saturating_add(1);
+        self.rejected_lists = self.rejected_lists.saturating_add(1);
     }
 
     /// Whether the kind has to be listed and that fails, though other calls may be answered.
     pub(super) fn is_list_failing(&self) -> bool {
-        self.revision.is_none() && (0 < self.rejections || LIST_ATTEMPTS <= self.failures)
+        self.revision.is_none() && (0 < self.rejected_lists || LIST_ATTEMPTS <= self.failures)
     }
 
-    /// Delay before a list that was rejected is tried again.
+    /// Delay before a list that was given up is tried again. One whose call was lost or refused isn't delayed: the store
+    /// may be back at any time.
     pub(super) fn list_delay(&self) -> Duration {
-        match self.rejections {
+        match self.rejected_lists {
             0 => Duration::ZERO,
             it => (RETRY_DELAY * (1 << (it - 1).min(16))).min(MAX_LIST_DELAY),
         }
@@ -171,7 +175,7 @@
         let unchanged_until = self.confirmed_at.replace(confirmed_at);
         self.last_answer = now;
         self.is_interrupted = false;
-        (self.failures, self.rejections) = (0, 0);
+        (self.failures, self.rejected_lists) = (0, 0);
         Basis { is_live, unchanged_until }
     }
 
