Take nothing for new that was made while a list went on

Replaced weights could be used for longer than the limit by an instance whose list of published weights went on over lost or refused calls: since pages are kept across calls, the first page may be much older than the end of the list. The watch after it begins at the first page's version, and what it reports at once counted as just made, as the time without a watch was measured from the end of the list. The same held for removals of servers, whose grace was cut short.

Evidence: changes_since_the_first_page_of_a_long_list_are_not_new failed before (is_live after a list of 60 s).

Change: the time without a watch counts from the call of the first page. The watch of weights that follows then doesn't wait, as after a failed call, and the one after it is live.

--- a/crates/gateway/src/core/storage/subscription.rs
+++ b/crates/gateway/src/core/storage/subscription.rs
@@ -20,7 +20,8 @@
 /// confirm the configuration more often than that.
 const CONFIGURATION_WATCH_WAIT: Duration = Duration::from_secs(1);
 
-/// Time between an answer and the next call from which on the store counts as not watched in between.
+/// Time between the moment that an answer shows and the next call from which on the store counts as not watched in
+/// between.
 const MAX_UNWATCHED: Duration = Duration::from_secs(1);
 
 /// Delay after the first list of a kind. By then most instances of a large fleet know that others
@@ -66,6 +67,9 @@
     confirmed_at: Option<Time>,
     /// When the call in flight was sent.
     sent_at: Time,
+    /// Until when the last answer shows all changes; zero before the first one. Pages of a list may have been read long
+    /// before its end.
+    read_until: Time,
     /// A call has failed, or none was sent for a while, since the last answer.
     is_interrupted: bool,
     /// Failed calls since the last answer.
@@ -95,6 +99,7 @@
             last_answer: Time::ZERO,
             confirmed_at: None,
             sent_at: Time::ZERO,
+            read_until: Time::ZERO,
             is_interrupted: false,
             failures: 0,
             rejected_lists: 0,
@@ -109,7 +114,7 @@
             self.sent_at = now;
         }
         self.is_interrupted |=
-            self.last_answer != Time::ZERO && MAX_UNWATCHED < now.since(self.last_answer);
+            self.read_until != Time::ZERO && MAX_UNWATCHED < now.since(self.read_until);
     }
 
     /// Skips the changes up to `known`. After a restore of the store the kind has to be listed instead.
@@ -174,6 +179,7 @@
         let confirmed_at = if is_live { now } else { self.sent_at };
         let unchanged_until = self.confirmed_at.replace(confirmed_at);
         self.last_answer = now;
+        self.read_until = if is_watch { now } else { self.sent_at };
         self.is_interrupted = false;
         (self.failures, self.rejected_lists) = (0, 0);
         Basis { is_live, unchanged_until }
--- a/crates/gateway/src/core/storage/subscription/tests.rs
+++ b/crates/gateway/src/core/storage/subscription/tests.rs
@@ -26,3 +26,19 @@
     subscription.finish_call(at(1), false);
     assert_eq!(subscription.list_delay(), Duration::ZERO);
 }
+
+// Changes that were made while a list went on were taken for new by the watch after it: replaced weights were used for as
+// long again as the list took.
+#[test]
+fn changes_since_the_first_page_of_a_long_list_are_not_new() {
+    let mut subscription = subscription();
+    subscription.start_call(at(0));
+    subscription.pages.add(1, Vec::new(), Version(7));
+    subscription.fail_call();
+    subscription.start_call(at(60));
+    subscription.finish_call(at(60), false);
+    subscription.pages = Pages::default();
+    subscription.start_call(at(60));
+    let basis = subscription.finish_call(at(60), true);
+    assert_eq!(basis, Basis { is_live: false, unchanged_until: Some(at(0)) });
+}
