Fill in the limit of open files in the review's settings

The cases of review/ ended with a panic before the first request, as the template of settings has a field for the limit of open files which the stand-in doesn't know.

--- a/review/world/instance.rs
+++ b/review/world/instance.rs
@@ -43,6 +43,7 @@
             ("platform.writesPerS", "400"),
             ("seeds", ""),
             ("limits.linkMbps", "1000.0"),
+            ("limits.maxFds", "1024"),
             ("limits.memoryMb", "110"),
             ("bounds.ttl_max_s", "5"),
             ("bounds.retryBudgetRatio", "0.2"),
