Decode paths and queries in the review's store

The store of review/ took names in paths and queries as they were sent, so that it agreed with instances that don't encode them, and would refuse those that do for names with other characters than letters and digits.

--- a/review/world/http.rs
+++ b/review/world/http.rs
@@ -31,6 +31,20 @@
     }
 }
 
+/// The text for which a percent-encoded one stands. Anything else after `%` stands for itself.
+pub fn decode(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let [first, after @ ..] = rest {
+        let digits = after.get(..2).filter(|it| it.iter().all(u8::is_ascii_hexdigit));
+        let digits = digits.filter(|_| *first == b'%').and_then(|it| std::str::from_utf8(it).ok());
+        let byte = digits.and_then(|it| u8::from_str_radix(it, 16).ok());
+        bytes.push(byte.unwrap_or(*first));
+        rest = if byte.is_some() { &after[2..] } else { after };
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// A connection with the bytes that were read and not used yet.
 pub struct Connection {
     pub stream: TcpStream,
--- a/review/world/store.rs
+++ b/review/world/store.rs
@@ -8,7 +8,10 @@
     time::{Duration, Instant},
 };
 
-use crate::{http::Connection, json};
+use crate::{
+    http::{Connection, decode},
+    json,
+};
 
 /// Objects on one page of a list.
 const PAGE: usize = 500;
@@ -100,13 +103,16 @@
                 .split('&')
                 .filter_map(|it| it.split_once('='))
                 .find(|it| it.0 == name)
-                .map(|it| it.1)
+                .map(|it| decode(&it.1.replace('+', " ")))
         };
         let Some(path) = path.strip_prefix("/objects/") else { return (404, "{}".into()) };
         let (kind, name) = path.split_once('/').unwrap_or((path, ""));
+        let (kind, name) = (&*decode(kind), &*decode(name));
         let revision = || {
             let from_body = json::get(json::get(body, "metadata").unwrap_or("{}"), "revision");
-            parameter("revision").or(from_body).and_then(|it| it.parse::<u64>().ok())
+            parameter("revision")
+                .or(from_body.map(str::to_owned))
+                .and_then(|it| it.parse::<u64>().ok())
         };
         match (method, name) {
             ("GET", "") => match parameter("watch").and_then(|it| it.parse().ok()) {
@@ -114,7 +120,7 @@
                     let wait = parameter("waitMs").and_then(|it| it.parse().ok()).unwrap_or(0);
                     self.watch(kind, after, Duration::from_millis(wait))
                 }
-                None => self.list(kind, parameter("after").unwrap_or_default()),
+                None => self.list(kind, &parameter("after").unwrap_or_default()),
             },
             ("GET", name) => match self.state().find(kind, name) {
                 Some(it) => (200, render(name, it)),
