Write no line ends within a field or a request line

The path of a health check is the configuration's, and was written into the request line as it was: a space ended the target, and line ends began fields or another request. Values of fields had the same way out wherever a name wasn't checked before.

Change: the writer percent-encodes spaces and control characters of a target, and writes line ends and NUL within a value as spaces, which RFC 9110 (section 5.5) allows. Targets and values that were received hold none of these, so forwarded requests and responses are the same bytes as before. It costs one scan of each target and value.

--- a/crates/gateway/src/http/write.rs
+++ b/crates/gateway/src/http/write.rs
@@ -2,11 +2,17 @@
 
 use std::io::Write;
 
-/// Appends a request line.
+/// Appends a request line. Spaces and control characters, which would end the target, are percent-encoded.
 pub fn request_line(out: &mut Vec<u8>, method: &str, target: &str) {
     out.extend_from_slice(method.as_bytes());
     out.push(b' ');
-    out.extend_from_slice(target.as_bytes());
+    let mut rest = target.as_bytes();
+    while let Some(at) = rest.iter().position(|it| *it == b' ' || it.is_ascii_control()) {
+        out.extend_from_slice(&rest[..at]);
+        let _ = write!(out, "%{:02X}", rest[at]);
+        rest = &rest[at + 1..];
+    }
+    out.extend_from_slice(rest);
     out.extend_from_slice(b" HTTP/1.1\r\n");
 }
 
@@ -16,11 +22,17 @@
     let _ = write!(out, "HTTP/1.1 {status} {}\r\n", reason_phrase(status));
 }
 
-/// Appends a header field.
+/// Appends a header field. Line ends and NUL in its value become spaces, as RFC 9110 (section 5.5) allows.
 pub fn field(out: &mut Vec<u8>, name: &str, value: &[u8]) {
     out.extend_from_slice(name.as_bytes());
     out.extend_from_slice(b": ");
+    let start = out.len();
     out.extend_from_slice(value);
+    for it in &mut out[start..] {
+        if matches!(*it, b'\r' | b'\n' | b'\0') {
+            *it = b' ';
+        }
+    }
     out.extend_from_slice(b"\r\n");
 }
 
--- a/crates/gateway/tests/http.rs
+++ b/crates/gateway/tests/http.rs
@@ -59,6 +59,20 @@
     assert_eq!(request("GET /\x01 HTTP/1.1\r\n\r\n").unwrap_err(), Error::Head);
 }
 
+// Text of others with line ends must not become fields, or a request, of its own.
+#[test]
+fn written_text_ends_neither_its_field_nor_the_request_line() {
+    let mut bytes = Vec::new();
+    write::request_line(&mut bytes, "GET", "/a b\r\nX: 1\r\n\r\n\0é%41");
+    write::field(&mut bytes, "Named", b"a\r\nX: 1\n\0\xe9\tb");
+    write::end_head(&mut bytes);
+    let head = Request::decode(&mut bytes, MAX_HEAD_BYTES).unwrap().unwrap();
+    assert_eq!(&*head.target, "/a%20b%0D%0AX:%201%0D%0A%0D%0A%00é%41");
+    let fields: Vec<_> = head.fields.0.iter().map(|it| (&*it.name, &*it.value)).collect();
+    assert_eq!(fields, [("Named", &b"a  X: 1  \xe9\tb"[..])]);
+    assert!(bytes.is_empty());
+}
+
 #[test]
 fn interim_responses_are_skipped() {
     let text = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
