Keep no weights of models that no request can name

One object among the published weights with a model's name of 900 kB kept instances from knowing each other: names of models are part of everything that instances tell each other, so that no datagram could hold it; and of the lease record.

Before: 1.8 MB are told to an instance that asks for the state; without that check, a second instance isn't known to the first after 20 s.

Change: the name of a model has to be one that a request's header field can carry, of 256 bytes at most, as that of a server. Other objects count as unreadable and are logged.

--- a/crates/gateway/src/core/ingest.rs
+++ b/crates/gateway/src/core/ingest.rs
@@ -22,7 +22,7 @@
 /// Longest entry of a server, bytes. Entries are sent to other instances, several in one datagram.
 const MAX_ENTRY_BYTES: usize = 16 * 1024;
 
-/// Longest name of a server, bytes. It becomes a header field's value.
+/// Longest name of a server or model, bytes.
 const MAX_NAME_BYTES: usize = 256;
 
 impl Core {
@@ -181,7 +181,7 @@
         if revision <= self.storage.entry_revision(name) {
             return;
         }
-        if MAX_NAME_BYTES < name.len() || !write::is_field_value(name) {
+        if !is_name(name) {
             if value.is_some() {
                 self.record_unreadable(name, revision, "its name can't be that of a server");
             }
@@ -327,3 +327,8 @@
         self.broadcast_leaving(id);
     }
 }
+
+/// Whether a server or model can have this name, which becomes a header field's value.
+pub(crate) fn is_name(text: &str) -> bool {
+    text.len() <= MAX_NAME_BYTES && write::is_field_value(text)
+}
--- a/crates/gateway/src/core/weights.rs
+++ b/crates/gateway/src/core/weights.rs
@@ -5,9 +5,11 @@
 use shallotlead_base::time::Time;
 
 use crate::{
+    adapter::Malformed,
     broadcast::Reach,
     core::{
         Core,
+        ingest::is_name,
         storage::{Basis, Source},
     },
     lease,
@@ -18,7 +20,11 @@
 impl Core {
     /// Applies an object with published weights.
     pub(crate) fn apply_weights(&mut self, value: &[u8], basis: Basis) {
-        let (model, version) = match self.adapter.parse_weights(value) {
+        let parsed = match self.adapter.parse_weights(value) {
+            Ok(it) if !is_name(&it.model) => Err(Malformed("no request can name its model".into())),
+            it => it,
+        };
+        let (model, version) = match parsed {
             Ok(it) => (it.model, it.version),
             Err(err) => {
                 self.log.line(self.now, "weights_unreadable").text("error", &err.to_string());
