Bound the metrics of models

Each model that anyone had named in the store got a metric of its own, for as long as the process ran.

Change: 32 models have the metric, and at most 16 of them before a server has them, so that names in the store don't take the place of models in use.

--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -13,7 +13,7 @@
     budget::Purpose,
     config::Route,
     core::Core,
-    pool::{self, Unavailability},
+    pool::{self, Unavailability, Versions},
 };
 
 use server::Servers;
@@ -22,12 +22,16 @@
 /// Routes with metrics of their own; the others share one set, as a configuration may have
 /// hundreds.
 const MAX_ROUTES: usize = 32;
+/// Models with metrics of their own, half of them at most before a server has them.
+const MAX_MODELS: usize = 32;
 
 /// Handles of the metrics; those with variable labels are looked up on each use.
 pub(crate) struct Stats {
     handle: PrometheusHandle,
     routes: Map<Arc<str>, RouteStats>,
     overflow: RouteStats,
+    /// The newest published weights, by model.
+    models: Map<Arc<str>, Gauge>,
     /// Per backend server.
     pub(crate) servers: Servers,
     /// Messages to and from other instances, and calls to the store.
@@ -93,6 +97,7 @@
             handle,
             routes: Map::default(),
             overflow: RouteStats::open("other"),
+            models: Map::default(),
             servers: Servers::open(),
             traffic: Traffic::open(),
             abandoned: metrics::counter!("shallotlead_abandoned_total"),
@@ -376,10 +381,7 @@
             metrics::gauge!("shallotlead_watch_age_seconds", "kind" => kind.to_string())
                 .set(age.as_secs_f64());
         }
-        for (model, versions) in self.pool.all_weight_versions() {
-            metrics::gauge!("shallotlead_weights_named", "model" => model.to_string())
-                .set(versions.newest() as f64);
-        }
+        self.refresh_weights();
         self.refresh_budget();
         let open_requests = self.pool.listed().map(|it| (it.1.address, it.1.inflight));
         let paces = self.pool.listed().map(|it| (it.1.address, it.1.pace.factor(self.now)));
@@ -411,6 +413,25 @@
         stats.store_answer_age.set(self.storage.connectivity.age(self.now).as_secs_f64());
     }
 
+    /// Shows the weights of models, first of those that servers have: others may only be names in the store.
+    fn refresh_weights(&mut self) {
+        let of_servers = self.pool.listed().flat_map(|it| &it.1.models);
+        let served = of_servers.map(|it| (&it.0, MAX_MODELS));
+        let named = self.pool.all_weight_versions().map(|it| (it.0, MAX_MODELS / 2));
+        for (model, max) in served.chain(named) {
+            let models = &mut self.stats.models;
+            let is_new = models.len() < max && !models.contains_key(model);
+            if is_new && self.pool.weight_versions(model).is_some() {
+                let label = model.to_string();
+                let gauge = metrics::gauge!("shallotlead_weights_named", "model" => label);
+                models.insert(model.clone(), gauge);
+            }
+        }
+        for (model, gauge) in &self.stats.models {
+            gauge.set(self.pool.weight_versions(model).map_or(0, Versions::newest) as f64);
+        }
+    }
+
     fn refresh_budget(&mut self) {
         let Some(config) = self.config.clone() else { return };
         let share = self.retry_share();
