Tell other instances long entries in parts

Callers of an instance that has the servers from other instances, as it doesn't watch the store or can't list them, saw no service: entries that each keep to 16 KB, but are more than 4 MB together, were told in one batch that no instance unpacks, and the next answer was the same.

Change: an answer has the oldest entries up to 2 MB and names the revision of the last one as that up to which it is complete.

--- a/crates/gateway/src/core/state.rs
+++ b/crates/gateway/src/core/state.rs
@@ -193,7 +193,7 @@
         bytes
     }
 
-    /// The entries newer than revision `known`, if the uplink has room for them.
+    /// The entries newer than revision `known`, or the oldest of them, if the uplink has room for them.
     fn compressed_entries(&mut self, known: u64) -> Option<Entries> {
         // An entry that is missing after a restore may return, so a removal is sent only once the
         // server is gone.
@@ -203,8 +203,7 @@
         let newer = self.storage.entries.iter().filter(|it| known < it.1.revision);
         let newer = newer.filter(|it| it.1.value.is_some() || is_gone(it.0));
         let newer = newer.map(|it| Entry::new(it.0, it.1.revision, it.1.value.as_ref()));
-        let newer: Vec<Entry> = newer.collect();
-        match Entries::pack(&newer, known, self.storage.entries_synced_to) {
+        match Entries::pack_oldest(newer.collect(), known, self.storage.entries_synced_to) {
             Ok(compressed) => {
                 let is_small = compressed.packed_len() <= LARGE_ENTRIES_BYTES;
                 (is_small || self.uplink.admit(self.now, compressed.packed_len()))
--- a/crates/gateway/tests/entries.rs
+++ b/crates/gateway/tests/entries.rs
@@ -52,6 +52,22 @@
     assert_eq!(lost.advance(30), 30, "a late batch does not lower the revision");
 }
 
+// Entries that are long together were packed into one batch that no receiver unpacks.
+#[test]
+fn entries_beyond_one_batch_are_told_in_parts() {
+    let all: Vec<Entry> =
+        (0..600).map(|it| Entry { value: Some(vec![b' '; 16 << 10]), ..entry(it) }).collect();
+    let (mut known, mut received) = (0, 0);
+    while known < 95_000 {
+        let newer = all.iter().filter(|it| known < it.revision).rev().cloned().collect();
+        let part = Entries::pack_oldest(newer, known, 95_000).unwrap();
+        received += part.unpack().unwrap().len();
+        assert!(known < part.advance(known), "it goes on");
+        known = part.advance(known);
+    }
+    assert_eq!(received, all.len());
+}
+
 proptest! {
     // Datagrams come from a network that may damage them.
     #[test]
