Send the own state when news is too long for a datagram

News beyond 65,507 bytes was lost whole, with the sender's own state, and only a debug line said so: others took the sender for dead. The publications were one cause; reports of many requests at servers that crashed are another, and each table in news has its own bound or none. Such news is now logged as datagram_too_long and sent as the sender's state alone.

Evidence: the test's news with 5,000 requests is longer than a datagram; there was nothing that shortened it before. The path in which an instance sends shortened news is read, not run.

--- a/crates/gateway/src/core/peers.rs
+++ b/crates/gateway/src/core/peers.rs
@@ -13,7 +13,7 @@
     broadcast::{self, Push, Queue, Reach, Update},
     build::Begun,
     catchup::Catchup,
-    core::{Core, storage::Source},
+    core::{Core, stats::traffic, storage::Source},
     freshness::Freshness,
     gossip::{
         self, Confirmation, Datagram, LoadReport, Loading, Message, PERIOD, Placement, Publication,
@@ -31,6 +31,8 @@
 /// Time in which an unresponsive server isn't broadcast again, as all neighbours probe it at the
 /// same moment.
 const UNRESPONSIVE_REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Most bytes of a datagram over IPv4.
+const MAX_DATAGRAM_BYTES: usize = 65_507;
 /// Most updates in one message: at up to 300 bytes each they fit into a datagram.
 const MAX_UPDATES: usize = 100;
 /// Most draining servers in one periodic message.
@@ -276,6 +278,13 @@
         streams: &[Begun],
     ) -> usize {
         match datagram.encode(streams) {
+            Ok(bytes) if MAX_DATAGRAM_BYTES < bytes.len() => {
+                self.log
+                    .line(self.now, "datagram_too_long")
+                    .text("kind", traffic::kind_name(datagram))
+                    .number("bytes", bytes.len());
+                datagram.shortened().map_or(0, |it| self.send_with(targets, &it, &[]))
+            }
             Ok(bytes) => {
                 self.stats.traffic.count_sent(datagram, targets.len(), bytes.len());
                 targets.iter().for_each(|it| self.net.send_datagram(*it, &bytes));
--- a/crates/gateway/src/core/stats.rs
+++ b/crates/gateway/src/core/stats.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of this instance.
 
 mod server;
-mod traffic;
+pub(crate) mod traffic;
 
 use std::{sync::Arc, time::Duration};
 
--- a/crates/gateway/src/core/stats/traffic.rs
+++ b/crates/gateway/src/core/stats/traffic.rs
@@ -80,6 +80,11 @@
     }
 }
 
+/// The name of a datagram's kind in logs and metrics.
+pub(crate) fn kind_name(datagram: &Datagram) -> &'static str {
+    DATAGRAM_KINDS[kind_index(datagram)]
+}
+
 fn kind_index(datagram: &Datagram) -> usize {
     match datagram {
         Datagram::News(_) => 0,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -237,6 +237,28 @@
         Ok(bytes)
     }
 
+    /// What of a message that is too long for one datagram is sent nevertheless; `None` if that is nothing. Of news it is the
+    /// sender's own state, by which others know that it is alive.
+    pub fn shortened(&self) -> Option<Self> {
+        let Self::News(message) = self else { return None };
+        let Message { from, configuration, era, needs_relay, .. } = &**message;
+        let short = Message {
+            from: from.clone(),
+            members: Vec::new(),
+            heartbeats: Vec::new(),
+            configuration: *configuration,
+            era: *era,
+            withheld: Vec::new(),
+            weights: Vec::new(),
+            updates: Vec::new(),
+            needs_relay: *needs_relay,
+            cache_stores: Vec::new(),
+            costs: Vec::new(),
+            quarantine: Vec::new(),
+        };
+        (short != **message).then(|| Self::News(Box::new(short)))
+    }
+
     /// Decodes it and the streams that follow.
     ///
     /// # Errors
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -14,6 +14,7 @@
         Datagram, Heartbeat, LimitReport, Member, Members, Message, PermitReply, PermitRequest,
         QuotaReply, QuotaRequest, Source,
     },
+    quarantine::Identity,
     quota, rate_limit,
 };
 use support::{at, member};
@@ -425,3 +426,19 @@
     assert_eq!(aged(500), Some(Update::Backoff(8, 1_500)));
     assert_eq!(aged(2_000), None);
 }
+
+// Reports of thousands of requests at a server that crashed made news longer than a datagram: nothing of it was sent, and the
+// sender counted as dead.
+#[test]
+fn news_that_is_too_long_is_shortened_to_the_senders_state() {
+    let identities: Vec<_> =
+        (0..5_000_u64).map(|it| Identity { caller: !it, content: !it }).collect();
+    let long = news(vec![Update::Crashed(1, identities)]);
+    assert!(65_507 < long.encode(&[]).expect("it can be encoded").len());
+    let short = long.shortened().expect("it can be shortened");
+    let bytes = short.encode(&[]).expect("it can be encoded");
+    assert!(bytes.len() < 1_000, "{} bytes", bytes.len());
+    let Datagram::News(message) = short else { panic!("it is news") };
+    assert_eq!((message.from.name.as_ref(), message.configuration), ("a", 1));
+    assert_eq!(Datagram::News(message).shortened(), None);
+}
