Bound the publications of weights that are told to others

Each message between instances has the published weights of all models, and so has the lease record. An entry of a model with a name of 70,000 bytes, or entries of 4,000 models that no server has, made them longer than a datagram: no message about members was sent any more, and instances took each other for dead. With 4,000 models an instance also read nothing else for over 20 s, as each publication compared all with all.

Names of models are held to the same bound as those of servers (is_name), in the store and in the lease record. Of more than 16 KB of publications those of models that servers have are sent and recorded first. Publications are handed to the lease once a turn.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -204,6 +204,8 @@
     signals: Signals,
     /// Publications of each model's weights in the lease record, oldest first; each one replaced the one before.
     recorded_weights: Map<Arc<str>, Vec<(u64, Time)>>,
+    /// Whether publications of weights were applied since they were last handed to the lease.
+    has_new_publications: bool,
     /// The graceful shutdown, once it has begun.
     shutdown: Option<Shutdown>,
     /// How long the answers of each route took lately.
@@ -337,6 +339,7 @@
             answer_times: answer_time::History::default(),
             last_sweep: now,
             recorded_weights: Map::default(),
+            has_new_publications: false,
             uplink: Uplink::new(settings.link_bytes_per_s),
             settings,
         })
--- a/crates/gateway/src/core/ingest.rs
+++ b/crates/gateway/src/core/ingest.rs
@@ -22,7 +22,8 @@
 /// Longest entry of a server, bytes. Entries are sent to other instances, several in one datagram.
 const MAX_ENTRY_BYTES: usize = 16 * 1024;
 
-/// Longest name of a server or model, bytes.
+/// Longest name of a server, a model, an instance or a data centre, bytes. Names are sent to other instances, many in one
+/// datagram.
 const MAX_NAME_BYTES: usize = 256;
 
 impl Core {
@@ -328,7 +329,7 @@
     }
 }
 
-/// Whether a server or model can have this name, which becomes a header field's value.
+/// Whether a server, a model, an instance or a data centre can have this name, which becomes a header field's value.
 pub(crate) fn is_name(text: &str) -> bool {
     text.len() <= MAX_NAME_BYTES && write::is_field_value(text)
 }
--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -373,7 +373,8 @@
         // times in the lease record.
         let rank =
             if self.storage.has_read_weights { self.members.lease_rank(now) } else { usize::MAX };
-        if self.lease.may_write(now, rank) && !self.storage.is_unreachable() {
+        let is_write_due = self.lease.may_write(now, rank) && !self.storage.is_unreachable();
+        if mem::take(&mut self.has_new_publications) || is_write_due {
             self.record_publications();
         }
         if let Some(call) = self.lease.tick(now, rank) {
--- a/crates/gateway/src/core/weights.rs
+++ b/crates/gateway/src/core/weights.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use shallotlead_base::time::Time;
+use shallotlead_base::{hash::Set, time::Time};
 
 use crate::{
-    adapter::Malformed,
+    adapter::{Malformed, Weights},
     broadcast::Reach,
     core::{
         Core,
@@ -17,14 +17,15 @@
     publication::{self, Evidence},
 };
 
+/// Longest publications in a message to other instances, and in the lease record, bytes.
+const MAX_PUBLICATIONS_BYTES: usize = 16 * 1024;
+/// Most bytes of a publication without the model's name.
+const PUBLICATION_BYTES: usize = 24;
+
 impl Core {
     /// Applies an object with published weights.
     pub(crate) fn apply_weights(&mut self, value: &[u8], basis: Basis) {
-        let parsed = match self.adapter.parse_weights(value) {
-            Ok(it) if !is_name(&it.model) => Err(Malformed("no request can name its model".into())),
-            it => it,
-        };
-        let (model, version) = match parsed {
+        let (model, version) = match self.parse_weights(value) {
             Ok(it) => (it.model, it.version),
             Err(err) => {
                 self.log.line(self.now, "weights_unreadable").text("error", &err.to_string());
@@ -40,6 +41,14 @@
         self.apply_recorded_history(&model);
     }
 
+    fn parse_weights(&self, value: &[u8]) -> Result<Weights, Malformed> {
+        let weights = self.adapter.parse_weights(value)?;
+        match is_name(&weights.model) {
+            true => Ok(weights),
+            false => Err(Malformed("its model can't have this name".into())),
+        }
+    }
+
     /// Applies the publication of a model's weights.
     pub(crate) fn apply_publication(
         &mut self,
@@ -60,7 +69,7 @@
         line.number("before", newest)
             .text("source", source.name())
             .ms("age_ms", self.now.since(publication.at));
-        self.record_publications();
+        self.has_new_publications = true;
         self.watch_starts(model);
         if source != Source::Instance {
             self.peers.broadcasts.announce_versions(Reach::Fleet);
@@ -69,7 +78,8 @@
 
     /// Applies the publications of the lease record.
     pub(crate) fn apply_recorded_publications(&mut self, recorded: &[lease::Publication]) {
-        for of_model in recorded.chunk_by(|a, b| a.model == b.model) {
+        let named = recorded.chunk_by(|a, b| a.model == b.model);
+        for of_model in named.filter(|it| is_name(&it[0].model)) {
             let model = &of_model[0].model;
             let dated =
                 |it: &lease::Publication| (it.version, self.clock.at_unix_ms(self.now, it.unix_ms));
@@ -152,11 +162,21 @@
         }
     }
 
-    /// The publications of each model's weights that decide whether a version may still be used, oldest first.
+    /// The publications of each model's weights that decide whether a version may still be used, oldest first. Of more than
+    /// a message to other instances takes, those of the models that servers have.
     pub(crate) fn recent_publications(&self) -> impl Iterator<Item = (Arc<str>, u64, Time)> {
-        self.pool.all_weight_versions().flat_map(|(model, versions)| {
+        let served: Set<&Arc<str>> =
+            self.pool.listed().flat_map(|it| it.1.models.iter().map(|it| &it.0)).collect();
+        let (first, rest): (Vec<_>, Vec<_>) =
+            self.pool.all_weight_versions().partition(|it| served.contains(it.0));
+        let recent = first.into_iter().chain(rest).flat_map(|(model, versions)| {
             let recent = versions.recent(self.now, self.settings.max_stale_weights);
             recent.into_iter().map(|(version, at)| (model.clone(), version, at))
-        })
+        });
+        let bytes = recent.scan(0, |sum, it| {
+            *sum += it.0.len() + PUBLICATION_BYTES;
+            Some((*sum, it))
+        });
+        bytes.take_while(|it| it.0 <= MAX_PUBLICATIONS_BYTES).map(|it| it.1)
     }
 }
