Hold records of instances to their names and to numbers that can be counted on

A record under any name in the store could be that of any instance. One that names a running instance with the incarnation made it count on from there: with overflow checks the process ended, without them it began at zero again, where others ignore what it says. A record with the highest heartbeat counter kept the instance's later state from being read, and each further record was kept, however many there were.

The tests run with overflow checks; the release build's wrap to zero is read, not run.

A record counts if it is named by its instance, and if names and data centre have the lengths of names. Numbers beyond half of the range are ignored. The first state that an instance itself tells replaces that of its record. At most 2,000 members are known from records.

--- a/crates/gateway/src/core/ingest.rs
+++ b/crates/gateway/src/core/ingest.rs
@@ -69,7 +69,7 @@
                 self.apply_entry(&object.key.name, object.version.0, value, Source::Store);
             }
             Topic::Records => self.apply_quarantine_record(object),
-            Topic::Instances => match serde_json::from_slice::<Member>(&object.value) {
+            Topic::Instances => match parse_member(object) {
                 Ok(member) => self.members.add_record(self.now, member),
                 Err(err) => {
                     self.log
@@ -329,6 +329,16 @@
     }
 }
 
+/// The record of an instance, which is named by it.
+fn parse_member(object: &Object) -> Result<Member, Malformed> {
+    let member = serde_json::from_slice::<Member>(&object.value);
+    let member = member.map_err(|it| Malformed(it.to_string()))?;
+    if member.name != object.key.name || !is_name(&member.name) || !is_name(&member.centre) {
+        return Err(Malformed("it isn't named by an instance".into()));
+    }
+    Ok(member)
+}
+
 /// Whether a server, a model, an instance or a data centre can have this name, which becomes a header field's value.
 pub(crate) fn is_name(text: &str) -> bool {
     text.len() <= MAX_NAME_BYTES && write::is_field_value(text)
--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -43,6 +43,12 @@
 /// Maximum number of heartbeats per message: 512 of about 8 bytes stay near 4 KB.
 const MAX_HEARTBEATS: usize = 512;
 
+/// Most members that are known from their records: several times as many as the largest fleet has. Further ones are heard
+/// of from others.
+const MAX_RECORDED: usize = 2_000;
+/// Highest incarnation and heartbeat counter of a member, which are counted on from there.
+const MAX_COUNTER: u64 = u64::MAX / 2;
+
 /// Another member.
 #[derive(Debug)]
 struct Known {
@@ -77,9 +83,11 @@
 
     /// Applies a sighting of the same incarnation. Returns whether its state is newer than the known one.
     fn merge(&mut self, now: Time, sighting: Sighting, source: Source) -> bool {
+        let is_first = self.source == Source::Record;
         self.merge_heartbeat(now - sighting.age.duration(), sighting.beat, source);
         let member = sighting.member;
-        if member.beat <= self.member.beat {
+        // A heartbeat counter that is known from a record only is no evidence of a later state.
+        if member.beat <= self.member.beat && !is_first {
             return false;
         }
         if !self.member.has_same_state(&member) {
@@ -166,6 +174,9 @@
     /// Applies a sighting from `source`. Returns whether it is new.
     pub fn merge_sighting(&mut self, now: Time, sighting: Sighting, source: Source) -> bool {
         let member = &sighting.member;
+        if MAX_COUNTER < member.incarnation.max(member.beat).max(sighting.beat) {
+            return false;
+        }
         if member.name == self.me.name {
             // Guards against a clock that was set back between two starts: the others would take this incarnation for
             // an older one and ignore it. They repeat the number that they know, and a higher one is new to all.
@@ -235,7 +246,8 @@
     pub fn add_record(&mut self, now: Time, member: Member) {
         self.first_record_at.get_or_insert(now);
         let known = self.others.get(&member.name);
-        let is_new = known.is_none_or(|it| it.member.incarnation < member.incarnation);
+        let has_room = self.others.len() < MAX_RECORDED;
+        let is_new = known.map_or(has_room, |it| it.member.incarnation < member.incarnation);
         if member.name == self.me.name || is_new {
             let member = Member { is_ready: false, ..member };
             self.merge_sighting(now, Sighting::of(member, Duration::ZERO), Source::Record);
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -442,3 +442,33 @@
     assert_eq!((message.from.name.as_ref(), message.configuration), ("a", 1));
     assert_eq!(Datagram::News(message).shortened(), None);
 }
+
+// A record in the store had the highest numbers: the process counted beyond them and ended, or others never again took its
+// messages for new.
+#[test]
+fn records_with_the_highest_numbers_hide_no_member() {
+    let mut me = Members::new(member("b", 5, 0));
+    me.add_record(at(0), member("b", u64::MAX, u64::MAX));
+    me.receive(at(0), member("b", u64::MAX, 1));
+    let mut other = Members::new(member("a", 1, 0));
+    other.add_record(at(0), member("b", u64::MAX, 0));
+    assert!(other.receive(at(100), me.announce()));
+    other.add_record(at(200), member("c", 7, u64::MAX / 4));
+    let ready = Member { is_ready: true, ..member("c", 7, 3) };
+    assert!(other.receive(at(300), ready));
+    let mut alive: Vec<_> = other.alive(at(400)).map(|it| (&*it.name, it.is_ready)).collect();
+    alive.sort_unstable();
+    assert_eq!(alive, [("b", me.me().is_ready), ("c", true)]);
+}
+
+// Each record of an instance was kept and counted, however many others had written.
+#[test]
+fn number_of_recorded_members_is_bounded() {
+    let mut members = Members::new(member("me", 1, 0));
+    for number in 0..20_000 {
+        members.add_record(at(0), member(&format!("x{number}"), 1, 0));
+    }
+    assert!(members.budget_sharers() <= 2_001);
+    assert!(members.receive(at(100), member("b", 1, 1)));
+    assert_eq!(members.alive(at(200)).count(), 1);
+}
