Restore no more streams than an instance writes

What another writer had put into an instance's record of open streams was restored whole, up to 40,000 streams of 1 MB, and told to all others every 500 ms in datagrams that no socket sends.

no_more_streams_are_restored_than_are_written failed before: 40,000 of 40,000 were parsed. The limit of what is written (4,096, the newest first) holds for what is read, and their message fits into a datagram.

--- a/crates/gateway/src/build/open_streams.rs
+++ b/crates/gateway/src/build/open_streams.rs
@@ -63,9 +63,9 @@
         entries.collect()
     }
 
-    /// The streams in what was written. Parts that can't be read are skipped.
+    /// The streams in what was written, no more than are written. Parts that can't be read are skipped.
     pub fn parse(written: &[u8]) -> Vec<Begun> {
-        let entries = written.chunks_exact(ENTRY_CHARS);
+        let entries = written.chunks_exact(ENTRY_CHARS).take(MAX_WRITTEN);
         entries.filter_map(|it| std::str::from_utf8(it).ok().and_then(parse_entry)).collect()
     }
 }
--- a/crates/gateway/tests/build.rs
+++ b/crates/gateway/tests/build.rs
@@ -290,3 +290,13 @@
         let _ = OpenStreams::parse(&bytes);
     }
 }
+
+// A record that others have written was restored whole, and told to all instances in datagrams that no socket sends.
+#[test]
+fn no_more_streams_are_restored_than_are_written() {
+    let written = "0123456789abcdef00000001".repeat(40_000);
+    assert_eq!(OpenStreams::parse(written.as_bytes()).len(), 4_096);
+    let restored = OpenStreams::parse("f".repeat(24 * 5_000).as_bytes());
+    let bytes = Datagram::RestoredStreams(restored).encode(&[]).expect("it can be encoded");
+    assert!(bytes.len() <= 65_507, "{} bytes", bytes.len());
+}
