Count records with too many builds as unreadable

A record of builds that another writer has filled (100,000 builds take less than 1 MB) was compared with itself build by build at each read, during which the instance did nothing else.

Content::parse and its test are new. More builds than a service has servers count as a record that can't be read, which may have had any builds; it is replaced as such records are.

--- a/crates/gateway/src/build/record.rs
+++ b/crates/gateway/src/build/record.rs
@@ -11,6 +11,9 @@
 /// instances that still send streams to it, as they haven't heard that its servers have left.
 const OBSOLETE_LIFETIMES: u32 = 2;
 
+/// Most builds in a record: as many as a service has servers, each with a build of its own.
+const MAX_BUILDS: usize = 5_000;
+
 /// The builds of one service that may have begun streams which callers can still take up.
 ///
 /// A build is recorded before the first stream is sent to one of its servers. So a read of the record shows all builds
@@ -40,6 +43,13 @@
 }
 
 impl Content {
+    /// Reads what was written. A record that can't be read, or has more builds than any service, may have had any.
+    pub fn parse(written: &[u8]) -> Self {
+        let content = serde_json::from_slice::<Self>(written).ok();
+        let is_usable = |it: &Self| it.builds.len() <= MAX_BUILDS;
+        content.filter(is_usable).unwrap_or_else(|| Self::of(&[Id::UNNAMED]))
+    }
+
     /// The content with these builds.
     pub fn of(builds: &[Id]) -> Self {
         Self { builds: builds.to_vec() }
--- a/crates/gateway/src/core/storage/builds.rs
+++ b/crates/gateway/src/core/storage/builds.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 use shallotlead_base::{
     hash,
-    store::{Call, Key, Object, Reply},
+    store::{Call, Key, Reply},
     time::Time,
 };
 
@@ -202,7 +202,7 @@
             }
             (Reply::Done(version), Some(content)) => Some((*version, content)),
             (Reply::Got(Some(object)) | Reply::Conflict(Some(object)), _) => {
-                Some((object.version, decode(object)))
+                Some((object.version, Content::parse(&object.value)))
             }
             (Reply::Got(None) | Reply::Conflict(None), _) => None,
             _ => {
@@ -235,8 +235,3 @@
 fn object_name(service: &str) -> String {
     format!("{:016x}", hash::stable(service.as_bytes()))
 }
-
-/// A record that can't be read may have had any builds.
-fn decode(object: &Object) -> Content {
-    serde_json::from_slice(&object.value).unwrap_or_else(|_| Content::of(&[build::Id::UNNAMED]))
-}
--- a/crates/gateway/tests/build.rs
+++ b/crates/gateway/tests/build.rs
@@ -300,3 +300,17 @@
     let bytes = Datagram::RestoredStreams(restored).encode(&[]).expect("it can be encoded");
     assert!(bytes.len() <= 65_507, "{} bytes", bytes.len());
 }
+
+// A record that others have written had more builds than there are servers. Each read compared all with all, for seconds.
+#[test]
+fn record_with_more_builds_than_servers_counts_as_unreadable() {
+    let written = |count: u32| {
+        let builds: Vec<u32> = (1..=count).collect();
+        serde_json::json!({ "builds": builds }).to_string().into_bytes()
+    };
+    let unreadable = Content::of(&[Id::UNNAMED]);
+    assert_eq!(Content::parse(&written(3)), Content::of(&[1, 2, 3].map(Id::from_number)));
+    for odd in [&written(100_000)[..], b"", b"null", b"{\"builds\":[-1]}", b"{\"builds\":[1e30]}"] {
+        assert_eq!(Content::parse(odd), unreadable);
+    }
+}
