Adopt no more quarantine records than an instance tracks

Each record of the kind "quarantine" in the store was adopted in place of the one with the least evidence, and then compared with all others in quarantine; removals of old ones were kept for a minute each and looked through at each further one. With 20,000 records of other writers, half of them too old, an instance did little else.

Records for which there is no room are left to the store, as are removals that the queue can't take: what an instance finds itself, or hears of, goes first. Versions are kept for records that are tracked or queued only.

--- a/crates/gateway/src/core/storage/quarantine.rs
+++ b/crates/gateway/src/core/storage/quarantine.rs
@@ -78,6 +78,11 @@
         removed.into_iter().for_each(|it| self.push(it, Change::Remove));
     }
 
+    /// Whether a further change can be queued without dropping another.
+    fn has_room(&self) -> bool {
+        self.queue.len() < MAX_QUEUED
+    }
+
     /// When the next change may be written, if there is one.
     pub(super) fn next_due(&self) -> Option<Time> {
         (!self.is_in_flight && !self.queue.is_empty()).then_some(self.next_at)
@@ -194,17 +199,27 @@
             self.log.line(self.now, "quarantine_unreadable").text("name", &object.key.name);
             return;
         };
-        self.storage.quarantine.versions.insert(identity, object.version);
         let age =
             Duration::from_secs(self.clock.unix_time().as_secs().saturating_sub(stored.seen_s));
         if self.quarantine.retention(&identity, stored.incarnations.len()) <= age {
-            self.queue_record_removal(identity);
+            // Others are removed when they are read again.
+            if self.storage.quarantine.has_room() {
+                self.storage.quarantine.versions.insert(identity, object.version);
+                self.queue_record_removal(identity);
+            }
+            return;
+        }
+        // What this instance finds itself, or hears of, goes before records of which there are too many.
+        if !self.quarantine.has_room(&identity) {
             return;
         }
-        self.storage.quarantine.refreshed.insert(identity, self.now - age);
         let age_ms = age.as_millis() as u64;
         let record =
             Record { identity, incarnations: stored.incarnations, age_ms, is_released: false };
         self.adopt_records(&[record], "store");
+        if self.quarantine.is_tracked(&identity) {
+            self.storage.quarantine.versions.insert(identity, object.version);
+            self.storage.quarantine.refreshed.insert(identity, self.now - age);
+        }
     }
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -487,11 +487,21 @@
         self.released.get(identity).is_some_and(|it| it.incarnations.contains(&incarnation_id))
     }
 
+    /// Whether the request is tracked, or can be without dropping another.
+    pub fn has_room(&self, identity: &Identity) -> bool {
+        self.tracked.contains_key(identity)
+            || (self.tracked.len() < MAX_TRACKED
+                && self.count_from_caller(identity) < MAX_TRACKED_PER_CALLER)
+    }
+
+    fn count_from_caller(&self, identity: &Identity) -> usize {
+        self.tracked.keys().filter(|it| it.caller == identity.caller).count()
+    }
+
     /// The evidence against a request, empty if it isn't tracked yet.
     fn evidence_mut(&mut self, now: Time, identity: Identity) -> &mut Evidence {
         if !self.tracked.contains_key(&identity) {
-            let from_caller = self.tracked.keys().filter(|it| it.caller == identity.caller).count();
-            if MAX_TRACKED_PER_CALLER <= from_caller {
+            if MAX_TRACKED_PER_CALLER <= self.count_from_caller(&identity) {
                 self.evict_least(|it| it.caller == identity.caller);
             } else if MAX_TRACKED <= self.tracked.len() {
                 self.evict_least(|_| true);
