Count prompts of about mean length as queued

Callers saw 503 (overload) beside engines that were idle: an instance expected waits of 1.3 s at engines whose reports, 10 ms old, said that nothing waits.

Cause: only first tokens of prompts of at least mean length show how far a server has come, as shorter ones overtake. The mean starts at 1,000 tokens and moves by 3 % of the difference with each answer. Where all prompts are equally long and shorter, it comes close to their length from above and never reaches it (50.0000005 after 700 prompts of 50 tokens), so that no first token ever counted: expected times added up for 150 ms, the age up to which reports may miss prompts, and costs weren't learnt. Above some thousand prompts a second, that is a wait beyond the callers' time.

Change: prompts from 0.95 times the mean on count. equally_long_prompts_count_as_queued failed before at 50 tokens.

--- a/crates/gateway/src/cost.rs
+++ b/crates/gateway/src/cost.rs
@@ -17,6 +17,9 @@
 const PRIOR_RESPONSE_MS: f64 = 70.0;
 /// Mean number of tokens to prefill per prompt before any was seen.
 const PRIOR_MEAN_TOKENS: f64 = 1_000.0;
+/// Fraction of the mean length from which on a prompt counts as long. The mean of equal lengths comes close to them, but may
+/// stay above.
+const LONG_FRACTION: f64 = 0.95;
 /// Fixed work of an engine for each prompt, as a number of tokens: setting a prompt up takes as
 /// long as prefilling 180 to 250 tokens.
 const SETUP_TOKENS: f64 = 200.0;
@@ -143,7 +146,7 @@
 
     /// Whether a prompt is long enough not to overtake others.
     pub fn is_queued(&self, uncached_tokens: u32) -> bool {
-        self.mean_tokens <= f64::from(uncached_tokens)
+        LONG_FRACTION * self.mean_tokens <= f64::from(uncached_tokens)
     }
 
     /// Learns from the first token of a response. Returns the time at which it was expected, ms, at a server of the
--- a/crates/gateway/tests/cost.rs
+++ b/crates/gateway/tests/cost.rs
@@ -59,6 +59,21 @@
     }
 }
 
+// All prompts of a service are equally long, so that none overtakes another. If their first tokens didn't show how far
+// servers have come, prompts would be refused beside idle servers.
+#[test]
+fn equally_long_prompts_count_as_queued() {
+    let engine = Engine { per_ms: 150.0, first_ms: 25.0 };
+    for uncached_tokens in [50, 200, 900] {
+        let mut cost = Estimate::default();
+        for _ in 0..700 {
+            cost.observe_first_token(&engine.response(uncached_tokens, 0.0));
+        }
+        assert!(cost.is_queued(uncached_tokens), "{uncached_tokens} tokens: {cost:?}");
+        assert!(!cost.is_queued(uncached_tokens / 2), "{uncached_tokens} tokens: {cost:?}");
+    }
+}
+
 // Engines become more than twice as slow for a while and recover. The estimate follows both
 // changes.
 #[test]
