Tell long entries in shorter parts

A part of 2 MB of entries that don't compress takes a slow or busy processor longer to compress than the receiver waits for the answer to begin: long_entries_hide_no_server_from_other_instances timed out at a load of 21 (debug build), with each query lost alike.

--- a/crates/gateway/src/gossip/entries.rs
+++ b/crates/gateway/src/gossip/entries.rs
@@ -8,8 +8,9 @@
 
 /// Maximum size of an unpacked batch in bytes: twelve thousand entries of about 350 bytes each.
 const MAX_LENGTH: u64 = 4 << 20;
-/// Most bytes of the entries that are packed into one batch, unless a single one is longer.
-const MAX_PART: usize = 2 << 20;
+/// Most bytes of the entries that are packed into one batch, unless a single one is longer. Compressing more would hold up
+/// the instance, and the batch might begin later than the receiver waits.
+const MAX_PART: usize = 512 << 10;
 /// Most bytes that an entry takes in a batch beside its name and content.
 const OVERHEAD: usize = 20;
 
