Start with settings that are empty or written in other ways

Processes didn't start with values that the platform may give. Bounds of rules that aren't in force are left empty by the template, and seven settings had no default (the store's rates, the directory's time, the retry budget, the gap of orders, the grace period, log lines). Descriptors and log lines had to be written without a fraction or exponent, so that 4100.0 ended the start. Names with backslashes or quotes were read as escapes.

Three tests failed before: "[store] reads_per_second: missing", "[descriptors] limit = 4100.0", and a\b read as "a\u{8}". Empty settings have defaults, as some had before; numbers are read as such, up to a billion; values are taken as they are. Still an error: numbers out of range, which a test asks for. A value that ends with a backslash still goes on in the next line.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use ini::Ini;
+use ini::{Ini, ParseOption};
 use rustix::process::{Resource, getrlimit};
 
 use crate::{budget, memory, quarantine};
@@ -118,16 +118,38 @@
 pub fn open(path: &Path) -> Result<Settings, Error> {
     let file_error = |reason: String| Error::File { path: path.display().to_string(), reason };
     let text = fs::read_to_string(path).map_err(|it| file_error(it.to_string()))?;
-    let ini = Ini::load_from_str(&text).map_err(|it| file_error(it.to_string()))?;
+    let ini = load(&text).map_err(|it| file_error(it.to_string()))?;
     from_ini(&ini)
 }
 
 /// Parses and validates settings. The path in errors is `-`.
 pub fn parse(text: &str) -> Result<Settings, Error> {
     let file_error = |it: ini::ParseError| Error::File { path: "-".into(), reason: it.to_string() };
-    from_ini(&Ini::load_from_str(text).map_err(file_error)?)
+    from_ini(&load(text).map_err(file_error)?)
 }
 
+/// Values are taken as they are: the platform escapes and quotes nothing.
+fn load(text: &str) -> Result<Ini, ini::ParseError> {
+    let options =
+        ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
+    Ini::load_from_str_opt(text, options)
+}
+
+/// Reads and writes per second at the store if the settings are empty, as are the following: what the platform leaves empty
+/// it has no rule for.
+const DEFAULT_CALLS_PER_S: (f64, f64) = (2_000.0, 400.0);
+/// How long callers may cache a response of the directory.
+const DEFAULT_DIRECTORY_TTL: Duration = Duration::from_secs(2);
+/// Policy of the retry budget, as strict as that of known deployments.
+const DEFAULT_RETRIES: budget::Policy =
+    budget::Policy { ratio: 0.1, window: Duration::from_secs(10), slack: 10.0 };
+/// Minimum interval between orders of two holders of the lease.
+const DEFAULT_ORDER_GAP: Duration = Duration::from_secs(3);
+/// Time from SIGTERM until the process is killed.
+const DEFAULT_SHUTDOWN_GRACE: Duration = Duration::from_secs(5);
+/// Log lines per second.
+const DEFAULT_LOG_LINES: f64 = 400.0;
+
 /// How long requests may start on replaced weights if the setting is empty: the shortest limit of any known
 /// deployment.
 const DEFAULT_MAX_STALE_WEIGHTS: Duration = Duration::from_secs(8);
@@ -206,43 +228,34 @@
         listen,
         store: address(ini, "store", "address")?,
         store_calls_per_s: (
-            quantity(ini, "store", "reads_per_second", &COUNT)?,
-            quantity(ini, "store", "writes_per_second", &COUNT)?,
+            quantity_or(ini, "store", "reads_per_second", &COUNT, DEFAULT_CALLS_PER_S.0)?,
+            quantity_or(ini, "store", "writes_per_second", &COUNT, DEFAULT_CALLS_PER_S.1)?,
         ),
         link_bytes_per_s: link_bytes_per_s(ini)?,
-        directory_ttl: duration(ini, "directory", "ttl_s", &SECONDS)?,
+        directory_ttl: duration_or(ini, "directory", "ttl_s", &SECONDS, DEFAULT_DIRECTORY_TTL)?,
         retries: budget::Policy {
-            ratio: quantity(ini, "retries", "ratio", &COUNT)?,
-            window: duration(ini, "retries", "window_s", &SECONDS)?,
-            slack: quantity(ini, "retries", "slack", &COUNT)?,
+            ratio: quantity_or(ini, "retries", "ratio", &COUNT, DEFAULT_RETRIES.ratio)?,
+            window: duration_or(ini, "retries", "window_s", &SECONDS, DEFAULT_RETRIES.window)?,
+            slack: quantity_or(ini, "retries", "slack", &COUNT, DEFAULT_RETRIES.slack)?,
         },
-        quota_window: quota_window(ini)?,
-        order_gap: duration(ini, "orders", "gap_ms", &MILLISECONDS)?,
-        max_stale_weights: max_stale_weights(ini)?,
+        quota_window: duration_or(ini, "quotas", "window_s", &SECONDS, DEFAULT_QUOTA_WINDOW)?,
+        order_gap: duration_or(ini, "orders", "gap_ms", &MILLISECONDS, DEFAULT_ORDER_GAP)?,
+        max_stale_weights: duration_or(
+            ini,
+            "weights",
+            "oldest_ms",
+            &MILLISECONDS,
+            DEFAULT_MAX_STALE_WEIGHTS,
+        )?,
         quarantine: quarantine(ini)?,
-        shutdown_grace: duration(ini, "shutdown", "grace_s", &SECONDS)?,
+        shutdown_grace: duration_or(ini, "shutdown", "grace_s", &SECONDS, DEFAULT_SHUTDOWN_GRACE)?,
         memory_bytes: memory_bytes(ini)?,
         max_descriptors: max_descriptors(ini)?,
-        log_lines_per_s: number(ini, "log", "lines_per_second", "a whole number")?,
+        log_lines_per_s: quantity_or(ini, "log", "lines_per_second", &COUNT, DEFAULT_LOG_LINES)?
+            as u32,
     })
 }
 
-/// The setting is empty if the platform has no quotas.
-fn quota_window(ini: &Ini) -> Result<Duration, Error> {
-    if !is_set(ini, "quotas", "window_s") {
-        return Ok(DEFAULT_QUOTA_WINDOW);
-    }
-    duration(ini, "quotas", "window_s", &SECONDS)
-}
-
-/// The setting is empty if the platform states no limit.
-fn max_stale_weights(ini: &Ini) -> Result<Duration, Error> {
-    if !is_set(ini, "weights", "oldest_ms") {
-        return Ok(DEFAULT_MAX_STALE_WEIGHTS);
-    }
-    duration(ini, "weights", "oldest_ms", &MILLISECONDS)
-}
-
 const BYTES_PER_MB: f64 = 1e6;
 const BYTES_PER_KIB: usize = 1_024;
 
@@ -275,14 +288,14 @@
 
 /// Descriptors of the process. The setting is empty if the platform states no limit; then it is what the system says.
 fn max_descriptors(ini: &Ini) -> Result<usize, Error> {
-    const EXPECTED: &str = "a whole number from 256";
+    const EXPECTED: &str = "a number from 256";
     if !is_set(ini, "descriptors", "limit") {
         let limit = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
         return Ok(usize::try_from(limit).unwrap_or(usize::MAX).max(MIN_DESCRIPTORS));
     }
-    let limit = number(ini, "descriptors", "limit", EXPECTED)?;
-    if MIN_DESCRIPTORS <= limit {
-        return Ok(limit);
+    let limit = number::<f64>(ini, "descriptors", "limit", EXPECTED)?;
+    if MIN_DESCRIPTORS as f64 <= limit {
+        return Ok(limit.min(COUNT.max) as usize);
     }
     let found = text(ini, "descriptors", "limit", EXPECTED)?.to_owned();
     Err(Error::Value { section: "descriptors", key: "limit", found, expected: EXPECTED })
@@ -365,6 +378,33 @@
     Err(Error::Value { section, key, found, expected: range.expected })
 }
 
+/// The same, or `default` if the setting is empty.
+fn quantity_or(
+    ini: &Ini,
+    section: &'static str,
+    key: &'static str,
+    range: &Range,
+    default: f64,
+) -> Result<f64, Error> {
+    match is_set(ini, section, key) {
+        true => quantity(ini, section, key, range),
+        false => Ok(default),
+    }
+}
+
+fn duration_or(
+    ini: &Ini,
+    section: &'static str,
+    key: &'static str,
+    range: &Range,
+    default: Duration,
+) -> Result<Duration, Error> {
+    match is_set(ini, section, key) {
+        true => duration(ini, section, key, range),
+        false => Ok(default),
+    }
+}
+
 fn duration(
     ini: &Ini,
     section: &'static str,
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -93,3 +93,60 @@
         assert!(expected.contains("from 0 to"), "{expected}");
     }
 }
+
+// A platform that has no such rule leaves its bound empty: the process ended at its start.
+#[test]
+fn settings_without_a_value_have_defaults() {
+    let keys = [
+        "reads_per_second = 2000",
+        "writes_per_second = 400",
+        "ttl_s = 5",
+        "ratio = 0.2",
+        "window_s = 10",
+        "slack = 54",
+        "gap_ms = 3000",
+        "grace_s = 8",
+        "seeds = 127.0.0.2:9, 127.0.0.3:9",
+        "lines_per_second = 400",
+    ];
+    for setting in keys {
+        let (key, _) = setting.split_once(" = ").unwrap();
+        let empty = VALID.replace(setting, &format!("{key} ="));
+        assert_ne!(empty, VALID);
+        parse(&empty).unwrap_or_else(|it| panic!("{setting}: {it}"));
+    }
+}
+
+// Whole numbers that are written with a fraction or an exponent ended the process at its start.
+#[test]
+fn numbers_may_be_written_in_any_way() {
+    let with = |setting: &str, value: &str| {
+        let (key, _) = setting.split_once(" = ").unwrap();
+        parse(&VALID.replace(setting, &format!("{key} = {value}"))).unwrap()
+    };
+    let limit = |value: &str| {
+        parse(&format!("{VALID}[descriptors]\nlimit = {value}\n")).unwrap().max_descriptors
+    };
+    for value in ["4100", "4100.0", "4.1e3", "+4100"] {
+        assert_eq!(limit(value), 4_100, "{value}");
+    }
+    assert_eq!(limit("1e30"), limit("1000000000"));
+    assert_eq!(with("reads_per_second = 2000", "2e3").store_calls_per_s.0, 2_000.0);
+    assert_eq!(with("gap_ms = 3000", "3000.0").order_gap, Duration::from_secs(3));
+    assert_eq!(with("slack = 54", "54.5").retries.slack, 54.5);
+    for (key, value) in [("limit_mb", "110.5"), ("limit_mb", "1.1e2")] {
+        parse(&format!("{VALID}[memory]\n{key} = {value}\n")).unwrap();
+    }
+    parse(&format!("{VALID}[link]\nmbit_per_second = 1e3\n")).unwrap();
+}
+
+// Names that the file's format has a meaning for ended the process at its start, or were cut.
+#[test]
+fn names_may_have_any_characters() {
+    for name in ["a\\b", "\"a\" b", "'a", "a;b", "a#b", "a=b", "a:b", "a[b]", "\u{e9}", "$a", "a b"]
+    {
+        let text = VALID.replace("name = i1", &format!("name = {name}"));
+        let settings = parse(&text).unwrap_or_else(|it| panic!("{name}: {it}"));
+        assert_eq!(&*settings.name, name);
+    }
+}
