Wait for an address that is about to be free

A process that started while the one before it still held an address ended at once ("didn't start"). Listeners have SO_REUSEADDR, so that connections left by a killed process were no obstacle; a process that is still ending was.

address_that_is_about_to_be_free_is_waited_for failed before: "127.155.2.3:18081: Address already in use". An address in use is tried again for 3 s, every 20 ms; then the start fails with the address, as address_in_use_is_an_error asks for.

--- a/crates/gateway/src/host/system/network.rs
+++ b/crates/gateway/src/host/system/network.rs
@@ -4,6 +4,7 @@
     io::{self, ErrorKind, Read, Write},
     net::SocketAddr,
     rc::Rc,
+    thread,
     time::Duration,
 };
 
@@ -17,6 +18,9 @@
 
 /// Length of the kernel's queue of connections to accept.
 const LISTEN_BACKLOG: i32 = 1024;
+/// How long an address that is in use is tried again, and how often.
+const BIND_TIMEOUT: Duration = Duration::from_secs(3);
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum number of kernel events per round of a poll.
 const EVENT_CAPACITY: usize = 256;
 /// Idle time before the kernel probes a peer, and interval between probes. With a time limit on unacknowledged bytes,
@@ -49,11 +53,14 @@
         address: SocketAddr,
         token: usize,
     ) -> io::Result<Box<dyn network::Listener>> {
-        let socket = RawSocket::new(Domain::for_address(address), Type::STREAM, None)?;
-        socket.set_reuse_address(true)?;
-        socket.set_nonblocking(true)?;
-        socket.bind(&address.into())?;
-        socket.listen(LISTEN_BACKLOG)?;
+        let socket = bind(|| {
+            let socket = RawSocket::new(Domain::for_address(address), Type::STREAM, None)?;
+            socket.set_reuse_address(true)?;
+            socket.set_nonblocking(true)?;
+            socket.bind(&address.into())?;
+            socket.listen(LISTEN_BACKLOG)?;
+            Ok(socket)
+        })?;
         let mut listener = TcpListener::from_std(socket.into());
         self.registry.register(&mut listener, Token(token), Interest::READABLE)?;
         Ok(Box::new(Listener { listener, registry: self.registry.clone() }))
@@ -64,7 +71,7 @@
         address: SocketAddr,
         token: usize,
     ) -> io::Result<Box<dyn network::Datagrams>> {
-        let mut socket = UdpSocket::bind(address)?;
+        let mut socket = bind(|| UdpSocket::bind(address))?;
         self.registry.register(&mut socket, Token(token), Interest::READABLE)?;
         Ok(Box::new(Datagrams(socket)))
     }
@@ -93,6 +100,20 @@
     }
 }
 
+/// Binds an address. The process before this one may hold it for a moment longer.
+fn bind<T>(open: impl Fn() -> io::Result<T>) -> io::Result<T> {
+    let mut waited = Duration::ZERO;
+    loop {
+        match open() {
+            Err(err) if err.kind() == ErrorKind::AddrInUse && waited < BIND_TIMEOUT => {
+                thread::sleep(BIND_RETRY_DELAY);
+                waited += BIND_RETRY_DELAY;
+            }
+            bound => return bound,
+        }
+    }
+}
+
 struct Listener {
     listener: TcpListener,
     registry: Rc<Registry>,
