Ignore weights under another name than their model's

An object of any name in "versions" could publish weights of any model. One with a high version had all servers ordered to load a version that nobody has named, which they refuse; the named one was not loaded any more, and after the limit on older weights no server could be used.

weights_under_another_name_than_their_models_are_ignored failed before: the named version was not loaded within 20 s.

--- a/crates/gateway/src/core/ingest.rs
+++ b/crates/gateway/src/core/ingest.rs
@@ -63,7 +63,7 @@
                     self.apply_configuration(&object.value, None, Source::Store);
                 }
             }
-            Topic::Platform(ObjectKind::Weights) => self.apply_weights(&object.value, basis),
+            Topic::Platform(ObjectKind::Weights) => self.apply_weights(object, basis),
             Topic::Platform(ObjectKind::Servers) => {
                 let value = Some(&object.value);
                 self.apply_entry(&object.key.name, object.version.0, value, Source::Store);
--- a/crates/gateway/src/core/weights.rs
+++ b/crates/gateway/src/core/weights.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use shallotlead_base::{hash::Set, time::Time};
+use shallotlead_base::{hash::Set, store::Object, time::Time};
 
 use crate::{
     adapter::{Malformed, Weights},
@@ -24,8 +24,8 @@
 
 impl Core {
     /// Applies an object with published weights.
-    pub(crate) fn apply_weights(&mut self, value: &[u8], basis: Basis) {
-        let (model, version) = match self.parse_weights(value) {
+    pub(crate) fn apply_weights(&mut self, object: &Object, basis: Basis) {
+        let (model, version) = match self.parse_weights(object) {
             Ok(it) => (it.model, it.version),
             Err(err) => {
                 self.log.line(self.now, "weights_unreadable").text("error", &err.to_string());
@@ -41,11 +41,12 @@
         self.apply_recorded_history(&model);
     }
 
-    fn parse_weights(&self, value: &[u8]) -> Result<Weights, Malformed> {
-        let weights = self.adapter.parse_weights(value)?;
-        match is_name(&weights.model) {
+    /// Parses published weights, whose object is named by the model.
+    fn parse_weights(&self, object: &Object) -> Result<Weights, Malformed> {
+        let weights = self.adapter.parse_weights(&object.value)?;
+        match is_name(&weights.model) && weights.model == object.key.name {
             true => Ok(weights),
-            false => Err(Malformed("its model can't have this name".into())),
+            false => Err(Malformed("it isn't named by a model".into())),
         }
     }
 
