Escape the instance's name in log lines

The name comes from the settings and was written into each line as it was: with a quote, a backslash or a line end in it, no line could be read as JSON.

Evidence: name_of_the_instance_is_escaped, failed before ("expected , or }"). The name is escaped once, when the log is opened.

--- a/crates/gateway/src/json_log.rs
+++ b/crates/gateway/src/json_log.rs
@@ -28,7 +28,8 @@
     clock: Rc<dyn Clock>,
     sink: Box<dyn Sink>,
     buffer: String,
-    instance: Box<str>,
+    /// Name of the instance, escaped.
+    instance: String,
     /// Wall clock at the origin of the reactor's clock, in ms since 1970. It is renewed on each flush, since
     /// the wall clock may be adjusted.
     unix_offset_ms: u64,
@@ -56,10 +57,12 @@
         clock: Rc<dyn Clock>,
         sink: Box<dyn Sink>,
     ) -> Self {
+        let mut escaped = String::new();
+        escape(&mut escaped, instance);
         Self {
             sink,
             buffer: String::new(),
-            instance: instance.into(),
+            instance: escaped,
             unix_offset_ms: unix_offset_ms(&*clock, clock.now()),
             clock,
             flushed_at: Time::ZERO,
--- a/crates/gateway/tests/json_log.rs
+++ b/crates/gateway/tests/json_log.rs
@@ -47,3 +47,15 @@
     assert!(line["server"].as_str().is_some_and(|it| it.starts_with('é') && it.ends_with('…')));
     assert_eq!(line["revision"], 7);
 }
+
+// The instance's own name comes from its settings: with a quote or a line end, no line could be read.
+#[test]
+fn name_of_the_instance_is_escaped() {
+    let name = "i\"1\n\\";
+    let kept = Kept::default();
+    let mut log = Log::new(name, 10, Rc::new(Still), Box::new(kept.clone()));
+    log.line(Time::ZERO, "began").number("revision", 7);
+    log.flush(Time::ZERO, true);
+    let line: serde_json::Value = serde_json::from_slice(&kept.0.borrow()).expect("a line is JSON");
+    assert_eq!((line["instance"].as_str(), line["event"].as_str()), (Some(name), Some("began")));
+}
