Encode names in the targets of calls to the object API

The client of the object API (`shallotlead_platform::http`) wrote kinds and names into targets as they were: one with `/`, `?` or `#` made the call one for another object. Today's callers of it hold names to letters, digits, `.`, `_` and `-`, so that no user has seen it.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -17,6 +17,7 @@
     list::{List, Member, Unavailable},
     outcome::Outcome,
     store::Store,
+    target::encode,
 };
 
 /// Header with an object's version.
@@ -72,7 +73,8 @@
     fn request(&self, call: &Call) -> Result<(Request<Vec<u8>>, Duration), ureq::Error> {
         let base = &self.base;
         let mut timeout = self.timeout;
-        let object_url = |key: &Key| format!("{base}/objects/{}/{}", key.kind, key.name);
+        let kind_url = |kind: &str| format!("{base}/objects/{}", encode(kind));
+        let object_url = |key: &Key| format!("{}/{}", kind_url(&key.kind), encode(&key.name));
         let request = match call {
             Call::Get(key) => Request::get(object_url(key)).body(Vec::new()),
             Call::Put { key, expected, value } => Request::put(object_url(key))
@@ -81,10 +83,10 @@
             Call::Delete { key, expected } => Request::delete(object_url(key))
                 .header(EXPECTED_HEADER, expected.to_string())
                 .body(Vec::new()),
-            Call::List { kind } => Request::get(format!("{base}/objects/{kind}")).body(Vec::new()),
+            Call::List { kind } => Request::get(kind_url(kind)).body(Vec::new()),
             Call::Watch { kind, after, wait } => {
                 timeout += *wait;
-                let wait = wait.as_millis();
+                let (kind, wait) = (encode(kind), wait.as_millis());
                 Request::get(format!("{base}/watch/{kind}?after={after}&wait_ms={wait}"))
                     .body(Vec::new())
             }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod outcome;
 pub mod scheduler;
 pub mod store;
+pub mod target;
--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -103,6 +103,40 @@
     assert_eq!(client.call(watch), Reply::Changed { changes, version: Version(4) });
 }
 
+// A name with `/`, `?` or `%` made a call one for another object.
+#[test]
+fn names_are_encoded_in_targets() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let store = Http::new(&format!("http://{address}"), CALL_TIMEOUT);
+    let server = thread::spawn(move || {
+        let receive = |stream: std::io::Result<TcpStream>| {
+            let mut stream = stream.expect("a connection");
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                let mut byte = [0];
+                stream.read_exact(&mut byte).expect("a head");
+                head.extend(byte);
+            }
+            let answer =
+                b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+            stream.write_all(answer).expect("it is open");
+            String::from_utf8_lossy(&head).split(' ').nth(1).unwrap_or_default().to_owned()
+        };
+        listener.incoming().take(3).map(receive).collect::<Vec<_>>()
+    });
+    let kind = "a/b?";
+    store.call(&Call::Get(Key::new(kind, "c#%41 \r\né")));
+    store.call(&Call::List { kind: kind.into() });
+    store.call(&Call::Watch { kind: kind.into(), after: Version(3), wait: Duration::ZERO });
+    let expected = [
+        "/objects/a%2Fb%3F/c%23%2541%20%0D%0A%C3%A9",
+        "/objects/a%2Fb%3F",
+        "/watch/a%2Fb%3F?after=3&wait_ms=0",
+    ];
+    assert_eq!(server.join().expect("no failure"), expected);
+}
+
 // A watcher's last version is older than the changes that the platform keeps, so it must be told to
 // list again.
 #[test]
