Begin a list anew whose history is gone

A list whose further page is answered with 410 kept its pages, so that the same page would have been asked for again and again. Found by a review, by reading; no test.

--- a/crates/gateway/src/core/storage.rs
+++ b/crates/gateway/src/core/storage.rs
@@ -513,6 +513,7 @@
                 self.log.line(now, "history_lost").text("kind", &subscription.kind);
                 subscription.fail_call();
                 subscription.revision = None;
+                subscription.pages = Pages::default();
             }
             Reply::Failed(Failure::NotApplied { retry_after }) => {
                 subscription.fail_call();
