Count on from a record with the highest number allowed

An instance that found its own record with just the highest incarnation that is believed took the next number, which the others then ignored. The limit holds for records only now; what instances tell each other goes up to the end of the range.

records_with_the_highest_numbers_hide_no_member, extended by such a record, failed before: the other instance did not take the announced state.

--- a/crates/gateway/src/gossip/members.rs
+++ b/crates/gateway/src/gossip/members.rs
@@ -46,7 +46,7 @@
 /// Most members that are known from their records: several times as many as the largest fleet has. Further ones are heard
 /// of from others.
 const MAX_RECORDED: usize = 2_000;
-/// Highest incarnation and heartbeat counter of a member, which are counted on from there.
+/// Highest incarnation and heartbeat counter in a record, which are counted on from there.
 const MAX_COUNTER: u64 = u64::MAX / 2;
 
 /// Another member.
@@ -174,14 +174,11 @@
     /// Applies a sighting from `source`. Returns whether it is new.
     pub fn merge_sighting(&mut self, now: Time, sighting: Sighting, source: Source) -> bool {
         let member = &sighting.member;
-        if MAX_COUNTER < member.incarnation.max(member.beat).max(sighting.beat) {
-            return false;
-        }
         if member.name == self.me.name {
             // Guards against a clock that was set back between two starts: the others would take this incarnation for
             // an older one and ignore it. They repeat the number that they know, and a higher one is new to all.
             if self.me.incarnation < member.incarnation {
-                self.me.incarnation = member.incarnation + 1;
+                self.me.incarnation = member.incarnation.saturating_add(1);
             }
             return false;
         }
@@ -244,6 +241,9 @@
     /// Applies an instance's record from the store. The record says where the instance may be found; it is not
     /// forwarded, as it remains in the store when the instance is gone for good.
     pub fn add_record(&mut self, now: Time, member: Member) {
+        if MAX_COUNTER < member.incarnation.max(member.beat) {
+            return;
+        }
         self.first_record_at.get_or_insert(now);
         let known = self.others.get(&member.name);
         let has_room = self.others.len() < MAX_RECORDED;
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -449,6 +449,7 @@
 fn records_with_the_highest_numbers_hide_no_member() {
     let mut me = Members::new(member("b", 5, 0));
     me.add_record(at(0), member("b", u64::MAX, u64::MAX));
+    me.add_record(at(0), member("b", u64::MAX / 2, 0));
     me.receive(at(0), member("b", u64::MAX, 1));
     let mut other = Members::new(member("a", 1, 0));
     other.add_record(at(0), member("b", u64::MAX, 0));
